--- /dev/null
+++ b/model/errors.go
@@ -0,0 +1,84 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Outcome says what is known about the effect of a request.
+type Outcome string
+
+// The outcomes that every answer carries.
+const (
+	// OutcomeDone means that the request was carried out.
+	OutcomeDone Outcome = "done"
+	// OutcomeNotRun means that no part of the request was or will be carried out.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that the request may or may not have been carried out.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Code is a machine-readable error code in snake case.
+type Code string
+
+// Codes of errors that cross process boundaries.
+const (
+	CodeInvalid          Code = "invalid"
+	CodeTooLarge         Code = "too_large"
+	CodeUnsupportedMedia Code = "unsupported_media_type"
+	CodeNotFound         Code = "not_found"
+	CodeConflict         Code = "conflict"
+	CodeStaleVersion     Code = "stale_version"
+	CodeImpossible       Code = "impossible"
+	CodeStaleView        Code = "stale_view"
+	CodeNoLeader         Code = "no_leader"
+	CodeOverloaded       Code = "overloaded"
+	CodeLimit            Code = "team_limit"
+	CodeDeadline         Code = "deadline_exceeded"
+	CodeKeyConflict      Code = "key_conflict"
+	CodeKeyExpired       Code = "key_expired"
+	CodeInProgress       Code = "in_progress"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeNoUpstream       Code = "no_upstream"
+	CodeUpstreamFailed   Code = "upstream_failed"
+	CodeShuttingDown     Code = "shutting_down"
+	CodeUnavailable      Code = "unavailable"
+	CodeInternal         Code = "internal"
+)
+
+// Error is an error with a code, an outcome and, for validation, all faults found.
+type Error struct {
+	Code    Code     `json:"code"`
+	Message string   `json:"message"`
+	Outcome Outcome  `json:"outcome"`
+	Faults  []string `json:"faults,omitempty"`
+	// Version is the current configuration version when Code is CodeStaleVersion.
+	Version uint64 `json:"version,omitempty"`
+}
+
+// Error returns the code and the message.
+func (e *Error) Error() string {
+	if len(e.Faults) > 0 {
+		return fmt.Sprintf("%s: %s: %v", e.Code, e.Message, e.Faults)
+	}
+	return fmt.Sprintf("%s: %s", e.Code, e.Message)
+}
+
+// NotRun returns an error whose outcome is OutcomeNotRun.
+func NotRun(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Outcome: OutcomeNotRun, Message: fmt.Sprintf(format, args...)}
+}
+
+// Unknown returns an error whose outcome is OutcomeUnknown.
+func Unknown(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Outcome: OutcomeUnknown, Message: fmt.Sprintf(format, args...)}
+}
+
+// AsError returns the typed error in the chain of err, or an internal one with an unknown outcome.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Unknown(CodeInternal, "%v", err)
+}
--- /dev/null
+++ b/state/machine.go
@@ -0,0 +1,289 @@
+package state
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+const (
+	// shardCount is the number of shards of jobs and of keys.
+	shardCount = 16
+	// maxHistory bounds the configuration records kept; at 1,300 changes a day that is three days.
+	maxHistory = 4096
+	// maxFinishedJobs bounds the finished jobs kept; at 3,200 jobs a day that is six days.
+	maxFinishedJobs = 20000
+	// maxKeys bounds the idempotency keys kept; further claims are refused.
+	maxKeys = 200000
+	// maxAnswerBytes bounds the recorded answer bodies; the oldest bodies are dropped first.
+	maxAnswerBytes = 32 << 20
+)
+
+// Record is one accepted patch.
+type Record struct {
+	Version uint64       `json:"version"`
+	AtMS    int64        `json:"at_ms"`
+	Patch   config.Patch `json:"patch"`
+}
+
+type configShard struct {
+	mu      sync.RWMutex
+	current config.Config
+	history []Record
+	byID    map[string]uint64
+}
+
+type jobShard struct {
+	mu   sync.RWMutex
+	jobs map[string]model.Job
+}
+
+type keyShard struct {
+	mu   sync.RWMutex
+	keys map[model.KeyID]model.Key
+}
+
+type workerShard struct {
+	mu      sync.RWMutex
+	workers map[string]model.Worker
+}
+
+type upstreamShard struct {
+	mu        sync.RWMutex
+	upstreams map[string]model.Upstream
+}
+
+// Machine is one copy of the replicated state; Apply has one caller at a time, reads are concurrent.
+type Machine struct {
+	cfg       configShard
+	jobs      [shardCount]jobShard
+	keys      [shardCount]keyShard
+	workers   workerShard
+	upstreams upstreamShard
+
+	// Only Apply and Restore use the fields below; they derive from the shards or order them.
+	finished    []string
+	answered    []model.KeyID
+	answerBytes int
+	keyCount    int
+
+	mu      sync.Mutex
+	applied uint64
+	changed chan struct{}
+}
+
+// New returns an empty machine at index 0.
+func New() *Machine {
+	m := &Machine{changed: make(chan struct{})}
+	m.clear()
+	return m
+}
+
+func (m *Machine) clear() {
+	m.cfg.current = config.Config{}
+	m.cfg.history = nil
+	m.cfg.byID = map[string]uint64{}
+	for i := range m.jobs {
+		m.jobs[i].jobs = map[string]model.Job{}
+		m.keys[i].keys = map[model.KeyID]model.Key{}
+	}
+	m.workers.workers = map[string]model.Worker{}
+	m.upstreams.upstreams = map[string]model.Upstream{}
+	m.finished, m.answered = nil, nil
+	m.answerBytes, m.keyCount = 0, 0
+}
+
+func shardOf(s string) int {
+	h := fnv.New32a()
+	h.Write([]byte(s))
+	return int(h.Sum32() % shardCount)
+}
+
+// Apply applies the command committed at index; a nil command only moves the index on.
+func (m *Machine) Apply(index uint64, c Command) Result {
+	res := m.apply(c)
+	m.setApplied(index)
+	return res
+}
+
+func (m *Machine) apply(c Command) Result {
+	switch c := c.(type) {
+	case nil:
+		return Result{}
+	case PatchConfig:
+		return m.patchConfig(c)
+	case SubmitJob:
+		return m.submitJob(c)
+	case CancelJob:
+		return m.cancelJob(c)
+	case PlaceJob:
+		return m.placeJob(c)
+	case MoveJob:
+		return m.moveJob(c)
+	case RegisterWorker:
+		return m.registerWorker(c)
+	case RemoveWorker:
+		return m.removeWorker(c)
+	case AnnounceUpstream:
+		return m.announceUpstream(c)
+	case LeaveUpstream:
+		return m.leaveUpstream(c)
+	case ClaimKey:
+		return m.claimKey(c)
+	case FinishKey:
+		return m.finishKey(c)
+	case ExpireKeys:
+		return m.expireKeys(c)
+	default:
+		return Result{Failure: model.NotRun(model.CodeInvalid, "unknown command %T", c)}
+	}
+}
+
+func (m *Machine) setApplied(index uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.applied = index
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Applied returns the index of the last command applied.
+func (m *Machine) Applied() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
+}
+
+// Changed returns a channel that is closed at the next change.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Wait returns when the command at index has been applied.
+func (m *Machine) Wait(ctx context.Context, index uint64) error {
+	for {
+		m.mu.Lock()
+		applied, changed := m.applied, m.changed
+		m.mu.Unlock()
+		if applied >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return model.NotRun(model.CodeDeadline, "local state is at index %d of %d: %v", applied, index, ctx.Err())
+		}
+	}
+}
+
+// Config returns the current configuration, which must not be modified.
+func (m *Machine) Config() config.Config {
+	m.cfg.mu.RLock()
+	defer m.cfg.mu.RUnlock()
+	return m.cfg.current
+}
+
+// History returns the kept records of accepted patches, oldest first.
+func (m *Machine) History() []Record {
+	m.cfg.mu.RLock()
+	defer m.cfg.mu.RUnlock()
+	return slices.Clone(m.cfg.history)
+}
+
+// PatchVersion returns the version that a patch with this ID gave, if it is kept.
+func (m *Machine) PatchVersion(id string) (uint64, bool) {
+	m.cfg.mu.RLock()
+	defer m.cfg.mu.RUnlock()
+	v, ok := m.cfg.byID[id]
+	return v, ok
+}
+
+// Job returns the job with the ID.
+func (m *Machine) Job(id string) (model.Job, bool) {
+	s := &m.jobs[shardOf(id)]
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j, ok := s.jobs[id]
+	return j, ok
+}
+
+// Jobs returns all jobs in the order of their IDs.
+func (m *Machine) Jobs() []model.Job {
+	var all []model.Job
+	for i := range m.jobs {
+		s := &m.jobs[i]
+		s.mu.RLock()
+		for _, j := range s.jobs {
+			all = append(all, j)
+		}
+		s.mu.RUnlock()
+	}
+	slices.SortFunc(all, func(a, b model.Job) int { return compare(a.Spec.ID, b.Spec.ID) })
+	return all
+}
+
+// Key returns the record of an idempotency key.
+func (m *Machine) Key(id model.KeyID) (model.Key, bool) {
+	s := &m.keys[shardOf(id.Team+"/"+id.Key)]
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	k, ok := s.keys[id]
+	return k, ok
+}
+
+// Worker returns the registered worker with the name.
+func (m *Machine) Worker(name string) (model.Worker, bool) {
+	m.workers.mu.RLock()
+	defer m.workers.mu.RUnlock()
+	w, ok := m.workers.workers[name]
+	return w, ok
+}
+
+// Workers returns all registered workers in the order of their names.
+func (m *Machine) Workers() []model.Worker {
+	m.workers.mu.RLock()
+	defer m.workers.mu.RUnlock()
+	all := make([]model.Worker, 0, len(m.workers.workers))
+	for _, w := range m.workers.workers {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b model.Worker) int { return compare(a.Name, b.Name) })
+	return all
+}
+
+// Upstreams returns all known upstreams, those that left included, in the order of their names.
+func (m *Machine) Upstreams() []model.Upstream {
+	m.upstreams.mu.RLock()
+	defer m.upstreams.mu.RUnlock()
+	all := make([]model.Upstream, 0, len(m.upstreams.upstreams))
+	for _, u := range m.upstreams.upstreams {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b model.Upstream) int { return compare(a.Name, b.Name) })
+	return all
+}
+
+// Upstream returns the known upstream with the name.
+func (m *Machine) Upstream(name string) (model.Upstream, bool) {
+	m.upstreams.mu.RLock()
+	defer m.upstreams.mu.RUnlock()
+	u, ok := m.upstreams.upstreams[name]
+	return u, ok
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/state/snap.go
@@ -0,0 +1,109 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// image is the JSON form of a snapshot; lists are in a fixed order so that
+// copies at one index give the same bytes.
+type image struct {
+	Applied   uint64           `json:"applied"`
+	Config    config.Config    `json:"config"`
+	History   []Record         `json:"history,omitempty"`
+	Jobs      []model.Job      `json:"jobs,omitempty"`
+	Finished  []string         `json:"finished,omitempty"`
+	Keys      []model.Key      `json:"keys,omitempty"`
+	Answered  []model.KeyID    `json:"answered,omitempty"`
+	Workers   []model.Worker   `json:"workers,omitempty"`
+	Upstreams []model.Upstream `json:"upstreams,omitempty"`
+}
+
+// Snapshot encodes the state; it must not run together with Apply.
+func (m *Machine) Snapshot() ([]byte, error) {
+	im := image{
+		Applied: m.Applied(), Config: m.Config(), History: m.History(),
+		Jobs: m.Jobs(), Finished: m.finished, Keys: m.sortedKeys(), Answered: m.answered,
+		Workers: m.Workers(), Upstreams: m.Upstreams(),
+	}
+	b, err := json.Marshal(im)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// Restore replaces the state by a snapshot; it must not run together with Apply.
+func (m *Machine) Restore(b []byte) error {
+	var im image
+	if err := json.Unmarshal(b, &im); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	m.lockAll()
+	m.clear()
+	m.cfg.current, m.cfg.history = im.Config, im.History
+	for _, r := range im.History {
+		m.cfg.byID[r.Patch.ID] = r.Version
+	}
+	for _, j := range im.Jobs {
+		m.jobs[shardOf(j.Spec.ID)].jobs[j.Spec.ID] = j
+	}
+	for _, k := range im.Keys {
+		m.keys[shardOf(k.ID.Team+"/"+k.ID.Key)].keys[k.ID] = k
+	}
+	for _, w := range im.Workers {
+		m.workers.workers[w.Name] = w
+	}
+	for _, u := range im.Upstreams {
+		m.upstreams.upstreams[u.Name] = u
+	}
+	m.finished, m.answered, m.keyCount = im.Finished, im.Answered, len(im.Keys)
+	for _, k := range im.Keys {
+		if k.Answer != nil {
+			m.answerBytes += len(k.Answer.Body)
+		}
+	}
+	m.unlockAll()
+	m.setApplied(im.Applied)
+	return nil
+}
+
+func (m *Machine) sortedKeys() []model.Key {
+	var all []model.Key
+	for i := range m.keys {
+		s := &m.keys[i]
+		s.mu.RLock()
+		for _, k := range s.keys {
+			all = append(all, k)
+		}
+		s.mu.RUnlock()
+	}
+	slices.SortFunc(all, func(a, b model.Key) int {
+		return compare(a.ID.Team+"/"+a.ID.Key, b.ID.Team+"/"+b.ID.Key)
+	})
+	return all
+}
+
+func (m *Machine) lockAll() {
+	m.cfg.mu.Lock()
+	for i := range m.jobs {
+		m.jobs[i].mu.Lock()
+		m.keys[i].mu.Lock()
+	}
+	m.workers.mu.Lock()
+	m.upstreams.mu.Lock()
+}
+
+func (m *Machine) unlockAll() {
+	m.upstreams.mu.Unlock()
+	m.workers.mu.Unlock()
+	for i := range m.jobs {
+		m.keys[i].mu.Unlock()
+		m.jobs[i].mu.Unlock()
+	}
+	m.cfg.mu.Unlock()
+}
