--- /dev/null
+++ b/config/diff.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// Diff returns the changes that turn from into to. What others refer to is put
+// first and removed last, so references hold after each change.
+func Diff(from, to Config) []Change {
+	var out []Change
+	for _, dc := range to.DataCentres {
+		old, ok := from.DataCentre(dc.Name)
+		switch {
+		case ok && same(old, dc):
+		case ok && same(old.withState(dc), dc):
+			out = append(out, Change{SetDataCentre: &DataCentreInService{Name: dc.Name, OutOfService: dc.OutOfService, Reason: dc.Reason}})
+		default:
+			out = append(out, Change{PutDataCentre: &dc})
+		}
+	}
+	out = append(out, puts(from.Services, to.Services, Service.key, func(s *Service) Change { return Change{PutService: s} })...)
+	out = append(out, puts(from.Teams, to.Teams, Team.key, func(t *Team) Change { return Change{PutTeam: t} })...)
+	out = append(out, puts(from.DrainedWorkers, to.DrainedWorkers, Drain.key, func(d *Drain) Change { return Change{DrainWorker: d} })...)
+	out = append(out, removals(from.Teams, to.Teams, Team.key, func(n string) Change { return Change{RemoveTeam: n} })...)
+	out = append(out, removals(from.Services, to.Services, Service.key, func(n string) Change { return Change{RemoveService: n} })...)
+	out = append(out, removals(from.DataCentres, to.DataCentres, DataCentre.key, func(n string) Change { return Change{RemoveDataCentre: n} })...)
+	out = append(out, removals(from.DrainedWorkers, to.DrainedWorkers, Drain.key, func(n string) Change { return Change{UndrainWorker: n} })...)
+	return out
+}
+
+func puts[T any](from, to []T, key func(T) string, change func(*T) Change) []Change {
+	var out []Change
+	for _, v := range to {
+		if old, ok := find(from, key(v), key); !ok || !same(old, v) {
+			out = append(out, change(&v))
+		}
+	}
+	return out
+}
+
+func removals[T any](from, to []T, key func(T) string, change func(string) Change) []Change {
+	var out []Change
+	for _, v := range from {
+		if _, ok := find(to, key(v), key); !ok {
+			out = append(out, change(key(v)))
+		}
+	}
+	return out
+}
+
+// same compares two values by their JSON form, in which an empty list equals a missing one.
+func same(a, b any) bool {
+	return bytes.Equal(canonical(a), canonical(b))
+}
+
+func canonical(v any) []byte {
+	if dc, ok := v.(DataCentre); ok && len(dc.Racks) == 0 {
+		dc.Racks = nil
+		v = dc
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		// Only a number that is not finite cannot be encoded; such values differ from all others.
+		return []byte(err.Error())
+	}
+	return b
+}
+
+func (d DataCentre) withState(of DataCentre) DataCentre {
+	d.OutOfService, d.Reason = of.OutOfService, of.Reason
+	return d
+}
+
+// WithDrainsOf returns cfg with the data centres and workers that are out of
+// service in running kept out of service, so that applying declarations never
+// returns anything to service by omission.
+func (cfg Config) WithDrainsOf(running Config) Config {
+	for _, dc := range cfg.DataCentres {
+		if old, ok := running.DataCentre(dc.Name); ok && old.OutOfService && !dc.OutOfService {
+			cfg.DataCentres = put(cfg.DataCentres, dc.withState(old), DataCentre.key)
+		}
+	}
+	for _, d := range running.DrainedWorkers {
+		if !cfg.Drained(d.Worker) {
+			cfg.DrainedWorkers = put(cfg.DrainedWorkers, d, Drain.key)
+		}
+	}
+	return cfg
+}
+
+// String describes the change for people.
+func (c Change) String() string {
+	switch {
+	case c.PutDataCentre != nil:
+		return fmt.Sprintf("put data centre %s", c.PutDataCentre.Name)
+	case c.RemoveDataCentre != "":
+		return fmt.Sprintf("remove data centre %s", c.RemoveDataCentre)
+	case c.PutTeam != nil:
+		return fmt.Sprintf("put team %s", c.PutTeam.Name)
+	case c.RemoveTeam != "":
+		return fmt.Sprintf("remove team %s", c.RemoveTeam)
+	case c.PutService != nil:
+		return fmt.Sprintf("put service %s", c.PutService.Name)
+	case c.RemoveService != "":
+		return fmt.Sprintf("remove service %s", c.RemoveService)
+	case c.SetDataCentre != nil && c.SetDataCentre.OutOfService:
+		return fmt.Sprintf("take data centre %s out of service", c.SetDataCentre.Name)
+	case c.SetDataCentre != nil:
+		return fmt.Sprintf("return data centre %s to service", c.SetDataCentre.Name)
+	case c.DrainWorker != nil:
+		return fmt.Sprintf("drain worker %s", c.DrainWorker.Worker)
+	case c.UndrainWorker != "":
+		return fmt.Sprintf("undrain worker %s", c.UndrainWorker)
+	default:
+		return "no action"
+	}
+}
+
+// NewPatch returns a patch of version base whose ID is the same for the same
+// content and base version, so that sending it again is safe.
+func NewPatch(base uint64, author, reason string, changes []Change) (Patch, error) {
+	p := Patch{BaseVersion: base, Author: author, Reason: reason, Changes: changes}
+	b, err := json.Marshal(p)
+	if err != nil {
+		return Patch{}, fmt.Errorf("encode patch: %w", err)
+	}
+	sum := sha256.Sum256(b)
+	p.ID = "p-" + hex.EncodeToString(sum[:12])
+	return p, nil
+}
--- /dev/null
+++ b/config/fault.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing that is wrong with a configuration or a settings file.
+type Fault struct {
+	// File and Line are empty when the value did not come from a file.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	// Key is the path of the value, such as teams[0].guarantees[1].shape.tasks.
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
+}
+
+// String returns the fault as file:line: key: message, without the parts that are not known.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File)
+		if f.Line > 0 {
+			fmt.Fprintf(&b, ":%d", f.Line)
+		}
+		b.WriteString(": ")
+	}
+	if f.Key != "" {
+		b.WriteString(f.Key + ": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// Strings returns the faults as lines for people.
+func Strings(faults []Fault) []string {
+	out := make([]string, len(faults))
+	for i, f := range faults {
+		out[i] = f.String()
+	}
+	return out
+}
+
+// Faults collects faults; its methods add one when a value is wrong.
+type Faults []Fault
+
+// Add adds a fault of the value at key.
+func (f *Faults) Add(key, format string, args ...any) {
+	*f = append(*f, Fault{Key: key, Message: fmt.Sprintf(format, args...)})
+}
+
+// Range adds a fault unless lowest <= n <= highest.
+func (f *Faults) Range(key string, n, lowest, highest int) {
+	if n < lowest || n > highest {
+		f.Add(key, "is %d, must be %d to %d", n, lowest, highest)
+	}
+}
+
+// Name adds a fault unless s is a valid name.
+func (f *Faults) Name(key, s string) {
+	if err := CheckName(s); err != nil {
+		f.Add(key, "%v", err)
+	}
+}
+
+// Text adds a fault when s is longer than MaxText bytes or holds control characters.
+func (f *Faults) Text(key, s string) {
+	if len(s) > MaxText {
+		f.Add(key, "has %d bytes, at most %d are allowed", len(s), MaxText)
+	}
+	if strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+		f.Add(key, "holds control characters")
+	}
+}
--- /dev/null
+++ b/config/read.go
@@ -0,0 +1,363 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const (
+	// MaxFileBytes bounds one YAML file.
+	MaxFileBytes = 1 << 20
+	// MaxDepth bounds the nesting of YAML and JSON documents.
+	MaxDepth = 32
+	// maxKey bounds a YAML key in bytes; paths of keys are kept for all values below it.
+	maxKey = 200
+)
+
+// Document is a parsed YAML file with the place of each key.
+type Document struct {
+	file  string
+	lines map[string]int
+}
+
+// ReadYAML decodes a YAML file into out, a pointer to a struct, and refuses
+// unknown keys; faults are in the content, the error is one of reading.
+func ReadYAML(path string, out any) (*Document, []Fault, error) {
+	b, err := readBounded(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	d, faults := ParseYAML(path, b, out)
+	return d, faults, nil
+}
+
+func readBounded(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("open declarations: %w", err)
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	return b, nil
+}
+
+// ParseYAML decodes the content of a file as ReadYAML does.
+func ParseYAML(file string, b []byte, out any) (*Document, []Fault) {
+	d := &Document{file: file, lines: map[string]int{}}
+	switch {
+	case len(b) > MaxFileBytes:
+		return d, d.fault(0, "", "is larger than %d bytes", MaxFileBytes)
+	case !utf8.Valid(b):
+		return d, d.fault(1+bytes.Count(b[:invalidAt(b)], []byte("\n")), "", "is not UTF-8")
+	}
+	var root yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(b))
+	if err := dec.Decode(&root); errors.Is(err, io.EOF) {
+		return d, nil
+	} else if err != nil {
+		return d, d.yamlFaults(err)
+	}
+	if faults := d.index(&root, "", 0); len(faults) > 0 {
+		return d, faults
+	}
+	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
+		return d, d.fault(0, "", "holds more than one YAML document")
+	}
+	strict := yaml.NewDecoder(bytes.NewReader(b))
+	strict.KnownFields(true)
+	if err := strict.Decode(out); err != nil {
+		return d, d.yamlFaults(err)
+	}
+	return d, nil
+}
+
+func invalidAt(b []byte) int {
+	for i := 0; i < len(b); {
+		r, n := utf8.DecodeRune(b[i:])
+		if r == utf8.RuneError && n <= 1 {
+			return i
+		}
+		i += n
+	}
+	return len(b)
+}
+
+func (d *Document) fault(line int, key, format string, args ...any) []Fault {
+	return []Fault{{File: d.file, Line: line, Key: key, Message: fmt.Sprintf(format, args...)}}
+}
+
+// index notes the line of each key and refuses deep nesting and aliases,
+// which can make a small file large.
+func (d *Document) index(n *yaml.Node, key string, depth int) []Fault {
+	if depth > MaxDepth {
+		return d.fault(n.Line, key, "is nested deeper than %d levels", MaxDepth)
+	}
+	if _, ok := d.lines[key]; !ok {
+		d.lines[key] = n.Line
+	}
+	var faults []Fault
+	switch n.Kind {
+	case yaml.AliasNode:
+		return d.fault(n.Line, key, "anchors and aliases are not supported")
+	case yaml.DocumentNode:
+		return d.index(n.Content[0], key, depth)
+	case yaml.MappingNode:
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			if len(n.Content[i].Value) > maxKey {
+				return d.fault(n.Content[i].Line, key, "holds a key of more than %d bytes", maxKey)
+			}
+			child := join(key, n.Content[i].Value)
+			faults = append(faults, d.index(n.Content[i+1], child, depth+1)...)
+			d.lines[child] = n.Content[i].Line
+		}
+	case yaml.SequenceNode:
+		for i, c := range n.Content {
+			faults = append(faults, d.index(c, fmt.Sprintf("%s[%d]", key, i), depth+1)...)
+		}
+	}
+	return faults
+}
+
+func join(key, child string) string {
+	if key == "" {
+		return child
+	}
+	return key + "." + child
+}
+
+// yamlFaults translates the errors of the YAML package, which name a line but no key.
+func (d *Document) yamlFaults(err error) []Fault {
+	var te *yaml.TypeError
+	if !errors.As(err, &te) {
+		line, msg := splitLine(strings.TrimPrefix(err.Error(), "yaml: "))
+		return d.fault(line, "", "%s", msg)
+	}
+	var faults []Fault
+	for _, e := range te.Errors {
+		line, msg := splitLine(e)
+		if name, rest, ok := strings.Cut(strings.TrimPrefix(msg, "field "), " not found in type "); ok && rest != "" {
+			faults = append(faults, d.fault(line, d.keyAt(line, name), "unknown key")...)
+			continue
+		}
+		if strings.Contains(msg, "cannot unmarshal") {
+			msg = readable(msg)
+		}
+		faults = append(faults, d.fault(line, d.keyAt(line, ""), "%s", msg)...)
+	}
+	return faults
+}
+
+// splitLine takes "line 7: message" apart.
+func splitLine(s string) (int, string) {
+	head, msg, ok := strings.Cut(s, ": ")
+	n, err := strconv.Atoi(strings.TrimPrefix(head, "line "))
+	if !ok || err != nil {
+		return 0, s
+	}
+	return n, msg
+}
+
+// readable turns "cannot unmarshal !!str `x` into int" into words for people.
+func readable(msg string) string {
+	_, rest, _ := strings.Cut(msg, "cannot unmarshal ")
+	found, want, ok := strings.Cut(rest, " into ")
+	if !ok {
+		return msg
+	}
+	if _, value, ok := strings.Cut(found, " "); ok {
+		found = value
+	} else {
+		found = strings.TrimPrefix(found, "!!")
+	}
+	switch {
+	case strings.HasPrefix(want, "[]"):
+		want = "a list"
+	case strings.HasPrefix(want, "int"), strings.HasPrefix(want, "uint"):
+		want = "a whole number in range"
+	case strings.HasPrefix(want, "float"):
+		want = "a number"
+	case want == "bool":
+		want = "true or false"
+	case want == "string":
+		want = "text"
+	case want == "time.Duration":
+		want = "a duration such as 500ms or 2s"
+	default:
+		want = "a mapping with keys"
+	}
+	return fmt.Sprintf("found %s, expected %s", found, want)
+}
+
+// keyAt returns the longest key on a line, or the one that ends in name.
+func (d *Document) keyAt(line int, name string) string {
+	best := ""
+	for _, key := range d.keys() {
+		if d.lines[key] != line {
+			continue
+		}
+		if name != "" && (key == name || strings.HasSuffix(key, "."+name)) {
+			return key
+		}
+		if len(key) > len(best) {
+			best = key
+		}
+	}
+	if name != "" && best == "" {
+		return name
+	}
+	return best
+}
+
+func (d *Document) keys() []string {
+	keys := make([]string, 0, len(d.lines))
+	for k := range d.lines {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Locate adds file and line to faults that name only a key.
+func (d *Document) Locate(faults []Fault) []Fault {
+	out := slices.Clone(faults)
+	for i := range out {
+		if out[i].File == "" {
+			out[i].File, out[i].Line = d.file, d.line(out[i].Key)
+		}
+	}
+	return out
+}
+
+// line returns the line of a key, or of the nearest key that encloses it.
+func (d *Document) line(key string) int {
+	for key != "" {
+		if n, ok := d.lines[key]; ok {
+			return n
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+	return d.lines[""]
+}
+
+// ReadFile reads one file of declarations, or all .yaml and .yml files of a
+// folder in the order of their names, and validates them together.
+func ReadFile(path string) (Config, []Fault, error) {
+	files, err := declarationFiles(path)
+	if err != nil {
+		return Config{}, nil, err
+	}
+	m := merged{origin: map[string]origin{}}
+	var faults []Fault
+	for _, file := range files {
+		var part Config
+		d, fs, err := ReadYAML(file, &part)
+		if err != nil {
+			return Config{}, nil, err
+		}
+		faults = append(faults, fs...)
+		m.add(d, part)
+	}
+	if len(faults) == 0 {
+		faults = m.locate(Validate(m.cfg))
+	}
+	return m.cfg, faults, nil
+}
+
+func declarationFiles(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("find declarations: %w", err)
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, fmt.Errorf("list declarations: %w", err)
+	}
+	var files []string
+	for _, e := range entries {
+		if ext := filepath.Ext(e.Name()); !e.IsDir() && (ext == ".yaml" || ext == ".yml") {
+			files = append(files, filepath.Join(path, e.Name()))
+		}
+	}
+	if len(files) == 0 {
+		return nil, fmt.Errorf("folder %s holds no .yaml or .yml file", path)
+	}
+	return files, nil
+}
+
+// origin is the file and the key in it of one entry of a merged list.
+type origin struct {
+	doc *Document
+	key string
+}
+
+// merged joins the lists of several files and remembers where each entry came from.
+type merged struct {
+	cfg    Config
+	origin map[string]origin
+}
+
+func (m *merged) add(d *Document, part Config) {
+	m.note(d, "data_centres", len(m.cfg.DataCentres), len(part.DataCentres))
+	m.note(d, "teams", len(m.cfg.Teams), len(part.Teams))
+	m.note(d, "services", len(m.cfg.Services), len(part.Services))
+	m.note(d, "drained_workers", len(m.cfg.DrainedWorkers), len(part.DrainedWorkers))
+	m.cfg.DataCentres = append(m.cfg.DataCentres, part.DataCentres...)
+	m.cfg.Teams = append(m.cfg.Teams, part.Teams...)
+	m.cfg.Services = append(m.cfg.Services, part.Services...)
+	m.cfg.DrainedWorkers = append(m.cfg.DrainedWorkers, part.DrainedWorkers...)
+}
+
+func (m *merged) note(d *Document, list string, before, n int) {
+	if _, ok := m.origin[list]; !ok && n > 0 {
+		m.origin[list] = origin{doc: d, key: list}
+	}
+	for i := range n {
+		m.origin[fmt.Sprintf("%s[%d]", list, before+i)] = origin{doc: d, key: fmt.Sprintf("%s[%d]", list, i)}
+	}
+}
+
+func (m *merged) locate(faults []Fault) []Fault {
+	out := slices.Clone(faults)
+	for i, f := range out {
+		head, rest, _ := strings.Cut(f.Key, ".")
+		o, ok := m.origin[head]
+		if !ok {
+			continue
+		}
+		out[i].Key = o.key
+		if rest != "" {
+			out[i].Key = o.key + "." + rest
+		}
+		out[i].File, out[i].Line = o.doc.file, o.doc.line(out[i].Key)
+	}
+	return out
+}
+
+// WriteYAML writes cfg such that reading it gives no change.
+func WriteYAML(w io.Writer, cfg Config) error {
+	enc := yaml.NewEncoder(w)
+	enc.SetIndent(2)
+	if err := enc.Encode(cfg); err != nil {
+		return fmt.Errorf("write configuration as YAML: %w", err)
+	}
+	if err := enc.Close(); err != nil {
+		return fmt.Errorf("end configuration as YAML: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/webapi/api.go
@@ -0,0 +1,168 @@
+package webapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderTeam      = "Turmericroute-Team"
+	HeaderTimeout   = "Turmericroute-Timeout-Ms"
+	HeaderRequestID = "Turmericroute-Request-Id"
+	HeaderOutcome   = "Turmericroute-Outcome"
+	HeaderViewAge   = "Turmericroute-View-Age-Ms"
+)
+
+const (
+	// defaultTimeout bounds a request whose caller names no deadline.
+	defaultTimeout = 10 * time.Second
+	// maxTimeout bounds the deadline that a caller may name.
+	maxTimeout = 5 * time.Minute
+	// maxJobBytes bounds the body of a job submission.
+	maxJobBytes = 256 << 10
+	// maxPollBytes bounds a worker's poll; 64 tasks with long messages take about 100 KB.
+	maxPollBytes = 512 << 10
+	// maxSmallBytes bounds announcements and departures of upstreams.
+	maxSmallBytes = 16 << 10
+)
+
+// ServiceHandler serves requests to upstream services; package entry implements it.
+type ServiceHandler interface {
+	ServeService(w http.ResponseWriter, r *http.Request)
+}
+
+// Config holds what the API serves.
+type Config struct {
+	Replica state.Replica
+	Entry   ServiceHandler
+	Logger  log.Logger
+	// Metrics is the set that requests are counted in; it is also served.
+	Metrics *metrics.Set
+	// Dump returns the process state for GET /dump.
+	Dump func() any
+	// Ready returns why the process should receive no requests, or nil.
+	Ready func() error
+	// CheckConfig returns why the guarantees of a configuration cannot all hold.
+	CheckConfig func(config.Config) []string
+	// CheckJob returns a *model.Error when a job can never run.
+	CheckJob func(config.Config, model.JobSpec) error
+	// Now returns the time; the default is time.Now.
+	Now func() time.Time
+}
+
+type api struct {
+	Config
+	mux *http.ServeMux
+}
+
+// handler serves one request and returns the value to encode as JSON.
+type handler func(r *http.Request) (any, error)
+
+// New returns the handler of the whole API.
+func New(cfg Config) http.Handler {
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	a := &api{Config: cfg, mux: http.NewServeMux()}
+	a.routes()
+	return a
+}
+
+func (a *api) routes() {
+	a.json("POST", "/v1/jobs", a.submitJob)
+	a.json("GET", "/v1/jobs", a.listJobs)
+	a.json("GET", "/v1/jobs/{id}", a.getJob)
+	a.json("DELETE", "/v1/jobs/{id}", a.cancelJob)
+	a.json("GET", "/v1/config", a.getConfig)
+	a.json("POST", "/v1/config/patches", a.patchConfig)
+	a.json("GET", "/v1/config/history", a.getHistory)
+	a.json("GET", "/v1/workers", a.listWorkers)
+	a.json("GET", "/v1/upstreams", a.listUpstreams)
+	a.json("GET", "/v1/status", a.getStatus)
+	a.json("POST", "/v1/workers/{name}/poll", a.pollWorker)
+	a.json("POST", "/v1/upstreams/{name}/announce", a.announceUpstream)
+	a.json("POST", "/v1/upstreams/{name}/leave", a.leaveUpstream)
+	a.json("GET", "/dump", a.getDump)
+	a.json("GET", "/readyz", a.getReady)
+	a.json("GET", "/livez", func(*http.Request) (any, error) { return map[string]bool{"live": true}, nil })
+	a.mux.HandleFunc("GET /metrics", a.serveMetrics)
+	a.mux.HandleFunc("/v1/services/{service}/{path...}", a.serveService)
+	a.noMethod()
+	a.json("", "/", func(r *http.Request) (any, error) {
+		return nil, model.NotRun(model.CodeNotFound, "no resource %s", r.URL.Path)
+	})
+}
+
+// noMethod answers other methods of the paths above with a typed error.
+func (a *api) noMethod() {
+	for _, path := range []string{
+		"/v1/jobs", "/v1/jobs/{id}", "/v1/config", "/v1/config/patches", "/v1/config/history", "/v1/workers",
+		"/v1/upstreams", "/v1/status", "/v1/workers/{name}/poll", "/v1/upstreams/{name}/announce",
+		"/v1/upstreams/{name}/leave", "/dump", "/readyz", "/livez", "/metrics",
+	} {
+		a.json("", path, func(r *http.Request) (any, error) {
+			return nil, model.NotRun(codeMethod, "method %s is not supported here", r.Method)
+		})
+	}
+}
+
+// json registers a handler that answers with JSON.
+func (a *api) json(method, path string, h handler) {
+	pattern := path
+	if method != "" {
+		pattern = method + " " + path
+	}
+	a.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel, err := withDeadline(r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer cancel()
+		v, err := h(r.WithContext(ctx))
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, r, v)
+	})
+}
+
+// withDeadline bounds a request by the caller's deadline.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc, error) {
+	d, err := timeoutOf(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d)
+	return ctx, cancel, nil
+}
+
+func (a *api) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	a.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (a *api) serveService(w http.ResponseWriter, r *http.Request) {
+	if a.Entry == nil {
+		writeError(w, model.NotRun(model.CodeUnavailable, "this instance serves no services"))
+		return
+	}
+	a.Entry.ServeService(w, r)
+}
--- /dev/null
+++ b/webapi/body.go
@@ -0,0 +1,141 @@
+package webapi
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// codeMethod is the code of a request whose method a path does not have.
+const codeMethod model.Code = "method_not_allowed"
+
+// statusOf maps codes to HTTP status; codes that are not listed give 500.
+var statusOf = map[model.Code]int{
+	model.CodeInvalid:          http.StatusBadRequest,
+	model.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	model.CodeUnsupportedMedia: http.StatusUnsupportedMediaType,
+	model.CodeNotFound:         http.StatusNotFound,
+	model.CodeConflict:         http.StatusConflict,
+	model.CodeStaleVersion:     http.StatusConflict,
+	model.CodeImpossible:       http.StatusUnprocessableEntity,
+	model.CodeStaleView:        http.StatusServiceUnavailable,
+	model.CodeNoLeader:         http.StatusServiceUnavailable,
+	model.CodeOverloaded:       http.StatusServiceUnavailable,
+	model.CodeLimit:            http.StatusTooManyRequests,
+	model.CodeDeadline:         http.StatusGatewayTimeout,
+	model.CodeKeyConflict:      http.StatusConflict,
+	model.CodeKeyExpired:       http.StatusConflict,
+	model.CodeInProgress:       http.StatusConflict,
+	model.CodeOutcomeUnknown:   http.StatusBadGateway,
+	model.CodeNoUpstream:       http.StatusServiceUnavailable,
+	model.CodeUpstreamFailed:   http.StatusBadGateway,
+	model.CodeShuttingDown:     http.StatusServiceUnavailable,
+	model.CodeUnavailable:      http.StatusServiceUnavailable,
+	codeMethod:                 http.StatusMethodNotAllowed,
+}
+
+// StatusOf returns the HTTP status of an error code.
+func StatusOf(code model.Code) int {
+	if s, ok := statusOf[code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// writeError is the only place that turns an error into an answer.
+func writeError(w http.ResponseWriter, err error) {
+	e := model.AsError(err)
+	body, encErr := json.Marshal(e)
+	if encErr != nil {
+		body = []byte(`{"code":"internal","message":"error could not be encoded","outcome":"unknown"}`)
+	}
+	if note, ok := w.(interface{ noteCode(*model.Error) }); ok {
+		note.noteCode(e)
+	}
+	status := StatusOf(e.Code)
+	h := w.Header()
+	h.Set(HeaderOutcome, string(e.Outcome))
+	h.Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		h.Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+	w.Write(append(body, '\n'))
+}
+
+func writeJSON(w http.ResponseWriter, r *http.Request, v any) {
+	var body []byte
+	var err error
+	if r.URL.Path == "/dump" {
+		body, err = json.MarshalIndent(v, "", "  ")
+	} else {
+		body, err = json.Marshal(v)
+	}
+	if err != nil {
+		writeError(w, model.Unknown(model.CodeInternal, "encode answer: %v", err))
+		return
+	}
+	h := w.Header()
+	h.Set(HeaderOutcome, string(model.OutcomeDone))
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.Write(append(body, '\n'))
+}
+
+// readBody returns a JSON body of at most limit bytes.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || media != "application/json" {
+		return nil, model.NotRun(model.CodeUnsupportedMedia, "content type must be application/json")
+	}
+	if r.ContentLength > limit {
+		return nil, model.NotRun(model.CodeTooLarge, "body has %d bytes, at most %d are allowed", r.ContentLength, limit)
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, model.NotRun(model.CodeInvalid, "read body: %v", err)
+	}
+	if int64(len(b)) > limit {
+		return nil, model.NotRun(model.CodeTooLarge, "body has more than %d bytes", limit)
+	}
+	return b, nil
+}
+
+func decodeBody(r *http.Request, limit int64, out any) error {
+	b, err := readBody(r, limit)
+	if err != nil {
+		return err
+	}
+	return config.DecodeJSON(b, out)
+}
+
+// timeoutOf returns the caller's deadline as a duration.
+func timeoutOf(r *http.Request) (time.Duration, error) {
+	s := r.Header.Get(HeaderTimeout)
+	if s == "" {
+		return defaultTimeout, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return 0, model.NotRun(model.CodeInvalid, "%s must be 1 to %d", HeaderTimeout, maxTimeout.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// unlooked returns err with the outcome unknown: the ID of the request was not
+// looked up, so an earlier sending of it may have run.
+func unlooked(err error) error {
+	e := *model.AsError(err)
+	if errors.As(err, new(*model.Error)) && e.Outcome == model.OutcomeNotRun {
+		e.Message += "; an earlier sending with this ID may have run"
+	}
+	e.Outcome = model.OutcomeUnknown
+	return &e
+}
--- /dev/null
+++ b/webapi/conf.go
@@ -0,0 +1,105 @@
+package webapi
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// Patched is the answer to an accepted patch.
+type Patched struct {
+	Version uint64 `json:"version"`
+	// Resent reports that the patch was accepted before, by an earlier sending.
+	Resent bool `json:"resent,omitempty"`
+}
+
+func (a *api) getConfig(r *http.Request) (any, error) {
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, err
+	}
+	return a.Replica.Machine().Config(), nil
+}
+
+// getHistory lists accepted patches, oldest first, after ?since=version.
+func (a *api) getHistory(r *http.Request) (any, error) {
+	since := uint64(0)
+	if s := r.URL.Query().Get("since"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			return nil, model.NotRun(model.CodeInvalid, "since must be a version number")
+		}
+		since = n
+	}
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, err
+	}
+	out := []state.Record{}
+	for _, rec := range a.Replica.Machine().History() {
+		if rec.Version > since {
+			out = append(out, rec)
+		}
+	}
+	return out, nil
+}
+
+// patchConfig answers a resent patch as before, refuses a stale one, and
+// commits one that leaves the configuration valid.
+func (a *api) patchConfig(r *http.Request) (any, error) {
+	b, err := readBody(r, config.MaxPatchBytes)
+	if err != nil {
+		return nil, err
+	}
+	p, err := config.DecodePatch(b)
+	if err != nil {
+		return nil, fmt.Errorf("decode patch: %w", err)
+	}
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, unlooked(err)
+	}
+	version, known, failure := a.Replica.Machine().CheckPatch(p)
+	switch {
+	case known:
+		return Patched{Version: version, Resent: true}, nil
+	case failure != nil:
+		return nil, failure
+	}
+	if err := a.checkPatched(p); err != nil {
+		return nil, err
+	}
+	res, err := a.execute(r.Context(), state.PatchConfig{Patch: p, AtMS: a.Now().UnixMilli()})
+	if err != nil {
+		return nil, err
+	}
+	return Patched{Version: res.Version}, nil
+}
+
+// checkPatched validates the configuration that the patch would give. The
+// commit applies to that base version only, so the check holds for it.
+func (a *api) checkPatched(p config.Patch) error {
+	current := a.Replica.Machine().Config()
+	if current.Version != p.BaseVersion {
+		e := model.NotRun(model.CodeStaleVersion, "patch is for version %d, current is %d", p.BaseVersion, current.Version)
+		e.Version = current.Version
+		return e
+	}
+	next, err := config.Apply(current, p)
+	if err != nil {
+		return fmt.Errorf("apply patch: %w", err)
+	}
+	if faults := config.Validate(next); len(faults) > 0 {
+		return config.Invalid("the configuration after the patch is not valid", faults)
+	}
+	if a.CheckConfig == nil {
+		return nil
+	}
+	if short := a.CheckConfig(next); len(short) > 0 {
+		e := model.NotRun(model.CodeImpossible, "the guarantees after the patch cannot all hold")
+		e.Faults = short
+		return e
+	}
+	return nil
+}
--- /dev/null
+++ b/webapi/fleet.go
@@ -0,0 +1,220 @@
+package webapi
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+const (
+	// maxPollWaitMS bounds how long a poll is held.
+	maxPollWaitMS = 500
+	// maxReports bounds the task reports of one poll.
+	maxReports = 1024
+	maxSlots   = 4096
+)
+
+// Status describes an instance and sums up what it knows.
+type Status struct {
+	Replica       state.ReplicaStatus    `json:"replica"`
+	ConfigVersion uint64                 `json:"config_version"`
+	Ready         bool                   `json:"ready"`
+	NotReady      string                 `json:"not_ready,omitempty"`
+	Workers       int                    `json:"workers"`
+	Upstreams     int                    `json:"upstreams"`
+	Jobs          map[model.JobState]int `json:"jobs"`
+	OutOfService  []string               `json:"out_of_service"`
+	Drained       int                    `json:"drained_workers"`
+}
+
+func (a *api) listWorkers(r *http.Request) (any, error) {
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, err
+	}
+	return a.Replica.Machine().Workers(), nil
+}
+
+func (a *api) listUpstreams(r *http.Request) (any, error) {
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, err
+	}
+	return a.Replica.Machine().Upstreams(), nil
+}
+
+// getStatus describes this instance from its local copy, also when that is stale.
+func (a *api) getStatus(*http.Request) (any, error) {
+	m := a.Replica.Machine()
+	cfg := m.Config()
+	s := Status{
+		Replica: a.Replica.Status(), ConfigVersion: cfg.Version, Ready: true,
+		Workers: len(m.Workers()), Jobs: map[model.JobState]int{}, OutOfService: []string{}, Drained: len(cfg.DrainedWorkers),
+	}
+	for _, u := range m.Upstreams() {
+		if !u.Left {
+			s.Upstreams++
+		}
+	}
+	for _, j := range m.Jobs() {
+		s.Jobs[j.State]++
+	}
+	for _, dc := range cfg.DataCentres {
+		if dc.OutOfService {
+			s.OutOfService = append(s.OutOfService, dc.Name)
+		}
+	}
+	if err := a.ready(); err != nil {
+		s.Ready, s.NotReady = false, err.Error()
+	}
+	return s, nil
+}
+
+func (a *api) ready() error {
+	if a.Ready == nil {
+		return nil
+	}
+	return a.Ready()
+}
+
+func (a *api) getReady(*http.Request) (any, error) {
+	if err := a.ready(); err != nil {
+		return nil, model.NotRun(model.CodeUnavailable, "not ready: %v", err)
+	}
+	return map[string]bool{"ready": true}, nil
+}
+
+func (a *api) getDump(*http.Request) (any, error) {
+	if a.Dump == nil {
+		return nil, model.NotRun(model.CodeUnavailable, "this process has no dump")
+	}
+	return a.Dump(), nil
+}
+
+// pollWorker hands a worker's poll to the leader.
+func (a *api) pollWorker(r *http.Request) (any, error) {
+	name, err := pathName(r, "name")
+	if err != nil {
+		return nil, err
+	}
+	var req model.PollRequest
+	if err := decodeBody(r, maxPollBytes, &req); err != nil {
+		return nil, err
+	}
+	if faults := pollFaults(name, req); len(faults) > 0 {
+		return nil, config.Invalid("poll is not valid", faults)
+	}
+	req.WaitMS = min(req.WaitMS, maxPollWaitMS)
+	res, err := a.Replica.Poll(r.Context(), req)
+	if err != nil {
+		return nil, fmt.Errorf("poll leader: %w", err)
+	}
+	return res, nil
+}
+
+func pollFaults(name string, req model.PollRequest) []config.Fault {
+	var f config.Faults
+	w := req.Worker
+	if w.Name != name {
+		f.Add("worker.name", "is %q, the path names %q", w.Name, name)
+	}
+	f.Name("worker.data_centre", w.DataCentre)
+	f.Name("worker.rack", w.Rack)
+	f.Name("worker.incarnation", w.Incarnation)
+	f = append(f, config.CheckResources("worker.capacity", w.Capacity)...)
+	f.Range("tasks", len(req.Tasks), 0, maxReports)
+	if req.WaitMS < 0 {
+		f.Add("wait_ms", "is negative")
+	}
+	for i, t := range req.Tasks {
+		key := fmt.Sprintf("tasks[%d]", i)
+		f.Name(key+".id.job", t.ID.Job)
+		f.Range(key+".id.index", t.ID.Index, 0, config.MaxTasks-1)
+		if t.ID.Attempt < 1 {
+			f.Add(key+".id.attempt", "is %d, must be 1 or more", t.ID.Attempt)
+		}
+		if t.Progress < 0 || t.Checkpoint < 0 {
+			f.Add(key, "progress and checkpoint must not be negative")
+		}
+	}
+	return f
+}
+
+// announceUpstream commits an announcement only when it changes what is
+// registered, so that the heartbeats of many upstreams cost no log entries.
+func (a *api) announceUpstream(r *http.Request) (any, error) {
+	name, err := pathName(r, "name")
+	if err != nil {
+		return nil, err
+	}
+	var u model.Upstream
+	if err := decodeBody(r, maxSmallBytes, &u); err != nil {
+		return nil, err
+	}
+	if faults := upstreamFaults(name, u); len(faults) > 0 {
+		return nil, config.Invalid("announcement is not valid", faults)
+	}
+	u.Left = false
+	old, ok := a.Replica.Machine().Upstream(name)
+	if ok && old.Left && old.Incarnation >= u.Incarnation {
+		// A departure never reverts, so the local copy is enough to refuse.
+		return nil, model.NotRun(model.CodeConflict, "incarnation %d of upstream %s has left", u.Incarnation, name)
+	}
+	if age := a.Replica.ViewAge(); age > model.MaxViewAge {
+		return nil, model.NotRun(model.CodeStaleView, "view is %d ms old", age.Milliseconds())
+	}
+	if _, known := a.Replica.Machine().Config().Service(u.Service); !known {
+		return nil, model.NotRun(model.CodeNotFound, "no service %s", u.Service)
+	}
+	if ok && old == u {
+		return u, nil
+	}
+	if _, err := a.execute(r.Context(), state.AnnounceUpstream{Upstream: u}); err != nil {
+		return nil, err
+	}
+	return u, nil
+}
+
+func upstreamFaults(name string, u model.Upstream) []config.Fault {
+	var f config.Faults
+	if u.Name != name {
+		f.Add("name", "is %q, the path names %q", u.Name, name)
+	}
+	f.Name("service", u.Service)
+	f.Name("data_centre", u.DataCentre)
+	f.Range("slots", u.Slots, 1, maxSlots)
+	f.Range("connections", u.Connections, 1, maxSlots)
+	if u.Incarnation == 0 {
+		f.Add("incarnation", "must be 1 or more")
+	}
+	host, port, err := net.SplitHostPort(u.Address)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	if err != nil || perr != nil || n == 0 || net.ParseIP(host) == nil {
+		f.Add("address", "%q is no IP address and port", u.Address)
+	}
+	return f
+}
+
+// leaveUpstream commits the departure of an incarnation.
+func (a *api) leaveUpstream(r *http.Request) (any, error) {
+	name, err := pathName(r, "name")
+	if err != nil {
+		return nil, err
+	}
+	var req struct {
+		Incarnation uint64 `json:"incarnation"`
+	}
+	if err := decodeBody(r, maxSmallBytes, &req); err != nil {
+		return nil, err
+	}
+	if req.Incarnation == 0 {
+		return nil, model.NotRun(model.CodeInvalid, "incarnation must be 1 or more")
+	}
+	if _, err := a.execute(r.Context(), state.LeaveUpstream{Name: name, Incarnation: req.Incarnation}); err != nil {
+		return nil, err
+	}
+	return map[string]bool{"left": true}, nil
+}
