--- /dev/null
+++ b/client/calls.go
@@ -0,0 +1,107 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/webapi"
+)
+
+// SubmitJob submits a job; without an ID of the caller it is not sent twice.
+func (c *Client) SubmitJob(ctx context.Context, spec model.JobSpec) (model.Job, error) {
+	return get[model.Job](ctx, c, call{method: http.MethodPost, path: "/v1/jobs", body: spec, repeatable: spec.ID != ""})
+}
+
+// Job returns the job with the ID.
+func (c *Client) Job(ctx context.Context, id string) (model.Job, error) {
+	return get[model.Job](ctx, c, read("/v1/jobs/"+url.PathEscape(id), nil))
+}
+
+// Jobs lists jobs; an empty team or state means all.
+func (c *Client) Jobs(ctx context.Context, team string, state model.JobState) ([]model.Job, error) {
+	q := url.Values{}
+	if team != "" {
+		q.Set("team", team)
+	}
+	if state != "" {
+		q.Set("state", string(state))
+	}
+	return get[[]model.Job](ctx, c, read("/v1/jobs", q))
+}
+
+// CancelJob asks for the end of a job.
+func (c *Client) CancelJob(ctx context.Context, id string) (model.Job, error) {
+	return get[model.Job](ctx, c, call{method: http.MethodDelete, path: "/v1/jobs/" + url.PathEscape(id), repeatable: true})
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (config.Config, error) {
+	return get[config.Config](ctx, c, read("/v1/config", nil))
+}
+
+// Patch sends a patch; its ID makes it safe to send again.
+func (c *Client) Patch(ctx context.Context, p config.Patch) (webapi.Patched, error) {
+	return get[webapi.Patched](ctx, c, call{method: http.MethodPost, path: "/v1/config/patches", body: p, repeatable: true})
+}
+
+// History lists the accepted patches after a version, oldest first.
+func (c *Client) History(ctx context.Context, since uint64) ([]state.Record, error) {
+	q := url.Values{"since": {strconv.FormatUint(since, 10)}}
+	return get[[]state.Record](ctx, c, read("/v1/config/history", q))
+}
+
+// Workers lists the registered workers.
+func (c *Client) Workers(ctx context.Context) ([]model.Worker, error) {
+	return get[[]model.Worker](ctx, c, read("/v1/workers", nil))
+}
+
+// Upstreams lists the known upstreams.
+func (c *Client) Upstreams(ctx context.Context) ([]model.Upstream, error) {
+	return get[[]model.Upstream](ctx, c, read("/v1/upstreams", nil))
+}
+
+// Status describes the instance that answers.
+func (c *Client) Status(ctx context.Context) (webapi.Status, error) {
+	return get[webapi.Status](ctx, c, read("/v1/status", nil))
+}
+
+// Dump returns the state of the process that answers.
+func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	return get[json.RawMessage](ctx, c, read("/dump", nil))
+}
+
+// Poll sends a worker's poll. Leases and validities in the answer count from
+// before the call, whichever instance answers.
+func (c *Client) Poll(ctx context.Context, req model.PollRequest) (model.PollResponse, error) {
+	path := "/v1/workers/" + url.PathEscape(req.Worker.Name) + "/poll"
+	return get[model.PollResponse](ctx, c, call{method: http.MethodPost, path: path, body: req, repeatable: true})
+}
+
+// Announce announces an upstream.
+func (c *Client) Announce(ctx context.Context, u model.Upstream) error {
+	path := "/v1/upstreams/" + url.PathEscape(u.Name) + "/announce"
+	return c.do(ctx, call{method: http.MethodPost, path: path, body: u, repeatable: true}, nil)
+}
+
+// Leave announces the departure of an incarnation of an upstream.
+func (c *Client) Leave(ctx context.Context, name string, incarnation uint64) error {
+	path := "/v1/upstreams/" + url.PathEscape(name) + "/leave"
+	body := map[string]uint64{"incarnation": incarnation}
+	return c.do(ctx, call{method: http.MethodPost, path: path, body: body, repeatable: true}, nil)
+}
+
+func read(path string, q url.Values) call {
+	return call{method: http.MethodGet, path: path, query: q, repeatable: true}
+}
+
+func get[T any](ctx context.Context, c *Client, q call) (T, error) {
+	var out T
+	err := c.do(ctx, q, &out)
+	return out, err
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,259 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericroute/model"
+)
+
+const (
+	// maxAnswerBytes bounds an answer; a list of 20,000 jobs takes about 12 MB.
+	maxAnswerBytes = 64 << 20
+	// defaultTimeout bounds a call over all addresses when its context has no deadline.
+	defaultTimeout = 30 * time.Second
+	// retryRounds is how often all addresses are tried.
+	retryRounds = 3
+	// retryPause is the wait between rounds; an election takes up to 800 ms.
+	retryPause = 400 * time.Millisecond
+)
+
+// Unreachable is the class of errors of calls that reached no instance.
+var Unreachable = errs.Class("unreachable")
+
+// Config holds the settings of a client.
+type Config struct {
+	// Addresses are base URLs or host:port pairs of instances, tried in order from the last that answered.
+	Addresses []string
+	// Token is sent as a bearer token.
+	Token string
+	// Team is sent with each call.
+	Team string
+	// HTTP is the client used; the default has no retries, proxies or redirects.
+	HTTP *http.Client
+}
+
+// Client calls the API of several instances.
+type Client struct {
+	bases []string
+	token string
+	team  string
+	http  *http.Client
+	next  atomic.Int64
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	c := &Client{token: cfg.Token, team: cfg.Team, http: cfg.HTTP}
+	for _, a := range cfg.Addresses {
+		c.bases = append(c.bases, baseURL(a))
+	}
+	if c.http == nil {
+		c.http = &http.Client{
+			Transport:     &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	return c
+}
+
+func baseURL(address string) string {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return strings.TrimRight(address, "/")
+}
+
+// call is one request of the API.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   any
+	// repeatable says that sending the call twice has the effect of sending it once.
+	repeatable bool
+}
+
+// attempt is how one sending of a call ended.
+type attempt struct {
+	err *model.Error
+	// reached says that bytes of the call may have reached an instance.
+	reached bool
+}
+
+// do sends a call to the instances in turn until one gives a final answer.
+// Another instance is tried only when the call did not run or is repeatable.
+func (c *Client) do(ctx context.Context, q call, out any) error {
+	if len(c.bases) == 0 {
+		return Unreachable.Wrap(model.NotRun(model.CodeUnavailable, "no address is set"))
+	}
+	var body []byte
+	if q.body != nil {
+		var err error
+		if body, err = json.Marshal(q.body); err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+	}
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+	}
+	return c.rounds(ctx, q, body, out)
+}
+
+func (c *Client) rounds(ctx context.Context, q call, body []byte, out any) error {
+	var last *model.Error
+	unknown, reached := false, false
+	first := int(c.next.Load())
+	for i := range retryRounds * len(c.bases) {
+		if i > 0 && i%len(c.bases) == 0 && !pause(ctx, retryPause) {
+			break
+		}
+		n := (first + i) % len(c.bases)
+		a := c.send(ctx, c.bases[n], q, body, out)
+		if a.err == nil {
+			c.next.Store(int64(n))
+			return nil
+		}
+		last = a.err
+		reached = reached || a.reached
+		unknown = unknown || a.err.Outcome == model.OutcomeUnknown
+		if final(a.err, q.repeatable) || ctx.Err() != nil {
+			break
+		}
+	}
+	return conclude(last, unknown, reached)
+}
+
+// conclude returns the error of a call whose attempts all failed. After an
+// attempt with an unknown outcome a later "not run" speaks only of itself,
+// unless it was decided by looking at the state.
+func conclude(last *model.Error, unknown, reached bool) error {
+	e := *last
+	if unknown && e.Outcome == model.OutcomeNotRun && transient(e.Code) {
+		e.Outcome = model.OutcomeUnknown
+		e.Message += "; an earlier attempt may have run"
+	}
+	if !reached {
+		return Unreachable.Wrap(&e)
+	}
+	return &e
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// transient reports whether another instance or a later time may give another answer.
+func transient(code model.Code) bool {
+	switch code {
+	case model.CodeStaleView, model.CodeNoLeader, model.CodeOverloaded, model.CodeShuttingDown,
+		model.CodeUnavailable, model.CodeDeadline, model.CodeInternal:
+		return true
+	default:
+		return false
+	}
+}
+
+// final reports whether no other instance may be tried.
+func final(e *model.Error, repeatable bool) bool {
+	if !transient(e.Code) {
+		return true
+	}
+	return e.Outcome != model.OutcomeNotRun && !repeatable
+}
+
+func (c *Client) send(ctx context.Context, base string, q call, body []byte, out any) attempt {
+	req, err := c.request(ctx, base, q, body)
+	if err != nil {
+		return attempt{err: model.NotRun(model.CodeInvalid, "build request: %v", err)}
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return failed(base, err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return attempt{err: model.Unknown(model.CodeUnavailable, "answer of %s broke off: %v", base, err), reached: true}
+	case len(b) > maxAnswerBytes:
+		return attempt{err: model.Unknown(model.CodeTooLarge, "answer of %s is larger than %d bytes", base, maxAnswerBytes), reached: true}
+	case res.StatusCode/100 != 2:
+		return attempt{err: refusal(base, res, b), reached: true}
+	case out == nil:
+		return attempt{reached: true}
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return attempt{err: model.Unknown(model.CodeInternal, "answer of %s: %v", base, err), reached: true}
+	}
+	return attempt{reached: true}
+}
+
+func (c *Client) request(ctx context.Context, base string, q call, body []byte) (*http.Request, error) {
+	u := base + q.path
+	if len(q.query) > 0 {
+		u += "?" + q.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, q.method, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("new request: %w", err)
+	}
+	// Without GetBody the transport never sends a body a second time by itself.
+	req.GetBody = nil
+	if q.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	if c.team != "" {
+		req.Header.Set("Turmericroute-Team", c.team)
+	}
+	if d, ok := ctx.Deadline(); ok {
+		ms := max(1, time.Until(d).Milliseconds())
+		req.Header.Set("Turmericroute-Timeout-Ms", fmt.Sprint(min(ms, 300_000)))
+	}
+	return req, nil
+}
+
+// failed describes a call without an answer; a failed dial sent nothing.
+func failed(base string, err error) attempt {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return attempt{err: model.NotRun(model.CodeUnavailable, "cannot reach %s: %v", base, op)}
+	}
+	return attempt{err: model.Unknown(model.CodeUnavailable, "no answer from %s: %v", base, err), reached: true}
+}
+
+// refusal returns the typed error of an answer; one that is not ours has an unknown outcome.
+func refusal(base string, res *http.Response, b []byte) *model.Error {
+	var e model.Error
+	if err := json.Unmarshal(b, &e); err != nil || e.Code == "" {
+		return model.Unknown(model.CodeInternal, "%s answered %s without a typed error", base, res.Status)
+	}
+	if e.Outcome == "" {
+		e.Outcome = model.OutcomeUnknown
+	}
+	return &e
+}
--- /dev/null
+++ b/serve/process.go
@@ -0,0 +1,194 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/net/netutil"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/webapi"
+)
+
+// closeTimeout bounds the hand-over of leadership at the end of a shutdown; an election takes up to 800 ms.
+const closeTimeout = 5 * time.Second
+
+// Node is the process's part in the replicated log; package ctrl implements it.
+type Node interface {
+	state.Replica
+	Start(ctx context.Context) error
+	Close(ctx context.Context) error
+	Dump() any
+}
+
+// Services is the request path to upstreams; package entry implements it.
+type Services interface {
+	webapi.ServiceHandler
+	Run(ctx context.Context)
+	Drain(ctx context.Context) error
+	Dump() any
+}
+
+// Parts are what a process is assembled from.
+type Parts struct {
+	Node     Node
+	Services Services
+	Metrics  *metrics.Set
+	Logger   log.Logger
+	// CheckConfig and CheckJob are handed to the HTTP API.
+	CheckConfig func(config.Config) []string
+	CheckJob    func(config.Config, model.JobSpec) error
+}
+
+// Process is one running instance.
+type Process struct {
+	settings Settings
+	parts    Parts
+	server   *http.Server
+	started  time.Time
+	// unready is set first in a shutdown, closing after the drain delay.
+	unready, closing atomic.Bool
+}
+
+// NewProcess returns a process that is not running yet.
+func NewProcess(s Settings, p Parts) *Process {
+	proc := &Process{settings: s, parts: p, started: time.Now()}
+	api := webapi.New(webapi.Config{
+		Replica: p.Node, Entry: p.Services, Logger: p.Logger, Metrics: p.Metrics, Dump: proc.dump, Ready: proc.ready,
+		Closing: proc.closing.Load, CheckConfig: p.CheckConfig, CheckJob: p.CheckJob,
+	})
+	proc.server = &http.Server{
+		Handler: api, ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
+		MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+	}
+	return proc
+}
+
+// ready returns why the load balancer should send no requests here.
+func (p *Process) ready() error {
+	if p.unready.Load() {
+		return errors.New("shutting down")
+	}
+	if age := p.parts.Node.ViewAge(); age > model.MaxViewAge {
+		return fmt.Errorf("view of the state is %d ms old, at most %d are allowed", age.Milliseconds(), model.MaxViewAge.Milliseconds())
+	}
+	return nil
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", p.settings.HTTP.Address)
+	if err != nil {
+		return fmt.Errorf("listen for HTTP: %w", err)
+	}
+	return p.Serve(ctx, l)
+}
+
+// Serve is Run on a listener that is open already.
+func (p *Process) Serve(ctx context.Context, l net.Listener) error {
+	p.warnInsecure()
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := p.parts.Node.Start(base); err != nil {
+		l.Close()
+		return fmt.Errorf("start replica: %w", err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.parts.Services.Run(base)
+	}()
+	failed := make(chan error, 1)
+	go func() { failed <- p.server.Serve(netutil.LimitListener(l, p.settings.Limits.MaxConnections)) }()
+	level.Info(p.parts.Logger).Log("event", "started", "name", p.settings.Name, "http", l.Addr(), "grpc", p.settings.GRPC.Address)
+	var serveErr error
+	select {
+	case <-ctx.Done():
+	case serveErr = <-failed:
+		serveErr = fmt.Errorf("serve HTTP: %w", serveErr)
+	}
+	err := errors.Join(serveErr, p.shutdown(base))
+	stop()
+	<-done
+	return err
+}
+
+func (p *Process) warnInsecure() {
+	if p.settings.Insecure {
+		level.Warn(p.parts.Logger).Log("event", "insecure", "message", "listeners have no TLS; anyone who reaches them can read and change everything")
+	}
+}
+
+// shutdown lets the load balancer notice first, then refuses new requests,
+// finishes those in flight, hands over leadership and closes.
+func (p *Process) shutdown(ctx context.Context) error {
+	info := level.Info(p.parts.Logger)
+	p.unready.Store(true)
+	info.Log("event", "shutdown_started", "drain_delay", p.settings.DrainDelay)
+	wait(ctx, p.settings.DrainDelay)
+	p.closing.Store(true)
+	p.server.SetKeepAlivesEnabled(false)
+	info.Log("event", "shutdown_refusing", "shutdown_timeout", p.settings.ShutdownTimeout)
+	flight, cancel := context.WithTimeout(ctx, p.settings.ShutdownTimeout)
+	defer cancel()
+	var errs []error
+	if err := p.parts.Services.Drain(flight); err != nil {
+		errs = append(errs, fmt.Errorf("finish requests to upstreams: %w", err))
+	}
+	if err := p.server.Shutdown(flight); err != nil {
+		errs = append(errs, fmt.Errorf("finish requests: %w", err), p.server.Close())
+	}
+	closing, cancelClose := context.WithTimeout(ctx, closeTimeout)
+	defer cancelClose()
+	if err := p.parts.Node.Close(closing); err != nil {
+		errs = append(errs, fmt.Errorf("close replica: %w", err))
+	}
+	err := errors.Join(errs...)
+	info.Log("event", "shutdown_finished", "error", err)
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// dumped is the process state of GET /dump; it holds no secrets.
+type dumped struct {
+	Settings      Settings            `json:"settings"`
+	StartedMS     int64               `json:"started_ms"`
+	Unready       bool                `json:"unready"`
+	Closing       bool                `json:"closing"`
+	Goroutines    int                 `json:"goroutines"`
+	HeapBytes     uint64              `json:"heap_bytes"`
+	Replica       state.ReplicaStatus `json:"replica"`
+	ConfigVersion uint64              `json:"config_version"`
+	Control       any                 `json:"control"`
+	Entry         any                 `json:"entry"`
+}
+
+func (p *Process) dump() any {
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	return dumped{
+		Settings: p.settings, StartedMS: p.started.UnixMilli(), Unready: p.unready.Load(), Closing: p.closing.Load(),
+		Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
+		Replica: p.parts.Node.Status(), ConfigVersion: p.parts.Node.Machine().Config().Version,
+		Control: p.parts.Node.Dump(), Entry: p.parts.Services.Dump(),
+	}
+}
--- /dev/null
+++ b/serve/settings.go
@@ -0,0 +1,260 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"turmericroute/config"
+)
+
+// Role is a part that a process plays.
+type Role string
+
+// The roles.
+const (
+	RoleControl Role = "control"
+	RoleEntry   Role = "entry"
+)
+
+// Defaults of the settings.
+const (
+	DefaultDrainDelay        = 2 * time.Second
+	DefaultShutdownTimeout   = 30 * time.Second
+	DefaultReadHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout       = 2 * time.Minute
+	DefaultMaxConnections    = 4096
+	DefaultMaxHeaderBytes    = 32 << 10
+	DefaultMaxBodyBytes      = 8 << 20
+)
+
+// Settings describe one process; they are read once, at its start.
+type Settings struct {
+	// Name is unique in the deployment and kept for the life of the instance.
+	Name       string `yaml:"name" json:"name"`
+	DataCentre string `yaml:"data_centre" json:"data_centre"`
+	Roles      []Role `yaml:"roles" json:"roles"`
+	// HTTP is the listener for callers, operators, workers and upstreams.
+	HTTP Listener `yaml:"http" json:"http"`
+	// GRPC is the listener for the other processes of the deployment.
+	GRPC Listener `yaml:"grpc" json:"grpc"`
+	// DataFolder holds the replicated log; only control instances have one.
+	DataFolder string `yaml:"data_folder" json:"data_folder"`
+	// Peers are all instances of the deployment, this one included.
+	Peers []Peer `yaml:"peers" json:"peers"`
+	// Bootstrap forms a new cluster of the control peers when the data folder is empty.
+	Bootstrap bool `yaml:"bootstrap" json:"bootstrap"`
+	// DrainDelay is the wait between readiness false and the first refusal, for the load balancer to notice.
+	DrainDelay time.Duration `yaml:"drain_delay" json:"drain_delay"`
+	// ShutdownTimeout bounds the wait for requests in flight.
+	ShutdownTimeout time.Duration `yaml:"shutdown_timeout" json:"shutdown_timeout"`
+	Limits          Limits        `yaml:"limits" json:"limits"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `yaml:"log_level" json:"log_level"`
+	// Insecure allows listeners beyond loopback without TLS.
+	Insecure bool `yaml:"insecure" json:"insecure"`
+}
+
+// Listener is one listening address.
+type Listener struct {
+	// Address is IP:port.
+	Address string `yaml:"address" json:"address"`
+}
+
+// Peer is one instance of the deployment.
+type Peer struct {
+	Name        string `yaml:"name" json:"name"`
+	GRPCAddress string `yaml:"grpc_address" json:"grpc_address"`
+	HTTPAddress string `yaml:"http_address" json:"http_address"`
+	// Control says that the instance has the control role.
+	Control bool `yaml:"control" json:"control"`
+}
+
+// Limits bound what callers can use up.
+type Limits struct {
+	MaxConnections    int           `yaml:"max_connections" json:"max_connections"`
+	MaxHeaderBytes    int           `yaml:"max_header_bytes" json:"max_header_bytes"`
+	MaxBodyBytes      int           `yaml:"max_body_bytes" json:"max_body_bytes"`
+	ReadHeaderTimeout time.Duration `yaml:"read_header_timeout" json:"read_header_timeout"`
+	IdleTimeout       time.Duration `yaml:"idle_timeout" json:"idle_timeout"`
+}
+
+// DefaultSettings returns settings with all defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		DrainDelay: DefaultDrainDelay, ShutdownTimeout: DefaultShutdownTimeout, LogLevel: "info",
+		Limits: Limits{
+			MaxConnections: DefaultMaxConnections, MaxHeaderBytes: DefaultMaxHeaderBytes, MaxBodyBytes: DefaultMaxBodyBytes,
+			ReadHeaderTimeout: DefaultReadHeaderTimeout, IdleTimeout: DefaultIdleTimeout,
+		},
+	}
+}
+
+// ReadSettings reads and checks a settings file; a relative data folder counts
+// from the folder of the file.
+func ReadSettings(path string) (Settings, []config.Fault, error) {
+	s := DefaultSettings()
+	doc, faults, err := config.ReadYAML(path, &s)
+	if err != nil {
+		return Settings{}, nil, fmt.Errorf("read settings: %w", err)
+	}
+	if len(faults) > 0 {
+		return s, faults, nil
+	}
+	faults = doc.Locate(s.Validate())
+	if s.DataFolder != "" && !filepath.IsAbs(s.DataFolder) {
+		s.DataFolder = filepath.Join(filepath.Dir(path), s.DataFolder)
+	}
+	return s, faults, nil
+}
+
+// Has reports whether the process has a role.
+func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// Bounds of the settings.
+const (
+	maxPeers           = 64
+	maxVoters          = 9
+	maxDrainDelay      = 2 * time.Minute
+	maxShutdownTimeout = time.Hour
+	maxTimeout         = 10 * time.Minute
+	maxConnections     = 1 << 17
+	maxHeaderBytes     = 1 << 20
+	maxBodyBytes       = 1 << 30
+)
+
+// Validate returns all faults of the settings.
+func (s Settings) Validate() []config.Fault {
+	v := settingsValidator{s: s}
+	v.faults.Name("name", s.Name)
+	v.faults.Name("data_centre", s.DataCentre)
+	v.roles()
+	v.listener("http", s.HTTP)
+	v.listener("grpc", s.GRPC)
+	v.peers()
+	v.timing()
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		v.faults.Add("log_level", "is %q, must be debug, info, warn or error", s.LogLevel)
+	}
+	return v.faults
+}
+
+type settingsValidator struct {
+	s      Settings
+	faults config.Faults
+}
+
+func (v *settingsValidator) roles() {
+	if len(v.s.Roles) == 0 {
+		v.faults.Add("roles", "is empty, name control, entry or both")
+	}
+	for i, r := range v.s.Roles {
+		key := fmt.Sprintf("roles[%d]", i)
+		if r != RoleControl && r != RoleEntry {
+			v.faults.Add(key, "is %q, must be control or entry", r)
+		}
+		if slices.Contains(v.s.Roles[:i], r) {
+			v.faults.Add(key, "%q occurs twice", r)
+		}
+	}
+	control := v.s.Has(RoleControl)
+	switch {
+	case control && v.s.DataFolder == "":
+		v.faults.Add("data_folder", "is missing, a control instance needs one")
+	case !control && v.s.DataFolder != "":
+		v.faults.Add("data_folder", "is set, but only control instances have one")
+	}
+	if v.s.Bootstrap && !control {
+		v.faults.Add("bootstrap", "is true, but only control instances form a cluster")
+	}
+}
+
+func (v *settingsValidator) listener(key string, l Listener) {
+	ip, ok := v.address(key+".address", l.Address)
+	if ok && !ip.IsLoopback() && !v.s.Insecure {
+		v.faults.Add(key+".address", "%s is not loopback and has no TLS; set insecure: true to allow that", l.Address)
+	}
+}
+
+// address checks IP:port and returns the IP.
+func (v *settingsValidator) address(key, s string) (net.IP, bool) {
+	if s == "" {
+		v.faults.Add(key, "is missing")
+		return nil, false
+	}
+	host, port, err := net.SplitHostPort(s)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	ip := net.ParseIP(host)
+	if err != nil || perr != nil || n == 0 || ip == nil {
+		v.faults.Add(key, "%q is no IP address and port, such as 127.0.0.1:7101", s)
+		return nil, false
+	}
+	return ip, true
+}
+
+func (v *settingsValidator) peers() {
+	v.faults.Range("peers", len(v.s.Peers), 1, maxPeers)
+	names, addresses := map[string]bool{}, map[string]bool{}
+	voters := 0
+	for i, p := range v.s.Peers {
+		key := fmt.Sprintf("peers[%d]", i)
+		v.faults.Name(key+".name", p.Name)
+		if names[p.Name] {
+			v.faults.Add(key+".name", "%q occurs twice", p.Name)
+		}
+		names[p.Name] = true
+		for _, f := range [][2]string{{".grpc_address", p.GRPCAddress}, {".http_address", p.HTTPAddress}} {
+			if _, ok := v.address(key+f[0], f[1]); ok && addresses[f[1]] {
+				v.faults.Add(key+f[0], "%s is used twice", f[1])
+			}
+			addresses[f[1]] = true
+		}
+		if p.Control {
+			voters++
+		}
+		if p.Name == v.s.Name {
+			v.self(key, p)
+		}
+	}
+	if v.s.Name != "" && !names[v.s.Name] {
+		v.faults.Add("peers", "does not hold this instance, %q", v.s.Name)
+	}
+	v.faults.Range("peers", voters, 1, maxVoters)
+	if v.s.Bootstrap && voters%2 == 0 {
+		v.faults.Add("peers", "has %d control instances; an even number survives no more failures than one less", voters)
+	}
+}
+
+// self checks that this instance's entry among the peers fits its own settings.
+func (v *settingsValidator) self(key string, p Peer) {
+	if p.Control != v.s.Has(RoleControl) {
+		v.faults.Add(key+".control", "is %v, which contradicts roles", p.Control)
+	}
+	for _, f := range [][3]string{{"grpc", p.GRPCAddress, v.s.GRPC.Address}, {"http", p.HTTPAddress, v.s.HTTP.Address}} {
+		_, announced, _ := net.SplitHostPort(f[1])
+		_, listens, _ := net.SplitHostPort(f[2])
+		if announced != "" && listens != "" && announced != listens {
+			v.faults.Add(key+"."+f[0]+"_address", "has port %s, but %s.address listens on port %s", announced, f[0], listens)
+		}
+	}
+}
+
+func (v *settingsValidator) timing() {
+	v.duration("drain_delay", v.s.DrainDelay, 0, maxDrainDelay)
+	v.duration("shutdown_timeout", v.s.ShutdownTimeout, time.Second, maxShutdownTimeout)
+	l := v.s.Limits
+	v.faults.Range("limits.max_connections", l.MaxConnections, 16, maxConnections)
+	v.faults.Range("limits.max_header_bytes", l.MaxHeaderBytes, 4<<10, maxHeaderBytes)
+	v.faults.Range("limits.max_body_bytes", l.MaxBodyBytes, 1<<10, maxBodyBytes)
+	v.duration("limits.read_header_timeout", l.ReadHeaderTimeout, 100*time.Millisecond, maxTimeout)
+	v.duration("limits.idle_timeout", l.IdleTimeout, time.Second, maxTimeout)
+}
+
+func (v *settingsValidator) duration(key string, d, lowest, highest time.Duration) {
+	if d < lowest || d > highest {
+		v.faults.Add(key, "is %v, must be %v to %v", d, lowest, highest)
+	}
+}
--- a/webapi/api.go
+++ b/webapi/api.go
@@ -55,6 +55,8 @@
 	CheckConfig func(config.Config) []string
 	// CheckJob returns a *model.Error when a job can never run.
 	CheckJob func(config.Config, model.JobSpec) error
+	// Closing reports that the process is shutting down and takes no new requests.
+	Closing func() bool
 	// Now returns the time; the default is time.Now.
 	Now func() time.Time
 }
@@ -93,13 +95,13 @@
 	a.json("GET", "/v1/config/history", a.getHistory)
 	a.json("GET", "/v1/workers", a.listWorkers)
 	a.json("GET", "/v1/upstreams", a.listUpstreams)
-	a.json("GET", "/v1/status", a.getStatus)
 	a.json("POST", "/v1/workers/{name}/poll", a.pollWorker)
 	a.json("POST", "/v1/upstreams/{name}/announce", a.announceUpstream)
 	a.json("POST", "/v1/upstreams/{name}/leave", a.leaveUpstream)
-	a.json("GET", "/dump", a.getDump)
-	a.json("GET", "/readyz", a.getReady)
-	a.json("GET", "/livez", func(*http.Request) (any, error) { return map[string]bool{"live": true}, nil })
+	a.always("GET", "/v1/status", a.getStatus)
+	a.always("GET", "/dump", a.getDump)
+	a.always("GET", "/readyz", a.getReady)
+	a.always("GET", "/livez", func(*http.Request) (any, error) { return map[string]bool{"live": true}, nil })
 	a.mux.HandleFunc("GET /metrics", a.serveMetrics)
 	a.mux.HandleFunc("/v1/services/{service}/{path...}", a.serveService)
 	a.noMethod()
@@ -121,8 +123,28 @@
 	}
 }
 
-// json registers a handler that answers with JSON.
+// json registers a handler that answers with JSON and is refused during a shutdown.
 func (a *api) json(method, path string, h handler) {
+	a.always(method, path, func(r *http.Request) (any, error) {
+		if a.Closing != nil && a.Closing() {
+			return nil, closingError(r)
+		}
+		return h(r)
+	})
+}
+
+// closingError refuses a request during a shutdown. Submissions and patches
+// carry an ID that was not looked up, so an earlier sending may have run.
+func closingError(r *http.Request) error {
+	err := model.NotRun(model.CodeShuttingDown, "this instance is shutting down")
+	if r.Method == http.MethodPost && (r.URL.Path == "/v1/jobs" || r.URL.Path == "/v1/config/patches") {
+		return unlooked(err)
+	}
+	return err
+}
+
+// always registers a handler that answers with JSON, also during a shutdown.
+func (a *api) always(method, path string, h handler) {
 	pattern := path
 	if method != "" {
 		pattern = method + " " + path
@@ -134,6 +156,7 @@
 			return
 		}
 		defer cancel()
+		limitRead(ctx, w)
 		v, err := h(r.WithContext(ctx))
 		if err != nil {
 			writeError(w, err)
@@ -153,6 +176,15 @@
 	return ctx, cancel, nil
 }
 
+// limitRead ends the reading of a body that arrives too slowly. Connections
+// that support no deadlines, as in unit tests, are left as they are.
+func limitRead(ctx context.Context, w http.ResponseWriter) {
+	if d, ok := ctx.Deadline(); ok {
+		// The reply to a request that ran into its deadline is still sent, so the bound is later.
+		http.NewResponseController(w).SetReadDeadline(d.Add(time.Second)) //nolint:errcheck // see above
+	}
+}
+
 func (a *api) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	a.Metrics.WritePrometheus(w)
