--- a/config/patch.go
+++ b/config/patch.go
@@ -126,3 +126,12 @@
 	var none T
 	return none, false
 }
+
+// WithAllInService returns cfg with every data centre in service.
+func (cfg Config) WithAllInService() Config {
+	cfg.DataCentres = slices.Clone(cfg.DataCentres)
+	for i := range cfg.DataCentres {
+		cfg.DataCentres[i].OutOfService = false
+	}
+	return cfg
+}
--- /dev/null
+++ b/gang/dump.go
@@ -0,0 +1,108 @@
+package gang
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"turmericroute/model"
+)
+
+type driverMetrics struct {
+	polls       *metrics.Counter
+	workersLost *metrics.Counter
+	startTime   *metrics.Histogram
+	urgentStart *metrics.Histogram
+}
+
+func newDriverMetrics(set *metrics.Set) driverMetrics {
+	return driverMetrics{
+		polls:       set.GetOrCreateCounter("turmericroute_worker_polls_total"),
+		workersLost: set.GetOrCreateCounter("turmericroute_workers_silent_total"),
+		startTime:   set.GetOrCreateHistogram("turmericroute_job_start_seconds"),
+		urgentStart: set.GetOrCreateHistogram("turmericroute_urgent_job_start_seconds"),
+	}
+}
+
+// started records the time from acceptance to the first start of a job.
+func (m driverMetrics) started(j model.Job, now time.Time) {
+	if j.Attempt != 1 {
+		return
+	}
+	took := now.Sub(time.UnixMilli(j.Accepted)).Seconds()
+	m.startTime.Update(took)
+	if j.Spec.Urgent {
+		m.urgentStart.Update(took)
+	}
+}
+
+type dump struct {
+	Term     uint64          `json:"term"`
+	Attempts []dumpedAttempt `json:"attempts"`
+	Waiting  []string        `json:"waiting"`
+	Workers  []dumpedWorker  `json:"workers"`
+	Policy   any             `json:"policy"`
+}
+
+type dumpedAttempt struct {
+	Job     string   `json:"job"`
+	Attempt int      `json:"attempt"`
+	State   string   `json:"state"`
+	Tasks   []string `json:"tasks"`
+	Reclaim string   `json:"reclaim,omitempty"`
+}
+
+type dumpedWorker struct {
+	Name      string `json:"name"`
+	PollAgeMS int64  `json:"poll_age_ms"`
+	Silent    bool   `json:"silent"`
+	Pending   int    `json:"pending_commands"`
+	Tasks     int    `json:"tasks"`
+}
+
+// Dump returns the leader's own state in a stable order, nil when another instance leads.
+func (d *Driver) Dump() any {
+	l := d.lead.Load()
+	if l == nil {
+		return nil
+	}
+	now := l.cfg.Now()
+	out := dump{Term: l.term}
+	l.workers.each(func(w *session) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		out.Workers = append(out.Workers, dumpedWorker{
+			Name: w.worker.Name, PollAgeMS: now.Sub(w.lastPoll).Milliseconds(), Silent: w.lost, Pending: len(w.pending), Tasks: len(w.tasks),
+		})
+	})
+	slices.SortFunc(out.Workers, func(a, b dumpedWorker) int { return compare(a.Name, b.Name) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.attempts {
+		da := dumpedAttempt{Job: id, Attempt: a.job.Attempt, State: string(a.job.State), Reclaim: a.reclaimReason}
+		for _, t := range a.tasks {
+			da.Tasks = append(da.Tasks, fmt.Sprintf("%s:%s", t.worker, t.state))
+		}
+		out.Attempts = append(out.Attempts, da)
+	}
+	for id := range l.waiting {
+		out.Waiting = append(out.Waiting, id)
+	}
+	slices.SortFunc(out.Attempts, func(a, b dumpedAttempt) int { return compare(a.Job, b.Job) })
+	slices.Sort(out.Waiting)
+	out.Policy = l.policy.Dump()
+	return out
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/gang/report.go
@@ -0,0 +1,122 @@
+package gang
+
+import (
+	"time"
+
+	"turmericroute/model"
+	"turmericroute/place"
+	"turmericroute/state"
+)
+
+const (
+	// silenceTimeout is how long a worker may be silent before its gangs are
+	// stopped; it covers a poll held for 1 s, its timeout and a change of leader.
+	silenceTimeout = 4 * time.Second
+	// forgetTimeout is how long a silent worker stays registered.
+	forgetTimeout = time.Minute
+	// replanInterval is how often the policy looks without a change, for what depends on time only.
+	replanInterval = 250 * time.Millisecond
+	// progressInterval is how often progress goes to the policy.
+	progressInterval = time.Second
+)
+
+// report takes over what a worker said of its tasks.
+func (l *lead) report(e workerReport, now time.Time) {
+	touched := map[string]*attempt{}
+	for _, t := range e.changed {
+		a := l.attemptOf(t.ID, e.worker)
+		if a == nil {
+			l.workers.get(e.worker).push(model.Command{Kind: model.CommandRelease, Task: t.ID})
+			continue
+		}
+		known := &a.tasks[t.ID.Index]
+		known.state, known.gone = t.State, false
+		known.progress, known.usage = t.Progress, t.Usage
+		known.checkpoint = max(known.checkpoint, t.Checkpoint)
+		known.checkpointSeq = t.CheckpointSeq
+		a.dirty = true
+		touched[t.ID.Job] = a
+	}
+	for _, id := range e.gone {
+		if a := l.attemptOf(id, e.worker); a != nil {
+			a.tasks[id.Index].state, a.tasks[id.Index].gone = taskLost, true
+			touched[id.Job] = a
+		}
+	}
+	for _, a := range touched {
+		l.advance(a, now)
+	}
+}
+
+func (l *lead) attemptOf(id model.TaskID, worker string) *attempt {
+	a := l.attempts[id.Job]
+	if a == nil || a.job.Attempt != id.Attempt || id.Index < 0 || id.Index >= len(a.tasks) || a.tasks[id.Index].worker != worker {
+		return nil
+	}
+	return a
+}
+
+func (l *lead) workerJoined(name string, now time.Time) {
+	if w, ok := l.r.Machine().Worker(name); ok {
+		l.step(now, place.WorkerJoined{Worker: w})
+	}
+}
+
+// lastPoll returns when a worker can last have got a lease.
+func (l *lead) lastPoll(worker string) time.Time {
+	if at, ok := l.workers.lastPoll(worker); ok && at.After(l.start) {
+		return at
+	}
+	// An earlier leader may have granted a lease until this term began.
+	return l.start
+}
+
+func (l *lead) tick() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Now()
+	l.checkSilence(now)
+	for _, a := range l.attempts {
+		l.advance(a, now)
+	}
+	l.passProgress(now)
+	if l.replan || now.Sub(l.placed) >= replanInterval {
+		l.decide(now)
+	}
+}
+
+func (l *lead) checkSilence(now time.Time) {
+	for _, name := range l.workers.silent(now.Add(-silenceTimeout), l.start) {
+		l.cfg.Logger.Log("event", "worker_silent", "worker", name)
+		l.metrics.workersLost.Inc()
+		l.step(now, place.WorkerLost{Name: name})
+		for _, a := range l.attempts {
+			for i := range a.tasks {
+				t := &a.tasks[i]
+				if t.worker == name && t.state != model.TaskDone {
+					t.state = taskLost
+				}
+			}
+		}
+	}
+	for _, w := range l.workers.forgotten(now.Add(-forgetTimeout), l.start) {
+		l.execute(state.RemoveWorker{Name: w.Name, Incarnation: w.Incarnation})
+	}
+}
+
+// passProgress hands the lagging progress of running jobs to the policy.
+func (l *lead) passProgress(now time.Time) {
+	for id, a := range l.attempts {
+		if !a.dirty || now.Sub(a.since) < progressInterval {
+			continue
+		}
+		a.dirty = false
+		p := place.JobProgress{ID: id, Progress: a.progress(), Checkpoint: a.checkpoint()}
+		for _, t := range a.tasks {
+			p.Usage.Cores = max(p.Usage.Cores, t.usage.Cores)
+			p.Usage.GPUs = max(p.Usage.GPUs, t.usage.GPUs)
+			p.Usage.MemoryMB = max(p.Usage.MemoryMB, t.usage.MemoryMB)
+		}
+		l.policy.Step(now, p)
+	}
+}
--- a/model/worker.go
+++ b/model/worker.go
@@ -25,6 +25,8 @@
 	Progress float64 `json:"progress,omitempty"`
 	// Checkpoint is the seconds of work that a restart keeps.
 	Checkpoint float64 `json:"checkpoint,omitempty"`
+	// CheckpointSeq is the sequence of the last checkpoint command that was completed.
+	CheckpointSeq uint64 `json:"checkpoint_seq,omitempty"`
 	// Usage is the measured use; it lags.
 	Usage Resources `json:"usage"`
 	// Throttled reports that the task runs throttled.
@@ -36,11 +38,13 @@
 type PollRequest struct {
 	Worker Worker `json:"worker"`
 	// Epoch is the highest epoch that the worker has seen.
-	Epoch uint64       `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
+	// Seq counts the polls of this incarnation; an older report that arrives later is ignored.
+	Seq   uint64       `json:"seq"`
 	Tasks []TaskReport `json:"tasks,omitempty"`
-	// Done is the highest command sequence carried out in this epoch.
+	// Done is the highest command sequence of Epoch that was carried out or refused.
 	Done uint64 `json:"done"`
-	// WaitMS bounds how long the poll may be held, in milliseconds.
+	// WaitMS bounds how long the poll may be held, in milliseconds; 0 is a report that is answered at once.
 	WaitMS int `json:"wait_ms"`
 }
 
--- a/state/machine.go
+++ b/state/machine.go
@@ -64,6 +64,7 @@
 	keys      [shardCount]keyShard
 	workers   workerShard
 	upstreams upstreamShard
+	feed      feed
 
 	// Only Apply and Restore use the fields below; they derive from the shards or order them.
 	finished    []string
@@ -106,6 +107,7 @@
 // Apply applies the command committed at index; a nil command only moves the index on.
 func (m *Machine) Apply(index uint64, c Command) Result {
 	res := m.apply(c)
+	m.record(c, res)
 	m.setApplied(index)
 	return res
 }
--- a/state/snap.go
+++ b/state/snap.go
@@ -68,6 +68,7 @@
 		}
 	}
 	m.unlockAll()
+	m.feed.reset()
 	m.setApplied(im.Applied)
 	return nil
 }
