--- /dev/null
+++ b/fault/proxy_test.go
@@ -0,0 +1,108 @@
+package fault_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/fault"
+)
+
+func TestFault(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fault")
+}
+
+// echo serves connections that send back what they receive.
+func echo() net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	DeferCleanup(ln.Close)
+	return ln
+}
+
+var _ = Describe("proxy", func() {
+	var p *fault.Proxy
+	var c net.Conn
+
+	BeforeEach(func() {
+		var err error
+		p, err = fault.Listen("127.0.0.1:0", echo().Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(p.Close)
+		c, err = net.Dial("tcp", p.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+	})
+
+	say := func(s string) (string, error) {
+		if _, err := c.Write([]byte(s)); err != nil {
+			return "", err
+		}
+		Expect(c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
+		buf := make([]byte, len(s))
+		n, err := io.ReadFull(c, buf)
+		return string(buf[:n]), err
+	}
+
+	It("forwards unchanged without a rule", func() {
+		Expect(say("hello")).To(Equal("hello"))
+	})
+
+	It("delays each direction", func() {
+		p.Set(fault.Rule{Delay: 40 * time.Millisecond})
+		start := time.Now()
+		Expect(say("hello")).To(Equal("hello"))
+		Expect(time.Since(start)).To(BeNumerically(">=", 80*time.Millisecond))
+	})
+
+	DescribeTable("drops silently and forwards again", func(r fault.Rule) {
+		Expect(say("one")).To(Equal("one"))
+		p.Set(r)
+		_, err := say("two")
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+		p.Set(fault.Rule{})
+		Expect(say("three")).To(Equal("three"))
+	},
+		Entry("to the target", fault.Rule{DropForward: true}),
+		Entry("from the target", fault.Rule{DropBack: true}),
+	)
+
+	It("cuts in the middle of a message", func() {
+		Expect(say("one")).To(Equal("one"))
+		p.CutBack(2)
+		got, err := say("three")
+		Expect(err).To(HaveOccurred())
+		Expect(got).To(Equal("th"))
+	})
+
+	It("resets connections and refuses new ones", func() {
+		Expect(say("one")).To(Equal("one"))
+		p.Set(fault.Rule{Refuse: true})
+		p.Reset()
+		_, err := say("two")
+		Expect(err).To(HaveOccurred())
+		n, err := net.Dial("tcp", p.Address())
+		if err == nil {
+			DeferCleanup(n.Close)
+			_, err = n.Read(make([]byte, 1))
+		}
+		Expect(err).To(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/state/machine_test.go
@@ -0,0 +1,198 @@
+package state_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+func patch(id string, base uint64, team string) state.PatchConfig {
+	return state.PatchConfig{Patch: config.Patch{ID: id, BaseVersion: base, Changes: []config.Change{{PutTeam: &config.Team{Name: team}}}}}
+}
+
+func claim(key, by, hash string) state.ClaimKey {
+	return state.ClaimKey{Key: model.Key{ID: model.KeyID{Team: "t", Key: key}, Claim: by, Hash: hash, CreatedMS: 10}}
+}
+
+var _ = Describe("patches", func() {
+	It("accepts exactly one of several for a version and gives a resend the first answer", func() {
+		m := state.New()
+		Expect(m.Apply(1, patch("a", 0, "x")).Version).To(Equal(uint64(1)))
+		lost := m.Apply(2, patch("b", 0, "y"))
+		Expect(lost.Failure.Code).To(Equal(model.CodeStaleVersion))
+		Expect(lost.Failure.Version).To(Equal(uint64(1)))
+		Expect(m.Apply(3, patch("c", 1, "z")).Version).To(Equal(uint64(2)))
+		again := m.Apply(4, patch("a", 0, "x"))
+		Expect(again.Failure).To(BeNil())
+		Expect(again.Version).To(Equal(uint64(1)))
+		Expect(m.Config().Version).To(Equal(uint64(2)))
+	})
+
+	It("applies a patch whole or not at all", func() {
+		m := state.New()
+		p := patch("a", 0, "x")
+		p.Patch.Changes = append(p.Patch.Changes, config.Change{RemoveTeam: "missing"})
+		Expect(m.Apply(1, p).Failure.Code).To(Equal(model.CodeInvalid))
+		Expect(m.Config().Teams).To(BeEmpty())
+		Expect(m.Config().Version).To(BeZero())
+	})
+
+	It("says unknown to a resend from before the kept history", func() {
+		m := state.New()
+		for i := range uint64(4100) {
+			Expect(m.Apply(i+1, patch(fmt.Sprint(i), i, "x")).Failure).To(BeNil())
+		}
+		f := m.Apply(5000, patch("0", 0, "x")).Failure
+		Expect(f.Code).To(Equal(model.CodeStaleVersion))
+		Expect(f.Outcome).To(Equal(model.OutcomeUnknown))
+	})
+})
+
+var _ = Describe("idempotency keys", func() {
+	It("gives the claim to one sending and the recorded answer to later ones", func() {
+		m := state.New()
+		Expect(m.Apply(1, claim("k", "first", "h")).Claimed).To(BeTrue())
+		Expect(m.Apply(2, claim("k", "second", "h")).Claimed).To(BeFalse())
+		Expect(m.Apply(3, claim("k", "second", "other")).Failure.Code).To(Equal(model.CodeKeyConflict))
+		done := state.FinishKey{ID: model.KeyID{Team: "t", Key: "k"}, Claim: "first", State: model.KeyDone, Answer: &model.Answer{Status: 200}}
+		Expect(m.Apply(4, done).Failure).To(BeNil())
+		res := m.Apply(5, claim("k", "third", "h"))
+		Expect(res.Claimed).To(BeFalse())
+		Expect(res.Key.Answer.Status).To(Equal(200))
+	})
+
+	It("lets a key be claimed again only after its request was certainly not run", func() {
+		m := state.New()
+		id := model.KeyID{Team: "t", Key: "k"}
+		m.Apply(1, claim("k", "first", "h"))
+		m.Apply(2, state.FinishKey{ID: id, Claim: "first", State: model.KeyUnknown})
+		Expect(m.Apply(3, claim("k", "second", "h")).Claimed).To(BeFalse())
+		m = state.New()
+		m.Apply(1, claim("k", "first", "h"))
+		m.Apply(2, state.FinishKey{ID: id, Claim: "first", State: model.KeyNotRun})
+		Expect(m.Apply(3, claim("k", "second", "h")).Claimed).To(BeTrue())
+	})
+
+	It("expires by creation time", func() {
+		m := state.New()
+		m.Apply(1, claim("k", "first", "h"))
+		m.Apply(2, state.ExpireKeys{BeforeMS: 10})
+		_, ok := m.Key(model.KeyID{Team: "t", Key: "k"})
+		Expect(ok).To(BeTrue())
+		m.Apply(3, state.ExpireKeys{BeforeMS: 11})
+		_, ok = m.Key(model.KeyID{Team: "t", Key: "k"})
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("jobs", func() {
+	spec := model.JobSpec{ID: "j", Team: "t", Shape: model.Shape{Tasks: 1, Cores: 1}}
+
+	It("returns the first job to a resent submission and refuses another one of the same ID", func() {
+		m := state.New()
+		Expect(m.Apply(1, state.SubmitJob{Spec: spec, AtMS: 5}).Failure).To(BeNil())
+		Expect(m.Apply(2, state.SubmitJob{Spec: spec, AtMS: 9}).Job.Accepted).To(Equal(int64(5)))
+		other := spec
+		other.Team = "u"
+		Expect(m.Apply(3, state.SubmitJob{Spec: other}).Failure.Code).To(Equal(model.CodeConflict))
+	})
+
+	It("refuses a change for another attempt or state", func() {
+		m := state.New()
+		m.Apply(1, state.SubmitJob{Spec: spec})
+		Expect(m.Apply(2, state.PlaceJob{ID: "j", Attempt: 1, Placement: model.Placement{Workers: []string{"w"}}}).Failure).To(BeNil())
+		Expect(m.Apply(3, state.PlaceJob{ID: "j", Attempt: 2}).Failure).NotTo(BeNil())
+		move := state.MoveJob{ID: "j", Attempt: 2, From: []model.JobState{model.JobPreparing}, To: model.JobRunning}
+		Expect(m.Apply(4, move).Failure).NotTo(BeNil())
+		move.Attempt = 1
+		Expect(m.Apply(5, move).Job.State).To(Equal(model.JobRunning))
+		Expect(m.Apply(6, state.CancelJob{ID: "j"}).Job.State).To(Equal(model.JobStopping))
+		Expect(m.Apply(7, move).Failure).NotTo(BeNil())
+	})
+})
+
+var _ = Describe("upstreams", func() {
+	It("never brings back an incarnation that left", func() {
+		m := state.New()
+		up := state.AnnounceUpstream{Upstream: model.Upstream{Name: "u", Incarnation: 3}}
+		Expect(m.Apply(1, up).Failure).To(BeNil())
+		m.Apply(2, state.LeaveUpstream{Name: "u", Incarnation: 3})
+		Expect(m.Apply(3, up).Failure).NotTo(BeNil())
+		up.Upstream.Incarnation = 4
+		Expect(m.Apply(4, up).Failure).To(BeNil())
+		m.Apply(5, state.LeaveUpstream{Name: "u", Incarnation: 3})
+		u, _ := m.Upstream("u")
+		Expect(u.Left).To(BeFalse())
+	})
+})
+
+// A restored copy must go on exactly like the original, or replicas would differ.
+var _ = It("gives the same snapshot after a restore and further commands", func() {
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		a, b := state.New(), state.New()
+		n := rapid.IntRange(1, 60).Draw(t, "commands")
+		cut := rapid.IntRange(0, n).Draw(t, "restore after")
+		for i := range n {
+			if i == cut {
+				snap, err := a.Snapshot()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(b.Restore(snap)).To(Succeed())
+			}
+			c := command(t)
+			encoded, err := state.Encode(c)
+			Expect(err).NotTo(HaveOccurred())
+			c, err = state.Decode(encoded)
+			Expect(err).NotTo(HaveOccurred())
+			a.Apply(uint64(i+1), c)
+			if i >= cut {
+				b.Apply(uint64(i+1), c)
+			}
+		}
+		if cut < n {
+			sa, _ := a.Snapshot()
+			sb, _ := b.Snapshot()
+			Expect(string(sb)).To(Equal(string(sa)))
+		}
+	})
+})
+
+func command(t *rapid.T) state.Command {
+	id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+	n := rapid.Uint64Range(0, 4).Draw(t, "number")
+	ms := int64(rapid.IntRange(0, 20).Draw(t, "ms"))
+	key := model.KeyID{Team: "t", Key: id}
+	all := []model.JobState{model.JobWaiting, model.JobPreparing, model.JobRunning, model.JobStopping}
+	return rapid.SampledFrom([]state.Command{
+		patch(id, n, id),
+		state.SubmitJob{Spec: model.JobSpec{ID: id}, AtMS: ms},
+		state.CancelJob{ID: id, AtMS: ms},
+		state.PlaceJob{ID: id, Attempt: int(n), Placement: model.Placement{Workers: []string{id}}},
+		state.MoveJob{ID: id, Attempt: int(n), From: all, To: rapid.SampledFrom(append(all, model.JobDone)).Draw(t, "to")},
+		state.RegisterWorker{Worker: model.Worker{Name: id, Incarnation: fmt.Sprint(n)}},
+		state.RemoveWorker{Name: id, Incarnation: fmt.Sprint(n)},
+		state.AnnounceUpstream{Upstream: model.Upstream{Name: id, Incarnation: n}},
+		state.LeaveUpstream{Name: id, Incarnation: n},
+		claim(id, fmt.Sprint(n), "h"),
+		state.FinishKey{ID: key, Claim: fmt.Sprint(n), State: model.KeyDone, Answer: &model.Answer{Body: []byte(id)}},
+		state.ExpireKeys{BeforeMS: ms},
+	}).Draw(t, "command")
+}
+
+var _ = It("tells a reader of the feed when it missed changes", func() {
+	m := state.New()
+	_, at, _ := m.Since(0)
+	m.Apply(1, patch("a", 0, "x"))
+	changes, next, ok := m.Since(at)
+	Expect(ok).To(BeTrue())
+	Expect(changes).To(Equal([]state.Change{state.ConfigChange{Version: 1}}))
+	snap, _ := m.Snapshot()
+	Expect(m.Restore(snap)).To(Succeed())
+	_, _, ok = m.Since(next)
+	Expect(ok).To(BeFalse())
+})
