Check YAML against the types that it is decoded into

The YAML package's errors name a line but no key, so a fault in a line with several values was reported under the wrong key.

--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// maxShown bounds how much of a wrong value a fault repeats.
+const maxShown = 40
+
+// check compares a node with the type that it is decoded into. The decoder of
+// the YAML package finds the same faults, but names no key and, on a line with
+// several values, not which one.
+func (d *Document) check(n *yaml.Node, t reflect.Type, key string) []Fault {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch {
+	case n.Kind == yaml.ScalarNode && n.Tag == "!!null":
+		return nil
+	case t.Kind() == reflect.Struct:
+		return d.checkMapping(n, t, key)
+	case t.Kind() == reflect.Slice:
+		return d.checkList(n, t, key)
+	case n.Kind != yaml.ScalarNode || n.Decode(reflect.New(t).Interface()) != nil:
+		return d.fault(n.Line, key, "found %s, expected %s", shown(n), expected(t))
+	default:
+		return nil
+	}
+}
+
+func (d *Document) checkMapping(n *yaml.Node, t reflect.Type, key string) []Fault {
+	if n.Kind != yaml.MappingNode {
+		return d.fault(n.Line, key, "found %s, expected a mapping with keys", shown(n))
+	}
+	var faults []Fault
+	seen := map[string]int{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		name, line := n.Content[i].Value, n.Content[i].Line
+		child := join(key, name)
+		field, ok := fieldOf(t, name)
+		first, again := seen[name]
+		seen[name] = line
+		switch {
+		case !ok:
+			faults = append(faults, d.fault(line, child, "unknown key")...)
+		case again:
+			faults = append(faults, d.fault(line, child, "occurs twice, first on line %d", first)...)
+		default:
+			faults = append(faults, d.check(n.Content[i+1], field, child)...)
+		}
+	}
+	return faults
+}
+
+func (d *Document) checkList(n *yaml.Node, t reflect.Type, key string) []Fault {
+	if n.Kind != yaml.SequenceNode {
+		return d.fault(n.Line, key, "found %s, expected a list", shown(n))
+	}
+	var faults []Fault
+	for i, c := range n.Content {
+		faults = append(faults, d.check(c, t.Elem(), fmt.Sprintf("%s[%d]", key, i))...)
+	}
+	return faults
+}
+
+// fieldOf returns the type of the field with a YAML name.
+func fieldOf(t reflect.Type, name string) (reflect.Type, bool) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		tag, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if tag == name && tag != "-" && tag != "" {
+			return f.Type, true
+		}
+	}
+	return nil, false
+}
+
+func shown(n *yaml.Node) string {
+	switch n.Kind {
+	case yaml.MappingNode:
+		return "a mapping"
+	case yaml.SequenceNode:
+		return "a list"
+	default:
+		if len(n.Value) > maxShown {
+			return fmt.Sprintf("%q...", n.Value[:maxShown])
+		}
+		return fmt.Sprintf("%q", n.Value)
+	}
+}
+
+func expected(t reflect.Type) string {
+	if t == reflect.TypeFor[time.Duration]() {
+		return "a duration such as 500ms or 2s"
+	}
+	switch t.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "text"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number in range"
+	}
+}
--- a/config/diff.go
+++ b/config/diff.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // Diff returns the changes that turn from into to. What others refer to is put
@@ -92,6 +93,16 @@
 	return cfg
 }
 
+// AllInService returns cfg with all data centres and workers in service.
+func (cfg Config) AllInService() Config {
+	cfg.DataCentres = slices.Clone(cfg.DataCentres)
+	for i := range cfg.DataCentres {
+		cfg.DataCentres[i] = cfg.DataCentres[i].withState(DataCentre{})
+	}
+	cfg.DrainedWorkers = nil
+	return cfg
+}
+
 // String describes the change for people.
 func (c Change) String() string {
 	switch {
--- a/config/read.go
+++ b/config/read.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -76,9 +77,10 @@
 	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
 		return d, d.fault(0, "", "holds more than one YAML document")
 	}
-	strict := yaml.NewDecoder(bytes.NewReader(b))
-	strict.KnownFields(true)
-	if err := strict.Decode(out); err != nil {
+	if faults := d.check(root.Content[0], reflect.TypeOf(out).Elem(), ""); len(faults) > 0 {
+		return d, faults
+	}
+	if err := root.Decode(out); err != nil {
 		return d, d.yamlFaults(err)
 	}
 	return d, nil
@@ -138,26 +140,10 @@
 	return key + "." + child
 }
 
-// yamlFaults translates the errors of the YAML package, which name a line but no key.
+// yamlFaults translates an error of the YAML package, which names a line but no key.
 func (d *Document) yamlFaults(err error) []Fault {
-	var te *yaml.TypeError
-	if !errors.As(err, &te) {
-		line, msg := splitLine(strings.TrimPrefix(err.Error(), "yaml: "))
-		return d.fault(line, "", "%s", msg)
-	}
-	var faults []Fault
-	for _, e := range te.Errors {
-		line, msg := splitLine(e)
-		if name, rest, ok := strings.Cut(strings.TrimPrefix(msg, "field "), " not found in type "); ok && rest != "" {
-			faults = append(faults, d.fault(line, d.keyAt(line, name), "unknown key")...)
-			continue
-		}
-		if strings.Contains(msg, "cannot unmarshal") {
-			msg = readable(msg)
-		}
-		faults = append(faults, d.fault(line, d.keyAt(line, ""), "%s", msg)...)
-	}
-	return faults
+	line, msg := splitLine(strings.TrimPrefix(err.Error(), "yaml: "))
+	return d.fault(line, "", "%s", msg)
 }
 
 // splitLine takes "line 7: message" apart.
@@ -170,66 +156,6 @@
 	return n, msg
 }
 
-// readable turns "cannot unmarshal !!str `x` into int" into words for people.
-func readable(msg string) string {
-	_, rest, _ := strings.Cut(msg, "cannot unmarshal ")
-	found, want, ok := strings.Cut(rest, " into ")
-	if !ok {
-		return msg
-	}
-	if _, value, ok := strings.Cut(found, " "); ok {
-		found = value
-	} else {
-		found = strings.TrimPrefix(found, "!!")
-	}
-	switch {
-	case strings.HasPrefix(want, "[]"):
-		want = "a list"
-	case strings.HasPrefix(want, "int"), strings.HasPrefix(want, "uint"):
-		want = "a whole number in range"
-	case strings.HasPrefix(want, "float"):
-		want = "a number"
-	case want == "bool":
-		want = "true or false"
-	case want == "string":
-		want = "text"
-	case want == "time.Duration":
-		want = "a duration such as 500ms or 2s"
-	default:
-		want = "a mapping with keys"
-	}
-	return fmt.Sprintf("found %s, expected %s", found, want)
-}
-
-// keyAt returns the longest key on a line, or the one that ends in name.
-func (d *Document) keyAt(line int, name string) string {
-	best := ""
-	for _, key := range d.keys() {
-		if d.lines[key] != line {
-			continue
-		}
-		if name != "" && (key == name || strings.HasSuffix(key, "."+name)) {
-			return key
-		}
-		if len(key) > len(best) {
-			best = key
-		}
-	}
-	if name != "" && best == "" {
-		return name
-	}
-	return best
-}
-
-func (d *Document) keys() []string {
-	keys := make([]string, 0, len(d.lines))
-	for k := range d.lines {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Locate adds file and line to faults that name only a key.
 func (d *Document) Locate(faults []Fault) []Fault {
 	out := slices.Clone(faults)
