place: add the placement policy

Every guaranteed shape keeps a position (a cell) on usable workers, and all positions fit together. A gang within its guarantee starts inside its cell, after preempting the borrowers there; gangs beyond guarantees use any free room by weighted fairness.

--- /dev/null
+++ b/place/claim.go
@@ -0,0 +1,204 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+)
+
+// claim is a place that is being freed for a job within its team's guarantee.
+type claim struct {
+	workers []*worker
+	victims []*job
+}
+
+// restartSeconds is added to the loss of each victim's task, so that few victims are preferred.
+const restartSeconds = 10
+
+// hold keeps the place of a claim free.
+func (p *Policy) hold(j *job, ws []*worker, victims []*job) {
+	j.claim = &claim{workers: ws, victims: victims}
+	for _, w := range ws {
+		w.held = w.held.plus(j.per)
+	}
+	j.team.claimed += j.spec.Shape.TotalGPUs()
+	p.claims = append(p.claims, j)
+}
+
+// unhold gives up the place; the cell of the job stays charged.
+func (p *Policy) unhold(j *job) {
+	for _, w := range j.claim.workers {
+		w.held = w.held.minus(j.per)
+	}
+	j.team.claimed -= j.spec.Shape.TotalGPUs()
+	j.claim = nil
+	p.claims = slices.DeleteFunc(p.claims, func(o *job) bool { return o == j })
+}
+
+// dropClaim returns a job to the waiting ones without a place.
+func (p *Policy) dropClaim(j *job) {
+	if j.claim == nil {
+		return
+	}
+	p.unhold(j)
+	p.uncharge(j)
+}
+
+// advanceClaims starts the jobs whose places are free and drops claims that can no longer be met.
+func (p *Policy) advanceClaims(ds []Decision) []Decision {
+	for _, j := range slices.Clone(p.claims) {
+		switch {
+		case !p.claimAlive(j):
+			p.dropClaim(j)
+		case p.claimFree(j):
+			ws := j.claim.workers
+			p.unhold(j)
+			p.dequeue(j)
+			ds = p.start(ds, j, ws)
+		}
+	}
+	return ds
+}
+
+// claimAlive reports whether the place can still become free.
+func (p *Policy) claimAlive(j *job) bool {
+	if j.cell == nil || j.team.overQuota(0) > 0 && !slices.ContainsFunc(j.team.running, p.leaving) {
+		return false
+	}
+	for _, w := range j.claim.workers {
+		if !p.usable(w) {
+			return false
+		}
+		if !w.used.plus(w.held).fits(w.cap) && !slices.ContainsFunc(w.gangs, p.leaving) {
+			return false
+		}
+	}
+	return true
+}
+
+// leaving reports whether a gang is being stopped on workers that answer.
+func (p *Policy) leaving(j *job) bool { return j.state == jobStopping && responsive(j) }
+
+func responsive(j *job) bool {
+	return !slices.ContainsFunc(j.workers, func(w *worker) bool { return !w.joined })
+}
+
+// claimFree reports whether the job of a claim can start now.
+func (p *Policy) claimFree(j *job) bool {
+	if j.team.overQuota(0) > 0 {
+		return false
+	}
+	for i, w := range j.claim.workers {
+		if !p.mayStart(w.rack.dc) {
+			return false
+		}
+		if i > 0 && w == j.claim.workers[i-1] {
+			continue
+		}
+		n := 0
+		for _, o := range j.claim.workers {
+			if o == w {
+				n++
+			}
+		}
+		if !j.per.times(n).fits(w.cap.minus(w.used)) {
+			return false
+		}
+	}
+	return true
+}
+
+// overQuota returns how many accelerators the team would have beyond its quota with more of them.
+func (t *team) overQuota(more int) int {
+	if t.cfg.MaxGPUs <= 0 {
+		return 0
+	}
+	return t.gpus + t.claimed + more - t.cfg.MaxGPUs
+}
+
+// startGuaranteed starts a job that matches an unused cell, or begins to
+// reclaim a place for it. It reports whether it did either.
+func (p *Policy) startGuaranteed(ds []Decision, j *job) ([]Decision, bool) {
+	c := j.team.unusedCell(j)
+	if c == nil {
+		return ds, false
+	}
+	if j.team.overQuota(j.spec.Shape.TotalGPUs()) <= 0 {
+		for _, moveOthers := range []bool{false, true} {
+			pos := p.cellPosition(c, j, moveOthers, nil, nil)
+			if pos != nil && p.tryCharge(j, c, pos) {
+				p.dequeue(j)
+				return p.start(ds, j, c.inside(j)), true
+			}
+		}
+	}
+	return p.reclaim(ds, j, c)
+}
+
+// unusedCell returns the smallest unused cell with a position that the job matches.
+func (t *team) unusedCell(j *job) *cell {
+	var best *cell
+	for _, c := range t.cells {
+		if c.occupant != nil || c.pos == nil || c.perSlot(j) == 0 {
+			continue
+		}
+		if best == nil || cmp.Or(
+			cmp.Compare(c.shape.TotalGPUs(), best.shape.TotalGPUs()),
+			cmp.Compare(c.shape.Tasks*c.per.cores, best.shape.Tasks*best.per.cores)) < 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+// inside returns the workers of the job's tasks in the first slots of its cell.
+func (c *cell) inside(j *job) []*worker {
+	k := c.perSlot(j)
+	ws := make([]*worker, j.spec.Shape.Tasks)
+	for i := range ws {
+		ws[i] = c.pos[i/k]
+	}
+	return ws
+}
+
+// cellPosition returns a position for a cell whose first slots are free for
+// the job now, or become free when the given gangs have stopped.
+func (p *Policy) cellPosition(c *cell, j *job, moveOthers bool, only *rack, freed []amount) []*worker {
+	k := c.perSlot(j)
+	slots := (j.spec.Shape.Tasks + k - 1) / k
+	use := j.per.times(min(k, j.spec.Shape.Tasks))
+	p.cands = p.cands[:0]
+	for _, r := range p.order {
+		if !allows(c.dcs, r.id.dc) || freed == nil && !p.mayStart(r.dc) || only != nil && r != only {
+			continue
+		}
+		for _, w := range r.workers {
+			if !p.usable(w) {
+				continue
+			}
+			n := c.per.into(p.cellRoom(c, w, moveOthers), c.shape.Tasks)
+			if n == 0 {
+				continue
+			}
+			free := w.free()
+			if freed != nil {
+				free = free.plus(freed[w.index])
+			}
+			if n = min(n, use.into(free, slots)); n > 0 {
+				p.cands = append(p.cands, cand{w: w, n: n, rank: rankOf(c.per, w.free(), w)})
+			}
+		}
+	}
+	pos := p.choose(slots, c.shape.SameRack, false)
+	if pos == nil {
+		return nil
+	}
+	return p.completePosition(c, pos, moveOthers)
+}
+
+// cellRoom returns what a cell may take of a worker beside other cells.
+func (p *Policy) cellRoom(c *cell, w *worker, moveOthers bool) amount {
+	if moveOthers {
+		return w.cap.minus(w.pinned)
+	}
+	return w.cap.minus(w.reserved).plus(c.footOn(w))
+}
--- /dev/null
+++ b/place/pack.go
@@ -0,0 +1,317 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+)
+
+// packTrials bounds the orders in which a full repacking is tried.
+const packTrials = 6
+
+// sound reports whether the reservations of a worker are within its capacity.
+func (w *worker) sound() bool { return w.reserved.fits(w.cap) }
+
+// settle gives every cell a sound position again and charges gangs to cells that became unused.
+func (p *Policy) settle() {
+	if p.repack {
+		p.repack = false
+		p.repair()
+		for _, t := range p.ranked {
+			t.promote = true
+		}
+	}
+	for _, t := range p.ranked {
+		if t.promote {
+			t.promote = false
+			p.promote(t)
+		}
+	}
+}
+
+// repair places the cells whose position is gone, in the order of the
+// configuration; those that do not fit stay without a position and are
+// reported as shortages.
+func (p *Policy) repair() {
+	var broken []*cell
+	for _, c := range p.cells {
+		if !p.sound(c) || p.overloaded(c) {
+			if c.occupant != nil && !c.occupant.placed() {
+				p.dropClaim(c.occupant)
+			}
+			p.setCell(c, nil, c.occupant)
+			broken = append(broken, c)
+		}
+	}
+	failed := map[string]bool{}
+	for _, c := range broken {
+		if k := c.key(); !failed[k] && !p.placeCell(c) {
+			failed[k] = true
+		}
+	}
+	p.short = len(failed) > 0
+}
+
+// overloaded reports whether a worker of the position is reserved beyond its capacity.
+func (p *Policy) overloaded(c *cell) bool {
+	for _, w := range c.pos {
+		if !w.sound() {
+			return true
+		}
+	}
+	return false
+}
+
+// placeCell finds a position for a cell, moving other unused cells when it must.
+func (p *Policy) placeCell(c *cell) bool {
+	if j := c.occupant; j != nil && j.placed() {
+		if pos := p.positionAround(c, j); pos != nil && p.trySet(c, pos, j) {
+			return true
+		}
+	}
+	if pos := p.findPosition(c, false); pos != nil {
+		p.setCell(c, pos, c.occupant)
+		return true
+	}
+	return p.repackAll(c)
+}
+
+// findPosition returns the tightest position for a cell between the others.
+func (p *Policy) findPosition(c *cell, scatter bool) []*worker {
+	p.cands = p.cands[:0]
+	for _, r := range p.order {
+		if !allows(c.dcs, r.id.dc) {
+			continue
+		}
+		for _, w := range r.workers {
+			if !p.usable(w) {
+				continue
+			}
+			room := w.cap.minus(w.reserved).plus(c.footOn(w))
+			if n := c.per.into(room, c.shape.Tasks); n > 0 {
+				p.cands = append(p.cands, cand{w: w, n: n, rank: rankOf(c.per, room, w)})
+			}
+		}
+	}
+	return p.choose(c.shape.Tasks, c.shape.SameRack, scatter)
+}
+
+// movable returns the placed cells that no gang uses.
+func (p *Policy) movable() []*cell {
+	var cells []*cell
+	for _, c := range p.cells {
+		if c.occupant == nil && c.pos != nil {
+			cells = append(cells, c)
+		}
+	}
+	return cells
+}
+
+// repackAll places extra and all unused cells anew; on failure everything stays as it was.
+func (p *Policy) repackAll(extra ...*cell) bool {
+	cells := p.movable()
+	old := make([][]*worker, len(cells))
+	for i, c := range cells {
+		old[i] = c.pos
+	}
+	all := slices.Clone(cells)
+	for _, c := range extra {
+		if !slices.Contains(all, c) {
+			all = append(all, c)
+		}
+	}
+	slices.SortStableFunc(all, harder)
+	for trial := range packTrials {
+		for _, c := range all {
+			p.setCell(c, nil, c.occupant)
+		}
+		if p.placeInOrder(all, trial) {
+			return true
+		}
+	}
+	for _, c := range extra {
+		p.setCell(c, nil, c.occupant)
+	}
+	for i, c := range cells {
+		p.setCell(c, old[i], nil)
+	}
+	return false
+}
+
+// placeInOrder places cells greedily; one that fails goes to the front in the next trial.
+func (p *Policy) placeInOrder(cells []*cell, trial int) bool {
+	for i, c := range cells {
+		pos := p.findPosition(c, trial%2 == 1)
+		if pos == nil {
+			copy(cells[1:i+1], cells[:i])
+			cells[0] = c
+			if trial > 1 {
+				j := p.rand.Intn(len(cells))
+				cells[0], cells[j] = cells[j], cells[0]
+			}
+			return false
+		}
+		p.setCell(c, pos, c.occupant)
+	}
+	return true
+}
+
+// harder orders cells by how few places they have: one rack, large tasks, many tasks.
+func harder(a, b *cell) int {
+	rack := func(c *cell) int {
+		if c.shape.SameRack && c.shape.Tasks > 1 {
+			return 1
+		}
+		return 0
+	}
+	anywhere := func(c *cell) int {
+		if len(c.dcs) == 0 {
+			return 1 << 20
+		}
+		return len(c.dcs)
+	}
+	return cmp.Or(
+		cmp.Compare(anywhere(a), anywhere(b)),
+		cmp.Compare(rack(b), rack(a)),
+		cmp.Compare(b.per.gpus, a.per.gpus),
+		cmp.Compare(b.per.mem, a.per.mem),
+		cmp.Compare(b.per.cores, a.per.cores),
+		cmp.Compare(b.shape.Tasks, a.shape.Tasks),
+	)
+}
+
+// footOn returns what the cell takes of a worker now.
+func (c *cell) footOn(w *worker) amount {
+	for _, f := range c.foot {
+		if f.w == w {
+			return f.a
+		}
+	}
+	return amount{}
+}
+
+// tryCharge charges a gang to a cell at a position, if all other cells still fit.
+func (p *Policy) tryCharge(j *job, c *cell, pos []*worker) bool {
+	if !p.trySet(c, pos, j) {
+		return false
+	}
+	j.cell = c
+	if j.placed() {
+		j.team.beyond = j.team.beyond.minus(j.per.times(j.spec.Shape.Tasks))
+	}
+	return true
+}
+
+// trySet moves a cell and moves unused cells out of the way; on failure
+// everything stays as it was.
+func (p *Policy) trySet(c *cell, pos []*worker, j *job) bool {
+	oldPos, oldOccupant := c.pos, c.occupant
+	p.setCell(c, pos, j)
+	var moved []*cell
+	for _, o := range p.cells {
+		if o != c && o.occupant == nil && p.overloaded(o) {
+			moved = append(moved, o)
+		}
+	}
+	if len(moved) == 0 && !p.overloaded(c) {
+		return true
+	}
+	old := make([][]*worker, len(moved))
+	for i, o := range moved {
+		old[i] = o.pos
+		p.setCell(o, nil, nil)
+	}
+	slices.SortStableFunc(moved, harder)
+	if !p.overloaded(c) && (p.placeInOrder(slices.Clone(moved), 0) || p.replaceAll(moved)) {
+		return true
+	}
+	for _, o := range moved {
+		p.setCell(o, nil, nil)
+	}
+	p.setCell(c, oldPos, oldOccupant)
+	for i, o := range moved {
+		p.setCell(o, old[i], nil)
+	}
+	return false
+}
+
+func (p *Policy) replaceAll(moved []*cell) bool {
+	for _, o := range moved {
+		p.setCell(o, nil, nil)
+	}
+	return p.repackAll(moved...)
+}
+
+// promote charges running borrowers of a team to its unused cells where they run.
+func (p *Policy) promote(t *team) {
+	for _, j := range t.running {
+		if j.cell != nil || j.state == jobStopping {
+			continue
+		}
+		for _, c := range t.cells {
+			if c.occupant != nil || c.perSlot(j) == 0 {
+				continue
+			}
+			if pos := p.positionAround(c, j); pos != nil && p.tryCharge(j, c, pos) {
+				break
+			}
+		}
+	}
+}
+
+// positionAround returns a position of the cell that contains a placed gang, or nil.
+func (p *Policy) positionAround(c *cell, j *job) []*worker {
+	k := c.perSlot(j)
+	count := map[*worker]int{}
+	var pos []*worker
+	for _, w := range j.workers {
+		if !p.usable(w) || !allows(c.dcs, w.rack.dc.name) || c.shape.SameRack && w.rack != j.workers[0].rack {
+			return nil
+		}
+		if count[w]%k == 0 {
+			pos = append(pos, w)
+		}
+		count[w]++
+	}
+	if len(pos) > c.shape.Tasks {
+		return nil
+	}
+	for _, w := range pos {
+		if !c.per.times((count[w] + k - 1) / k).fits(w.cap.minus(w.pinned)) {
+			return nil
+		}
+	}
+	return p.completePosition(c, pos, true)
+}
+
+// completePosition adds the slots that a smaller gang leaves over.
+func (p *Policy) completePosition(c *cell, pos []*worker, moveOthers bool) []*worker {
+	rest := c.shape.Tasks - len(pos)
+	if rest == 0 {
+		return pos
+	}
+	p.cands = p.cands[:0]
+	for _, r := range p.order {
+		if !allows(c.dcs, r.id.dc) || c.shape.SameRack && len(pos) > 0 && r != pos[0].rack {
+			continue
+		}
+		for _, w := range r.workers {
+			if !p.usable(w) {
+				continue
+			}
+			room := p.cellRoom(c, w, moveOthers)
+			for _, o := range pos {
+				if o == w {
+					room = room.minus(c.per)
+				}
+			}
+			if n := c.per.into(room, rest); n > 0 {
+				p.cands = append(p.cands, cand{w: w, n: n, rank: rankOf(c.per, room, w)})
+			}
+		}
+	}
+	more := p.choose(rest, c.shape.SameRack, false)
+	if more == nil {
+		return nil
+	}
+	return append(pos, more...)
+}
--- /dev/null
+++ b/place/policy.go
@@ -0,0 +1,176 @@
+package place
+
+import (
+	"math/rand"
+	"time"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// Strategy says which positions guaranteed shapes may be reserved at.
+type Strategy string
+
+// The strategies of reservation; docs/policy.md compares them.
+const (
+	// StrategyPacked reserves a shape wherever its tasks fit exactly.
+	StrategyPacked Strategy = "packed"
+	// StrategyCells reserves buddy cells: sizes rounded up to powers of two, as in HiveD (OSDI 2020).
+	StrategyCells Strategy = "cells"
+)
+
+// Defaults of Config.
+const (
+	// DefaultReserveAfter is the wait after which a job that finds no place gets a reservation.
+	DefaultReserveAfter = 5 * time.Minute
+	// DefaultReservations bounds the reservations at one time, so that they cannot idle the whole site.
+	DefaultReservations = 4
+	// DefaultReturnStarts bounds the starts a second into a data centre that has returned.
+	DefaultReturnStarts = 5
+	// DefaultReturnPeriod is how long the starts into a returned data centre are bounded.
+	DefaultReturnPeriod = time.Minute
+	// DefaultReclaimDeadline bounds checkpoint (700 ms), throttle (200 ms) and stop (300 ms) of a victim.
+	DefaultReclaimDeadline = 1200 * time.Millisecond
+	// DefaultProbation is the first probation of a worker; each further one is twice as long.
+	DefaultProbation = 5 * time.Minute
+)
+
+// Config is what a policy is made with; zero fields take the defaults.
+type Config struct {
+	// Seed makes the order of packing trials reproducible.
+	Seed            int64
+	Strategy        Strategy
+	ReserveAfter    time.Duration
+	Reservations    int
+	ReturnStarts    int
+	ReturnPeriod    time.Duration
+	ReclaimDeadline time.Duration
+	Probation       time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Strategy == "" {
+		c.Strategy = StrategyPacked
+	}
+	setDefault(&c.ReserveAfter, DefaultReserveAfter)
+	setDefault(&c.Reservations, DefaultReservations)
+	setDefault(&c.ReturnStarts, DefaultReturnStarts)
+	setDefault(&c.ReturnPeriod, DefaultReturnPeriod)
+	setDefault(&c.ReclaimDeadline, DefaultReclaimDeadline)
+	setDefault(&c.Probation, DefaultProbation)
+	return c
+}
+
+func setDefault[T comparable](field *T, v T) {
+	var zero T
+	if *field == zero {
+		*field = v
+	}
+}
+
+// Policy decides placements; it has one caller at a time.
+type Policy struct {
+	cfg  Config
+	ops  config.Config
+	rand *rand.Rand
+	now  time.Time
+
+	dcs     map[string]*dataCentre
+	racks   map[rackID]*rack
+	order   []*rack // by data centre and name
+	workers map[string]*worker
+	list    []*worker
+	teams   map[string]*team
+	ranked  []*team // in the order of the configuration
+	jobs    map[string]*job
+	cells   []*cell
+	claims  []*job // jobs whose place is being freed, oldest first
+	total   amount
+
+	repack  bool // cell positions or charges need a check
+	short   bool // a cell has no position
+	recheck bool // waiting jobs may have become impossible
+	stopped []*job
+	shadows []*reservation
+	stamp   int
+
+	probation []*worker
+	cands     []cand
+	groups    []group
+}
+
+// New returns a policy that knows no configuration, worker or job yet.
+func New(cfg Config) *Policy {
+	cfg = cfg.withDefaults()
+	return &Policy{
+		cfg:     cfg,
+		rand:    rand.New(rand.NewSource(cfg.Seed)),
+		dcs:     map[string]*dataCentre{},
+		racks:   map[rackID]*rack{},
+		workers: map[string]*worker{},
+		teams:   map[string]*team{},
+		jobs:    map[string]*job{},
+	}
+}
+
+// Step takes in an event; it never decides, so a wave of events costs little.
+func (p *Policy) Step(now time.Time, e Event) {
+	p.now = now
+	switch e := e.(type) {
+	case ConfigChanged:
+		p.configChanged(e.Config)
+	case WorkerJoined:
+		p.workerJoined(e.Worker)
+	case WorkerLost:
+		p.workerLost(e.Name)
+	case JobSubmitted:
+		p.jobSubmitted(e.Job, e.At)
+	case JobRecovered:
+		p.jobRecovered(e.Job, e.At)
+	case JobStarted:
+		p.jobStarted(e)
+	case JobProgress:
+		p.jobProgress(e)
+	case JobReleased:
+		p.jobReleased(e)
+	case JobRemoved:
+		p.jobRemoved(e.ID)
+	}
+}
+
+// Decide returns what is to be done now; call it after events and at least every 250 ms.
+func (p *Policy) Decide(now time.Time) []Decision {
+	p.now = now
+	p.endProbations()
+	p.displaceOutOfService()
+	p.settle()
+	var ds []Decision
+	ds = p.stopDisplaced(ds)
+	ds = p.refuseImpossible(ds)
+	ds = p.advanceClaims(ds)
+	ds = p.placeWaiting(ds)
+	return ds
+}
+
+// preempt stops a running gang; its resources stay in use until JobReleased.
+func (p *Policy) preempt(ds []Decision, j *job, forJob, reason string) []Decision {
+	p.uncharge(j)
+	j.state = jobStopping
+	j.why = reason
+	return append(ds, Preempt{ID: j.id(), For: forJob, Reason: reason, Deadline: p.cfg.ReclaimDeadline})
+}
+
+// start places a waiting job whose resources are free.
+func (p *Policy) start(ds []Decision, j *job, placement []*worker) []Decision {
+	p.occupy(j, placement)
+	j.state = jobStarting
+	j.attempt++
+	j.placedAt = p.now
+	j.why = ""
+	names := make([]string, len(placement))
+	for i, w := range placement {
+		names[i] = w.name
+	}
+	p.countStart(placement)
+	return append(ds, Start{ID: j.id(), Placement: model.Placement{Workers: names}})
+}
--- /dev/null
+++ b/place/site.go
@@ -0,0 +1,213 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+type rackID struct{ dc, name string }
+
+type rack struct {
+	id      rackID
+	dc      *dataCentre
+	workers []*worker // by name
+}
+
+type dataCentre struct {
+	name      string
+	inService bool
+	// declared is set once a configuration has named the data centre.
+	declared bool
+	// starts holds the times of the last starts while the return of the data centre is bounded.
+	starts   []time.Time
+	returned time.Time
+}
+
+// worker is the policy's view of one machine.
+type worker struct {
+	name        string
+	index       int
+	incarnation string
+	rack        *rack
+	cap         amount
+	joined      bool
+	drained     bool
+	// used is the declared use of gangs placed here until they are released.
+	used amount
+	// extra is the measured use beyond the declared one.
+	extra amount
+	// held is kept for jobs whose place is being freed.
+	held amount
+	// reserved is the footprint of all guaranteed cells.
+	reserved amount
+	// pinned is the part of reserved that belongs to cells in use.
+	pinned amount
+	gangs  []*job
+	health health
+	shadow *reservation // the reservation of a large job that this worker is part of
+
+	stamp, slot int // scratch of setCell
+}
+
+// usable reports whether tasks may start on the worker.
+func (p *Policy) usable(w *worker) bool {
+	return w.joined && !w.drained && w.rack.dc.inService && !w.health.onProbation(p.now)
+}
+
+// free returns what a start can take now.
+func (w *worker) free() amount { return w.cap.minus(w.used).minus(w.held) }
+
+func (p *Policy) dataCentre(name string) *dataCentre {
+	dc, ok := p.dcs[name]
+	if !ok {
+		dc = &dataCentre{name: name}
+		p.dcs[name] = dc
+	}
+	return dc
+}
+
+// worker returns the named worker, creating one that has not joined yet.
+func (p *Policy) worker(name string) *worker {
+	w, ok := p.workers[name]
+	if !ok {
+		w = &worker{name: name, index: len(p.list)}
+		p.workers[name] = w
+		p.list = append(p.list, w)
+		p.setRack(w, rackID{})
+	}
+	return w
+}
+
+func (p *Policy) setRack(w *worker, id rackID) {
+	if w.rack != nil {
+		if w.rack.id == id {
+			return
+		}
+		w.rack.workers = slices.DeleteFunc(w.rack.workers, func(o *worker) bool { return o == w })
+	}
+	r, ok := p.racks[id]
+	if !ok {
+		r = &rack{id: id, dc: p.dataCentre(id.dc)}
+		p.racks[id] = r
+		p.order = append(p.order, r)
+		slices.SortFunc(p.order, func(a, b *rack) int {
+			return cmp.Or(cmp.Compare(a.id.dc, b.id.dc), cmp.Compare(a.id.name, b.id.name))
+		})
+	}
+	w.rack = r
+	r.workers = append(r.workers, w)
+	slices.SortFunc(r.workers, func(a, b *worker) int { return cmp.Compare(a.name, b.name) })
+}
+
+func (p *Policy) configChanged(cfg config.Config) {
+	p.ops = cfg
+	for _, d := range cfg.DataCentres {
+		p.dataCentre(d.Name)
+	}
+	for _, dc := range p.dcs {
+		was := dc.inService
+		dc.inService = cfg.InService(dc.name)
+		if dc.inService && !was && dc.declared {
+			dc.returned, dc.starts = p.now, nil
+		}
+		_, dc.declared = cfg.DataCentre(dc.name)
+	}
+	drained := map[string]bool{}
+	for _, d := range cfg.DrainedWorkers {
+		drained[d.Worker] = true
+	}
+	for _, w := range p.list {
+		w.drained = drained[w.name]
+	}
+	p.setTeams(cfg)
+	p.repack, p.recheck = true, true
+}
+
+func (p *Policy) workerJoined(m model.Worker) {
+	w := p.worker(m.Name)
+	known := w.incarnation != ""
+	p.setRack(w, rackID{m.DataCentre, m.Rack})
+	if known && w.incarnation != m.Incarnation {
+		p.displace(w, "worker "+w.name+" has restarted")
+	}
+	if w.joined {
+		p.total = p.total.minus(w.cap)
+	}
+	w.incarnation, w.cap = m.Incarnation, amountOf(m.Capacity)
+	w.joined = true
+	w.drained = p.ops.Drained(w.name)
+	p.total = p.total.plus(w.cap)
+	p.repack = true
+}
+
+func (p *Policy) workerLost(name string) {
+	w, ok := p.workers[name]
+	if !ok {
+		return
+	}
+	if w.joined {
+		p.total = p.total.minus(w.cap)
+	}
+	w.joined = false
+	p.displace(w, "worker "+name+" is lost")
+	p.repack = true
+}
+
+// displace marks the running gangs of a worker that lost its tasks for stopping.
+func (p *Policy) displace(w *worker, reason string) {
+	for _, j := range w.gangs {
+		if j.state == jobStarting || j.state == jobRunning {
+			p.uncharge(j)
+			j.state, j.why = jobStopping, reason
+			p.stopped = append(p.stopped, j)
+		}
+	}
+}
+
+// displaceOutOfService marks the gangs in data centres that are out of service.
+func (p *Policy) displaceOutOfService() {
+	for _, w := range p.list {
+		if w.joined && !w.rack.dc.inService && len(w.gangs) > 0 {
+			p.displace(w, "data centre "+w.rack.dc.name+" is out of service")
+		}
+	}
+}
+
+// stopDisplaced preempts the marked gangs.
+func (p *Policy) stopDisplaced(ds []Decision) []Decision {
+	for _, j := range p.stopped {
+		if j.state == jobStopping {
+			ds = append(ds, Preempt{ID: j.id(), Reason: j.why, Deadline: p.cfg.ReclaimDeadline})
+		}
+	}
+	p.stopped = p.stopped[:0]
+	return ds
+}
+
+// mayStart reports whether the bound on starts into a returned data centre allows one more.
+func (p *Policy) mayStart(dc *dataCentre) bool {
+	if dc.returned.IsZero() || p.now.Sub(dc.returned) >= p.cfg.ReturnPeriod {
+		return true
+	}
+	for len(dc.starts) > 0 && p.now.Sub(dc.starts[0]) >= time.Second {
+		dc.starts = dc.starts[1:]
+	}
+	return len(dc.starts) < p.cfg.ReturnStarts
+}
+
+// countStart counts one start in each data centre of a placement whose return is bounded.
+func (p *Policy) countStart(placement []*worker) {
+	var seen []*dataCentre
+	for _, w := range placement {
+		dc := w.rack.dc
+		if slices.Contains(seen, dc) || dc.returned.IsZero() || p.now.Sub(dc.returned) >= p.cfg.ReturnPeriod {
+			continue
+		}
+		seen = append(seen, dc)
+		dc.starts = append(dc.starts, p.now)
+	}
+}
