Add the replicated-log protocol as a state machine

The control role needs an agreed log that survives lost disks, silent partitions and stopped processes.

A member refuses votes for one timeout after a restart, since it may have answered a round just before.

--- a/quorum/doc.go
+++ b/quorum/doc.go
@@ -2,4 +2,17 @@
 // manner of Raft (Ongaro and Ousterhout, 2014): messages and ticks in; entries
 // to persist, messages to send and committed entries out. It starts no
 // goroutine, reads no clock and does no input or output.
+//
+// The caller loops: it delivers the ticks that are due, steps the messages
+// that arrived, and works off Ready until there is none:
+//
+//	for r, ok := n.Ready(); ok; r, ok = n.Ready() {
+//		// sync r.HardState, r.Snapshot and r.Entries; send r.Messages; apply r.Committed
+//		n.Advance(r)
+//	}
+//
+// The leader lease rests on counts of ticks. All ticks due by the monotonic
+// clock must be delivered before each Step and ReadIndex: a process that was
+// stopped for a while and handles a message or a read first would count a
+// lease, or a promise behind one, from a tick that is long past.
 package quorum
--- /dev/null
+++ b/quorum/lead.go
@@ -0,0 +1,151 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+)
+
+// leadership is what a leader keeps for its term.
+type leadership struct {
+	members map[string]*progress // all other members by ID
+	since   uint64               // tick at which the term was won
+	round   uint64               // last round started, zero for none
+	starts  []uint64             // ticks at which the latest rounds started, the last one's last
+
+	transferee string // voter that is to take over
+	transferAt uint64 // tick at which the transfer began
+	handedOver bool   // the transferee was told to campaign
+}
+
+// becomeLeader starts this member's term with an empty entry, since a leader
+// may count replicas only for entries of its own term.
+func (n *Node) becomeLeader() {
+	n.role = RoleLeader
+	n.leader = n.id
+	n.handover = 0
+	n.votes = nil
+	n.lead = leadership{members: map[string]*progress{}, since: n.now}
+	n.trackMembers()
+	n.appendOwn(Entry{Kind: EntryEmpty})
+	n.startRound()
+}
+
+// trackMembers keeps a progress for each other member in force.
+func (n *Node) trackMembers() {
+	old := n.lead.members
+	n.lead.members = map[string]*progress{}
+	m := n.log.membership().membership
+	for _, list := range [][]Member{m.Voters, m.Learners} {
+		for _, one := range list {
+			if one.ID == n.id {
+				continue
+			}
+			p := old[one.ID]
+			if p == nil {
+				p = &progress{next: n.log.last() + 1}
+			}
+			n.lead.members[one.ID] = p
+		}
+	}
+}
+
+// memberIDs returns the IDs of all other members in a fixed order.
+func (n *Node) memberIDs() []string {
+	ids := make([]string, 0, len(n.lead.members))
+	for id := range n.lead.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (n *Node) tickLeader() {
+	if n.now-n.quorumTick() >= uint64(n.cfg.ElectionTicks) {
+		// Check-quorum: no majority answered within the minimum election timeout.
+		n.becomeFollower(n.term, "")
+		return
+	}
+	if n.tickTransfer() {
+		return
+	}
+	for _, p := range n.lead.members {
+		if p.state == stateReplicate && !n.active(p) {
+			p.probe(true)
+		}
+	}
+	if (n.now-n.lead.since)%uint64(n.cfg.HeartbeatTicks) == 0 {
+		n.startRound()
+	}
+}
+
+// Propose appends a command to the log of the leader; data must not change afterwards.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if err := n.mayPropose(); err != nil {
+		return 0, 0, fmt.Errorf("propose: %w", err)
+	}
+	index = n.appendOwn(Entry{Kind: EntryCommand, Data: data})
+	return index, n.term, nil
+}
+
+func (n *Node) mayPropose() error {
+	if n.role != RoleLeader {
+		return ErrNotLeader
+	}
+	if n.lead.transferee != "" {
+		return ErrTransferring
+	}
+	return nil
+}
+
+// appendOwn appends an entry of the leader's term, other than a membership.
+func (n *Node) appendOwn(e Entry) uint64 {
+	e.Index, e.Term = n.log.last()+1, n.term
+	n.log.entries = append(n.log.entries, e)
+	return e.Index
+}
+
+// maybeCommit advances the commit index to what a majority of the voters has
+// synced, if the entry there is of the leader's term.
+func (n *Node) maybeCommit() {
+	index := n.majority(n.log.stable, func(p *progress) uint64 { return p.match })
+	if index <= n.log.commit || !n.log.matches(index, n.term) {
+		return
+	}
+	n.log.commit = index
+	if n.log.membership().index <= index && !n.isVoter() {
+		n.resign()
+	}
+}
+
+// majority returns the greatest value that a majority of the voters reach,
+// where own is this member's value, which counts only if it is a voter.
+func (n *Node) majority(own uint64, value func(*progress) uint64) uint64 {
+	voters := n.log.membership().membership.Voters
+	values := make([]uint64, 0, len(voters))
+	for _, v := range voters {
+		if v.ID == n.id {
+			values = append(values, own)
+		} else {
+			values = append(values, value(n.lead.members[v.ID]))
+		}
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// resign ends the term of a leader whose removal is committed. It tells the
+// others of the commit and asks the voter with the longest log to take over.
+func (n *Node) resign() {
+	best, match := "", n.log.commit-1
+	for _, id := range n.memberIDs() {
+		p := n.lead.members[id]
+		if n.log.membership().membership.IsVoter(id) && n.active(p) && p.match > match {
+			best, match = id, p.match
+		}
+	}
+	n.startRound()
+	if best != "" {
+		n.send(Message{Kind: MessageTimeoutNow, To: best})
+	}
+	n.becomeFollower(n.term, "")
+}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,167 @@
+package quorum
+
+import (
+	"fmt"
+	"sort"
+)
+
+// raftLog holds the entries after a base whose index and term are known, and
+// the memberships that they bring into force.
+type raftLog struct {
+	base     uint64
+	baseTerm uint64
+	entries  []Entry
+	stable   uint64 // last index known to be synced
+	commit   uint64
+	handed   uint64     // last committed index handed out
+	applied  uint64     // last index known to be applied
+	configs  []configAt // ascending; the first is in force at the base
+}
+
+// configAt is a membership and the index of the entry that brought it.
+type configAt struct {
+	index      uint64
+	membership Membership
+}
+
+func (l *raftLog) last() uint64 {
+	return l.base + uint64(len(l.entries))
+}
+
+// term returns the term of the entry at index, false when it is not known.
+func (l *raftLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+func (l *raftLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+func (l *raftLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// slice returns the entries from lo to hi, both included.
+func (l *raftLog) slice(lo, hi uint64) []Entry {
+	if lo > hi {
+		return nil
+	}
+	return l.entries[lo-l.base-1 : hi-l.base : hi-l.base]
+}
+
+// batch returns entries from lo on, bounded by bytes but for a first larger one.
+func (l *raftLog) batch(lo uint64, bytes int) []Entry {
+	all := l.slice(lo, l.last())
+	size := 0
+	for i, e := range all {
+		size += len(e.Data) + entryOverheadBytes
+		if i > 0 && size > bytes {
+			return all[:i:i]
+		}
+	}
+	return all
+}
+
+// entryOverheadBytes approximates the encoded size of an entry without its data.
+const entryOverheadBytes = 24
+
+// upToDate reports whether a log that ends at index and term holds at least as
+// much as this one, so that its owner may lead.
+func (l *raftLog) upToDate(index, term uint64) bool {
+	own := l.lastTerm()
+	return term > own || term == own && index >= l.last()
+}
+
+// conflict returns the last index up to the given one whose term is at most
+// term, and its term. Both sides of a rejected append use it to skip whole terms.
+// An index before the base is returned with an unknown term, zero.
+func (l *raftLog) conflict(index, term uint64) (uint64, uint64) {
+	index = min(index, l.last())
+	for index >= l.base {
+		t, _ := l.term(index)
+		if t <= term {
+			return index, t
+		}
+		index--
+	}
+	return index, 0
+}
+
+// append adds entries at the end; their indexes must follow the last.
+func (l *raftLog) append(entries ...Entry) error {
+	for _, e := range entries {
+		if e.Kind == EntryMembership {
+			m, err := DecodeMembership(e)
+			if err != nil {
+				return fmt.Errorf("append: %w", err)
+			}
+			l.configs = append(l.configs, configAt{e.Index, m})
+		}
+		l.entries = append(l.entries, e)
+	}
+	return nil
+}
+
+// truncate drops the entries from index on. The capacity is cut, so that a
+// later append does not overwrite entries that were handed out.
+func (l *raftLog) truncate(index uint64) {
+	keep := int(index - l.base - 1)
+	l.entries = l.entries[:keep:keep]
+	l.stable = min(l.stable, index-1)
+	for len(l.configs) > 1 && l.configs[len(l.configs)-1].index >= index {
+		l.configs = l.configs[:len(l.configs)-1]
+	}
+}
+
+// stableTo records that the entry at index was synced, unless it was replaced since.
+func (l *raftLog) stableTo(index, term uint64) {
+	if index > l.stable && l.matches(index, term) {
+		l.stable = index
+	}
+}
+
+// membership returns the membership in force, committed or not.
+func (l *raftLog) membership() configAt {
+	return l.configs[len(l.configs)-1]
+}
+
+// membershipAt returns the membership in force at index, false when it is not known.
+func (l *raftLog) membershipAt(index uint64) (Membership, bool) {
+	i := sort.Search(len(l.configs), func(i int) bool { return l.configs[i].index > index })
+	if i == 0 || index > l.last() {
+		return Membership{}, false
+	}
+	return l.configs[i-1].membership, true
+}
+
+// compact drops the entries up to index, whose term must be known, and the
+// memberships that were replaced up to fold.
+func (l *raftLog) compact(index, fold uint64) {
+	if index > l.base {
+		t, _ := l.term(index)
+		l.entries = append([]Entry(nil), l.entries[index-l.base:]...)
+		l.base, l.baseTerm = index, t
+	}
+	for len(l.configs) > 1 && l.configs[1].index <= fold {
+		l.configs = l.configs[1:]
+	}
+}
+
+// reset replaces the whole log by a snapshot.
+func (l *raftLog) reset(s Snapshot) {
+	l.base, l.baseTerm = s.Index, s.Term
+	l.entries = nil
+	l.stable = s.Index
+	l.commit = max(l.commit, s.Index)
+	l.handed = max(l.handed, s.Index)
+	l.applied = max(l.applied, s.Index)
+	l.configs = []configAt{{s.Index, s.Membership}}
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,183 @@
+package quorum
+
+import "fmt"
+
+// Node is one member's part of the protocol; it is not safe for concurrent use.
+type Node struct {
+	cfg      Config
+	id       string
+	term     uint64
+	vote     string
+	role     Role
+	leader   string
+	log      raftLog
+	snapshot *Snapshot // sent to members that lag behind the log
+
+	now      uint64 // ticks since the start
+	heard    bool   // a leader may have a lease that counts on this member
+	heardAt  uint64 // tick of the last message from a leader
+	elapsed  int    // ticks since the election timer was reset
+	timeout  int    // randomised election timeout in ticks
+	votes    map[string]bool
+	handover uint64 // term of the leader that asked for this candidacy, zero otherwise
+
+	lead leadership
+
+	messages  []Message
+	installed *Snapshot // received and not handed out yet
+	saved     HardState // last handed out
+	busy      bool      // a Ready is handed out and not advanced
+}
+
+// New returns a member that continues from the synced state in cfg.
+func New(cfg Config) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, fmt.Errorf("new member: %w", err)
+	}
+	n := &Node{
+		cfg:      cfg,
+		id:       cfg.ID,
+		term:     cfg.HardState.Term,
+		vote:     cfg.HardState.Vote,
+		snapshot: cfg.Snapshot,
+		// A member that restarts may have answered a leader's round just before,
+		// so it keeps the promise behind the lease for another timeout.
+		heard: cfg.HardState.Term > 0,
+	}
+	if err := n.recover(cfg); err != nil {
+		return nil, fmt.Errorf("new member %s: %w", cfg.ID, err)
+	}
+	n.saved = HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
+	n.becomeFollower(n.term, "")
+	n.resetTimer()
+	return n, nil
+}
+
+// recover fills the log from the snapshot and the entries after it.
+func (n *Node) recover(cfg Config) error {
+	base := Snapshot{Membership: cfg.Membership}
+	if cfg.Snapshot != nil {
+		base = *cfg.Snapshot
+	}
+	n.log.reset(base)
+	entries, err := afterSnapshot(base, cfg.Entries)
+	if err != nil {
+		return err
+	}
+	if err := n.log.append(entries...); err != nil {
+		return err
+	}
+	n.log.stable = n.log.last()
+	// The commit index is synced as a hint; a torn write may lose the entries behind it.
+	n.log.commit = max(base.Index, min(cfg.HardState.Commit, n.log.last()))
+	if t := n.log.lastTerm(); t > n.term {
+		// A crash came between a snapshot and the hard state. Votes are synced
+		// before they are sent, so this member has not voted in the later term.
+		n.term, n.vote = t, ""
+	}
+	return nil
+}
+
+// afterSnapshot returns the entries that follow s. All are dropped when they
+// belong to another log than the one that s replaced it with.
+func afterSnapshot(s Snapshot, entries []Entry) ([]Entry, error) {
+	for i, e := range entries {
+		if e.Index != entries[0].Index+uint64(i) {
+			return nil, fmt.Errorf("%w: entry %d does not follow the one before", ErrMalformed, e.Index)
+		}
+	}
+	if len(entries) == 0 || entries[len(entries)-1].Index <= s.Index {
+		return nil, nil
+	}
+	if first := entries[0].Index; first > s.Index+1 {
+		return nil, fmt.Errorf("%w: entries start at %d after a snapshot at %d", ErrMalformed, first, s.Index)
+	} else if first <= s.Index {
+		if entries[s.Index-first].Term != s.Term {
+			return nil, nil
+		}
+		entries = entries[s.Index-first+1:]
+	}
+	prev := s.Term
+	for _, e := range entries {
+		if e.Term < prev {
+			if prev == s.Term {
+				return nil, nil
+			}
+			return nil, fmt.Errorf("%w: term %d of entry %d is below the one before", ErrMalformed, e.Term, e.Index)
+		}
+		prev = e.Term
+	}
+	return entries, nil
+}
+
+// Tick advances this member's clock by one tick. All ticks that are due by the
+// caller's monotonic clock must be delivered before Step and ReadIndex are
+// called, since the leader lease compares counts of ticks on different members.
+func (n *Node) Tick() {
+	n.now++
+	n.elapsed++
+	switch n.role {
+	case RoleLeader:
+		n.tickLeader()
+	case RoleLearner:
+	case RolePreCandidate, RoleCandidate:
+		if n.elapsed >= n.timeout {
+			n.campaign(RolePreCandidate)
+		} else if n.elapsed%n.cfg.HeartbeatTicks == 0 {
+			n.requestVotes()
+		}
+	default:
+		if n.elapsed >= n.timeout {
+			n.campaign(RolePreCandidate)
+		}
+	}
+}
+
+// resetTimer restarts the election timer with another random timeout.
+func (n *Node) resetTimer() {
+	n.elapsed = 0
+	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks+1)
+}
+
+// becomeFollower follows leader, which may be unknown, in term.
+func (n *Node) becomeFollower(term uint64, leader string) {
+	if n.role == RoleLeader || n.role == RoleCandidate {
+		n.resetTimer()
+	}
+	if term > n.term {
+		n.term, n.vote = term, ""
+	}
+	n.leader = leader
+	n.role = RoleFollower
+	n.handover = 0
+	n.votes = nil
+	n.lead = leadership{}
+	n.adoptMembership()
+}
+
+// adoptMembership follows the membership in force after the log has changed.
+func (n *Node) adoptMembership() {
+	voter := n.isVoter()
+	switch {
+	case n.role == RoleLeader:
+		n.trackMembers()
+	case !voter:
+		n.role = RoleLearner
+	case n.role == RoleLearner:
+		n.role = RoleFollower
+		n.resetTimer()
+	}
+}
+
+func (n *Node) isVoter() bool {
+	return n.log.membership().membership.IsVoter(n.id)
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.id
+	if m.Term == 0 {
+		m.Term = n.term
+	}
+	n.messages = append(n.messages, m)
+}
--- /dev/null
+++ b/quorum/snap.go
@@ -0,0 +1,57 @@
+package quorum
+
+import "fmt"
+
+// handleSnapshot replaces the log by the leader's snapshot, unless the log
+// holds the snapshot's last entry.
+func (n *Node) handleSnapshot(m Message) error {
+	s := m.Snapshot
+	if s == nil {
+		return fmt.Errorf("snapshot from %s: %w: none", m.From, ErrMalformed)
+	}
+	if err := s.Membership.Validate(); err != nil {
+		return fmt.Errorf("snapshot from %s: %w", m.From, err)
+	}
+	reply := Message{Kind: MessageSnapshotReply, To: m.From, Round: m.Round}
+	switch {
+	case s.Index <= n.log.commit:
+		reply.Index = n.log.commit
+	case n.log.matches(s.Index, s.Term):
+		n.log.commit = s.Index
+		reply.Index = s.Index
+	default:
+		n.log.reset(*s)
+		n.snapshot = s
+		n.installed = s
+		n.adoptMembership()
+		reply.Index = s.Index
+	}
+	n.send(reply)
+	return nil
+}
+
+// MembershipAt returns the membership in force at index, for the snapshot
+// there; false when index is after the log or before the last snapshot.
+func (n *Node) MembershipAt(index uint64) (Membership, bool) {
+	return n.log.membershipAt(index)
+}
+
+// Compact drops the log up to s but for the last keep entries, once s is
+// synced. Members that need dropped entries are sent s instead. The entry at s
+// must be handed out as committed, and the membership of s be MembershipAt.
+func (n *Node) Compact(s Snapshot, keep int) error {
+	if keep < 0 || s.Index > n.log.handed || !n.log.matches(s.Index, s.Term) {
+		return fmt.Errorf("compact to %d of term %d: %w", s.Index, s.Term, ErrBadSnapshot)
+	}
+	if n.snapshot != nil && s.Index < n.snapshot.Index {
+		return fmt.Errorf("compact to %d after %d: %w", s.Index, n.snapshot.Index, ErrBadSnapshot)
+	}
+	if m, ok := n.log.membershipAt(s.Index); !ok || !m.Equal(s.Membership) {
+		return fmt.Errorf("compact to %d: %w: another membership is in force there", s.Index, ErrBadSnapshot)
+	}
+	n.snapshot = &s
+	if s.Index > uint64(keep) {
+		n.log.compact(s.Index-uint64(keep), s.Index)
+	}
+	return nil
+}
