--- a/model/errors.go
+++ b/model/errors.go
@@ -41,6 +41,7 @@
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeNoUpstream       Code = "no_upstream"
 	CodeUpstreamFailed   Code = "upstream_failed"
+	CodeAnswerNotKept    Code = "answer_not_kept"
 	CodeShuttingDown     Code = "shutting_down"
 	CodeUnavailable      Code = "unavailable"
 	CodeInternal         Code = "internal"
--- a/model/upstream.go
+++ b/model/upstream.go
@@ -1,5 +1,8 @@
 package model
 
+// DefaultHealthPath is probed on executors that announce no health path.
+const DefaultHealthPath = "/healthz"
+
 // Upstream is one announced executor of a service.
 type Upstream struct {
 	Name string `json:"name"`
@@ -11,6 +14,8 @@
 	Address     string `json:"address"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
+	// HealthPath answers GET with 200 while the executor works; empty means DefaultHealthPath.
+	HealthPath string `json:"health_path,omitempty"`
 	// Left reports that this incarnation has announced its departure.
 	Left bool `json:"left,omitempty"`
 }
--- /dev/null
+++ b/route/set.go
@@ -0,0 +1,319 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	// DefaultProbeMaxAge is the age of the last success beyond which an executor gets nothing new.
+	DefaultProbeMaxAge = 3 * time.Second
+	// DefaultEjectAfter is the number of consecutive failures that eject an executor.
+	DefaultEjectAfter = 5
+	// DefaultEjectMin and DefaultEjectMax bound the time of one ejection, which doubles each time.
+	DefaultEjectMin = time.Second
+	DefaultEjectMax = 60 * time.Second
+	// DefaultEjectShare bounds the share of executors ejected for errors or slowness at once.
+	DefaultEjectShare = 1.0 / 3
+	// DefaultSlowFactor is how many times the median latency makes an executor an outlier.
+	DefaultSlowFactor = 4.0
+	// DefaultRamp is the time over which a recovering executor returns to its full share.
+	DefaultRamp = 10 * time.Second
+)
+
+const (
+	// latencyWeight is the weight of a new sample in the moving averages of latency.
+	latencyWeight = 0.1
+	// minLatency keeps decay times finite, in seconds.
+	minLatency = 0.0005
+	// minSamples is the number of latency samples before an executor can be judged slow.
+	minSamples = 10
+	// minPeers is the number of executors with enough samples before a median is meaningful.
+	minPeers = 3
+	// rampFloor is the share of traffic that a recovering executor starts with.
+	rampFloor = 0.1
+	// latencyTolerance is the ratio to the average below which latency does not steer; the
+	// average of a few samples is too noisy to prefer one executor by less.
+	latencyTolerance = 2.0
+	// fullMargin is how close to its slots, in requests, an estimate counts as full.
+	fullMargin = 0.5
+	// nearLimit is the estimated use of the best near executor beyond which other data centres compete.
+	nearLimit = 0.75
+)
+
+// Config holds the parameters of a Set; zero fields take the defaults.
+type Config struct {
+	ProbeMaxAge time.Duration
+	EjectAfter  int
+	EjectMin    time.Duration
+	EjectMax    time.Duration
+	EjectShare  float64
+	SlowFactor  float64
+	Ramp        time.Duration
+}
+
+func orDefault[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+func (c Config) withDefaults() Config {
+	c.ProbeMaxAge = orDefault(c.ProbeMaxAge, DefaultProbeMaxAge)
+	c.EjectAfter = orDefault(c.EjectAfter, DefaultEjectAfter)
+	c.EjectMin = orDefault(c.EjectMin, DefaultEjectMin)
+	c.EjectMax = orDefault(c.EjectMax, DefaultEjectMax)
+	c.EjectShare = orDefault(c.EjectShare, DefaultEjectShare)
+	c.SlowFactor = orDefault(c.SlowFactor, DefaultSlowFactor)
+	c.Ramp = orDefault(c.Ramp, DefaultRamp)
+	return c
+}
+
+// ID names one start of an executor.
+type ID struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Executor is what a Set knows of an executor from its announcement.
+type Executor struct {
+	ID
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	HealthPath string `json:"health_path,omitempty"`
+	Slots      int    `json:"slots"`
+	// Limit bounds this instance's own requests in flight to the executor; 0 means Slots.
+	Limit int `json:"limit,omitempty"`
+}
+
+// Load is an executor's own report of its use.
+type Load struct {
+	InUse int `json:"in_use"`
+	Slots int `json:"slots"`
+}
+
+type member struct {
+	Executor
+	inFlight    int
+	others      float64 // requests of other instances at loadAt
+	loadAt      time.Time
+	latency     float64 // moving average in seconds
+	samples     int
+	firstSeen   time.Time
+	lastSuccess time.Time
+	failures    int
+	ejectedTill time.Time
+	ejectFor    time.Duration // length of the next ejection
+	dead        bool          // the current ejection is for a dead connection
+	ejections   int
+}
+
+// Set holds the executors of one service as one instance sees them.
+type Set struct {
+	cfg       Config
+	members   []*member
+	byName    map[string]*member
+	latency   float64 // moving average over all executors, in seconds
+	othersSum float64
+	inFlight  int
+	near, far []candidate // scratch space of Pick
+}
+
+type candidate struct {
+	m    *member
+	used float64
+}
+
+// NewSet returns an empty set.
+func NewSet(cfg Config) *Set {
+	return &Set{cfg: cfg.withDefaults(), byName: map[string]*member{}}
+}
+
+// Update replaces the executors; those with the same name and incarnation keep what is known of them.
+func (s *Set) Update(now time.Time, list []Executor) {
+	next := make([]*member, 0, len(list))
+	byName := make(map[string]*member, len(list))
+	s.othersSum, s.inFlight = 0, 0
+	for _, x := range list {
+		m := s.byName[x.Name]
+		if m == nil || m.Incarnation != x.Incarnation {
+			m = &member{firstSeen: now, ejectFor: s.cfg.EjectMin}
+		}
+		m.Executor = x
+		next = append(next, m)
+		byName[x.Name] = m
+		s.othersSum += m.others
+		s.inFlight += m.inFlight
+	}
+	s.members, s.byName = next, byName
+}
+
+// Len returns the number of executors, those out of use included.
+func (s *Set) Len() int { return len(s.members) }
+
+// Executors returns the executors.
+func (s *Set) Executors() []Executor {
+	out := make([]Executor, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m.Executor)
+	}
+	return out
+}
+
+// InFlight returns the number of own requests in flight.
+func (s *Set) InFlight() int { return s.inFlight }
+
+// Latency returns the moving average of the time of a request; 0 when none has ended.
+func (s *Set) Latency() time.Duration { return time.Duration(s.latency * float64(time.Second)) }
+
+// Query says what a request needs of an executor.
+type Query struct {
+	// Near is the preferred data centre.
+	Near string
+	// Allowed reports the data centres that may be used.
+	Allowed map[string]bool
+	// Tried names executors that are used only when no other is left.
+	Tried []string
+	// Rand returns a number in [0, 1).
+	Rand func() float64
+}
+
+// Verdict is the result of a pick.
+type Verdict int
+
+// The verdicts.
+const (
+	// Picked means that an executor was chosen and its request counts as in flight.
+	Picked Verdict = iota
+	// Full means that executors could be used but none has a free slot by estimate.
+	Full
+	// None means that no executor may be used.
+	None
+)
+
+// Pick chooses an executor by power of two choices on expected wait and counts
+// the request as in flight until Done.
+func (s *Set) Pick(now time.Time, q Query) (Executor, Verdict) {
+	v := s.gather(now, q, true)
+	if v == None || v == Full && len(q.Tried) > 0 {
+		if v2 := s.gather(now, q, false); v2 == Picked || v == None {
+			v = v2
+		}
+	}
+	if v != Picked {
+		return Executor{}, v
+	}
+	best := s.best(s.near, q.Rand)
+	if best.m == nil || best.used >= nearLimit*float64(best.m.Slots) {
+		if other := s.best(s.far, q.Rand); other.m != nil && (best.m == nil || s.cost(other) < s.cost(best)) {
+			best = other
+		}
+	}
+	best.m.inFlight++
+	s.inFlight++
+	return best.m.Executor, Picked
+}
+
+// gather fills the candidate lists; strict leaves out tried executors and
+// those that recover and are not drawn this time.
+func (s *Set) gather(now time.Time, q Query, strict bool) Verdict {
+	s.near, s.far = s.near[:0], s.far[:0]
+	usable := false
+	for _, m := range s.members {
+		if !q.Allowed[m.DataCentre] || !s.eligible(m, now) {
+			continue
+		}
+		if strict && (slices.Contains(q.Tried, m.Name) || !s.drawn(m, now, q.Rand)) {
+			continue
+		}
+		usable = true
+		used := s.used(m, now)
+		if m.inFlight >= m.limit() || used > float64(m.Slots)-fullMargin {
+			continue
+		}
+		if m.DataCentre == q.Near {
+			s.near = append(s.near, candidate{m, used})
+		} else {
+			s.far = append(s.far, candidate{m, used})
+		}
+	}
+	switch {
+	case len(s.near)+len(s.far) > 0:
+		return Picked
+	case usable:
+		return Full
+	default:
+		return None
+	}
+}
+
+func (m *member) limit() int {
+	if m.Limit > 0 {
+		return min(m.Limit, m.Slots)
+	}
+	return m.Slots
+}
+
+func (s *Set) eligible(m *member, now time.Time) bool {
+	return !m.lastSuccess.IsZero() && now.Sub(m.lastSuccess) <= s.cfg.ProbeMaxAge && !now.Before(m.ejectedTill)
+}
+
+// drawn lets a recovering executor take part in a growing share of picks.
+func (s *Set) drawn(m *member, now time.Time, rnd func() float64) bool {
+	if m.ejectedTill.IsZero() {
+		return true
+	}
+	since := now.Sub(m.ejectedTill)
+	if since >= s.cfg.Ramp {
+		return true
+	}
+	return rnd() < rampFloor+(1-rampFloor)*float64(since)/float64(s.cfg.Ramp)
+}
+
+// used estimates the slots in use: own requests and the others' last report,
+// which loses its weight against the average within the time of a request.
+func (s *Set) used(m *member, now time.Time) float64 {
+	if m.loadAt.IsZero() {
+		return float64(m.inFlight)
+	}
+	mean := s.othersSum / float64(len(s.members))
+	age := now.Sub(m.loadAt).Seconds()
+	others := mean + (m.others-mean)*math.Exp(-age/max(s.latency, minLatency))
+	return float64(m.inFlight) + others
+}
+
+func (s *Set) best(list []candidate, rnd func() float64) candidate {
+	switch len(list) {
+	case 0:
+		return candidate{}
+	case 1:
+		return list[0]
+	}
+	i := index(rnd, len(list))
+	j := index(rnd, len(list)-1)
+	if j >= i {
+		j++
+	}
+	a, b := list[i], list[j]
+	if s.cost(b) < s.cost(a) {
+		return b
+	}
+	return a
+}
+
+func index(rnd func() float64, n int) int { return min(int(rnd()*float64(n)), n-1) }
+
+// cost is the expected wait relative to an idle executor of average speed.
+func (s *Set) cost(c candidate) float64 {
+	cost := (c.used + 1) / float64(c.m.Slots)
+	if c.m.samples > 0 && s.latency > 0 {
+		if ratio := c.m.latency / s.latency; ratio > latencyTolerance {
+			cost *= ratio
+		}
+	}
+	return cost
+}
