--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"turmericroute/model"
+	"turmericroute/route"
+)
+
+// errNoLength refuses answers that end with the connection: a cut one would look whole.
+var errNoLength = errors.New("the answer has neither a length nor chunks")
+
+// answer is an executor's answer: whole, or its beginning with the rest to be read.
+type answer struct {
+	status  int
+	header  http.Header // as passed on to the caller
+	outcome model.Outcome
+	load    *route.Load
+	body    []byte
+	// rest continues body; nil when body is whole. finish ends the attempt then.
+	rest   io.ReadCloser
+	finish func(err error)
+	// length is the declared length, -1 for chunks.
+	length int64
+	// bodiless answers (to HEAD, 204, 304) may declare a length without having a body.
+	bodiless bool
+}
+
+// unavailable reports that a gateway or the executor says it cannot serve now.
+func (a *answer) unavailable() bool {
+	switch a.status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return a.outcome != model.OutcomeNotRun
+	default:
+		return false
+	}
+}
+
+// readAnswer reads the answer whole if it is small, and else its beginning.
+func readAnswer(resp *http.Response) (*answer, error) {
+	a := &answer{
+		status: resp.StatusCode, header: answerHeader(resp.Header), outcome: model.OutcomeDone,
+		load: ParseLoad(resp.Header.Get(HeaderLoad)), length: resp.ContentLength,
+	}
+	switch o := model.Outcome(resp.Header.Get(HeaderOutcome)); o {
+	case model.OutcomeNotRun, model.OutcomeUnknown:
+		a.outcome = o
+	}
+	a.bodiless = resp.Request.Method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if a.bodiless {
+		resp.Body.Close()
+		return a, nil
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errNoLength
+	}
+	if err := a.readBody(resp); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func (a *answer) readBody(resp *http.Response) error {
+	if a.length >= 0 && a.length <= SmallAnswerBytes {
+		a.body = make([]byte, a.length)
+		_, err := io.ReadFull(resp.Body, a.body)
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, SmallAnswerBytes+1))
+	if err != nil {
+		return err
+	}
+	a.body = body
+	if len(body) <= SmallAnswerBytes {
+		resp.Body.Close()
+		return nil
+	}
+	a.rest = resp.Body
+	return nil
+}
+
+// hold reads the rest of the answer up to the bound for held answers.
+func (a *answer) hold() error {
+	if a.rest == nil {
+		return nil
+	}
+	more, err := io.ReadAll(io.LimitReader(a.rest, maxHeldAnswerBytes-int64(len(a.body))))
+	a.body = append(a.body, more...)
+	if err == nil && len(a.body) < maxHeldAnswerBytes {
+		a.finish(nil)
+		a.rest = nil
+	}
+	if err != nil {
+		a.finish(err)
+		a.rest = nil
+	}
+	return err
+}
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// write sends the answer to the caller. An error means that the caller did not get all of it, and
+// the connection to the caller must be aborted.
+func (a *answer) write(w http.ResponseWriter, q *request) error {
+	h := w.Header()
+	for k, v := range a.header {
+		h[k] = v
+	}
+	h.Set(HeaderOutcome, string(a.outcome))
+	h.Set(HeaderRequestID, q.id)
+	switch {
+	case a.bodiless:
+	case a.rest == nil:
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	case a.length < 0:
+		h.Del("Content-Length")
+	}
+	w.WriteHeader(a.status)
+	_, err := w.Write(a.body)
+	if a.bodiless {
+		return nil
+	}
+	if a.rest == nil {
+		return err
+	}
+	if err != nil {
+		a.finish(errCallerGone)
+		return errCallerGone
+	}
+	return a.copyRest(w)
+}
+
+// errCallerGone means that the answer could not be written to the caller.
+var errCallerGone = errors.New("the caller is gone")
+
+func (a *answer) copyRest(w http.ResponseWriter) error {
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	for {
+		n, err := a.rest.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
+				a.finish(errCallerGone)
+				return errCallerGone
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			a.finish(nil)
+			return nil
+		case err != nil:
+			a.finish(err)
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/entry/conn.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the time to connect to an executor.
+	dialTimeout = time.Second
+	// idleConnTimeout is how long an unused connection to an executor stays open.
+	idleConnTimeout = 30 * time.Second
+	// defaultIdlePerHost bounds idle connections where the service declares no bound.
+	defaultIdlePerHost = 64
+	// maxAnswerHeaderBytes bounds the header of an answer.
+	maxAnswerHeaderBytes = 64 << 10
+)
+
+var errSealed = errors.New("nothing more is written to this connection")
+
+// countedConn counts writes, so that after a failure it is known whether any
+// byte of a request can have reached the executor.
+type countedConn struct {
+	net.Conn
+	writes atomic.Int64
+	sealed atomic.Bool
+}
+
+// Write writes b unless the connection is sealed. The count goes up before the
+// check, so a write that seal did not stop is always counted.
+func (c *countedConn) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	if c.sealed.Load() {
+		return 0, errSealed
+	}
+	return c.Conn.Write(b)
+}
+
+// seal stops all later writes and reports whether none began since the count was mark.
+func (c *countedConn) seal(mark int64) bool {
+	c.sealed.Store(true)
+	return c.writes.Load() == mark
+}
+
+// newClient returns a client with at most perHost connections to one executor; 0 means no bound.
+func newClient(perHost int) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
+	idle := perHost
+	if idle == 0 {
+		idle = defaultIdlePerHost
+	}
+	t := &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c}, nil
+		},
+		MaxConnsPerHost:        perHost,
+		MaxIdleConnsPerHost:    idle,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		DisableCompression:     true,
+	}
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
--- /dev/null
+++ b/entry/header.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"turmericroute/model"
+	"turmericroute/route"
+)
+
+// Headers of the request path.
+const (
+	HeaderTeam       = "Turmericroute-Team"
+	HeaderIdempotent = "Turmericroute-Idempotent"
+	HeaderTimeout    = "Turmericroute-Timeout-Ms"
+	HeaderRequestID  = "Turmericroute-Request-Id"
+	HeaderOutcome    = "Turmericroute-Outcome"
+	HeaderLoad       = "Turmericroute-Load"
+	HeaderKey        = "Turmericroute-Key"
+	HeaderKeyTime    = "Turmericroute-Key-Time"
+	// HeaderIdempotencyKey is the caller's key; it is not passed on under this name,
+	// because Go's transport resends requests that carry it.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const (
+	// maxNameLength bounds request IDs and keys.
+	maxNameLength = 256
+	// maxKeyAge is an hour less than the time that keys are kept, for differences of clocks.
+	maxKeyAge = 23 * time.Hour
+	// maxKeyAhead is how far a key's time may be in the future; keys are kept an
+	// hour longer than maxKeyAge, so it stays well below that.
+	maxKeyAhead = 10 * time.Minute
+)
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopHeaders removes the hop-by-hop headers and those that Connection names.
+func removeHopHeaders(h http.Header) {
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// sendHeader returns the header of a request to an executor.
+func (q *request) sendHeader(remaining time.Duration) http.Header {
+	h := q.header.Clone()
+	removeHopHeaders(h)
+	for _, name := range []string{HeaderIdempotencyKey, "X-Idempotency-Key", HeaderKeyTime, HeaderKey, HeaderLoad, HeaderOutcome, "Expect", "Content-Length"} {
+		h.Del(name)
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""}
+	}
+	h.Set(HeaderTeam, q.team)
+	h.Set(HeaderRequestID, q.id)
+	h.Set(HeaderTimeout, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	if q.key != "" {
+		h.Set(HeaderKey, q.key)
+	}
+	return h
+}
+
+// answerHeader returns the header of an answer as it is passed on to the caller.
+func answerHeader(h http.Header) http.Header {
+	h = h.Clone()
+	removeHopHeaders(h)
+	for _, name := range []string{HeaderLoad, HeaderOutcome, HeaderRequestID} {
+		h.Del(name)
+	}
+	return h
+}
+
+// ParseLoad reads a Turmericroute-Load header: in_use/slots; nil when it is not one.
+func ParseLoad(v string) *route.Load {
+	use, slots, ok := strings.Cut(v, "/")
+	if !ok {
+		return nil
+	}
+	n, err1 := strconv.Atoi(use)
+	of, err2 := strconv.Atoi(slots)
+	if err1 != nil || err2 != nil || n < 0 || of <= 0 {
+		return nil
+	}
+	return &route.Load{InUse: n, Slots: of}
+}
+
+// one returns the only value of a header; an error when there are several.
+func one(h http.Header, name string) (string, *model.Error) {
+	switch v := h.Values(name); len(v) {
+	case 0:
+		return "", nil
+	case 1:
+		return v[0], nil
+	default:
+		return "", model.NotRun(model.CodeInvalid, "header %s is given %d times", name, len(v))
+	}
+}
+
+// validName reports whether s is a non-empty word of visible ASCII within the length bound.
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameLength {
+		return false
+	}
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func parseTimeout(v string, def, limit time.Duration) (time.Duration, *model.Error) {
+	if v == "" {
+		return def, nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, model.NotRun(model.CodeInvalid, "header %s must be a positive number of milliseconds", HeaderTimeout)
+	}
+	if ms > limit.Milliseconds() {
+		return limit, nil
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func parseKeyTime(v string, now time.Time) *model.Error {
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms <= 0 {
+		return model.NotRun(model.CodeInvalid, "a key needs header %s in unix milliseconds", HeaderKeyTime)
+	}
+	at := time.UnixMilli(ms)
+	switch {
+	case now.Sub(at) > maxKeyAge:
+		return model.NotRun(model.CodeKeyExpired, "the key is older than %v", maxKeyAge)
+	case at.Sub(now) > maxKeyAhead:
+		return model.NotRun(model.CodeInvalid, "header %s is more than %v in the future", HeaderKeyTime, maxKeyAhead)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"turmericroute/model"
+	"turmericroute/route"
+)
+
+// counters are the metrics of the request path.
+type counters struct {
+	set           *metrics.Set
+	attempts      *metrics.Counter
+	retries       *metrics.Counter
+	retriesDenied *metrics.Counter
+	refusals      *metrics.Counter
+	failures      *metrics.Counter
+	probeFailures *metrics.Counter
+	requests      sync.Map // *metrics.Counter by requestLabels
+	durations     sync.Map // *metrics.Histogram by service
+}
+
+type requestLabels struct {
+	service string
+	outcome model.Outcome
+	code    model.Code
+}
+
+func newCounters(set *metrics.Set, e *Entry) *counters {
+	set.GetOrCreateGauge("entry_requests_in_flight_count", func() float64 {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return float64(e.inFlight)
+	})
+	return &counters{
+		set:           set,
+		attempts:      set.GetOrCreateCounter("entry_attempts_total"),
+		retries:       set.GetOrCreateCounter("entry_retries_total"),
+		retriesDenied: set.GetOrCreateCounter("entry_retries_denied_total"),
+		refusals:      set.GetOrCreateCounter("entry_upstream_refusals_total"),
+		failures:      set.GetOrCreateCounter("entry_upstream_failures_total"),
+		probeFailures: set.GetOrCreateCounter("entry_probe_failures_total"),
+	}
+}
+
+func (c *counters) count(f *failure) {
+	switch f.kind {
+	case route.Refused:
+		c.refusals.Inc()
+	case route.Dropped:
+	default:
+		c.failures.Inc()
+	}
+}
+
+// request counts a request; names of services that do not exist share one label.
+func (c *counters) request(q *request, err *model.Error, d time.Duration) {
+	l := requestLabels{service: q.service, outcome: err.Outcome, code: err.Code}
+	if err.Code == model.CodeNotFound || err.Code == model.CodeInvalid {
+		l.service = ""
+	}
+	v, ok := c.requests.Load(l)
+	if !ok {
+		v, _ = c.requests.LoadOrStore(l, c.set.GetOrCreateCounter(
+			fmt.Sprintf("entry_requests_total{service=%q,outcome=%q,code=%q}", l.service, l.outcome, l.code)))
+	}
+	v.(*metrics.Counter).Inc()
+	h, ok := c.durations.Load(l.service)
+	if !ok {
+		h, _ = c.durations.LoadOrStore(l.service, c.set.GetOrCreateHistogram(
+			fmt.Sprintf("entry_request_duration_seconds{service=%q}", l.service)))
+	}
+	h.(*metrics.Histogram).Update(d.Seconds())
+}
--- /dev/null
+++ b/entry/probe.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"turmericroute/model"
+	"turmericroute/route"
+	"turmericroute/state"
+)
+
+const (
+	// probeTick is how often the probes that are due are looked for.
+	probeTick = 50 * time.Millisecond
+	// probeJitter is the share of the interval by which probes are spread.
+	probeJitter = 0.2
+	// maxProbeBytes bounds what is read of the answer to a probe.
+	maxProbeBytes = 4 << 10
+	// reachedWithin is the age of a success that shows that this entry's own network works.
+	reachedWithin = 3 * time.Second
+)
+
+// probe is the schedule of one executor's health probes.
+type probe struct {
+	id   route.ID
+	next time.Time
+	busy bool
+}
+
+// Run probes executors, follows the local state and, on the leader's instance, removes
+// upstreams that stay unreachable. It returns when ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(probeTick)
+	defer tick.Stop()
+	removed := time.Time{}
+	for {
+		changed := e.cfg.Replica.Machine().Changed()
+		e.refresh(false)
+		now := e.cfg.Clock.Now()
+		e.startProbes(ctx, &wg, now)
+		if now.Sub(removed) >= e.cfg.ProbeInterval {
+			removed = now
+			e.removeUnreachable(ctx, &wg, now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			// Changes under load come faster than they are worth looking at.
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		case <-tick.C:
+		}
+	}
+}
+
+func (e *Entry) startProbes(ctx context.Context, wg *sync.WaitGroup, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen := map[string]bool{}
+	for _, s := range e.services {
+		for _, x := range s.executors() {
+			seen[x.Name] = true
+			p := e.probes[x.Name]
+			if p == nil || p.id != x.ID {
+				p = &probe{id: x.ID, next: now}
+				e.probes[x.Name] = p
+			}
+			if p.busy || now.Before(p.next) {
+				continue
+			}
+			p.busy = true
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				e.probe(ctx, s, x)
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				p.busy = false
+				p.next = now.Add(time.Duration(float64(e.cfg.ProbeInterval) * (1 + probeJitter*(e.cfg.Rand()-0.5))))
+			}()
+		}
+	}
+	for name := range e.probes {
+		if !seen[name] {
+			delete(e.probes, name)
+		}
+	}
+}
+
+func (s *service) executors() []route.Executor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.set.Executors()
+}
+
+// probe asks an executor for its health once.
+func (e *Entry) probe(ctx context.Context, s *service, x route.Executor) {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.ProbeTimeout)
+	defer cancel()
+	load, err := fetchHealth(ctx, s.httpClient(), x)
+	if err != nil {
+		e.metrics.probeFailures.Inc()
+	}
+	now := e.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Probe(now, x.ID, err == nil, load)
+	s.dispatch(now)
+}
+
+func fetchHealth(ctx context.Context, client *http.Client, x route.Executor) (*route.Load, error) {
+	path := x.HealthPath
+	if path == "" {
+		path = model.DefaultHealthPath
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+x.Address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBytes)); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, model.NotRun(model.CodeUnavailable, "health is %d", resp.StatusCode)
+	}
+	return ParseLoad(resp.Header.Get(HeaderLoad)), nil
+}
+
+// removeUnreachable proposes, on the leader's instance, the departure of upstreams that stay
+// unreachable. It holds back while no executor at all is reached, as the fault is then likely here.
+func (e *Entry) removeUnreachable(ctx context.Context, wg *sync.WaitGroup, now time.Time) {
+	st := e.cfg.Replica.Status()
+	if st.Leader == "" || st.Leader != st.Name {
+		return
+	}
+	var gone []route.ID
+	reached := false
+	e.mu.Lock()
+	for _, s := range e.services {
+		s.mu.Lock()
+		gone = append(gone, s.set.Unreachable(now, e.cfg.RemoveAfter)...)
+		reached = reached || s.set.Reached(now, reachedWithin)
+		s.mu.Unlock()
+	}
+	e.mu.Unlock()
+	if !reached {
+		return
+	}
+	for _, id := range gone {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := e.cfg.Replica.Execute(ctx, state.LeaveUpstream{Name: id.Name, Incarnation: id.Incarnation})
+			e.cfg.Logger.Log("msg", "removed unreachable upstream", "upstream", id.Name, "incarnation", id.Incarnation, "err", err)
+		}()
+	}
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// pathPrefix is the fixed part of the paths that ServeService serves.
+const pathPrefix = "/v1/services/"
+
+// request is a caller's request, parsed and bounded.
+type request struct {
+	id       string
+	team     string
+	weight   float64
+	limit    int // concurrent requests of the team over all entries
+	service  string
+	method   string
+	path     string // escaped path at the executor
+	query    string
+	header   http.Header
+	body     []byte
+	deadline time.Time
+	// key is set for a non-idempotent request.
+	key  string
+	hash string
+	// lookedUp reports that the log was asked for the key, so that not_run is exact.
+	lookedUp bool
+	// attempts counts sendings; executor is the last one chosen.
+	attempts int
+	executor string
+}
+
+// newID returns a random ID of 128 bits.
+func newID() string {
+	var b [16]byte
+	rand.Read(b[:]) //nolint:errcheck // never fails
+	return hex.EncodeToString(b[:])
+}
+
+// parse reads everything but the body; the returned request always has an ID, and
+// a key if one was sent, so that refusals can be truthful.
+func (e *Entry) parse(r *http.Request, now time.Time) (*request, *model.Error) {
+	q := &request{method: r.Method, query: r.URL.RawQuery, header: r.Header}
+	if q.id = r.Header.Get(HeaderRequestID); !validName(q.id) {
+		q.id = newID()
+	}
+	// Set before any check: a refusal of a keyed request must not claim not_run.
+	if v := r.Header.Get(HeaderIdempotencyKey); v != "" && r.Header.Get(HeaderIdempotent) != "true" {
+		q.key = v
+	}
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), pathPrefix), "/")
+	q.service, q.path = service, "/"+path
+	for _, step := range []func(*http.Request, time.Time) *model.Error{q.parseNames, e.parseDeadline(q), q.parseKey} {
+		if err := step(r, now); err != nil {
+			return q, err
+		}
+	}
+	return q, q.check(e.cfg.Replica.Machine().Config())
+}
+
+func (q *request) parseNames(r *http.Request, _ time.Time) *model.Error {
+	switch r.Method {
+	case http.MethodConnect, http.MethodTrace:
+		return model.NotRun(model.CodeInvalid, "method %s is not served", r.Method)
+	}
+	id, err := one(r.Header, HeaderRequestID)
+	if err != nil {
+		return err
+	}
+	if id != "" && id != q.id {
+		return model.NotRun(model.CodeInvalid, "header %s must be up to %d visible ASCII characters", HeaderRequestID, maxNameLength)
+	}
+	if q.team, err = one(r.Header, HeaderTeam); err != nil {
+		return err
+	}
+	if q.team == "" {
+		return model.NotRun(model.CodeInvalid, "header %s is missing", HeaderTeam)
+	}
+	return nil
+}
+
+func (e *Entry) parseDeadline(q *request) func(*http.Request, time.Time) *model.Error {
+	return func(r *http.Request, now time.Time) *model.Error {
+		v, err := one(r.Header, HeaderTimeout)
+		if err != nil {
+			return err
+		}
+		d, err := parseTimeout(v, e.cfg.DefaultTimeout, e.cfg.MaxTimeout)
+		q.deadline = now.Add(d)
+		return err
+	}
+}
+
+// parseKey reads the marks of a non-idempotent request. A key without a mark counts as one,
+// because running such a request twice would be worse than the cost of a claim.
+func (q *request) parseKey(r *http.Request, now time.Time) *model.Error {
+	mark, err := one(r.Header, HeaderIdempotent)
+	if err != nil {
+		return err
+	}
+	key, err := one(r.Header, HeaderIdempotencyKey)
+	if err != nil {
+		return err
+	}
+	switch {
+	case mark != "" && mark != "true" && mark != "false":
+		return model.NotRun(model.CodeInvalid, "header %s must be true or false", HeaderIdempotent)
+	case mark == "false" && key == "":
+		return model.NotRun(model.CodeInvalid, "a non-idempotent request needs header %s", HeaderIdempotencyKey)
+	case mark == "true" || key == "":
+		return nil
+	case !validName(key):
+		return model.NotRun(model.CodeInvalid, "header %s must be up to %d visible ASCII characters", HeaderIdempotencyKey, maxNameLength)
+	}
+	v, err := one(r.Header, HeaderKeyTime)
+	if err != nil {
+		return err
+	}
+	return parseKeyTime(v, now)
+}
+
+// check looks the team and the service up in the configuration.
+func (q *request) check(cfg config.Config) *model.Error {
+	t, ok := cfg.Team(q.team)
+	if !ok {
+		return model.NotRun(model.CodeNotFound, "no team %q", q.team)
+	}
+	if _, ok := cfg.Service(q.service); !ok {
+		return model.NotRun(model.CodeNotFound, "no service %q", q.service)
+	}
+	if !slices.Contains(t.Services, q.service) {
+		return model.NotRun(model.CodeNotFound, "team %s has no service %q", q.team, q.service)
+	}
+	q.weight, q.limit = t.Weight, t.MaxRequests
+	return nil
+}
+
+// readBody reads the whole body, bounded by size and by the deadline.
+func (q *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *model.Error {
+	if r.ContentLength > limit {
+		return model.NotRun(model.CodeTooLarge, "the body is over %d bytes", limit)
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	rc := http.NewResponseController(w)
+	if rc.SetReadDeadline(q.deadline) == nil {
+		defer rc.SetReadDeadline(time.Time{}) //nolint:errcheck // the connection is gone when this fails
+	}
+	var err error
+	if r.ContentLength >= 0 {
+		q.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, q.body)
+	} else {
+		q.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return model.NotRun(model.CodeTooLarge, "the body is over %d bytes", limit)
+	case err != nil:
+		return model.NotRun(model.CodeInvalid, "the body ended early: %v", err)
+	}
+	return nil
+}
+
+// hashRequest returns the SHA-256 of service, method, path, query and body, each preceded by its length.
+func (q *request) hashRequest() string {
+	h := sha256.New()
+	for _, s := range []string{q.service, q.method, q.path, q.query} {
+		fmt.Fprintf(h, "%d:%s", len(s), s)
+	}
+	h.Write([]byte(strconv.Itoa(len(q.body)) + ":"))
+	h.Write(q.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// refusal makes err truthful for this request: before the key was looked up, an earlier sending may have run.
+func (q *request) refusal(err *model.Error) *model.Error {
+	if q.key == "" || q.lookedUp || err.Outcome != model.OutcomeNotRun {
+		return err
+	}
+	c := *err
+	c.Outcome = model.OutcomeUnknown
+	return &c
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"turmericroute/model"
+)
+
+// result is what a request came to.
+type result struct {
+	answer *answer
+	err    *model.Error
+	// after runs once the answer was written to the caller, or failed to be.
+	after func(err error)
+}
+
+// ServeService serves /v1/services/{service}/{path...}: a request to an upstream executor. It
+// panics with http.ErrAbortHandler when an answer is cut after its beginning was sent.
+func (e *Entry) ServeService(w http.ResponseWriter, r *http.Request) {
+	start := e.cfg.Clock.Now()
+	e.refresh(false)
+	q, err := e.parse(r, start)
+	if err == nil {
+		err = e.begin()
+	}
+	if err != nil {
+		e.log(q, start, q.refusal(err), writeError(w, q, q.refusal(err)), nil)
+		return
+	}
+	defer e.end()
+	res := e.admit(w, r, q)
+	if res.err != nil {
+		res.err = q.refusal(res.err)
+		e.log(q, start, res.err, writeError(w, q, res.err), nil)
+		return
+	}
+	werr := res.answer.write(w, q)
+	if res.after != nil {
+		res.after(werr)
+	}
+	e.log(q, start, &model.Error{Outcome: res.answer.outcome}, res.answer.status, werr)
+	if werr != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// admit checks view age and team limit, reads the body and serves the request.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, q *request) result {
+	if err := e.fresh(); err != nil {
+		return result{err: err}
+	}
+	if err := e.enterTeam(q.team, q.limit); err != nil {
+		return result{err: err}
+	}
+	defer e.leaveTeam(q.team)
+	if err := q.readBody(w, r, e.cfg.MaxBodyBytes); err != nil {
+		return result{err: err}
+	}
+	s := e.service(q.service)
+	if s == nil {
+		return result{err: model.NotRun(model.CodeNotFound, "no service %q", q.service)}
+	}
+	ctx := r.Context()
+	if q.key != "" {
+		// The answer to a key is recorded for a resend even if the caller goes away.
+		ctx = context.WithoutCancel(ctx)
+	}
+	// The context ends when the handler returns, because a large answer is still read after this function.
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(q.deadline.Sub(e.cfg.Clock.Now())))
+	if q.key != "" {
+		return e.keyed(ctx, cancel, s, q)
+	}
+	a, err := s.forward(ctx, q)
+	if err != nil || a.rest == nil {
+		cancel()
+		return result{answer: a, err: err}
+	}
+	return result{answer: a, after: func(error) { cancel() }}
+}
+
+// log writes the line of one request and counts it.
+func (e *Entry) log(q *request, start time.Time, err *model.Error, status int, werr error) {
+	d := e.cfg.Clock.Now().Sub(start)
+	e.metrics.request(q, err, d)
+	kv := []any{
+		"msg", "request", "request_id", q.id, "team", q.team, "service", q.service, "method", q.method,
+		"status", status, "outcome", err.Outcome, "code", err.Code, "executor", q.executor,
+		"attempts", q.attempts, "keyed", q.key != "", "duration_ms", float64(d.Microseconds()) / 1000,
+	}
+	if err.Message != "" {
+		kv = append(kv, "err", err.Message)
+	}
+	if werr != nil {
+		kv = append(kv, "cut", werr)
+	}
+	e.cfg.Logger.Log(kv...)
+}
