--- a/webapi/body.go
+++ b/webapi/body.go
@@ -32,6 +32,7 @@
 	model.CodeDeadline:         http.StatusGatewayTimeout,
 	model.CodeKeyConflict:      http.StatusConflict,
 	model.CodeKeyExpired:       http.StatusGone,
+	model.CodeAnswerNotKept:    http.StatusGone,
 	model.CodeInProgress:       http.StatusConflict,
 	model.CodeOutcomeUnknown:   http.StatusConflict,
 	model.CodeNoUpstream:       http.StatusServiceUnavailable,
--- a/webapi/fleet.go
+++ b/webapi/fleet.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"turmericroute/config"
 	"turmericroute/model"
@@ -17,6 +18,8 @@
 	// maxReports bounds the task reports of one poll.
 	maxReports = 1024
 	maxSlots   = 4096
+	// maxHealthPath bounds an announced health path in bytes.
+	maxHealthPath = 256
 )
 
 // Status describes an instance and sums up what it knows.
@@ -190,6 +193,9 @@
 	if u.Incarnation == 0 {
 		f.Add("incarnation", "must be 1 or more")
 	}
+	if p := u.HealthPath; p != "" && (p[0] != '/' || len(p) > maxHealthPath || strings.ContainsAny(p, "?# \t\r\n")) {
+		f.Add("health_path", "%q is no path that begins with / and has at most %d bytes", p, maxHealthPath)
+	}
 	host, port, err := net.SplitHostPort(u.Address)
 	n, perr := strconv.ParseUint(port, 10, 16)
 	if err != nil || perr != nil || n == 0 || net.ParseIP(host) == nil {
