Test the gang driver against fake workers over HTTP

Covers whole starts, reclaim within 2.1 s with and without a working checkpoint, lost and restarted workers, departures, cancellation and changes of leader.

--- a/fakes/ledger.go
+++ b/fakes/ledger.go
@@ -11,12 +11,12 @@
 // Ledger records which tasks ran when on fake workers, for checks of what must hold; nil records nothing.
 type Ledger struct {
 	mu   sync.Mutex
-	runs []Run
+	runs []TaskRun
 	open map[model.TaskID][]int
 }
 
-// Run is one run of a task on one worker.
-type Run struct {
+// TaskRun is one run of a task on one worker.
+type TaskRun struct {
 	Task       model.TaskID
 	Worker     string
 	DataCentre string
@@ -36,7 +36,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[id] = append(l.open[id], len(l.runs))
-	l.runs = append(l.runs, Run{Task: id, Worker: w.Name, DataCentre: w.DataCentre, Start: time.Now()})
+	l.runs = append(l.runs, TaskRun{Task: id, Worker: w.Name, DataCentre: w.DataCentre, Start: time.Now()})
 }
 
 func (l *Ledger) ended(w model.Worker, id model.TaskID, s model.TaskState) {
@@ -53,10 +53,10 @@
 }
 
 // Runs returns a copy of all runs in the order of their start.
-func (l *Ledger) Runs() []Run {
+func (l *Ledger) Runs() []TaskRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]Run(nil), l.runs...)
+	return append([]TaskRun(nil), l.runs...)
 }
 
 // Running returns the number of tasks of a job that run now.
@@ -73,7 +73,7 @@
 // Overlaps describes runs of two attempts of one job that ran at the same time, or of one task twice.
 func (l *Ledger) Overlaps() []string {
 	var found []string
-	last := map[string][]Run{}
+	last := map[string][]TaskRun{}
 	for _, r := range l.Runs() {
 		for _, o := range last[r.Task.Job] {
 			if (o.Task.Attempt != r.Task.Attempt || o.Task.Index == r.Task.Index) && (o.End.IsZero() || o.End.After(r.Start)) {
@@ -86,8 +86,8 @@
 }
 
 // StartsIn returns the runs that started in a data centre after a time.
-func (l *Ledger) StartsIn(dc string, after time.Time) []Run {
-	var found []Run
+func (l *Ledger) StartsIn(dc string, after time.Time) []TaskRun {
+	var found []TaskRun
 	for _, r := range l.Runs() {
 		if r.DataCentre == dc && r.Start.After(after) {
 			found = append(found, r)
--- /dev/null
+++ b/fakes/replica.go
@@ -0,0 +1,66 @@
+package fakes
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// Replica is a state.Replica in memory: one copy of the state, no other members.
+type Replica struct {
+	machine *state.Machine
+	mu      sync.Mutex
+	age     atomic.Int64
+	// PollFunc answers polls; nil refuses them.
+	PollFunc func(context.Context, model.PollRequest) (model.PollResponse, error)
+	// AdmitFunc checks commands as the leader does; nil admits all.
+	AdmitFunc func(*state.Machine, state.Command) *model.Error
+}
+
+// NewReplica returns a replica with an empty state.
+func NewReplica() *Replica { return &Replica{machine: state.New()} }
+
+// Execute applies c at the next index.
+func (r *Replica) Execute(ctx context.Context, c state.Command) (state.Result, error) {
+	if err := ctx.Err(); err != nil {
+		return state.Result{}, model.NotRun(model.CodeDeadline, "%v", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.AdmitFunc != nil {
+		if fail := r.AdmitFunc(r.machine, c); fail != nil {
+			return state.Result{Failure: fail}, nil
+		}
+	}
+	return r.machine.Apply(r.machine.Applied()+1, c), nil
+}
+
+// Barrier returns at once, since there is one copy.
+func (r *Replica) Barrier(context.Context) error { return nil }
+
+// Machine returns the state.
+func (r *Replica) Machine() *state.Machine { return r.machine }
+
+// ViewAge returns what SetViewAge set.
+func (r *Replica) ViewAge() time.Duration { return time.Duration(r.age.Load()) }
+
+// SetViewAge sets the age that the view has from now on.
+func (r *Replica) SetViewAge(d time.Duration) { r.age.Store(int64(d)) }
+
+// Poll answers with PollFunc.
+func (r *Replica) Poll(ctx context.Context, req model.PollRequest) (model.PollResponse, error) {
+	if r.PollFunc == nil {
+		return model.PollResponse{}, model.NotRun(model.CodeNoLeader, "no leader")
+	}
+	return r.PollFunc(ctx, req)
+}
+
+// Status describes the replica as a lone leader.
+func (r *Replica) Status() state.ReplicaStatus {
+	n := r.machine.Applied()
+	return state.ReplicaStatus{Name: "fake", Role: "leader", Leader: "fake", Term: 1, Commit: n, Applied: n, ViewAgeMS: r.ViewAge().Milliseconds()}
+}
--- /dev/null
+++ b/gang/driver_test.go
@@ -0,0 +1,271 @@
+package gang_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/fakes"
+	"turmericroute/gang"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// site runs one leader at a time over a replica in memory, with fake workers that poll over HTTP.
+type site struct {
+	ctx     context.Context
+	r       *fakes.Replica
+	driver  atomic.Pointer[gang.Driver]
+	term    uint64
+	endLead context.CancelFunc
+	server  *httptest.Server
+	ledger  *fakes.Ledger
+	kill    map[string]context.CancelFunc
+	workers map[string]*fakes.Worker
+}
+
+var perWorker = model.Resources{GPUs: 8, Cores: 32, MemoryMB: 65536}
+
+func newSite() *site {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &site{ctx: ctx, r: fakes.NewReplica(), ledger: fakes.NewLedger(), kill: map[string]context.CancelFunc{}, workers: map[string]*fakes.Worker{}}
+	s.r.PollFunc = func(ctx context.Context, req model.PollRequest) (model.PollResponse, error) {
+		return s.driver.Load().Poll(ctx, req)
+	}
+	s.server = httptest.NewServer(http.HandlerFunc(s.poll))
+	DeferCleanup(func() {
+		cancel()
+		s.server.CloseClientConnections()
+		s.server.Close()
+	})
+	s.patch(config.Change{PutDataCentre: dataCentre("north")}, config.Change{PutDataCentre: dataCentre("south")},
+		config.Change{PutTeam: &config.Team{Name: "large", Guarantees: []config.Guarantee{{Shape: model.Shape{Tasks: 2, GPUs: 8, SameRack: true}}}}},
+		config.Change{PutTeam: &config.Team{Name: "small"}})
+	s.elect()
+	return s
+}
+
+func dataCentre(name string) *config.DataCentre {
+	return &config.DataCentre{Name: name, Region: "one", Racks: []config.Rack{{Name: name + "-r1", Workers: 2, PerWorker: perWorker}}}
+}
+
+func (s *site) poll(w http.ResponseWriter, r *http.Request) {
+	var req model.PollRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	resp, err := s.r.Poll(r.Context(), req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	json.NewEncoder(w).Encode(resp)
+}
+
+// elect ends the present leadership and begins one with an empty driver.
+func (s *site) elect() {
+	if s.endLead != nil {
+		s.endLead()
+	}
+	s.term++
+	d := gang.New(gang.Config{})
+	s.driver.Store(d)
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.endLead = cancel
+	go d.Lead(ctx, s.term, s.r)
+}
+
+func (s *site) patch(changes ...config.Change) {
+	v := s.r.Machine().Config().Version
+	p := config.Patch{ID: fmt.Sprint("patch-", v), BaseVersion: v, Changes: changes}
+	res, err := s.r.Execute(s.ctx, state.PatchConfig{Patch: p})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Failure).To(BeNil())
+}
+
+func (s *site) startWorkers(cfg fakes.WorkerConfig) {
+	for _, dc := range []string{"north", "south"} {
+		for i := range 2 {
+			s.startWorker(fmt.Sprintf("%s-%d", dc, i), dc, cfg)
+		}
+	}
+	Eventually(s.r.Machine().Workers, "3s").Should(HaveLen(4))
+}
+
+func (s *site) startWorker(name, dc string, cfg fakes.WorkerConfig) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.kill[name] = cancel
+	cfg.Worker = model.Worker{Name: name, DataCentre: dc, Rack: dc + "-r1", Incarnation: fmt.Sprint(name, "-", time.Now().UnixNano()), Capacity: perWorker}
+	cfg.Addresses, cfg.Ledger, cfg.Step = []string{s.server.Listener.Addr().String()}, s.ledger, 10*time.Millisecond
+	s.workers[name] = fakes.NewWorker(cfg)
+	go s.workers[name].Run(ctx)
+}
+
+func (s *site) submit(id, team string, shape model.Shape, work float64, change func(*model.JobSpec)) {
+	payload, _ := json.Marshal(fakes.Payload{WorkSeconds: work})
+	spec := model.JobSpec{ID: id, Team: team, Shape: shape, Payload: string(payload), DeclaredSeconds: work}
+	if change != nil {
+		change(&spec)
+	}
+	res, err := s.r.Execute(s.ctx, state.SubmitJob{Spec: spec, AtMS: time.Now().UnixMilli()})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(res.Failure).To(BeNil())
+}
+
+func (s *site) job(id string) model.Job {
+	j, _ := s.r.Machine().Job(id)
+	return j
+}
+
+func (s *site) state(id string) func() model.JobState {
+	return func() model.JobState { return s.job(id).State }
+}
+
+func (s *site) running(id string) func() int {
+	return func() int { return s.ledger.Running(id) }
+}
+
+var _ = Describe("driver", func() {
+	whole := model.Shape{Tasks: 2, GPUs: 8, SameRack: true}
+	var s *site
+
+	BeforeEach(func() { s = newSite() })
+	AfterEach(func() { Expect(s.ledger.Overlaps()).To(BeEmpty()) })
+
+	It("runs a gang whole and to its end", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "large", whole, 0.5, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+		Eventually(s.state("a"), "3s").Should(Equal(model.JobDone))
+		Expect(s.job("a").Attempt).To(Equal(1))
+	})
+
+	It("starts no task of a gang that one worker cannot prepare", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "small", model.Shape{Tasks: 4, GPUs: 8}, 0.3, func(j *model.JobSpec) { j.Payload = "not json" })
+		Eventually(func() int { return s.job("a").Attempt }, "5s").Should(BeNumerically(">", 1))
+		Expect(s.ledger.Runs()).To(BeEmpty())
+	})
+
+	It("reclaims the guaranteed shape from a borrower within 2.1 s", func() {
+		s.startWorkers(fakes.WorkerConfig{CheckpointTime: 100 * time.Millisecond})
+		s.submit("borrower", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
+		Eventually(s.running("borrower"), "3s", "5ms").Should(Equal(4))
+		start := time.Now()
+		s.submit("owner", "large", whole, 0.5, func(j *model.JobSpec) { j.Urgent = true })
+		Eventually(s.running("owner"), "3s", "5ms").Should(Equal(2))
+		Expect(time.Since(start)).To(BeNumerically("<", 2100*time.Millisecond))
+		Expect(s.job("borrower").Checkpoint).To(BeNumerically(">", 0))
+	})
+
+	It("reclaims within 2.1 s when the borrower never completes its checkpoint", func() {
+		s.startWorkers(fakes.WorkerConfig{CheckpointTime: time.Hour})
+		s.submit("borrower", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
+		Eventually(s.running("borrower"), "3s", "5ms").Should(Equal(4))
+		start := time.Now()
+		s.submit("owner", "large", whole, 0.5, func(j *model.JobSpec) { j.Urgent = true })
+		Eventually(s.running("owner"), "3s", "5ms").Should(Equal(2))
+		Expect(time.Since(start)).To(BeNumerically("<", 2100*time.Millisecond))
+	})
+
+	It("stops the rest of a gang when one worker is lost and reruns it after the lease", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "large", whole, 1000, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+		lost := s.job("a").Placement.Workers[0]
+		s.kill[lost]()
+		Eventually(s.running("a"), "8s").Should(Equal(0))
+		Eventually(s.running("a"), "20s").Should(Equal(2))
+		Expect(s.job("a").Attempt).To(Equal(2))
+		Expect(s.job("a").Placement.Workers).NotTo(ContainElement(lost))
+	})
+
+	It("notices at once that a restarted worker has lost its tasks", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "large", whole, 1000, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+		lost := s.job("a").Placement.Workers[0]
+		s.kill[lost]()
+		s.startWorker(lost, s.ledger.Runs()[0].DataCentre, fakes.WorkerConfig{})
+		Eventually(func() int { return s.job("a").Attempt }, "3s").Should(Equal(2))
+		Eventually(s.running("a"), "3s").Should(Equal(2))
+	})
+
+	It("moves gangs out of a data centre that is taken out of service and starts none there", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "large", whole, 1000, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+		dc := s.ledger.Runs()[0].DataCentre
+		s.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: dc, OutOfService: true}})
+		out := time.Now()
+		Eventually(func() int { return s.job("a").Attempt }, "5s").Should(Equal(2))
+		Eventually(s.running("a"), "5s").Should(Equal(2))
+		s.submit("b", "small", model.Shape{Tasks: 1, GPUs: 1}, 0.1, nil)
+		Consistently(func() []fakes.TaskRun { return s.ledger.StartsIn(dc, out) }, "1s").Should(BeEmpty())
+		s.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: dc}})
+		Eventually(s.state("b"), "5s").Should(Equal(model.JobDone))
+	})
+
+	It("cancels a waiting, a running and a finished job", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
+		s.submit("b", "small", model.Shape{Tasks: 4, GPUs: 8}, 0.1, nil)
+		s.submit("c", "small", model.Shape{Tasks: 4, GPUs: 8}, 0.1, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(4))
+		for _, id := range []string{"b", "a"} {
+			_, err := s.r.Execute(s.ctx, state.CancelJob{ID: id})
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(s.state(id), "3s").Should(Equal(model.JobCancelled))
+		}
+		Eventually(s.state("c"), "3s").Should(Equal(model.JobDone))
+		res, _ := s.r.Execute(s.ctx, state.CancelJob{ID: "c"})
+		Expect(res.Job.State).To(Equal(model.JobDone))
+	})
+
+	It("keeps a running gang over a change of leader and finishes it", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "large", whole, 2, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+		s.elect()
+		Eventually(s.state("a"), "6s").Should(Equal(model.JobDone))
+		Expect(s.job("a").Attempt).To(Equal(1))
+	})
+
+	It("loses no job when the leader changes at random moments of its start", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		for i := range 12 {
+			s.submit(fmt.Sprint("j", i), "large", whole, 0.2, nil)
+			<-time.After(time.Duration(i) * 3 * time.Millisecond)
+			s.elect()
+		}
+		for i := range 12 {
+			Eventually(s.state(fmt.Sprint("j", i)), "40s").Should(Equal(model.JobDone))
+		}
+	})
+
+	It("fails a job whose tasks fail after its bounded attempts", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "small", model.Shape{Tasks: 2, GPUs: 1}, 0.1, func(j *model.JobSpec) {
+			j.Payload = `{"work_seconds":0.1,"fail":true}`
+			j.MaxAttempts = 2
+		})
+		Eventually(s.state("a"), "5s").Should(Equal(model.JobFailed))
+		Expect(s.job("a").Failures).To(Equal(2))
+	})
+
+	It("refuses a worker from a rack that is not declared", func() {
+		Eventually(func() error {
+			_, err := s.r.Poll(s.ctx, model.PollRequest{Seq: 1, Worker: model.Worker{Name: "x", DataCentre: "north", Rack: "other"}})
+			return err
+		}, "3s").Should(MatchError(ContainSubstring("does not declare")))
+	})
+})
