--- /dev/null
+++ b/trial/deploy.go
@@ -0,0 +1,249 @@
+package trial
+
+import (
+	"context"
+	_ "embed" // The example configuration is part of the binary.
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"turmericroute/client"
+	"turmericroute/fakes"
+	"turmericroute/model"
+	"turmericroute/serve"
+)
+
+//go:embed config.yaml
+var exampleConfig []byte
+
+// instance is one process's worth of the deployment.
+type instance struct {
+	settings serve.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// deployment is three control and two entry instances with fake workers and upstreams.
+type deployment struct {
+	dir       string
+	logger    log.Logger
+	instances []*instance
+	addresses []string
+	api       *client.Client
+	ledger    *fakes.Ledger
+	upstreams []*fakes.Upstream
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+var (
+	dataCentres = []string{"north", "south", "east"}
+	perWorker   = model.Resources{GPUs: 8, Cores: 32, MemoryMB: 65536}
+)
+
+// deploy starts all instances; the caller closes the deployment also after an error.
+func deploy(ctx context.Context, logger log.Logger) (*deployment, error) {
+	d := &deployment{logger: logger, ledger: fakes.NewLedger()}
+	dir, err := os.MkdirTemp("", "turmericroute-try-")
+	if err != nil {
+		return d, fmt.Errorf("make data folder: %w", err)
+	}
+	d.dir = dir
+	all, err := d.settings()
+	if err != nil {
+		return d, err
+	}
+	for _, s := range all {
+		d.start(s)
+	}
+	d.api = client.New(client.Config{Addresses: d.addresses})
+	return d, d.ready(ctx)
+}
+
+func (d *deployment) settings() ([]serve.Settings, error) {
+	type node struct {
+		name, dc string
+		role     serve.Role
+	}
+	nodes := []node{
+		{"c1", "north", serve.RoleControl}, {"c2", "south", serve.RoleControl}, {"c3", "east", serve.RoleControl},
+		{"e1", "north", serve.RoleEntry}, {"e2", "south", serve.RoleEntry},
+	}
+	ports, err := freePorts(2 * len(nodes))
+	if err != nil {
+		return nil, err
+	}
+	var peers []serve.Peer
+	for i, n := range nodes {
+		peers = append(peers, serve.Peer{Name: n.name, HTTPAddress: ports[2*i], GRPCAddress: ports[2*i+1], Control: n.role == serve.RoleControl})
+	}
+	var all []serve.Settings
+	for i, n := range nodes {
+		s := serve.DefaultSettings()
+		s.Name, s.DataCentre, s.Roles, s.Peers = n.name, n.dc, []serve.Role{n.role}, peers
+		s.HTTP.Address, s.GRPC.Address = ports[2*i], ports[2*i+1]
+		s.DrainDelay, s.ShutdownTimeout = 100*time.Millisecond, 5*time.Second
+		if n.role == serve.RoleControl {
+			s.DataFolder, s.Bootstrap = filepath.Join(d.dir, n.name), true
+		}
+		all = append(all, s)
+		d.addresses = append(d.addresses, ports[2*i])
+	}
+	return all, nil
+}
+
+// freePorts reserves loopback addresses by listening on them for a moment.
+func freePorts(n int) ([]string, error) {
+	var found []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer ln.Close()
+		found = append(found, ln.Addr().String())
+	}
+	return found, nil
+}
+
+func (d *deployment) start(s serve.Settings) {
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
+	d.instances = append(d.instances, in)
+	go func() { in.done <- serve.Run(ctx, s, log.With(d.logger, "instance", s.Name)) }()
+}
+
+// ready waits until every instance answers with a fresh view.
+func (d *deployment) ready(ctx context.Context) error {
+	for _, a := range d.addresses {
+		c := client.New(client.Config{Addresses: []string{a}})
+		err := wait(ctx, func() error {
+			st, err := c.Status(ctx)
+			if err != nil {
+				return fmt.Errorf("status of %s: %w", a, err)
+			}
+			if st.Replica.Leader == "" || st.Replica.ViewAgeMS > model.MaxViewAge.Milliseconds() {
+				return fmt.Errorf("%s has no fresh view", a)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// populate starts six workers and six executors and waits until they are known.
+func (d *deployment) populate(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for i := range 6 {
+		dc := dataCentres[i%3]
+		w := model.Worker{
+			Name: fmt.Sprintf("%s-w%d", dc, i/3+1), DataCentre: dc, Rack: dc + "-r1",
+			Incarnation: "1", Capacity: perWorker,
+		}
+		d.worker(run, w)
+		if err := d.upstream(run, fmt.Sprintf("plans-%d", i+1), dc); err != nil {
+			return err
+		}
+	}
+	return wait(ctx, func() error {
+		ws, err := d.api.Workers(ctx)
+		if err != nil {
+			return fmt.Errorf("list workers: %w", err)
+		}
+		us, err := d.api.Upstreams(ctx)
+		if err != nil {
+			return fmt.Errorf("list upstreams: %w", err)
+		}
+		if len(ws) != 6 || len(us) != 6 {
+			return fmt.Errorf("%d of 6 workers and %d of 6 upstreams are registered", len(ws), len(us))
+		}
+		return nil
+	})
+}
+
+func (d *deployment) worker(ctx context.Context, w model.Worker) {
+	fake := fakes.NewWorker(fakes.WorkerConfig{
+		Worker: w, Addresses: d.addresses, Ledger: d.ledger, Step: 20 * time.Millisecond, CheckpointTime: 50 * time.Millisecond,
+	})
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		fake.Run(ctx)
+	}()
+}
+
+func (d *deployment) upstream(ctx context.Context, name, dc string) error {
+	var entries []string
+	for _, a := range d.addresses {
+		entries = append(entries, "http://"+a)
+	}
+	u, err := fakes.StartUpstream(fakes.UpstreamConfig{
+		Upstream:  model.Upstream{Name: name, Incarnation: 1, Service: "plans", DataCentre: dc, Slots: 8, Connections: 64},
+		Entries:   entries,
+		Behaviour: fakes.Behaviour{Delay: 20 * time.Millisecond},
+	})
+	if err != nil {
+		return fmt.Errorf("start upstream %s: %w", name, err)
+	}
+	d.upstreams = append(d.upstreams, u)
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		u.Heartbeat(ctx, time.Second)
+	}()
+	return nil
+}
+
+// close stops everything and removes the data folder.
+func (d *deployment) close() error {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.wg.Wait()
+	for _, u := range d.upstreams {
+		u.Close()
+	}
+	for _, in := range d.instances {
+		in.stop()
+	}
+	var errs []error
+	for _, in := range d.instances {
+		if err := <-in.done; err != nil {
+			errs = append(errs, fmt.Errorf("instance %s: %w", in.settings.Name, err))
+		}
+	}
+	if d.dir != "" {
+		errs = append(errs, os.RemoveAll(d.dir))
+	}
+	return errors.Join(errs...)
+}
+
+// waitStep is the pause between looks of wait.
+const waitStep = 10 * time.Millisecond
+
+// wait calls look until it succeeds or ctx ends, and then returns its last error.
+func wait(ctx context.Context, look func() error) error {
+	t := time.NewTicker(waitStep)
+	defer t.Stop()
+	for {
+		err := look()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("gave up waiting: %w", err)
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/trial/run.go
@@ -0,0 +1,317 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// stepTimeout bounds one step; the whole trial stays under 30 s.
+const stepTimeout = 8 * time.Second
+
+// departureBound is how long after a data centre goes out of service a task may still start in it.
+const departureBound = 3 * time.Second
+
+// Config configures a trial.
+type Config struct {
+	// Out receives one line a step.
+	Out io.Writer
+	// Logger receives the logs of all instances; nil means none.
+	Logger log.Logger
+}
+
+type step struct {
+	name string
+	run  func(context.Context, *deployment) (string, error)
+}
+
+var steps = []step{
+	{"deployment_ready", configure},
+	{"gang_started_whole", startGang},
+	{"guarantee_reclaimed", reclaim},
+	{"request_answered", answer},
+	{"resend_ran_once", resend},
+	{"stale_patch_refused", stalePatch},
+	{"data_centre_left", leave},
+	{"data_centre_returned", comeBack},
+}
+
+// Run starts a deployment, goes through all steps, and leaves nothing behind.
+// It returns the first error of a step.
+func Run(ctx context.Context, cfg Config) error {
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	start := time.Now()
+	ready, cancel := context.WithTimeout(ctx, stepTimeout)
+	d, err := deploy(ready, cfg.Logger)
+	cancel()
+	if err == nil {
+		err = runSteps(ctx, cfg.Out, d)
+	}
+	if closeErr := d.close(); closeErr != nil {
+		err = errors.Join(err, fmt.Errorf("close deployment: %w", closeErr))
+	}
+	fmt.Fprintf(cfg.Out, "step=all ok=%t took_ms=%d\n", err == nil, time.Since(start).Milliseconds())
+	return err
+}
+
+func runSteps(ctx context.Context, out io.Writer, d *deployment) error {
+	for _, s := range steps {
+		start := time.Now()
+		sctx, cancel := context.WithTimeout(ctx, stepTimeout)
+		note, err := s.run(sctx, d)
+		cancel()
+		took := time.Since(start).Milliseconds()
+		if err != nil {
+			fmt.Fprintf(out, "step=%s ok=false took_ms=%d err=%q\n", s.name, took, err)
+			return fmt.Errorf("step %s: %w", s.name, err)
+		}
+		fmt.Fprintf(out, "step=%s ok=true took_ms=%d %s\n", s.name, took, note)
+	}
+	return nil
+}
+
+func configure(ctx context.Context, d *deployment) (string, error) {
+	path := filepath.Join(d.dir, "config.yaml")
+	if err := os.WriteFile(path, exampleConfig, 0o600); err != nil {
+		return "", fmt.Errorf("write example configuration: %w", err)
+	}
+	cfg, faults, err := config.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read example configuration: %w", err)
+	}
+	if len(faults) > 0 {
+		return "", fmt.Errorf("example configuration: %v", faults)
+	}
+	got, err := d.api.Patch(ctx, config.Patch{ID: "example", BaseVersion: 0, Author: "try", Changes: config.Diff(config.Config{}, cfg)})
+	if err != nil {
+		return "", fmt.Errorf("apply example configuration: %w", err)
+	}
+	if err := d.populate(ctx); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("config_version=%d instances=%d workers=6 upstreams=6", got.Version, len(d.instances)), nil
+}
+
+// borrowed is a gang of the team gutters over all workers, far beyond its guarantee.
+var borrowed = model.JobSpec{
+	ID: "borrower", Team: "gutters", Shape: model.Shape{Tasks: 6, GPUs: 8, Cores: 8, MemoryMB: 8192},
+	DeclaredSeconds: 600, Payload: `{"work_seconds": 600}`,
+}
+
+func startGang(ctx context.Context, d *deployment) (string, error) {
+	if _, err := d.api.SubmitJob(ctx, borrowed); err != nil {
+		return "", fmt.Errorf("submit: %w", err)
+	}
+	most := 0
+	err := wait(ctx, func() error {
+		most = d.ledger.Running(borrowed.ID)
+		if most != borrowed.Shape.Tasks {
+			return fmt.Errorf("%d of %d tasks run", most, borrowed.Shape.Tasks)
+		}
+		return nil
+	})
+	return fmt.Sprintf("tasks=%d", most), err
+}
+
+func reclaim(ctx context.Context, d *deployment) (string, error) {
+	spec := model.JobSpec{
+		ID: "owner", Team: "frames", Urgent: true,
+		Shape:           model.Shape{Tasks: 2, GPUs: 8, Cores: 16, MemoryMB: 16384, SameRack: true},
+		DeclaredSeconds: 600, Payload: `{"work_seconds": 600}`,
+	}
+	start := time.Now()
+	if _, err := d.api.SubmitJob(ctx, spec); err != nil {
+		return "", fmt.Errorf("submit: %w", err)
+	}
+	if err := d.waitRunning(ctx, spec); err != nil {
+		return "", err
+	}
+	took := time.Since(start)
+	j, err := d.api.Job(ctx, borrowed.ID)
+	if err != nil {
+		return "", fmt.Errorf("get borrower: %w", err)
+	}
+	if d.ledger.Running(borrowed.ID) != 0 || j.Checkpoint <= 0 {
+		return "", fmt.Errorf("borrower still runs or has no checkpoint: %+v", j)
+	}
+	return fmt.Sprintf("urgent_start_ms=%d borrower_state=%s borrower_checkpoint_s=%.2f", took.Milliseconds(), j.State, j.Checkpoint), nil
+}
+
+func (d *deployment) waitRunning(ctx context.Context, spec model.JobSpec) error {
+	return wait(ctx, func() error {
+		if n := d.ledger.Running(spec.ID); n != spec.Shape.Tasks {
+			return fmt.Errorf("%d of %d tasks of %s run", n, spec.Shape.Tasks, spec.ID)
+		}
+		return nil
+	})
+}
+
+// request sends a request for the team gutters through one instance.
+func (d *deployment) request(ctx context.Context, address, key, body string) (int, http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/services/plans/bend", bytes.NewBufferString(body))
+	if err != nil {
+		return 0, nil, "", fmt.Errorf("make request: %w", err)
+	}
+	r.Header.Set("Turmericroute-Team", "gutters")
+	if key != "" {
+		r.Header.Set("Turmericroute-Idempotent", "false")
+		r.Header.Set("Idempotency-Key", key)
+		r.Header.Set("Turmericroute-Key-Time", fmt.Sprint(time.Now().UnixMilli()))
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, "", fmt.Errorf("send request: %w", err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, "", fmt.Errorf("read answer: %w", err)
+	}
+	return resp.StatusCode, resp.Header, string(b), nil
+}
+
+func (d *deployment) answered(ctx context.Context, address, key, body string) (string, error) {
+	status, header, got, err := d.request(ctx, address, key, body)
+	if err != nil {
+		return "", err
+	}
+	if outcome := header.Get("Turmericroute-Outcome"); status != http.StatusOK || outcome != string(model.OutcomeDone) {
+		return "", fmt.Errorf("status %d, outcome %q: %s", status, outcome, got)
+	}
+	return got, nil
+}
+
+func answer(ctx context.Context, d *deployment) (string, error) {
+	got, err := d.answered(ctx, d.addresses[3], "", "seam plan")
+	return fmt.Sprintf("bytes=%d", len(got)), err
+}
+
+func resend(ctx context.Context, d *deployment) (string, error) {
+	first, err := d.answered(ctx, d.addresses[3], "order-1", "cut one sheet")
+	if err != nil {
+		return "", fmt.Errorf("first sending: %w", err)
+	}
+	second, err := d.answered(ctx, d.addresses[4], "order-1", "cut one sheet")
+	if err != nil {
+		return "", fmt.Errorf("resend to another entry: %w", err)
+	}
+	runs := 0
+	for _, u := range d.upstreams {
+		runs += u.Ledger()["order-1"].Started
+	}
+	if runs != 1 || first != second {
+		return "", fmt.Errorf("ran %d times, same answer: %t", runs, first == second)
+	}
+	return fmt.Sprintf("runs=%d same_answer=true", runs), nil
+}
+
+func stalePatch(ctx context.Context, d *deployment) (string, error) {
+	_, err := d.api.Patch(ctx, config.Patch{ID: "stale", BaseVersion: 0, Changes: []config.Change{{PutTeam: &config.Team{Name: "late"}}}})
+	var e *model.Error
+	if !errors.As(err, &e) || e.Code != model.CodeStaleVersion || e.Outcome != model.OutcomeNotRun {
+		return "", fmt.Errorf("expected a refusal with %s, got %w", model.CodeStaleVersion, err)
+	}
+	return fmt.Sprintf("code=%s current_version=%d", e.Code, e.Version), nil
+}
+
+// setInService takes a data centre out of service or returns it.
+func (d *deployment) setInService(ctx context.Context, dc string, in bool) error {
+	cfg, err := d.api.Config(ctx)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	_, err = d.api.Patch(ctx, config.Patch{
+		ID: fmt.Sprintf("%s-%t-%d", dc, in, cfg.Version), BaseVersion: cfg.Version, Author: "try",
+		Changes: []config.Change{{SetDataCentre: &config.DataCentreInService{Name: dc, OutOfService: !in, Reason: "power work"}}},
+	})
+	if err != nil {
+		return fmt.Errorf("patch data centre: %w", err)
+	}
+	return nil
+}
+
+// ownerHome returns the data centre that the urgent gang runs in.
+func (d *deployment) ownerHome() string {
+	home := ""
+	for _, r := range d.ledger.Runs() {
+		if r.Task.Job == "owner" {
+			home = r.DataCentre
+		}
+	}
+	return home
+}
+
+func leave(ctx context.Context, d *deployment) (string, error) {
+	home := d.ownerHome()
+	if err := d.setInService(ctx, home, false); err != nil {
+		return "", err
+	}
+	out := time.Now()
+	err := wait(ctx, func() error {
+		if now := d.ownerHome(); now == home || d.ledger.Running("owner") != 2 {
+			return fmt.Errorf("the gang has not moved out of %s", home)
+		}
+		return nil
+	})
+	if err != nil {
+		return "", err
+	}
+	moved := time.Since(out)
+	if late := d.ledger.StartsIn(home, out.Add(departureBound)); len(late) > 0 {
+		return "", fmt.Errorf("%d tasks started in %s after it left", len(late), home)
+	}
+	if double := d.ledger.Overlaps(); len(double) > 0 {
+		return "", fmt.Errorf("two attempts ran at once: %v", double)
+	}
+	return fmt.Sprintf("data_centre=%s gang_moved_ms=%d now_in=%s", home, moved.Milliseconds(), d.ownerHome()), nil
+}
+
+func comeBack(ctx context.Context, d *deployment) (string, error) {
+	cfg, err := d.api.Config(ctx)
+	if err != nil {
+		return "", fmt.Errorf("read configuration: %w", err)
+	}
+	returned := ""
+	for _, dc := range cfg.DataCentres {
+		if dc.OutOfService {
+			returned = dc.Name
+		}
+	}
+	if err := d.setInService(ctx, returned, true); err != nil {
+		return "", err
+	}
+	if _, err := d.api.CancelJob(ctx, borrowed.ID); err != nil {
+		return "", fmt.Errorf("cancel borrower: %w", err)
+	}
+	back := model.JobSpec{
+		ID: "returned", Team: "gutters", DataCentres: []string{returned},
+		Shape: model.Shape{Tasks: 1, GPUs: 8, Cores: 8, MemoryMB: 8192}, Payload: `{"work_seconds": 0.2}`,
+	}
+	if _, err := d.api.SubmitJob(ctx, back); err != nil {
+		return "", fmt.Errorf("submit: %w", err)
+	}
+	err = wait(ctx, func() error {
+		j, err := d.api.Job(ctx, back.ID)
+		if err != nil {
+			return fmt.Errorf("get job: %w", err)
+		}
+		if j.State != model.JobDone {
+			return fmt.Errorf("job is %s: %s", j.State, j.Reason)
+		}
+		return nil
+	})
+	return fmt.Sprintf("data_centre=%s", returned), err
+}
