--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,135 @@
+package client_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/client"
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// instance is a server that counts calls and answers each with the next of its answers.
+type instance struct {
+	*httptest.Server
+	calls atomic.Int64
+}
+
+type reply func(w http.ResponseWriter)
+
+func refuse(status int, e *model.Error) reply {
+	return func(w http.ResponseWriter) {
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(e)
+	}
+}
+
+func accept(v any) reply { return func(w http.ResponseWriter) { json.NewEncoder(w).Encode(v) } }
+
+func abort(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+func cutShort(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "100")
+	w.Write([]byte(`{"spec":`))
+}
+
+// serve answers the calls in turn; the last reply is repeated.
+func serve(replies ...reply) *instance {
+	i := &instance{}
+	i.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n := int(i.calls.Add(1))
+		replies[min(n, len(replies))-1](w)
+	}))
+	DeferCleanup(i.Close)
+	return i
+}
+
+func dead() string {
+	s := httptest.NewServer(nil)
+	s.Close()
+	return s.URL
+}
+
+func call(addresses ...string) (*client.Client, context.Context) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	DeferCleanup(cancel)
+	return client.New(client.Config{Addresses: addresses}), ctx
+}
+
+var (
+	accepted   = accept(model.Job{Spec: model.JobSpec{ID: "j1"}, State: model.JobWaiting})
+	noLeader   = refuse(503, model.NotRun(model.CodeNoLeader, "no leader"))
+	impossible = refuse(422, model.NotRun(model.CodeImpossible, "never"))
+)
+
+var _ = Describe("calls", func() {
+	It("go to the next instance when one cannot be reached or did not run them", func() {
+		a, b := serve(noLeader), serve(accepted)
+		c, ctx := call(dead(), a.URL, b.URL)
+		j, err := c.SubmitJob(ctx, model.JobSpec{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.Spec.ID).To(Equal("j1"))
+		_, err = c.SubmitJob(ctx, model.JobSpec{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.calls.Load()).To(Equal(int64(1)), "the instance that answered is asked first from then on")
+	})
+
+	It("without an ID are not sent again once they may have run", func() {
+		a, b := serve(abort), serve(accepted)
+		c, ctx := call(a.URL, b.URL)
+		_, err := c.SubmitJob(ctx, model.JobSpec{})
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
+		Expect(b.calls.Load()).To(BeZero())
+	})
+
+	It("with an ID are sent again after a lost or cut answer", func() {
+		a, b := serve(abort, cutShort), serve(cutShort, accepted)
+		c, ctx := call(a.URL, b.URL)
+		j, err := c.SubmitJob(ctx, model.JobSpec{ID: "j1"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.State).To(Equal(model.JobWaiting))
+	})
+
+	It("keep an unknown outcome when later attempts are refused for another reason", func() {
+		// A "not run" of the last attempt says nothing about the first.
+		a, b := serve(abort, noLeader), serve(noLeader)
+		c, ctx := call(a.URL, b.URL)
+		_, err := c.SubmitJob(ctx, model.JobSpec{ID: "j1"})
+		Expect(model.AsError(err).Code).To(Equal(model.CodeNoLeader))
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
+	})
+
+	It("end at a final refusal with its typed error", func() {
+		a, b := serve(impossible), serve(accepted)
+		c, ctx := call(a.URL, b.URL)
+		_, err := c.SubmitJob(ctx, model.JobSpec{ID: "j1"})
+		Expect(model.AsError(err).Code).To(Equal(model.CodeImpossible))
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+		Expect(b.calls.Load()).To(BeZero())
+	})
+
+	It("that reach nothing are unreachable and not run", func() {
+		c, ctx := call(dead(), dead())
+		_, err := c.Status(ctx)
+		Expect(client.Unreachable.Has(err)).To(BeTrue())
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+	})
+
+	It("treat an answer that is not ours as of unknown outcome", func() {
+		a := serve(func(w http.ResponseWriter) { w.WriteHeader(502); w.Write([]byte("<html>")) })
+		c, ctx := call(a.URL)
+		_, err := c.Patch(ctx, patch())
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
+	})
+})
+
+func patch() config.Patch {
+	return config.Patch{ID: "p", Changes: []config.Change{{RemoveTeam: "x"}}}
+}
