Add TLS, tokens with roles and the audit log

Callers prove who they are by tokens that are kept as hashes; processes by certificates of one authority that name an instance. Both are followed without a restart. A team sees and cancels only its own jobs, only operators patch, and a worker or upstream speaks only for itself. Refusals of requests that carry an ID keep an unknown outcome, since an earlier sending may have run.

--- /dev/null
+++ b/auth/watch.go
@@ -0,0 +1,87 @@
+package auth
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// checkInterval is how often files are looked at for a change while they are in use.
+const checkInterval = time.Second
+
+// Watch says how files are followed; the zero value is good.
+type Watch struct {
+	// OnError is told of each failed reload; the last good content stays in use.
+	OnError func(error)
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+}
+
+// watched is a value loaded from files and loaded again when one of them
+// changes. While the new files are faulty the last good value stays in use.
+type watched[T any] struct {
+	files []string
+	load  func() (T, error)
+	Watch
+
+	mu      sync.Mutex
+	value   T
+	stamp   string
+	checked time.Time
+}
+
+func newWatched[T any](files []string, load func() (T, error), how Watch) (*watched[T], error) {
+	w := &watched[T]{files: files, load: load, Watch: how}
+	if w.OnError == nil {
+		w.OnError = func(error) {}
+	}
+	if w.Now == nil {
+		w.Now = time.Now
+	}
+	// The stamp is taken first, so a change during the load is seen by the next check.
+	w.stamp, w.checked = stampOf(files), w.Now()
+	v, err := load()
+	if err != nil {
+		return nil, err
+	}
+	w.value = v
+	return w, nil
+}
+
+// get returns the value, loaded again when a file has changed since the last check.
+func (w *watched[T]) get() T {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.Now()
+	if now.Sub(w.checked) < checkInterval {
+		return w.value
+	}
+	w.checked = now
+	stamp := stampOf(w.files)
+	if stamp == w.stamp {
+		return w.value
+	}
+	w.stamp = stamp
+	v, err := w.load()
+	if err != nil {
+		w.OnError(err)
+		return w.value
+	}
+	w.value = v
+	return v
+}
+
+// stampOf changes when one of the files is replaced or written.
+func stampOf(files []string) string {
+	s := ""
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			s += fmt.Sprintf("%s: %v;", f, err)
+			continue
+		}
+		s += fmt.Sprintf("%s: %d %d;", f, info.Size(), info.ModTime().UnixNano())
+	}
+	return s
+}
--- a/client/client.go
+++ b/client/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -28,6 +29,8 @@
 	retryRounds = 3
 	// retryPause is the wait between rounds; an election takes up to 800 ms.
 	retryPause = 400 * time.Millisecond
+	// dialTimeout bounds the connection to one instance, so that others are tried in time.
+	dialTimeout = 2 * time.Second
 )
 
 // Unreachable is the class of errors of calls that reached no instance.
@@ -41,6 +44,8 @@
 	Token string
 	// Team is sent with each call.
 	Team string
+	// TLS makes addresses without a scheme HTTPS ones; nil means HTTP.
+	TLS *tls.Config
 	// HTTP is the client used; the default has no retries, proxies or redirects.
 	HTTP *http.Client
 }
@@ -58,20 +63,26 @@
 func New(cfg Config) *Client {
 	c := &Client{token: cfg.Token, team: cfg.Team, http: cfg.HTTP}
 	for _, a := range cfg.Addresses {
-		c.bases = append(c.bases, baseURL(a))
+		c.bases = append(c.bases, baseURL(a, cfg.TLS != nil))
 	}
 	if c.http == nil {
 		c.http = &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext},
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, TLSClientConfig: cfg.TLS,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
 	return c
 }
 
-func baseURL(address string) string {
+func baseURL(address string, secure bool) string {
 	if !strings.Contains(address, "://") {
-		address = "http://" + address
+		scheme := "http://"
+		if secure {
+			scheme = "https://"
+		}
+		address = scheme + address
 	}
 	return strings.TrimRight(address, "/")
 }
--- a/model/errors.go
+++ b/model/errors.go
@@ -45,6 +45,8 @@
 	CodeShuttingDown     Code = "shutting_down"
 	CodeUnavailable      Code = "unavailable"
 	CodeInternal         Code = "internal"
+	CodeUnauthorised     Code = "unauthorised"
+	CodeForbidden        Code = "forbidden"
 )
 
 // Error is an error with a code, an outcome and, for validation, all faults found.
--- a/serve/process.go
+++ b/serve/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/net/netutil"
 
+	"turmericroute/auth"
 	"turmericroute/config"
 	"turmericroute/model"
 	"turmericroute/state"
@@ -46,6 +48,10 @@
 	Services Services
 	Metrics  *metrics.Set
 	Logger   log.Logger
+	// Tokens identifies callers; nil lets everyone do everything.
+	Tokens webapi.Identifier
+	// Keys are the certificate of the HTTP listener; nil means no TLS.
+	Keys *auth.Keys
 	// CheckConfig and CheckJob are handed to the HTTP API.
 	CheckConfig func(config.Config) []string
 	CheckJob    func(config.Config, model.JobSpec) error
@@ -66,7 +72,7 @@
 	proc := &Process{settings: s, parts: p, started: time.Now()}
 	api := webapi.New(webapi.Config{
 		Replica: p.Node, Entry: p.Services, Logger: p.Logger, Metrics: p.Metrics, Dump: proc.dump, Ready: proc.ready,
-		Closing: proc.closing.Load, CheckConfig: p.CheckConfig, CheckJob: p.CheckJob,
+		Closing: proc.closing.Load, Tokens: p.Tokens, CheckConfig: p.CheckConfig, CheckJob: p.CheckJob,
 	})
 	proc.server = &http.Server{
 		Handler: api, ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
@@ -109,8 +115,12 @@
 		defer close(done)
 		p.parts.Services.Run(base)
 	}()
+	limited := netutil.LimitListener(l, p.settings.Limits.MaxConnections)
+	if p.parts.Keys != nil {
+		limited = tls.NewListener(limited, p.parts.Keys.Server())
+	}
 	failed := make(chan error, 1)
-	go func() { failed <- p.server.Serve(netutil.LimitListener(l, p.settings.Limits.MaxConnections)) }()
+	go func() { failed <- p.server.Serve(limited) }()
 	level.Info(p.parts.Logger).Log("event", "started", "name", p.settings.Name, "http", l.Addr(), "grpc", p.settings.GRPC.Address)
 	var serveErr error
 	select {
@@ -125,8 +135,8 @@
 }
 
 func (p *Process) warnInsecure() {
-	if p.settings.Insecure {
-		level.Warn(p.parts.Logger).Log("event", "insecure", "message", "listeners have no TLS; anyone who reaches them can read and change everything")
+	if p.settings.Insecure && (p.settings.HTTP.TLS == nil || p.settings.Tokens == "" || p.settings.GRPC.TLS == nil) {
+		level.Warn(p.parts.Logger).Log("event", "insecure", "message", "TLS or tokens are missing; anyone who reaches the listeners can read and change everything")
 	}
 }
 
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"turmericroute/auth"
 	"turmericroute/config"
 )
 
@@ -47,6 +48,8 @@
 	Peers []Peer `yaml:"peers" json:"peers"`
 	// Bootstrap forms a new cluster of the control peers when the data folder is empty.
 	Bootstrap bool `yaml:"bootstrap" json:"bootstrap"`
+	// Tokens is the file of access tokens; without one callers are not checked.
+	Tokens string `yaml:"tokens,omitempty" json:"tokens,omitempty"`
 	// DrainDelay is the wait between readiness false and the first refusal, for the load balancer to notice.
 	DrainDelay time.Duration `yaml:"drain_delay" json:"drain_delay"`
 	// ShutdownTimeout bounds the wait for requests in flight.
@@ -62,6 +65,8 @@
 type Listener struct {
 	// Address is IP:port.
 	Address string `yaml:"address" json:"address"`
+	// TLS names certificate and key; the gRPC listener also needs the authority of its peers.
+	TLS *auth.Files `yaml:"tls,omitempty" json:"tls,omitempty"`
 }
 
 // Peer is one instance of the deployment.
@@ -93,8 +98,8 @@
 	}
 }
 
-// ReadSettings reads and checks a settings file; a relative data folder counts
-// from the folder of the file.
+// ReadSettings reads and checks a settings file and the keys and tokens that it
+// names; relative paths count from the folder of the file.
 func ReadSettings(path string) (Settings, []config.Fault, error) {
 	s := DefaultSettings()
 	doc, faults, err := config.ReadYAML(path, &s)
@@ -105,12 +110,58 @@
 		return s, faults, nil
 	}
 	faults = doc.Locate(s.Validate())
-	if s.DataFolder != "" && !filepath.IsAbs(s.DataFolder) {
-		s.DataFolder = filepath.Join(filepath.Dir(path), s.DataFolder)
+	s = s.resolved(filepath.Dir(path))
+	if len(faults) == 0 {
+		faults = doc.Locate(s.checkFiles())
 	}
 	return s, faults, nil
 }
 
+// resolved returns s with paths that no longer depend on the working folder.
+func (s Settings) resolved(dir string) Settings {
+	abs := func(p *string) {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	abs(&s.DataFolder)
+	abs(&s.Tokens)
+	for _, l := range []*Listener{&s.HTTP, &s.GRPC} {
+		if l.TLS != nil {
+			files := *l.TLS
+			abs(&files.Cert)
+			abs(&files.Key)
+			abs(&files.CA)
+			l.TLS = &files
+		}
+	}
+	return s
+}
+
+// checkFiles returns the faults of the files of keys and tokens.
+func (s Settings) checkFiles() []config.Fault {
+	var faults config.Faults
+	for _, l := range []struct {
+		key string
+		tls *auth.Files
+	}{{"http.tls", s.HTTP.TLS}, {"grpc.tls", s.GRPC.TLS}} {
+		if l.tls == nil {
+			continue
+		}
+		if _, err := auth.ReadKeys(*l.tls, auth.Watch{}); err != nil {
+			faults.Add(l.key, "%v", err)
+		}
+	}
+	if s.Tokens != "" {
+		_, found, err := auth.ReadTokens(s.Tokens, auth.Watch{})
+		if err != nil {
+			faults.Add("tokens", "%v", err)
+		}
+		faults = append(faults, found...)
+	}
+	return faults
+}
+
 // Has reports whether the process has a role.
 func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
 
@@ -132,8 +183,8 @@
 	v.faults.Name("name", s.Name)
 	v.faults.Name("data_centre", s.DataCentre)
 	v.roles()
-	v.listener("http", s.HTTP)
-	v.listener("grpc", s.GRPC)
+	v.listener("http", s.HTTP, s.HTTP.TLS != nil && s.Tokens != "", "has no TLS and tokens")
+	v.listener("grpc", s.GRPC, s.GRPC.TLS != nil, "has no TLS")
 	v.peers()
 	v.timing()
 	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
@@ -172,10 +223,22 @@
 	}
 }
 
-func (v *settingsValidator) listener(key string, l Listener) {
+func (v *settingsValidator) listener(key string, l Listener, safe bool, lacks string) {
 	ip, ok := v.address(key+".address", l.Address)
-	if ok && !ip.IsLoopback() && !v.s.Insecure {
-		v.faults.Add(key+".address", "%s is not loopback and has no TLS; set insecure: true to allow that", l.Address)
+	if ok && !ip.IsLoopback() && !safe && !v.s.Insecure {
+		v.faults.Add(key+".address", "%s is not loopback and %s; set insecure: true to allow that", l.Address, lacks)
+	}
+	if l.TLS == nil {
+		return
+	}
+	if l.TLS.Cert == "" || l.TLS.Key == "" {
+		v.faults.Add(key+".tls", "needs cert and key")
+	}
+	switch {
+	case key == "grpc" && l.TLS.CA == "":
+		v.faults.Add(key+".tls", "needs ca, the authority of the other instances")
+	case key == "http" && l.TLS.CA != "":
+		v.faults.Add(key+".tls.ca", "is set, but callers prove who they are by tokens")
 	}
 }
 
--- a/serve/settings_test.go
+++ b/serve/settings_test.go
@@ -62,7 +62,7 @@
 		Entry("peer with another port", `http: {address: "127.0.0.1:7101"}`, `http: {address: "127.0.0.1:7111"}`,
 			"c1.yaml:10: peers[0].http_address: has port 7101, but http.address listens on port 7111"),
 		Entry("address beyond loopback", `http: {address: "127.0.0.1:7101"}`, `http: {address: "0.0.0.0:7101"}`,
-			"c1.yaml:4: http.address: 0.0.0.0:7101 is not loopback and has no TLS; set insecure: true to allow that"),
+			"c1.yaml:4: http.address: 0.0.0.0:7101 is not loopback and has no TLS and tokens; set insecure: true to allow that"),
 		Entry("address used twice", "127.0.0.1:7202", "127.0.0.1:7201", "c1.yaml:11: peers[1].grpc_address: 127.0.0.1:7201 is used twice"),
 		Entry("even number of voters", "control: false", "control: true",
 			"c1.yaml:9: peers: has 2 control instances; an even number survives no more failures than one less"),
--- /dev/null
+++ b/webapi/access_test.go
@@ -0,0 +1,102 @@
+package webapi_test
+
+import (
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/auth"
+	"turmericroute/model"
+	"turmericroute/webapi"
+)
+
+// secrets maps secrets to identities.
+type secrets map[string]auth.Identity
+
+func (s secrets) Identify(secret string) (auth.Identity, bool) {
+	id, ok := s[secret]
+	return id, ok
+}
+
+// echo answers requests to services with the team and the authorisation that reached it.
+type echo struct{}
+
+func (echo) ServeService(w http.ResponseWriter, r *http.Request) {
+	w.Write([]byte(r.Header.Get(webapi.HeaderTeam) + "|" + r.Header.Get("Authorization")))
+}
+
+var _ = Describe("access", func() {
+	var f *fixture
+	as := func(secret, method, path, body string, header ...string) answer {
+		GinkgoHelper()
+		return f.send(method, path, body, append(header, "Authorization", "Bearer "+secret, "Content-Type", "application/json")...)
+	}
+	BeforeEach(func() {
+		f = newFixture(func(c *webapi.Config) {
+			c.Entry = echo{}
+			c.Tokens = secrets{
+				"op": {Name: "ana", Role: auth.RoleOperator}, "te": {Name: "ci", Role: auth.RoleTeam, Subject: "tejados"},
+				"pa": {Name: "pa", Role: auth.RoleTeam, Subject: "patina"}, "w1": {Name: "w1", Role: auth.RoleWorker, Subject: "w1"},
+				"u1": {Name: "u1", Role: auth.RoleUpstream, Subject: "u1"},
+			}
+		})
+		Expect(as("op", "POST", "/v1/config/patches", basePatch).status).To(Equal(http.StatusOK))
+	})
+
+	It("needs a known token, except for health", func() {
+		for _, header := range []string{"", "Bearer ", "Bearer nobody", "Basic op", "op"} {
+			a := f.send("GET", "/v1/jobs", "", "Authorization", header)
+			Expect(a.status).To(Equal(http.StatusUnauthorized), header)
+			Expect(a.header.Get("WWW-Authenticate")).To(Equal("Bearer"))
+		}
+		Expect(f.get("/metrics").status).To(Equal(http.StatusUnauthorized))
+		Expect(f.get("/dump").status).To(Equal(http.StatusUnauthorized))
+		Expect(f.get("/livez").status).To(Equal(http.StatusOK))
+		Expect(f.get("/readyz").status).To(Equal(http.StatusOK))
+		Expect(f.post("/v1/jobs", job).outcome).To(Equal(model.OutcomeUnknown), "an earlier sending may have run")
+	})
+
+	DescribeTable("is limited by role", func(secret, method, path string, want int) {
+		Expect(as(secret, method, path, "").status).To(Equal(want))
+	},
+		Entry("teams read no configuration", "te", "GET", "/v1/config", http.StatusForbidden),
+		Entry("teams do not patch", "te", "POST", "/v1/config/patches", http.StatusForbidden),
+		Entry("teams see no workers", "te", "GET", "/v1/workers", http.StatusForbidden),
+		Entry("teams see no dump", "te", "GET", "/dump", http.StatusForbidden),
+		Entry("teams do not announce", "te", "POST", "/v1/upstreams/u1/announce", http.StatusForbidden),
+		Entry("workers see no jobs", "w1", "GET", "/v1/jobs", http.StatusForbidden),
+		Entry("workers send no requests", "w1", "GET", "/v1/services/fabrication/x", http.StatusForbidden),
+		Entry("workers poll for themselves only", "w1", "POST", "/v1/workers/w2/poll", http.StatusForbidden),
+		Entry("upstreams leave for themselves only", "u1", "POST", "/v1/upstreams/u2/leave", http.StatusForbidden),
+		Entry("upstreams do not poll", "u1", "POST", "/v1/workers/u1/poll", http.StatusForbidden),
+		Entry("operators see all", "op", "GET", "/v1/config", http.StatusOK),
+	)
+
+	It("lets a team see and cancel its own jobs only", func() {
+		Expect(as("te", "POST", "/v1/jobs", job).status).To(Equal(http.StatusOK))
+		Expect(as("pa", "POST", "/v1/jobs", job).Code).To(Equal(model.CodeForbidden))
+		Expect(as("pa", "GET", "/v1/jobs", "").body).To(Equal("[]\n"))
+		Expect(as("pa", "GET", "/v1/jobs?team=tejados", "").body).To(Equal("[]\n"))
+		Expect(as("pa", "GET", "/v1/jobs/j1", "").Code).To(Equal(model.CodeNotFound))
+		Expect(as("pa", "DELETE", "/v1/jobs/j1", "").Code).To(Equal(model.CodeNotFound))
+		Expect(as("te", "DELETE", "/v1/jobs/j1", "").status).To(Equal(http.StatusOK))
+	})
+
+	It("fixes the team of requests and keeps the token from upstreams", func() {
+		Expect(as("te", "GET", "/v1/services/fabrication/x", "").body).To(Equal("tejados|"))
+		Expect(as("te", "GET", "/v1/services/fabrication/x", "", webapi.HeaderTeam, "patina").Code).To(Equal(model.CodeForbidden))
+		Expect(as("op", "GET", "/v1/services/fabrication/x", "", webapi.HeaderTeam, "patina").body).To(Equal("patina|"))
+	})
+
+	It("is told in the audit log and the history, and no secret is logged", func() {
+		forged := strings.Replace(drainPatch, `"id":"d1"`, `"id":"d1","author":"someone else","reason":"repair"`, 1)
+		as("op", "POST", "/v1/config/patches", forged)
+		as("te", "GET", "/v1/config", "")
+		Expect(f.replica.Machine().History()[1].Patch.Author).To(Equal("ana"))
+		Expect(f.log.String()).To(MatchRegexp(`event=audit .*path=/v1/config/patches status=200 .*who=ana role=operator patch=d1 reason=repair version=2`))
+		Expect(f.log.String()).To(MatchRegexp(`event=audit .*path=/v1/config status=403 .*who=ci role=team .*code=forbidden`))
+		Expect(f.log.String()).NotTo(ContainSubstring("Bearer"))
+	})
+})
--- a/webapi/api.go
+++ b/webapi/api.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"turmericroute/auth"
 	"turmericroute/config"
 	"turmericroute/model"
 	"turmericroute/state"
@@ -47,6 +48,8 @@
 	Logger  log.Logger
 	// Metrics is the set that requests are counted in; it is also served.
 	Metrics *metrics.Set
+	// Tokens identifies callers; nil lets everyone do everything.
+	Tokens Identifier
 	// Dump returns the process state for GET /dump.
 	Dump func() any
 	// Ready returns why the process should receive no requests, or nil.
@@ -86,20 +89,20 @@
 }
 
 func (a *api) routes() {
-	a.json("POST", "/v1/jobs", a.submitJob)
-	a.json("GET", "/v1/jobs", a.listJobs)
-	a.json("GET", "/v1/jobs/{id}", a.getJob)
-	a.json("DELETE", "/v1/jobs/{id}", a.cancelJob)
+	a.json("POST", "/v1/jobs", a.submitJob, auth.RoleTeam)
+	a.json("GET", "/v1/jobs", a.listJobs, auth.RoleTeam)
+	a.json("GET", "/v1/jobs/{id}", a.getJob, auth.RoleTeam)
+	a.json("DELETE", "/v1/jobs/{id}", a.cancelJob, auth.RoleTeam)
 	a.json("GET", "/v1/config", a.getConfig)
 	a.json("POST", "/v1/config/patches", a.patchConfig)
 	a.json("GET", "/v1/config/history", a.getHistory)
 	a.json("GET", "/v1/workers", a.listWorkers)
 	a.json("GET", "/v1/upstreams", a.listUpstreams)
-	a.json("POST", "/v1/workers/{name}/poll", a.pollWorker)
-	a.json("POST", "/v1/upstreams/{name}/announce", a.announceUpstream)
-	a.json("POST", "/v1/upstreams/{name}/leave", a.leaveUpstream)
-	a.always("GET", "/v1/status", a.getStatus)
-	a.always("GET", "/dump", a.getDump)
+	a.json("POST", "/v1/workers/{name}/poll", a.pollWorker, auth.RoleWorker)
+	a.json("POST", "/v1/upstreams/{name}/announce", a.announceUpstream, auth.RoleUpstream)
+	a.json("POST", "/v1/upstreams/{name}/leave", a.leaveUpstream, auth.RoleUpstream)
+	a.always("GET", "/v1/status", a.guarded(a.getStatus))
+	a.always("GET", "/dump", a.guarded(a.getDump))
 	a.always("GET", "/readyz", a.getReady)
 	a.always("GET", "/livez", func(*http.Request) (any, error) { return map[string]bool{"live": true}, nil })
 	a.mux.HandleFunc("GET /metrics", a.serveMetrics)
@@ -123,24 +126,26 @@
 	}
 }
 
-// json registers a handler that answers with JSON and is refused during a shutdown.
-func (a *api) json(method, path string, h handler) {
-	a.always(method, path, func(r *http.Request) (any, error) {
+// json registers a handler that answers with JSON to the roles and to
+// operators, and is refused during a shutdown.
+func (a *api) json(method, path string, h handler, roles ...auth.Role) {
+	a.always(method, path, a.guarded(func(r *http.Request) (any, error) {
 		if a.Closing != nil && a.Closing() {
-			return nil, closingError(r)
+			return nil, unsettled(r, model.NotRun(model.CodeShuttingDown, "this instance is shutting down"))
 		}
 		return h(r)
-	})
+	}, roles...))
 }
 
-// closingError refuses a request during a shutdown. Submissions and patches
-// carry an ID that was not looked up, so an earlier sending may have run.
-func closingError(r *http.Request) error {
-	err := model.NotRun(model.CodeShuttingDown, "this instance is shutting down")
-	if r.Method == http.MethodPost && (r.URL.Path == "/v1/jobs" || r.URL.Path == "/v1/config/patches") {
-		return unlooked(err)
+// guarded lets only the roles and operators through.
+func (a *api) guarded(h handler, roles ...auth.Role) handler {
+	return func(r *http.Request) (any, error) {
+		r, err := a.allow(r, roles)
+		if err != nil {
+			return nil, err
+		}
+		return h(r)
 	}
-	return err
 }
 
 // always registers a handler that answers with JSON, also during a shutdown.
@@ -185,16 +190,31 @@
 	}
 }
 
-func (a *api) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+func (a *api) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if _, err := a.allow(r, nil); err != nil {
+		writeError(w, err)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	a.Metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
 
 func (a *api) serveService(w http.ResponseWriter, r *http.Request) {
-	if a.Entry == nil {
-		writeError(w, model.NotRun(model.CodeUnavailable, "this instance serves no services"))
+	r, err := a.allow(r, []auth.Role{auth.RoleTeam})
+	if err == nil {
+		err = asTeam(r)
+	}
+	if err == nil && a.Entry == nil {
+		err = unsettled(r, model.NotRun(model.CodeUnavailable, "this instance serves no services"))
+	}
+	if err != nil {
+		writeError(w, err)
 		return
 	}
+	if a.Tokens != nil {
+		// The token is for this API and is not passed on to upstreams.
+		r.Header.Del("Authorization")
+	}
 	a.Entry.ServeService(w, r)
 }
--- a/webapi/api_test.go
+++ b/webapi/api_test.go
@@ -65,9 +65,20 @@
 	short   []string
 }
 
-func newFixture() *fixture {
+// basePatch declares what the other tests refer to.
+const basePatch = `{"id":"base","base_version":0,"changes":[
+	{"put_data_centre":{"name":"norte","region":"andes","racks":[]}},
+	{"put_service":{"name":"fabrication","slots":8,"connections":64}},
+	{"put_team":{"name":"tejados"}},{"put_team":{"name":"patina"}}]}`
+
+// drainPatch takes a data centre out of service.
+const drainPatch = `{"id":"d1","base_version":1,"changes":[{"set_data_centre":{"name":"norte","out_of_service":true}}]}`
+
+// newFixture serves the API on a replica with basePatch in force, or on an
+// empty one that the options change.
+func newFixture(options ...func(*webapi.Config)) *fixture {
 	f := &fixture{replica: &unreliable{Replica: fakes.NewReplica()}, log: &bytes.Buffer{}}
-	f.api = webapi.New(webapi.Config{
+	cfg := webapi.Config{
 		Replica: f.replica, Logger: log.NewLogfmtLogger(f.log),
 		Ready: func() error { return f.ready }, Closing: func() bool { return f.closing },
 		Dump:        func() any { return map[string]int{"b": 1, "a": 2} },
@@ -78,11 +89,14 @@
 			}
 			return nil
 		},
-	})
-	Expect(f.post("/v1/config/patches", `{"id":"base","base_version":0,"changes":[
-		{"put_data_centre":{"name":"norte","region":"andes","racks":[]}},
-		{"put_service":{"name":"fabrication","slots":8,"connections":64}},
-		{"put_team":{"name":"tejados"}}]}`).status).To(Equal(http.StatusOK))
+	}
+	for _, o := range options {
+		o(&cfg)
+	}
+	f.api = webapi.New(cfg)
+	if len(options) == 0 {
+		Expect(f.post("/v1/config/patches", basePatch).status).To(Equal(http.StatusOK))
+	}
 	return f
 }
 
@@ -200,23 +214,21 @@
 })
 
 var _ = Describe("patches", func() {
-	const drain = `{"id":"d1","base_version":1,"changes":[{"set_data_centre":{"name":"norte","out_of_service":true}}]}`
-
 	It("give a resend the first answer, also after later changes and a lost answer", func() {
 		f := newFixture()
 		f.replica.lost = model.Unknown(model.CodeUnavailable, "connection lost")
-		Expect(f.post("/v1/config/patches", drain).outcome).To(Equal(model.OutcomeUnknown))
+		Expect(f.post("/v1/config/patches", drainPatch).outcome).To(Equal(model.OutcomeUnknown))
 		f.replica.lost = nil
 		Expect(f.post("/v1/config/patches", `{"id":"d2","base_version":2,"changes":[{"drain_worker":{"worker":"w"}}]}`).body).To(ContainSubstring(`"version":3`))
-		a := f.post("/v1/config/patches", drain)
+		a := f.post("/v1/config/patches", drainPatch)
 		Expect(a.body).To(ContainSubstring(`{"version":2,"resent":true}`))
 		Expect(f.replica.Machine().Config().Version).To(Equal(uint64(3)))
 	})
 
 	It("against a stale version are refused with the current version", func() {
 		f := newFixture()
-		f.post("/v1/config/patches", drain)
-		a := f.post("/v1/config/patches", strings.Replace(drain, "d1", "d9", 1))
+		f.post("/v1/config/patches", drainPatch)
+		a := f.post("/v1/config/patches", strings.Replace(drainPatch, "d1", "d9", 1))
 		Expect(a.Code).To(Equal(model.CodeStaleVersion))
 		Expect(a.status).To(Equal(http.StatusConflict))
 		Expect(a.Version).To(Equal(uint64(2)))
@@ -235,7 +247,7 @@
 	It("whose guarantees cannot hold are refused", func() {
 		f := newFixture()
 		f.short = []string{"team tejados: 1 shape missing"}
-		a := f.post("/v1/config/patches", drain)
+		a := f.post("/v1/config/patches", drainPatch)
 		Expect(a.Code).To(Equal(model.CodeImpossible))
 		Expect(a.Faults).To(Equal(f.short))
 	})
@@ -243,12 +255,12 @@
 	It("have an unknown outcome when the ID was not looked up", func() {
 		f := newFixture()
 		f.replica.barrier = model.NotRun(model.CodeStaleView, "partitioned")
-		Expect(f.post("/v1/config/patches", drain).outcome).To(Equal(model.OutcomeUnknown))
+		Expect(f.post("/v1/config/patches", drainPatch).outcome).To(Equal(model.OutcomeUnknown))
 	})
 
 	It("are listed in the history", func() {
 		f := newFixture()
-		f.post("/v1/config/patches", drain)
+		f.post("/v1/config/patches", drainPatch)
 		Expect(f.get("/v1/config/history?since=1").body).To(ContainSubstring(`"d1"`))
 		Expect(f.get("/v1/config/history?since=1").body).NotTo(ContainSubstring(`"base"`))
 		Expect(f.get("/v1/config/history?since=x").Code).To(Equal(model.CodeInvalid))
--- a/webapi/body.go
+++ b/webapi/body.go
@@ -39,6 +39,8 @@
 	model.CodeUpstreamFailed:   http.StatusBadGateway,
 	model.CodeShuttingDown:     http.StatusServiceUnavailable,
 	model.CodeUnavailable:      http.StatusServiceUnavailable,
+	model.CodeUnauthorised:     http.StatusUnauthorized,
+	model.CodeForbidden:        http.StatusForbidden,
 	codeMethod:                 http.StatusMethodNotAllowed,
 }
 
@@ -64,6 +66,9 @@
 	h := w.Header()
 	h.Set(HeaderOutcome, string(e.Outcome))
 	h.Set("Content-Type", "application/json")
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", "1")
 	}
--- a/webapi/conf.go
+++ b/webapi/conf.go
@@ -59,6 +59,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("decode patch: %w", err)
 	}
+	detail(r.Context(), "patch", p.ID)
+	detail(r.Context(), "reason", p.Reason)
+	if a.Tokens != nil {
+		// The history names the holder of the token, whatever the patch says.
+		p.Author = identityOf(r.Context()).Name
+	}
 	if err := a.fresh(r.Context()); err != nil {
 		return nil, unlooked(err)
 	}
@@ -77,6 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
+	detail(r.Context(), "version", res.Version)
 	return Patched{Version: res.Version, Shortages: shortages}, nil
 }
 
--- a/webapi/fleet.go
+++ b/webapi/fleet.go
@@ -103,6 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := speaksFor(r, name); err != nil {
+		return nil, err
+	}
 	var req model.PollRequest
 	if err := decodeBody(r, maxPollBytes, &req); err != nil {
 		return nil, err
@@ -153,6 +156,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := speaksFor(r, name); err != nil {
+		return nil, err
+	}
 	var u model.Upstream
 	if err := decodeBody(r, maxSmallBytes, &u); err != nil {
 		return nil, err
@@ -210,6 +216,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := speaksFor(r, name); err != nil {
+		return nil, err
+	}
 	var req struct {
 		Incarnation uint64 `json:"incarnation"`
 	}
--- a/webapi/jobs.go
+++ b/webapi/jobs.go
@@ -30,6 +30,10 @@
 	if !chosen {
 		spec.ID = "j-" + rand.Text()
 	}
+	detail(r.Context(), "job", spec.ID)
+	if team, limited := ownTeam(r.Context()); limited && spec.Team != team {
+		return nil, model.NotRun(model.CodeForbidden, "the token speaks for team %s, not for %q", team, spec.Team)
+	}
 	if faults := jobFaults(spec); len(faults) > 0 {
 		return nil, config.Invalid("job is not valid", faults)
 	}
@@ -109,8 +113,12 @@
 		return nil, err
 	}
 	team, jobState := r.URL.Query().Get("team"), model.JobState(r.URL.Query().Get("state"))
+	own, limited := ownTeam(r.Context())
 	out := []model.Job{}
 	for _, j := range a.Replica.Machine().Jobs() {
+		if limited && j.Spec.Team != own {
+			continue
+		}
 		if (team == "" || j.Spec.Team == team) && (jobState == "" || j.State == jobState) {
 			out = append(out, j)
 		}
@@ -123,12 +131,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := a.fresh(r.Context()); err != nil {
-		return nil, err
+	return a.visibleJob(r.Context(), id)
+}
+
+// visibleJob returns a job that the caller may see; those of other teams do not exist for it.
+func (a *api) visibleJob(ctx context.Context, id string) (model.Job, error) {
+	if err := a.fresh(ctx); err != nil {
+		return model.Job{}, err
 	}
 	j, ok := a.Replica.Machine().Job(id)
-	if !ok {
-		return nil, model.NotRun(model.CodeNotFound, "no job %s", id)
+	if own, limited := ownTeam(ctx); !ok || limited && j.Spec.Team != own {
+		return model.Job{}, model.NotRun(model.CodeNotFound, "no job %s", id)
 	}
 	return j, nil
 }
@@ -138,6 +151,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, limited := ownTeam(r.Context()); limited {
+		if _, err := a.visibleJob(r.Context(), id); err != nil {
+			return nil, err
+		}
+	}
 	res, err := a.execute(r.Context(), state.CancelJob{ID: id, AtMS: a.Now().UnixMilli()})
 	if err != nil {
 		return nil, err
--- a/webapi/log.go
+++ b/webapi/log.go
@@ -1,6 +1,7 @@
 package webapi
 
 import (
+	"context"
 	"crypto/rand"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"turmericroute/auth"
 	"turmericroute/config"
 	"turmericroute/model"
 )
@@ -49,10 +51,27 @@
 	r.Header.Set(HeaderRequestID, id)
 	w.Header().Set(HeaderRequestID, id)
 	rec := &recorder{ResponseWriter: w}
-	defer func() { a.observe(rec, r, id, a.Now().Sub(start)) }()
+	who := &caller{}
+	r = r.WithContext(context.WithValue(r.Context(), callerKey{}, who))
+	defer func() { a.observe(rec, r, id, who, a.Now().Sub(start)) }()
 	a.mux.ServeHTTP(rec, r)
 }
 
+type callerKey struct{}
+
+// caller is filled in while a request is served, for its log line.
+type caller struct {
+	identity auth.Identity
+	details  []any
+}
+
+// detail adds a key and a value to the log line of a request.
+func detail(ctx context.Context, key string, value any) {
+	if c, ok := ctx.Value(callerKey{}).(*caller); ok {
+		c.details = append(c.details, key, value)
+	}
+}
+
 // requestID returns the caller's request ID when it is safe to log, or a new one.
 func requestID(r *http.Request) string {
 	if id := r.Header.Get(HeaderRequestID); config.CheckName(id) == nil {
@@ -61,7 +80,7 @@
 	return rand.Text()
 }
 
-func (a *api) observe(rec *recorder, r *http.Request, id string, took time.Duration) {
+func (a *api) observe(rec *recorder, r *http.Request, id string, who *caller, took time.Duration) {
 	route := r.Pattern
 	if _, path, ok := strings.Cut(route, " "); ok {
 		route = path
@@ -72,7 +91,7 @@
 	a.Metrics.GetOrCreateCounter(fmt.Sprintf("turmericroute_http_requests_total{method=%q,route=%q,status=%q}",
 		knownMethod(r.Method), route, strconv.Itoa(rec.status))).Inc()
 	a.Metrics.GetOrCreateHistogram(fmt.Sprintf("turmericroute_http_request_seconds{route=%q}", route)).Update(took.Seconds())
-	a.logRequest(rec, r, id, took)
+	a.logRequest(rec, r, id, who, took)
 }
 
 // knownMethod bounds the label values of the request counter.
@@ -85,18 +104,27 @@
 	}
 }
 
-// logRequest logs changes and failures at info; reads, polls and heartbeats at
-// debug, since workers alone send thousands of polls a second.
-func (a *api) logRequest(rec *recorder, r *http.Request, id string, took time.Duration) {
-	logger := level.Debug(a.Logger)
+// logRequest logs one line a request. Changes and refused access are audit
+// lines that name the caller; other failures are logged at info, and reads,
+// polls and heartbeats at debug, since workers alone send thousands of polls a second.
+func (a *api) logRequest(rec *recorder, r *http.Request, id string, who *caller, took time.Duration) {
 	frequent := strings.HasSuffix(r.URL.Path, "/poll") || strings.HasSuffix(r.URL.Path, "/announce") || strings.HasPrefix(r.URL.Path, "/v1/services/")
-	if rec.status >= http.StatusBadRequest && !frequent || r.Method != http.MethodGet && !frequent {
+	denied := rec.status == http.StatusUnauthorized || rec.status == http.StatusForbidden
+	logger, event := level.Debug(a.Logger), "http_request"
+	switch {
+	case denied, r.Method != http.MethodGet && !frequent:
+		logger, event = level.Info(a.Logger), "audit"
+	case rec.status >= http.StatusBadRequest && !frequent:
 		logger = level.Info(a.Logger)
 	}
 	kv := []any{
-		"event", "http_request", "request_id", id, "method", r.Method, "path", r.URL.Path,
+		"event", event, "request_id", id, "method", r.Method, "path", r.URL.Path,
 		"status", rec.status, "took_ms", took.Milliseconds(), "remote", r.RemoteAddr,
 	}
+	if who.identity.Name != "" {
+		kv = append(kv, "who", who.identity.Name, "role", who.identity.Role)
+	}
+	kv = append(kv, who.details...)
 	if rec.err != nil {
 		kv = append(kv, "code", rec.err.Code, "outcome", rec.err.Outcome, "error", rec.err.Message)
 	}
