--- a/itest/cluster.go
+++ b/itest/cluster.go
@@ -57,6 +57,8 @@
 	// Client calls this instance only.
 	Client *client.Client
 
+	// path is the settings file; empty means that Start writes it.
+	path    string
 	cluster *Cluster
 	cmd     *exec.Cmd
 	exited  chan struct{}
@@ -89,6 +91,25 @@
 	return c, c.connect()
 }
 
+// FromFiles makes a cluster of the settings files of a deployment, without proxies.
+func FromFiles(cfg Config, paths []string) (*Cluster, error) {
+	c := &Cluster{cfg: cfg}
+	for _, path := range paths {
+		s, faults, err := serve.ReadSettings(path)
+		if err != nil {
+			return nil, fmt.Errorf("read settings: %w", err)
+		}
+		if len(faults) > 0 {
+			return nil, fmt.Errorf("settings of %s: %v", path, faults)
+		}
+		spec := Spec{Name: s.Name, DataCentre: s.DataCentre, Control: s.Has(serve.RoleControl), Entry: s.Has(serve.RoleEntry)}
+		n := &Node{Spec: spec, Settings: s, HTTP: s.HTTP.Address, path: path, cluster: c}
+		n.Client = client.New(client.Config{Addresses: []string{n.HTTP}})
+		c.Nodes = append(c.Nodes, n)
+	}
+	return c, nil
+}
+
 // connect gives every instance its own proxied addresses of the others.
 func (c *Cluster) connect() error {
 	for _, a := range c.Nodes {
@@ -209,13 +230,9 @@
 
 // Start starts the process, also again after its end.
 func (n *Node) Start() error {
-	b, err := yaml.Marshal(n.Settings)
+	path, err := n.settingsFile()
 	if err != nil {
-		return fmt.Errorf("encode settings of %s: %w", n.Spec.Name, err)
-	}
-	path := filepath.Join(n.cluster.cfg.Dir, n.Spec.Name+".yaml")
-	if err := os.WriteFile(path, b, 0o600); err != nil {
-		return fmt.Errorf("write settings of %s: %w", n.Spec.Name, err)
+		return err
 	}
 	log, err := os.OpenFile(n.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -224,6 +241,8 @@
 	defer log.Close()
 	n.cmd = exec.Command(n.cluster.cfg.Binary, "serve", "-settings", path)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
+	// Relative data folders of example files lie below the test's folder.
+	n.cmd.Dir = n.cluster.cfg.Dir
 	// The process ends with the test also when the test is killed.
 	n.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.cmd.Start(); err != nil {
@@ -237,6 +256,22 @@
 	return nil
 }
 
+// settingsFile returns the path of the settings, written anew unless the cluster was made from files.
+func (n *Node) settingsFile() (string, error) {
+	if n.path != "" {
+		return n.path, nil
+	}
+	b, err := yaml.Marshal(n.Settings)
+	if err != nil {
+		return "", fmt.Errorf("encode settings of %s: %w", n.Spec.Name, err)
+	}
+	path := filepath.Join(n.cluster.cfg.Dir, n.Spec.Name+".yaml")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		return "", fmt.Errorf("write settings of %s: %w", n.Spec.Name, err)
+	}
+	return path, nil
+}
+
 // LogPath returns the file that holds the process's log.
 func (n *Node) LogPath() string { return filepath.Join(n.cluster.cfg.Dir, n.Spec.Name+".log") }
 
--- /dev/null
+++ b/itest/suite_test.go
@@ -0,0 +1,43 @@
+package itest_test
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"turmericroute/itest"
+)
+
+func TestIntegration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "integration")
+}
+
+var binary string
+
+var _ = BeforeSuite(func() {
+	var err error
+	binary, err = gexec.Build("turmericroute/cmd/turmericroute")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
+
+// closeAfter ends a cluster after the test and prints the ends of its logs when it failed.
+func closeAfter(c *itest.Cluster) {
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Println(c.Tails(25))
+		}
+		c.Close()
+	})
+}
+
+func tempDir() string {
+	dir, err := os.MkdirTemp("", "turmericroute-itest-")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { Expect(os.RemoveAll(dir)).To(Succeed()) })
+	return dir
+}
