--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	cut   map[direction]int
 	conns map[net.Conn]struct{}
 	done  bool
+	bytes [2]atomic.Int64
 }
 
 type direction int
@@ -52,6 +54,9 @@
 // Address returns the proxy's own address.
 func (p *Proxy) Address() string { return p.ln.Addr().String() }
 
+// Bytes returns how many bytes were passed on in both directions together.
+func (p *Proxy) Bytes() int64 { return p.bytes[forward].Load() + p.bytes[back].Load() }
+
 // Set replaces the rule for present and new connections.
 func (p *Proxy) Set(r Rule) {
 	p.mu.Lock()
@@ -190,6 +195,7 @@
 	for c := range queue {
 		time.Sleep(time.Until(c.due))
 		data, cut := p.limit(d, c.data)
+		p.bytes[d].Add(int64(len(data)))
 		if _, err := dst.Write(data); err != nil || cut {
 			dst.Close()
 			src.Close()
--- a/itest/cluster.go
+++ b/itest/cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -33,6 +34,8 @@
 type Config struct {
 	// Binary is the path of the built program.
 	Binary string
+	// Command are the arguments before the path of the settings; nil means serve -settings.
+	Command []string
 	// Dir holds settings, data folders and logs.
 	Dir       string
 	Instances []Spec
@@ -228,6 +231,13 @@
 	}
 }
 
+// Bytes returns how many bytes passed between an instance and all others.
+func (c *Cluster) Bytes(name string) int64 {
+	var n int64
+	c.each(name, func(p *fault.Proxy) { n += p.Bytes() })
+	return n
+}
+
 // Start starts the process, also again after its end.
 func (n *Node) Start() error {
 	path, err := n.settingsFile()
@@ -239,7 +249,11 @@
 		return fmt.Errorf("open log of %s: %w", n.Spec.Name, err)
 	}
 	defer log.Close()
-	n.cmd = exec.Command(n.cluster.cfg.Binary, "serve", "-settings", path)
+	args := n.cluster.cfg.Command
+	if args == nil {
+		args = []string{"serve", "-settings"}
+	}
+	n.cmd = exec.Command(n.cluster.cfg.Binary, append(slices.Clone(args), path)...)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	// Relative data folders of example files lie below the test's folder.
 	n.cmd.Dir = n.cluster.cfg.Dir
--- /dev/null
+++ b/sizing/print.go
@@ -0,0 +1,64 @@
+package sizing
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+func (s sample) print(out io.Writer) {
+	slices.Sort(s.patchMS)
+	worst := 0.0
+	if len(s.patchMS) > 0 {
+		worst = s.patchMS[len(s.patchMS)-1]
+	}
+	fmt.Fprintf(out, "workers=%d tasks=%d fill_s=%.1f", s.workers, s.tasks, s.fill.Seconds())
+	for _, f := range s.figures() {
+		fmt.Fprintf(out, " %s=%.2f", f.name, f.value)
+	}
+	fmt.Fprintf(out, " in_force_max_ms=%.1f\n", worst)
+}
+
+type figure struct {
+	name  string
+	value float64
+}
+
+func (s sample) figures() []figure {
+	return []figure{
+		{"leader_cpu_pct", s.leaderCPU}, {"leader_rss_mb", s.leaderRSS}, {"leader_kb_s", s.leaderKB},
+		{"follower_cpu_pct", s.followerCPU}, {"follower_rss_mb", s.followerRSS}, {"follower_kb_s", s.followerKB},
+		{"entry_cpu_pct", s.entryCPU}, {"entry_rss_mb", s.entryRSS}, {"entry_kb_s", s.entryKB},
+		{"worker_kb_s", s.workerKB}, {"data_folder_kb", s.stateKB},
+	}
+}
+
+// printSlopes writes the least-squares line through all sizes for each figure and its value at the full size.
+func printSlopes(out io.Writer, samples []sample) {
+	if len(samples) < 2 {
+		return
+	}
+	for i, f := range samples[0].figures() {
+		var xs, ys []float64
+		for _, s := range samples {
+			xs = append(xs, float64(s.workers))
+			ys = append(ys, s.figures()[i].value)
+		}
+		base, slope := fit(xs, ys)
+		fmt.Fprintf(out, "figure=%s base=%.3f slope_per_worker=%.5f at_%d=%.2f\n", f.name, base, slope, FullWorkers, base+slope*FullWorkers)
+	}
+}
+
+// fit returns the least-squares line through points.
+func fit(xs, ys []float64) (base, slope float64) {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i := range xs {
+		sx += xs[i]
+		sy += ys[i]
+		sxx += xs[i] * xs[i]
+		sxy += xs[i] * ys[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return (sy - slope*sx) / n, slope
+}
--- /dev/null
+++ b/sizing/run.go
@@ -0,0 +1,381 @@
+package sizing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"turmericroute/client"
+	"turmericroute/config"
+	"turmericroute/fakes"
+	"turmericroute/itest"
+	"turmericroute/model"
+)
+
+// Config configures a measurement.
+type Config struct {
+	// Binary and Command start an instance, given the path of its settings as the last argument.
+	Binary  string
+	Command []string
+	// Workers are the sizes measured, in workers.
+	Workers []int
+	// TasksPerWorker is the mean number of tasks running on a worker.
+	TasksPerWorker float64
+	// Window is how long each size is observed once all tasks run.
+	Window time.Duration
+	// Patches is how many configuration changes are timed at each size.
+	Patches int
+}
+
+// Letter sizes, from docs/CAPACITY.md.
+const (
+	// FullWorkers and FullTasks are the size to design for.
+	FullWorkers = 880
+	FullTasks   = 8600
+	teams       = 22
+	racksPerDC  = 11
+	dataCentres = 5
+	gangTasks   = 10
+)
+
+// sample is what one size costs.
+type sample struct {
+	workers, tasks           int
+	leaderCPU, leaderRSS     float64
+	followerCPU, followerRSS float64
+	entryCPU, entryRSS       float64
+	leaderKB, followerKB     float64
+	entryKB                  float64
+	workerKB                 float64
+	stateKB                  float64
+	fill                     time.Duration
+	patchMS                  []float64
+}
+
+// Run measures all sizes and writes one line for each, then the slopes.
+func Run(ctx context.Context, cfg Config, out io.Writer) error {
+	var samples []sample
+	for _, n := range cfg.Workers {
+		s, err := measure(ctx, cfg, n)
+		if err != nil {
+			return fmt.Errorf("measure %d workers: %w", n, err)
+		}
+		samples = append(samples, s)
+		s.print(out)
+	}
+	printSlopes(out, samples)
+	return nil
+}
+
+func instances() []itest.Spec {
+	var specs []itest.Spec
+	for i := range 7 {
+		specs = append(specs, itest.Spec{
+			Name: fmt.Sprintf("i%d", i+1), DataCentre: fmt.Sprintf("dc%d", i%dataCentres+1), Control: i < 5, Entry: true,
+		})
+	}
+	return specs
+}
+
+// measure runs one size from the first start to the end.
+func measure(ctx context.Context, cfg Config, workers int) (sample, error) {
+	dir, err := os.MkdirTemp("", "turmericroute-sizing-")
+	if err != nil {
+		return sample{}, fmt.Errorf("make folder: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	c, err := itest.New(itest.Config{Binary: cfg.Binary, Command: cfg.Command, Dir: dir, Instances: instances(), Delay: 500 * time.Microsecond})
+	if err != nil {
+		return sample{}, fmt.Errorf("make cluster: %w", err)
+	}
+	defer c.Close()
+	if err := c.Start(); err != nil {
+		return sample{}, fmt.Errorf("start cluster: %w", err)
+	}
+	if err := until(ctx, func() error { return c.AllFresh(ctx) }); err != nil {
+		return sample{}, fmt.Errorf("%w\n%s", err, c.Tails(10))
+	}
+	m := &measurement{cfg: cfg, c: c, api: c.Client(), dir: dir}
+	s, err := m.run(ctx, workers)
+	if err != nil {
+		return s, fmt.Errorf("%w\n%s", err, c.Tails(10))
+	}
+	return s, nil
+}
+
+type measurement struct {
+	cfg   Config
+	c     *itest.Cluster
+	api   *client.Client
+	dir   string
+	bytes atomic.Int64
+}
+
+func (m *measurement) run(ctx context.Context, workers int) (sample, error) {
+	s := sample{workers: workers, tasks: int(float64(workers) * m.cfg.TasksPerWorker)}
+	declared := declare(workers)
+	if _, err := m.api.Patch(ctx, config.Patch{ID: "size", Changes: config.Diff(config.Config{}, declared)}); err != nil {
+		return s, fmt.Errorf("configure: %w", err)
+	}
+	site := itest.NewSite(m.c.Addresses())
+	defer site.Close()
+	site.AddWorkers(declared, fakes.WorkerConfig{HTTP: m.countingClient(), Step: time.Second})
+	if err := until(ctx, func() error { return m.registered(ctx, workers) }); err != nil {
+		return s, err
+	}
+	start := time.Now()
+	if err := m.fill(ctx, s.tasks); err != nil {
+		return s, err
+	}
+	if err := until(ctx, func() error { return m.running(ctx, s.tasks/gangTasks) }); err != nil {
+		return s, err
+	}
+	s.fill = time.Since(start)
+	if err := m.observe(ctx, &s); err != nil {
+		return s, err
+	}
+	return s, m.timePatches(ctx, &s)
+}
+
+// countingClient returns a client for all workers whose connections count their bytes.
+func (m *measurement) countingClient() *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("dial instance: %w", err)
+		}
+		return &countedConn{Conn: c, bytes: &m.bytes}, nil
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2 * FullWorkers}}
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// declare returns a configuration of the given number of workers in five data centres of two regions.
+func declare(workers int) config.Config {
+	var cfg config.Config
+	left := workers
+	for d := range dataCentres {
+		dc := config.DataCentre{Name: fmt.Sprintf("dc%d", d+1), Region: fmt.Sprintf("region%d", d/3+1)}
+		for r := range racksPerDC {
+			racks := (dataCentres-d)*racksPerDC - r
+			n := (left + racks - 1) / racks
+			left -= n
+			per := model.Resources{GPUs: 1, Cores: 16, MemoryMB: 65536}
+			if r == 0 {
+				// 950 accelerators on 880 workers: the first rack of a data centre has more than one each.
+				per.GPUs = 2
+			}
+			dc.Racks = append(dc.Racks, config.Rack{Name: fmt.Sprintf("dc%d-r%d", d+1, r+1), Workers: n, PerWorker: per})
+		}
+		cfg.DataCentres = append(cfg.DataCentres, dc)
+	}
+	for i := range teams {
+		cfg.Teams = append(cfg.Teams, config.Team{
+			Name:       fmt.Sprintf("team%d", i+1),
+			Guarantees: []config.Guarantee{{Shape: model.Shape{Tasks: 4, GPUs: 1, Cores: 2, MemoryMB: 4096, SameRack: true}, Count: 1}},
+		})
+	}
+	return cfg
+}
+
+func (m *measurement) registered(ctx context.Context, want int) error {
+	ws, err := m.api.Workers(ctx)
+	if err != nil {
+		return fmt.Errorf("list workers: %w", err)
+	}
+	if len(ws) != want {
+		return fmt.Errorf("%d of %d workers are registered", len(ws), want)
+	}
+	return nil
+}
+
+// fill submits gangs of ten small tasks until the wanted number of tasks is reached.
+func (m *measurement) fill(ctx context.Context, tasks int) error {
+	const submitters = 16
+	jobs := make(chan int)
+	errs := make(chan error, submitters)
+	for range submitters {
+		go func() {
+			var err error
+			for i := range jobs {
+				if err == nil {
+					_, err = m.api.SubmitJob(ctx, model.JobSpec{
+						ID: fmt.Sprintf("job-%05d", i), Team: fmt.Sprintf("team%d", i%teams+1),
+						Shape: model.Shape{Tasks: gangTasks, Cores: 1, MemoryMB: 1024}, DeclaredSeconds: 3600, Payload: `{"work_seconds": 100000}`,
+					})
+				}
+			}
+			errs <- err
+		}()
+	}
+	for i := range tasks / gangTasks {
+		jobs <- i
+	}
+	close(jobs)
+	var all []error
+	for range submitters {
+		all = append(all, <-errs)
+	}
+	if err := errors.Join(all...); err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	return nil
+}
+
+func (m *measurement) running(ctx context.Context, want int) error {
+	st, err := m.api.Status(ctx)
+	if err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	if n := st.Jobs[model.JobRunning]; n != want {
+		return fmt.Errorf("%d of %d jobs run", n, want)
+	}
+	return nil
+}
+
+// observe measures all processes over the window.
+func (m *measurement) observe(ctx context.Context, s *sample) error {
+	leader := m.c.Leader(ctx)
+	if leader == nil {
+		return errors.New("no leader to observe")
+	}
+	before, err := m.read()
+	if err != nil {
+		return err
+	}
+	polled, begin := m.bytes.Load(), time.Now()
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("observe: %w", ctx.Err())
+	case <-time.After(m.cfg.Window):
+	}
+	after, err := m.read()
+	if err != nil {
+		return err
+	}
+	took := time.Since(begin)
+	s.workerKB = float64(m.bytes.Load()-polled) / 1024 / took.Seconds() / float64(s.workers)
+	for i, n := range m.c.Nodes {
+		cpu := 100 * float64(after[i].cpu-before[i].cpu) / float64(took)
+		kb := float64(after[i].bytes-before[i].bytes) / 1024 / took.Seconds()
+		switch {
+		case n == leader:
+			s.leaderCPU, s.leaderRSS, s.leaderKB = cpu, after[i].rssMB, kb
+		case n.Spec.Control:
+			s.followerCPU, s.followerRSS, s.followerKB = max(s.followerCPU, cpu), max(s.followerRSS, after[i].rssMB), max(s.followerKB, kb)
+		default:
+			s.entryCPU, s.entryRSS, s.entryKB = max(s.entryCPU, cpu), max(s.entryRSS, after[i].rssMB), max(s.entryKB, kb)
+		}
+	}
+	s.stateKB = folderKB(leader.Settings.DataFolder)
+	return nil
+}
+
+type reading struct {
+	usage
+	bytes int64
+}
+
+func (m *measurement) read() ([]reading, error) {
+	var all []reading
+	for _, n := range m.c.Nodes {
+		u, err := readUsage(n.PID())
+		if err != nil {
+			return nil, fmt.Errorf("usage of %s: %w", n.Spec.Name, err)
+		}
+		all = append(all, reading{usage: u, bytes: m.c.Bytes(n.Spec.Name)})
+	}
+	return all, nil
+}
+
+func folderKB(dir string) float64 {
+	var sum int64
+	// A file that is removed while the folder is walked does not count.
+	_ = filepath.Walk(dir, func(_ string, info os.FileInfo, err error) error {
+		if err == nil && !info.IsDir() {
+			sum += info.Size()
+		}
+		return nil
+	})
+	return float64(sum) / 1024
+}
+
+// timePatches measures the time from acceptance to the last instance that has the version in force.
+func (m *measurement) timePatches(ctx context.Context, s *sample) error {
+	for i := range m.cfg.Patches {
+		cfg, err := m.api.Config(ctx)
+		if err != nil {
+			return fmt.Errorf("read configuration: %w", err)
+		}
+		t := cfg.Teams[i%len(cfg.Teams)]
+		t.Weight = float64(i + 2)
+		start := time.Now()
+		got, err := m.api.Patch(ctx, config.Patch{ID: fmt.Sprint("timed-", i), BaseVersion: cfg.Version, Changes: []config.Change{{PutTeam: &t}}})
+		if err != nil {
+			return fmt.Errorf("patch: %w", err)
+		}
+		for _, n := range m.c.Nodes {
+			err := until(ctx, func() error {
+				st, err := n.Status(ctx)
+				if err != nil {
+					return err
+				}
+				if st.ConfigVersion < got.Version {
+					return fmt.Errorf("%s has version %d of %d", n.Spec.Name, st.ConfigVersion, got.Version)
+				}
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+		}
+		s.patchMS = append(s.patchMS, float64(time.Since(start).Microseconds())/1000)
+	}
+	return nil
+}
+
+// untilTimeout bounds each wait of a measurement.
+const untilTimeout = 60 * time.Second
+
+// until calls look until it succeeds.
+func until(ctx context.Context, look func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, untilTimeout)
+	defer cancel()
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for {
+		err := look()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("gave up waiting: %w", err)
+		case <-t.C:
+		}
+	}
+}
