--- /dev/null
+++ b/store/files.go
@@ -0,0 +1,226 @@
+package store
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+)
+
+const (
+	lockName       = "LOCK"
+	identityName   = "identity"
+	membershipName = "membership"
+	damagedName    = "damaged"
+	temporary      = ".tmp"
+
+	sealMagicBytes = 8
+	identityMagic  = "TRIDN001"
+	memberMagic    = "TRMEM001"
+	snapshotMagic  = "TRSNP001"
+
+	// identityBytes of randomness keep the IDs of two disks apart.
+	identityBytes = 8
+
+	folderMode = 0o750
+	fileMode   = 0o640
+)
+
+// folder is the data folder with the means to change it durably.
+type folder struct {
+	path string
+	sync func(*os.File) error
+}
+
+func (d folder) file(name string) string { return filepath.Join(d.path, name) }
+
+func (d folder) syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open folder: %w", err)
+	}
+	defer f.Close()
+	if err := d.sync(f); err != nil {
+		return fmt.Errorf("sync folder: %w", err)
+	}
+	return nil
+}
+
+// create makes the folder durable.
+func (d folder) create() error {
+	if _, err := os.Stat(d.path); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(d.path, folderMode); err != nil {
+		return fmt.Errorf("create data folder: %w", err)
+	}
+	return d.syncFolder(filepath.Dir(d.path))
+}
+
+// lock returns the locked lock file; closing it unlocks.
+func (d folder) lock() (*os.File, error) {
+	f, err := os.OpenFile(d.file(lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("open lock file: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("data folder %s is in use by another process: %w", d.path, err)
+	}
+	return f, nil
+}
+
+// write puts a whole file in place durably.
+func (d folder) write(name string, parts ...[]byte) error {
+	f, err := os.OpenFile(d.file(name+temporary), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", name, err)
+	}
+	defer f.Close()
+	for _, p := range parts {
+		if _, err := f.Write(p); err != nil {
+			return fmt.Errorf("write %s: %w", name, err)
+		}
+	}
+	if err := d.sync(f); err != nil {
+		return fmt.Errorf("sync %s: %w", name, err)
+	}
+	if err := os.Rename(f.Name(), d.file(name)); err != nil {
+		return fmt.Errorf("put %s in place: %w", name, err)
+	}
+	return d.syncFolder(d.path)
+}
+
+// writeSealed puts a file with a kind and a checksum in place durably.
+func (d folder) writeSealed(name, magic string, parts ...[]byte) error {
+	var sum uint32
+	for _, p := range parts {
+		sum = crc32.Update(sum, castagnoli, p)
+	}
+	head := binary.LittleEndian.AppendUint32([]byte(magic), sum)
+	return d.write(name, append([][]byte{head}, parts...)...)
+}
+
+// readSealed returns the content of a sealed file; it is nil when there is no such file.
+func (d folder) readSealed(name, magic string) ([]byte, error) {
+	b, err := os.ReadFile(d.file(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", name, err)
+	}
+	b, err = unseal(b, magic)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return b, nil
+}
+
+func unseal(b []byte, magic string) ([]byte, error) {
+	const head = sealMagicBytes + 4
+	if len(b) < head || string(b[:sealMagicBytes]) != magic {
+		return nil, &DamageError{Message: "wrong kind of file"}
+	}
+	if crc32.Checksum(b[head:], castagnoli) != binary.LittleEndian.Uint32(b[sealMagicBytes:]) {
+		return nil, &DamageError{Message: "wrong checksum"}
+	}
+	return b[head:], nil
+}
+
+// names returns the files in the folder that have a prefix and a suffix, in order.
+func (d folder) names(prefix, suffix string) ([]string, error) {
+	list, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, fmt.Errorf("list data folder: %w", err)
+	}
+	var names []string
+	for _, e := range list {
+		if n := e.Name(); !e.IsDir() && strings.HasPrefix(n, prefix) && strings.HasSuffix(n, suffix) {
+			names = append(names, n)
+		}
+	}
+	return names, nil
+}
+
+func (d folder) removeTemporary() error {
+	names, err := d.names("", temporary)
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if err := os.Remove(d.file(n)); err != nil {
+			return fmt.Errorf("remove unfinished file: %w", err)
+		}
+	}
+	return nil
+}
+
+// putAside moves everything but the lock to the folder of damaged files. The
+// identity goes first: files without one are never read again.
+func (d folder) putAside() error {
+	aside := d.file(damagedName)
+	if err := os.RemoveAll(aside); err != nil {
+		return fmt.Errorf("remove files put aside before: %w", err)
+	}
+	if err := os.Mkdir(aside, folderMode); err != nil {
+		return fmt.Errorf("create folder for damaged files: %w", err)
+	}
+	names, err := d.names("", "")
+	if err != nil {
+		return err
+	}
+	move := func(name string) error {
+		err := os.Rename(d.file(name), filepath.Join(aside, name))
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("put %s aside: %w", name, err)
+		}
+		return nil
+	}
+	if err := move(identityName); err != nil {
+		return err
+	}
+	if err := d.syncFolder(d.path); err != nil {
+		return err
+	}
+	for _, n := range names {
+		if n == identityName || n == lockName {
+			continue
+		}
+		if err := move(n); err != nil {
+			return err
+		}
+	}
+	return d.syncFolder(d.path)
+}
+
+// identity returns the ID of the folder and makes one when there is none. Files
+// without an identity are put aside, since nothing says whose they are.
+func (d folder) identity() (string, error) {
+	b, err := d.readSealed(identityName, identityMagic)
+	if err != nil || b != nil {
+		return string(b), err
+	}
+	left, err := d.names("", "")
+	if err != nil {
+		return "", err
+	}
+	if len(left) > 1 {
+		if err := d.putAside(); err != nil {
+			return "", err
+		}
+	}
+	random := make([]byte, identityBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", fmt.Errorf("make identity: %w", err)
+	}
+	id := hex.EncodeToString(random)
+	return id, d.writeSealed(identityName, identityMagic, []byte(id))
+}
--- /dev/null
+++ b/store/replay.go
@@ -0,0 +1,211 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"turmericroute/quorum"
+)
+
+const (
+	segmentPrefix = "log-"
+	segmentSuffix = ".seg"
+)
+
+// DamageError reports files that hold something else than what was synced.
+type DamageError struct{ Message string }
+
+// Error returns the message.
+func (e *DamageError) Error() string { return "damaged: " + e.Message }
+
+type segment struct {
+	name  string
+	first uint64 // next index when the segment was created
+	last  uint64 // highest index of an entry in it
+	size  int64
+}
+
+func segmentName(first uint64) string {
+	return fmt.Sprintf("%s%020d%s", segmentPrefix, first, segmentSuffix)
+}
+
+// replay rebuilds the log from segments in order.
+type replay struct {
+	hs       quorum.HardState
+	entries  []quorum.Entry
+	restart  uint64 // index of the last restart record
+	segments []segment
+}
+
+// next returns the index after the last entry, false when nothing says it.
+func (r *replay) next() (uint64, bool) {
+	if len(r.entries) == 0 {
+		return r.restart + 1, r.restart > 0
+	}
+	return r.entries[len(r.entries)-1].Index + 1, true
+}
+
+func (r *replay) apply(rec record) error {
+	switch rec.kind {
+	case recordHardState:
+		r.hs = rec.hardState()
+	case recordRestart:
+		r.entries, r.restart = nil, rec.entry.Index
+	case recordEntry:
+		return r.append(rec.entry)
+	}
+	return nil
+}
+
+func (r *replay) append(e quorum.Entry) error {
+	next, known := r.next()
+	if known && e.Index > next {
+		return &DamageError{Message: fmt.Sprintf("entry %d follows entry %d", e.Index, next-1)}
+	}
+	if len(r.entries) > 0 {
+		if first := r.entries[0].Index; e.Index < first {
+			r.entries = r.entries[:0]
+		} else {
+			r.entries = r.entries[:e.Index-first]
+		}
+	}
+	r.entries = append(r.entries, e)
+	return nil
+}
+
+// readSegment applies the records of one segment. It returns the length of the
+// valid part, which is shorter than b only for a torn tail of the last segment.
+func (r *replay) readSegment(b []byte, seg *segment, lastSegment bool) (int, error) {
+	if err := checkSegmentHeader(b, seg.first); err != nil {
+		if lastSegment && !hasRecord(b) {
+			return 0, nil
+		}
+		return 0, &DamageError{Message: seg.name + ": " + err.Error()}
+	}
+	at := segmentHeaderBytes
+	for at < len(b) {
+		rec, size, err := readRecord(b[at:])
+		if err != nil {
+			if lastSegment && !hasRecord(b[at+1:]) {
+				break
+			}
+			return at, &DamageError{Message: fmt.Sprintf("%s: invalid record at byte %d", seg.name, at)}
+		}
+		if err := r.apply(rec); err != nil {
+			return at, fmt.Errorf("%s at byte %d: %w", seg.name, at, err)
+		}
+		if rec.kind == recordEntry {
+			seg.last = max(seg.last, rec.entry.Index)
+		}
+		at += size
+	}
+	if at == segmentHeaderBytes && !lastSegment {
+		return 0, &DamageError{Message: seg.name + " has no records"}
+	}
+	if at == segmentHeaderBytes {
+		// Without its hard state the segment is unfinished; no entry was written to it.
+		return 0, nil
+	}
+	return at, nil
+}
+
+// readSegments replays all segments and cuts a torn tail off the last one.
+func (d folder) readSegments() (*replay, error) {
+	names, err := d.names(segmentPrefix, segmentSuffix)
+	if err != nil {
+		return nil, err
+	}
+	r := &replay{}
+	for i, name := range names {
+		digits := strings.TrimSuffix(strings.TrimPrefix(name, segmentPrefix), segmentSuffix)
+		first, err := strconv.ParseUint(digits, 10, 64)
+		if err != nil {
+			return nil, &DamageError{Message: "name of segment " + name}
+		}
+		b, err := os.ReadFile(d.file(name))
+		if err != nil {
+			return nil, fmt.Errorf("read segment: %w", err)
+		}
+		seg := segment{name: name, first: first}
+		valid, err := r.readSegment(b, &seg, i == len(names)-1)
+		if err != nil {
+			return nil, err
+		}
+		if err := d.cut(name, valid, len(b)); err != nil {
+			return nil, err
+		}
+		if valid > 0 {
+			seg.size = int64(valid)
+			r.segments = append(r.segments, seg)
+		}
+	}
+	return r, nil
+}
+
+// cut removes what follows the first valid bytes of a segment; a segment without a header goes whole.
+func (d folder) cut(name string, valid, size int) error {
+	if valid == size && valid > 0 {
+		return nil
+	}
+	if valid == 0 {
+		if err := os.Remove(d.file(name)); err != nil {
+			return fmt.Errorf("remove unfinished segment: %w", err)
+		}
+		return d.syncFolder(d.path)
+	}
+	f, err := os.OpenFile(d.file(name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return fmt.Errorf("open segment: %w", err)
+	}
+	defer f.Close()
+	if err := f.Truncate(int64(valid)); err != nil {
+		return fmt.Errorf("cut torn tail: %w", err)
+	}
+	if err := d.sync(f); err != nil {
+		return fmt.Errorf("sync cut segment: %w", err)
+	}
+	return nil
+}
+
+// after keeps the entries that continue the snapshot and checks that nothing is
+// missing. It reports whether the log in the files continues the snapshot; if
+// not, a restart record must precede the next entry.
+func (r *replay) after(snap *quorum.Snapshot) (bool, error) {
+	var base, term uint64
+	if snap != nil {
+		base, term = snap.Index, snap.Term
+	}
+	if r.restart > base {
+		return false, &DamageError{Message: fmt.Sprintf("snapshot %d is missing", r.restart)}
+	}
+	continues := r.restart == 0 || r.restart == base
+	if len(r.entries) > 0 {
+		first := r.entries[0].Index
+		if first > base+1 {
+			return false, &DamageError{Message: fmt.Sprintf("entries %d to %d are missing", base+1, first-1)}
+		}
+		r.entries, continues = r.continuing(base, term, first)
+	}
+	last := base + uint64(len(r.entries))
+	if r.hs.Commit > last {
+		return false, &DamageError{Message: fmt.Sprintf("entries %d to %d are missing", last+1, r.hs.Commit)}
+	}
+	return continues, nil
+}
+
+// continuing returns the entries after base. Without the entry at base in its
+// term the log was written before the snapshot was installed and does not
+// count. A log that begins right after base was compacted to there, since one
+// from before the installation would begin earlier.
+func (r *replay) continuing(base, term, first uint64) ([]quorum.Entry, bool) {
+	switch {
+	case first == base+1:
+		return r.entries, true
+	case base-first >= uint64(len(r.entries)), r.entries[base-first].Term != term:
+		return nil, false
+	default:
+		return r.entries[base-first+1:], true
+	}
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,395 @@
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+
+	"turmericroute/quorum"
+)
+
+// DefaultSegmentBytes is the size at which a new segment is begun.
+const DefaultSegmentBytes = 1 << 20
+
+// ErrClosed is returned by a store after Close.
+var ErrClosed = errors.New("store is closed")
+
+// Config says where and how a store keeps its files.
+type Config struct {
+	Dir string
+	// SegmentBytes is the size at which a new segment is begun; 0 means the default.
+	SegmentBytes int64
+	// Sync makes a file or folder durable; nil means (*os.File).Sync.
+	Sync func(*os.File) error
+}
+
+// Recovered is what the data folder held.
+type Recovered struct {
+	// ID is the identity of this disk, random, written at the first start.
+	ID        string
+	HardState quorum.HardState
+	Snapshot  *quorum.Snapshot
+	// Entries is the log after the snapshot, contiguous.
+	Entries []quorum.Entry
+	// Membership is that of the snapshot, else that of the bootstrap or join, nil before these.
+	// Membership entries in Entries come after it.
+	Membership *quorum.Membership
+	// Repair is damage other than a torn tail: the instance must not vote and is repaired from peers.
+	Repair error
+}
+
+// Store is an open data folder.
+type Store struct {
+	dir          folder
+	segmentBytes int64
+	lock         *os.File
+
+	// snapMu is held while a snapshot is written, and taken before mu.
+	snapMu sync.Mutex
+
+	mu       sync.Mutex
+	failed   error
+	active   *os.File // last segment, nil before the first
+	segments []segment
+	hs       quorum.HardState
+	snapshot uint64   // index of the newest snapshot
+	terms    []uint64 // terms of the entries from index first on
+	first    uint64
+}
+
+// Open locks the data folder and recovers what it holds. Damage is not an error
+// but reported in Recovered.Repair.
+func Open(cfg Config) (*Store, Recovered, error) {
+	if cfg.SegmentBytes == 0 {
+		cfg.SegmentBytes = DefaultSegmentBytes
+	}
+	if cfg.Sync == nil {
+		cfg.Sync = (*os.File).Sync
+	}
+	s := &Store{dir: folder{path: cfg.Dir, sync: cfg.Sync}, segmentBytes: cfg.SegmentBytes}
+	if err := s.dir.create(); err != nil {
+		return nil, Recovered{}, err
+	}
+	lock, err := s.dir.lock()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	s.lock = lock
+	rec, err := s.recover()
+	var damage *DamageError
+	if errors.As(err, &damage) {
+		s.failed = fmt.Errorf("store needs repair: %w", err)
+		return s, Recovered{ID: rec.ID, Repair: err}, nil
+	}
+	if err != nil {
+		lock.Close()
+		return nil, Recovered{}, fmt.Errorf("recover %s: %w", cfg.Dir, err)
+	}
+	return s, rec, nil
+}
+
+func (s *Store) recover() (Recovered, error) {
+	var rec Recovered
+	if err := s.dir.removeTemporary(); err != nil {
+		return rec, err
+	}
+	var err error
+	if rec.ID, err = s.dir.identity(); err != nil {
+		return rec, err
+	}
+	if rec.Membership, err = s.dir.loadMembership(); err != nil {
+		return rec, err
+	}
+	if rec.Snapshot, err = s.dir.loadSnapshot(); err != nil {
+		return rec, err
+	}
+	r, err := s.dir.readSegments()
+	if err != nil {
+		return rec, err
+	}
+	continues, err := r.after(rec.Snapshot)
+	if err != nil {
+		return rec, err
+	}
+	rec.HardState, rec.Entries = r.hs, r.entries
+	if rec.Snapshot != nil {
+		rec.Membership = &rec.Snapshot.Membership
+		s.snapshot = rec.Snapshot.Index
+	}
+	s.hs, s.segments, s.first = r.hs, r.segments, s.snapshot+1
+	for _, e := range r.entries {
+		s.terms = append(s.terms, e.Term)
+	}
+	if err := s.openLast(); err != nil {
+		return rec, err
+	}
+	if !continues {
+		return rec, s.restart(*rec.Snapshot)
+	}
+	return rec, nil
+}
+
+func (s *Store) openLast() error {
+	if len(s.segments) == 0 {
+		return nil
+	}
+	name := s.segments[len(s.segments)-1].name
+	f, err := os.OpenFile(s.dir.file(name), os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return fmt.Errorf("open last segment: %w", err)
+	}
+	s.active = f
+	return nil
+}
+
+// Save appends a changed hard state and entries with one write and one sync.
+// The entries replace all earlier ones from their first index on.
+func (s *Store) Save(hs *quorum.HardState, entries []quorum.Entry) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if hs == nil && len(entries) == 0 {
+		return nil
+	}
+	if err := s.contiguous(entries); err != nil {
+		return err
+	}
+	var b []byte
+	var err error
+	for _, e := range entries {
+		if b, err = appendRecord(b, recordEntry, e); err != nil {
+			return err
+		}
+	}
+	// The hard state comes last: its commit index never precedes the entries that it covers.
+	if hs != nil {
+		if b, err = appendHardState(b, *hs); err != nil {
+			return err
+		}
+	}
+	if err := s.append(b); err != nil {
+		return err
+	}
+	s.record(hs, entries)
+	return nil
+}
+
+// contiguous refuses entries that would leave a gap in the log.
+func (s *Store) contiguous(entries []quorum.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if at := entries[0].Index; at < s.first || at > s.next() {
+		return fmt.Errorf("entries from %d on do not fit a log of %d to %d", at, s.first, s.next()-1)
+	}
+	for i, e := range entries {
+		if e.Index != entries[0].Index+uint64(i) {
+			return fmt.Errorf("entry %d follows entry %d", e.Index, entries[i-1].Index)
+		}
+	}
+	return nil
+}
+
+func (s *Store) next() uint64 { return s.first + uint64(len(s.terms)) }
+
+func (s *Store) record(hs *quorum.HardState, entries []quorum.Entry) {
+	if hs != nil {
+		s.hs = *hs
+	}
+	if len(entries) == 0 {
+		return
+	}
+	s.terms = s.terms[:entries[0].Index-s.first]
+	for _, e := range entries {
+		s.terms = append(s.terms, e.Term)
+	}
+	seg := &s.segments[len(s.segments)-1]
+	seg.last = max(seg.last, entries[len(entries)-1].Index)
+}
+
+// append writes b to the last segment and syncs it. After a failure nothing is
+// accepted any more, since what the file then holds is not known.
+func (s *Store) append(b []byte) error {
+	if err := s.rotate(); err != nil {
+		return s.fail(err)
+	}
+	if _, err := s.active.Write(b); err != nil {
+		return s.fail(fmt.Errorf("append to log: %w", err))
+	}
+	if err := s.dir.sync(s.active); err != nil {
+		return s.fail(fmt.Errorf("sync log: %w", err))
+	}
+	s.segments[len(s.segments)-1].size += int64(len(b))
+	return nil
+}
+
+func (s *Store) fail(err error) error {
+	s.failed = fmt.Errorf("store has failed: %w", err)
+	return s.failed
+}
+
+// rotate begins a new segment when there is none or the last one is full. Names
+// increase: a segment without a later index than its first is not full.
+func (s *Store) rotate() error {
+	if n := len(s.segments); n > 0 {
+		last := s.segments[n-1]
+		if last.size < s.segmentBytes || s.next() <= last.first {
+			return nil
+		}
+	}
+	head, err := appendHardState(segmentHeader(s.next()), s.hs)
+	if err != nil {
+		return err
+	}
+	seg := segment{name: segmentName(s.next()), first: s.next(), size: int64(len(head))}
+	f, err := os.OpenFile(s.dir.file(seg.name), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return fmt.Errorf("create segment: %w", err)
+	}
+	if err := s.begin(f, head); err != nil {
+		f.Close()
+		return err
+	}
+	if s.active != nil {
+		s.active.Close()
+	}
+	s.active = f
+	s.segments = append(s.segments, seg)
+	return nil
+}
+
+func (s *Store) begin(f *os.File, head []byte) error {
+	if _, err := f.Write(head); err != nil {
+		return fmt.Errorf("write segment header: %w", err)
+	}
+	if err := s.dir.sync(f); err != nil {
+		return fmt.Errorf("sync segment header: %w", err)
+	}
+	return s.dir.syncFolder(s.dir.path)
+}
+
+// SaveMembership records the membership of the bootstrap or join.
+func (s *Store) SaveMembership(m quorum.Membership) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("encode membership: %w", err)
+	}
+	if err := s.dir.writeSealed(membershipName, memberMagic, b); err != nil {
+		return s.fail(err)
+	}
+	return nil
+}
+
+// SaveSnapshot puts a snapshot in place. Entries after it are kept when the log
+// holds its last entry, else the log restarts after it. A snapshot older than
+// the newest one is not needed and ignored.
+func (s *Store) SaveSnapshot(snap quorum.Snapshot) error {
+	s.snapMu.Lock()
+	defer s.snapMu.Unlock()
+	if skip, err := s.skipSnapshot(snap.Index); skip || err != nil {
+		return err
+	}
+	err := s.dir.saveSnapshot(snap)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		return s.fail(err)
+	}
+	s.snapshot = snap.Index
+	if at := snap.Index - s.first; snap.Index >= s.first && at < uint64(len(s.terms)) && s.terms[at] == snap.Term {
+		s.terms = s.terms[at+1:]
+		s.first = snap.Index + 1
+		return nil
+	}
+	return s.restart(snap)
+}
+
+func (s *Store) skipSnapshot(index uint64) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return index <= s.snapshot, s.failed
+}
+
+// restart makes the log continue after a snapshot that does not come from it.
+func (s *Store) restart(snap quorum.Snapshot) error {
+	s.terms, s.first = nil, snap.Index+1
+	b, err := appendRecord(nil, recordRestart, quorum.Entry{Index: snap.Index, Term: snap.Term})
+	if err != nil {
+		return err
+	}
+	return s.append(b)
+}
+
+// Compact removes the segments whose entries are all at or before index and
+// before the newest snapshot, and the snapshots before the newest one.
+func (s *Store) Compact(index uint64) error {
+	s.snapMu.Lock()
+	defer s.snapMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.removeSnapshots(); err != nil {
+		return err
+	}
+	index = min(index, s.snapshot)
+	for len(s.segments) > 1 && s.segments[0].last <= index {
+		if err := os.Remove(s.dir.file(s.segments[0].name)); err != nil {
+			return fmt.Errorf("remove segment: %w", err)
+		}
+		s.segments = s.segments[1:]
+	}
+	return nil
+}
+
+func (s *Store) removeSnapshots() error {
+	names, err := s.dir.names(snapshotPrefix, snapshotSuffix)
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if n >= snapshotName(s.snapshot) {
+			continue
+		}
+		if err := os.Remove(s.dir.file(n)); err != nil {
+			return fmt.Errorf("remove snapshot: %w", err)
+		}
+	}
+	return nil
+}
+
+// Discard puts a damaged folder's files aside and closes the store. The next
+// Open finds an empty folder and makes another identity.
+func (s *Store) Discard() error {
+	s.mu.Lock()
+	err := s.dir.putAside()
+	s.mu.Unlock()
+	return errors.Join(err, s.Close())
+}
+
+// Close unlocks the folder.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(s.failed, ErrClosed) {
+		return nil
+	}
+	s.failed = ErrClosed
+	if s.active != nil {
+		s.active.Close()
+	}
+	if err := s.lock.Close(); err != nil {
+		return fmt.Errorf("unlock data folder: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,318 @@
+package store_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/quorum"
+	"turmericroute/store"
+)
+
+func entries(from, to, term uint64) []quorum.Entry {
+	var list []quorum.Entry
+	for i := from; i <= to; i++ {
+		list = append(list, quorum.Entry{Index: i, Term: term, Kind: quorum.EntryCommand, Data: fmt.Appendf(nil, "entry %d of term %d", i, term)})
+	}
+	return list
+}
+
+func open(dir string) (*store.Store, store.Recovered) {
+	s, rec, err := store.Open(store.Config{Dir: dir, SegmentBytes: 512})
+	Expect(err).NotTo(HaveOccurred())
+	return s, rec
+}
+
+func reopen(s *store.Store, dir string) (*store.Store, store.Recovered) {
+	Expect(s.Close()).To(Succeed())
+	return open(dir)
+}
+
+func files(dir, suffix string) []string {
+	names, err := filepath.Glob(filepath.Join(dir, "*"+suffix))
+	Expect(err).NotTo(HaveOccurred())
+	return names
+}
+
+func snapshot(index, term uint64) quorum.Snapshot {
+	return quorum.Snapshot{
+		Index: index, Term: term, Data: []byte("state"),
+		Membership: quorum.Membership{Voters: []quorum.Member{{Name: "a", ID: "1", Address: "127.0.0.1:1"}}},
+	}
+}
+
+var _ = Describe("Store", func() {
+	var dir string
+	BeforeEach(func() { dir = filepath.Join(GinkgoT().TempDir(), "data") })
+
+	It("recovers what was saved, over several segments", func() {
+		s, rec := open(dir)
+		Expect(rec.Membership).To(BeNil())
+		id := rec.ID
+		Expect(s.SaveMembership(snapshot(1, 1).Membership)).To(Succeed())
+		hs := quorum.HardState{Term: 2, Vote: "b", Commit: 17}
+		for i := uint64(1); i <= 40; i++ {
+			Expect(s.Save(nil, entries(i, i, 1))).To(Succeed())
+		}
+		Expect(s.Save(&hs, entries(18, 30, 2))).To(Succeed())
+		Expect(files(dir, ".seg")).To(HaveLen(4))
+		s, rec = reopen(s, dir)
+		defer s.Close()
+		Expect(rec.Repair).NotTo(HaveOccurred())
+		Expect(rec.ID).To(Equal(id))
+		Expect(rec.HardState).To(Equal(hs))
+		Expect(rec.Entries).To(Equal(append(entries(1, 17, 1), entries(18, 30, 2)...)))
+		Expect(rec.Membership.Voters).To(HaveLen(1))
+	})
+
+	It("refuses a second process on one folder", func() {
+		s, _ := open(dir)
+		defer s.Close()
+		_, _, err := store.Open(store.Config{Dir: dir})
+		Expect(err).To(MatchError(ContainSubstring("in use by another process")))
+	})
+
+	It("refuses entries that leave a gap", func() {
+		s, _ := open(dir)
+		defer s.Close()
+		Expect(s.Save(nil, entries(2, 3, 1))).To(MatchError(ContainSubstring("do not fit")))
+		Expect(s.Save(nil, slices.Concat(entries(1, 1, 1), entries(3, 3, 1)))).To(MatchError(ContainSubstring("follows")))
+	})
+
+	It("keeps size bounded by compaction and recovers from snapshot and rest", func() {
+		s, _ := open(dir)
+		for i := uint64(1); i <= 200; i++ {
+			Expect(s.Save(&quorum.HardState{Term: 1, Commit: i}, entries(i, i, 1))).To(Succeed())
+			if i%20 == 0 {
+				Expect(s.SaveSnapshot(snapshot(i, 1))).To(Succeed())
+				Expect(s.Compact(i - 5)).To(Succeed())
+			}
+		}
+		Expect(len(files(dir, ".seg"))).To(BeNumerically("<=", 3))
+		Expect(files(dir, ".snap")).To(HaveLen(1))
+		Expect(s.Save(nil, entries(201, 203, 1))).To(Succeed())
+		s, rec := reopen(s, dir)
+		defer s.Close()
+		Expect(rec.Repair).NotTo(HaveOccurred())
+		Expect(*rec.Snapshot).To(Equal(snapshot(200, 1)))
+		Expect(rec.Entries).To(Equal(entries(201, 203, 1)))
+		Expect(rec.HardState.Commit).To(Equal(uint64(200)))
+	})
+
+	It("keeps entries when the log is compacted exactly to the snapshot", func() {
+		s, _ := open(dir)
+		Expect(s.Save(nil, entries(1, 20, 1))).To(Succeed())
+		Expect(s.Save(nil, entries(21, 22, 1))).To(Succeed())
+		Expect(s.SaveSnapshot(snapshot(20, 1))).To(Succeed())
+		Expect(s.Compact(20)).To(Succeed())
+		Expect(files(dir, ".seg")).To(HaveLen(1))
+		s, rec := reopen(s, dir)
+		defer s.Close()
+		Expect(rec.Entries).To(Equal(entries(21, 22, 1)))
+	})
+
+	// Guards against entries of the old log coming back, or new ones being dropped, after an installed snapshot.
+	DescribeTable("restarts the log after an installed snapshot",
+		func(last, index uint64) {
+			s, _ := open(dir)
+			Expect(s.Save(nil, entries(1, last, 1))).To(Succeed())
+			Expect(s.SaveSnapshot(snapshot(index, 2))).To(Succeed())
+			s, rec := reopen(s, dir)
+			Expect(rec.Repair).NotTo(HaveOccurred())
+			Expect(rec.Entries).To(BeEmpty())
+			Expect(s.Save(nil, entries(index+1, index+2, 2))).To(Succeed())
+			s, rec = reopen(s, dir)
+			defer s.Close()
+			Expect(rec.Repair).NotTo(HaveOccurred())
+			Expect(rec.Entries).To(Equal(entries(index+1, index+2, 2)))
+		},
+		Entry("within the old log", uint64(20), uint64(10)),
+		Entry("at the end of the old log", uint64(10), uint64(10)),
+		Entry("after the old log", uint64(5), uint64(10)),
+	)
+
+	It("restarts the log when the process died between the snapshot and the restart record", func() {
+		s, _ := open(dir)
+		Expect(s.Save(nil, entries(1, 20, 1))).To(Succeed())
+		log := files(dir, ".seg")[0]
+		before, err := os.ReadFile(log)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.SaveSnapshot(snapshot(10, 2))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		for _, f := range files(dir, ".seg")[1:] {
+			Expect(os.Remove(f)).To(Succeed())
+		}
+		Expect(os.WriteFile(log, before, 0o600)).To(Succeed())
+		s, rec := open(dir)
+		Expect(rec.Entries).To(BeEmpty())
+		Expect(s.Save(nil, entries(11, 12, 2))).To(Succeed())
+		s, rec = reopen(s, dir)
+		defer s.Close()
+		Expect(rec.Repair).NotTo(HaveOccurred())
+		Expect(rec.Entries).To(Equal(entries(11, 12, 2)))
+	})
+
+	It("puts a damaged folder aside and starts under another identity", func() {
+		s, rec := open(dir)
+		id := rec.ID
+		Expect(s.Save(nil, entries(1, 9, 1))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		flip(files(dir, ".seg")[0], 100)
+		s, rec = open(dir)
+		Expect(rec.Repair).To(HaveOccurred())
+		Expect(s.Discard()).To(Succeed())
+		s, rec = open(dir)
+		defer s.Close()
+		Expect(rec.Repair).NotTo(HaveOccurred())
+		Expect(rec.ID).NotTo(Equal(id))
+		Expect(rec.Entries).To(BeEmpty())
+	})
+
+	It("makes another identity when only that file is lost, and reads none of the rest", func() {
+		s, rec := open(dir)
+		Expect(s.Save(&quorum.HardState{Term: 3}, entries(1, 9, 1))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		Expect(os.Remove(filepath.Join(dir, "identity"))).To(Succeed())
+		s, again := open(dir)
+		defer s.Close()
+		Expect(again.ID).NotTo(Equal(rec.ID))
+		Expect(again.Entries).To(BeEmpty())
+		Expect(again.HardState).To(BeZero())
+	})
+})
+
+var _ = Describe("failures", func() {
+	var dir string
+	BeforeEach(func() { dir = filepath.Join(GinkgoT().TempDir(), "data") })
+
+	// Guards against a crash in the middle of a write being taken for damage or losing a synced record.
+	It("cuts a torn tail at every byte", func() {
+		s, _ := open(dir)
+		Expect(s.Save(&quorum.HardState{Term: 1, Commit: 2}, entries(1, 3, 1))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		log := files(dir, ".seg")[0]
+		synced, err := os.ReadFile(log)
+		Expect(err).NotTo(HaveOccurred())
+		s, _ = open(dir)
+		Expect(s.Save(&quorum.HardState{Term: 2, Vote: "c", Commit: 3}, entries(4, 6, 2))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		full, err := os.ReadFile(log)
+		Expect(err).NotTo(HaveOccurred())
+		for n := len(synced); n < len(full); n++ {
+			for _, filler := range []int{0, len(full) - n} {
+				// The rest is missing, or was allocated and never written.
+				Expect(os.WriteFile(log, append(slices.Clone(full[:n]), make([]byte, filler)...), 0o600)).To(Succeed())
+				s, rec := open(dir)
+				Expect(rec.Repair).NotTo(HaveOccurred(), "cut at %d", n)
+				Expect(len(rec.Entries)).To(BeNumerically(">=", 3))
+				Expect(rec.HardState.Term).To(Equal(uint64(1)))
+				Expect(s.Save(nil, entries(4, 4, 3))).To(Succeed())
+				s, rec = reopen(s, dir)
+				Expect(rec.Repair).NotTo(HaveOccurred(), "cut at %d", n)
+				Expect(rec.Entries[3].Term).To(Equal(uint64(3)))
+				Expect(s.Close()).To(Succeed())
+			}
+		}
+	})
+
+	It("cuts an unfinished new segment at every byte", func() {
+		s, _ := open(dir)
+		Expect(s.Save(&quorum.HardState{Term: 1, Commit: 20}, entries(1, 20, 1))).To(Succeed())
+		Expect(s.Save(nil, entries(21, 21, 1))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		last := files(dir, ".seg")[1]
+		full, err := os.ReadFile(last)
+		Expect(err).NotTo(HaveOccurred())
+		for n := range len(full) {
+			Expect(os.WriteFile(last, full[:n], 0o600)).To(Succeed())
+			s, rec := open(dir)
+			Expect(rec.Repair).NotTo(HaveOccurred(), "cut at %d", n)
+			Expect(rec.Entries).To(Equal(entries(1, 20, 1)))
+			Expect(rec.HardState.Commit).To(Equal(uint64(20)))
+			Expect(s.Save(nil, entries(21, 22, 1))).To(Succeed())
+			Expect(s.Close()).To(Succeed())
+		}
+	})
+
+	// Guards against a damaged record being skipped or taken for a torn tail.
+	It("reports a flipped bit at every byte before the last record", func() {
+		s, _ := open(dir)
+		Expect(s.Save(&quorum.HardState{Term: 1, Vote: "a", Commit: 8}, entries(1, 9, 1))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		log := files(dir, ".seg")[0]
+		full, err := os.ReadFile(log)
+		Expect(err).NotTo(HaveOccurred())
+		const lastRecord = 8 + 18 + 1
+		for at := range len(full) - lastRecord {
+			flip(log, at)
+			s, rec := open(dir)
+			Expect(rec.Repair).To(HaveOccurred(), "flipped at %d", at)
+			Expect(s.Save(nil, entries(10, 10, 1))).NotTo(Succeed())
+			Expect(s.SaveSnapshot(snapshot(8, 1))).NotTo(Succeed())
+			Expect(s.Close()).To(Succeed())
+			flip(log, at)
+		}
+	})
+
+	DescribeTable("reports a missing or damaged file",
+		func(damage func()) {
+			s, _ := open(dir)
+			Expect(s.SaveMembership(snapshot(1, 1).Membership)).To(Succeed())
+			for i := uint64(1); i <= 60; i++ {
+				Expect(s.Save(&quorum.HardState{Term: 1, Commit: i}, entries(i, i, 1))).To(Succeed())
+			}
+			Expect(s.SaveSnapshot(snapshot(20, 1))).To(Succeed())
+			Expect(s.Compact(20)).To(Succeed())
+			Expect(s.Close()).To(Succeed())
+			damage()
+			s, rec := open(dir)
+			defer s.Close()
+			Expect(rec.Repair).To(HaveOccurred())
+		},
+		Entry("first segment", func() { Expect(os.Remove(files(dir, ".seg")[0])).To(Succeed()) }),
+		Entry("segment in the middle", func() { Expect(os.Remove(files(dir, ".seg")[3])).To(Succeed()) }),
+		Entry("snapshot", func() { Expect(os.Remove(files(dir, ".snap")[0])).To(Succeed()) }),
+		Entry("bit in the snapshot", func() { flip(files(dir, ".snap")[0], 30) }),
+		Entry("bit in the identity", func() { flip(filepath.Join(dir, "identity"), 14) }),
+		Entry("bit in the membership", func() { flip(filepath.Join(dir, "membership"), 14) }),
+	)
+
+	// Guards against a retried sync that succeeds although the pages of the failed one are gone.
+	DescribeTable("refuses everything after a failed sync",
+		func(failing string) {
+			broken := false
+			s, _, err := store.Open(store.Config{Dir: dir, SegmentBytes: 512, Sync: func(f *os.File) error {
+				if broken && strings.Contains(f.Name(), failing) {
+					return errors.New("input/output error")
+				}
+				return f.Sync()
+			}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Save(nil, entries(1, 30, 1))).To(Succeed())
+			broken = true
+			Expect(errors.Join(s.Save(nil, entries(31, 31, 1)), s.SaveSnapshot(snapshot(30, 1)))).NotTo(Succeed())
+			broken = false
+			Expect(s.Save(nil, entries(31, 31, 1))).To(MatchError(ContainSubstring("has failed")))
+			Expect(s.SaveSnapshot(snapshot(30, 1))).To(MatchError(ContainSubstring("has failed")))
+			Expect(s.SaveMembership(quorum.Membership{})).To(MatchError(ContainSubstring("has failed")))
+			Expect(s.Compact(30)).To(MatchError(ContainSubstring("has failed")))
+			Expect(s.Close()).To(Succeed())
+		},
+		Entry("of a segment", "log-"),
+		Entry("of the folder", "data"),
+		Entry("of a snapshot", "snap-"),
+	)
+})
+
+func flip(name string, at int) {
+	b, err := os.ReadFile(name)
+	Expect(err).NotTo(HaveOccurred())
+	b[at] ^= 1 << (at % 8)
+	Expect(os.WriteFile(name, b, 0o600)).To(Succeed())
+}
