--- /dev/null
+++ b/ctrl/boot.go
@@ -0,0 +1,211 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"turmericroute/model"
+	"turmericroute/quorum"
+	"turmericroute/store"
+	"turmericroute/wire"
+)
+
+// boot is how a control instance comes to its membership.
+type boot struct {
+	mu sync.Mutex
+	id string
+	// tainted disks held files before that were lost or damaged: they never form a new cluster.
+	tainted    bool
+	membership *quorum.Membership
+}
+
+func (b *boot) set(rec store.Recovered) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.id, b.tainted, b.membership = rec.ID, rec.PutAside, rec.Membership
+}
+
+func (b *boot) get() (id string, tainted bool, m *quorum.Membership) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.id, b.tainted, b.membership
+}
+
+// adopt syncs a membership unless there is one, and reports whether it is the one in force here.
+func (n *Node) adopt(m quorum.Membership) (bool, error) {
+	n.boot.mu.Lock()
+	defer n.boot.mu.Unlock()
+	if n.boot.membership != nil {
+		return n.boot.membership.Equal(m), nil
+	}
+	if err := n.store.SaveMembership(m); err != nil {
+		return false, fmt.Errorf("save membership: %w", err)
+	}
+	n.boot.membership = &m
+	return true, nil
+}
+
+// bootstrap finds a membership and starts to take part: one that names this
+// disk, else one that it is added to, else a new one of disks that are all fresh.
+func (n *Node) bootstrap() {
+	for n.ctx.Err() == nil {
+		if _, _, m := n.boot.get(); m != nil {
+			n.recovered.Membership = m
+			if err := n.startMember(); err != nil {
+				n.cfg.Logger.Log("event", "member_failed", "err", err)
+				close(n.failure)
+			}
+			return
+		}
+		if err := n.seekMembership(n.ctx); err != nil {
+			n.cfg.Logger.Log("event", "bootstrap_waits", "err", err)
+		}
+		if _, _, m := n.boot.get(); m == nil {
+			sleep(n.ctx, bootInterval)
+		}
+	}
+}
+
+func (n *Node) seekMembership(ctx context.Context) error {
+	id, tainted, _ := n.boot.get()
+	peers := n.cfg.controls()
+	answers := n.identify(ctx, peers)
+	for _, a := range answers {
+		if a == nil || a.GetMembership() == nil {
+			continue
+		}
+		m := membershipFromWire(a.GetMembership())
+		if _, ok := m.Find(id); ok {
+			_, err := n.adopt(m)
+			return err
+		}
+	}
+	fresh := 0
+	for i, a := range answers {
+		switch {
+		case a.GetMembership() != nil:
+			return n.join(ctx, id, a.GetLeader(), peers[i])
+		case a.GetFresh():
+			fresh++
+		}
+	}
+	if !n.cfg.Bootstrap || tainted {
+		return fmt.Errorf("no control peer has a membership")
+	}
+	if fresh < len(peers) {
+		return fmt.Errorf("%d of %d control peers are known to be fresh", fresh, len(peers))
+	}
+	return n.form(ctx, id, peers, answers)
+}
+
+// identify asks all peers at once; an answer is nil where a peer gave none.
+func (n *Node) identify(ctx context.Context, peers []Peer) []*wire.IdentifyResponse {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	answers := make([]*wire.IdentifyResponse, len(peers))
+	var wg sync.WaitGroup
+	for i, p := range peers {
+		wg.Go(func() {
+			conn := n.links.get(p.Address).ready(ctx)
+			if conn == nil {
+				return
+			}
+			resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{})
+			if err == nil && resp.GetName() == p.Name {
+				answers[i] = resp
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// form makes the initial membership if this instance has the lowest name. It
+// starts itself only after all others have synced the membership; if it fails
+// between, the next round finds the membership at one of them.
+func (n *Node) form(ctx context.Context, id string, peers []Peer, answers []*wire.IdentifyResponse) error {
+	m := quorum.Membership{Voters: []quorum.Member{{Name: n.cfg.Name, ID: id, Address: n.cfg.Address}}}
+	for i, p := range peers {
+		if p.Name < n.cfg.Name {
+			return fmt.Errorf("%s forms the membership", p.Name)
+		}
+		m.Voters = append(m.Voters, quorum.Member{Name: p.Name, ID: answers[i].GetId(), Address: p.Address})
+	}
+	slices.SortFunc(m.Voters, func(a, b quorum.Member) int { return strings.Compare(a.Name, b.Name) })
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	for _, p := range peers {
+		conn := n.links.get(p.Address).ready(ctx)
+		if conn == nil {
+			return fmt.Errorf("form membership: %s cannot be reached", p.Name)
+		}
+		resp, err := wire.NewControlClient(conn).Form(ctx, &wire.FormRequest{Membership: membershipToWire(m)})
+		if err != nil {
+			return fmt.Errorf("form membership at %s: %w", p.Name, err)
+		}
+		if !resp.GetAccepted() {
+			return fmt.Errorf("form membership: %s has another one", p.Name)
+		}
+	}
+	n.cfg.Logger.Log("event", "cluster_formed", "voters", len(m.Voters))
+	_, err := n.adopt(m)
+	return err
+}
+
+// join asks the leader, or the peer that has a membership, to be added as a learner.
+func (n *Node) join(ctx context.Context, id, leader string, p Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	for _, other := range n.cfg.controls() {
+		if other.Name == leader {
+			p = other
+		}
+	}
+	conn := n.links.get(p.Address).ready(ctx)
+	if conn == nil {
+		return fmt.Errorf("join: %s cannot be reached", p.Name)
+	}
+	self := quorum.Member{Name: n.cfg.Name, ID: id, Address: n.cfg.Address}
+	resp, err := wire.NewControlClient(conn).Join(ctx, &wire.JoinRequest{Member: memberToWire(self)})
+	switch {
+	case err != nil:
+		return fmt.Errorf("join at %s: %w", p.Name, err)
+	case resp.GetFailure() != nil:
+		return fmt.Errorf("join at %s: %w", p.Name, failureFromWire(resp.GetFailure()))
+	case resp.GetNotLeader():
+		return fmt.Errorf("join: %s does not lead", p.Name)
+	}
+	n.cfg.Logger.Log("event", "cluster_joined", "id", id, "leader", p.Name)
+	_, err = n.adopt(membershipFromWire(resp.GetMembership()))
+	return err
+}
+
+// admitMember adds a fresh control instance as a learner, on the leader. A
+// learner of the same name with another identity gives way.
+func (n *Node) admitMember(ctx context.Context, one quorum.Member) (quorum.Membership, *model.Error) {
+	if !slices.ContainsFunc(n.cfg.Peers, func(p Peer) bool { return p.Name == one.Name && p.Control }) || one.ID == "" {
+		return quorum.Membership{}, model.NotRun(model.CodeInvalid, "%q is not a control instance of this deployment", one.Name)
+	}
+	o, ok := n.leading.current()
+	m := n.member.Load()
+	if !ok || m == nil {
+		return quorum.Membership{}, notLeader()
+	}
+	s := m.status.Load()
+	if _, ok := s.Membership.Find(one.ID); ok {
+		return s.Membership, nil
+	}
+	next := s.Membership
+	for _, l := range s.Membership.Learners {
+		if l.Name == one.Name {
+			next = next.Without(l.ID)
+		}
+	}
+	next = next.WithLearner(one)
+	out := m.submit(ctx, &proposal{membership: &next, term: o.term})
+	n.cfg.Logger.Log("event", "learner_added", "name", one.Name, "id", one.ID, "err", errorOf(out.err))
+	return next, out.err
+}
--- /dev/null
+++ b/ctrl/cluster_test.go
@@ -0,0 +1,376 @@
+package ctrl_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/ctrl"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+const patience = 10 * time.Second
+
+// cluster runs several instances in this process over loopback.
+type cluster struct {
+	dir     string
+	peers   []ctrl.Peer
+	nodes   map[string]*ctrl.Node
+	entries int // between snapshots, 0 for the default
+}
+
+func newCluster(controls ...string) *cluster {
+	c := &cluster{dir: GinkgoT().TempDir(), nodes: map[string]*ctrl.Node{}}
+	for _, name := range controls {
+		c.peers = append(c.peers, ctrl.Peer{Name: name, Address: freeAddress(), Control: true})
+	}
+	DeferCleanup(func() {
+		var wg sync.WaitGroup
+		for _, n := range c.nodes {
+			wg.Go(func() { n.Close(context.Background()) })
+		}
+		wg.Wait()
+	})
+	return c
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) folder(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cluster) start(names ...string) {
+	for _, name := range names {
+		for _, p := range c.peers {
+			if p.Name == name {
+				c.startWith(ctrl.Config{Name: name, Address: p.Address, DataDir: c.folder(name), Peers: c.peers, Bootstrap: true})
+			}
+		}
+	}
+}
+
+func (c *cluster) startWith(cfg ctrl.Config) *ctrl.Node {
+	cfg.Logger = log.With(log.NewLogfmtLogger(GinkgoWriter), "node", cfg.Name)
+	cfg.SnapshotEntries = c.entries
+	n, err := ctrl.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(n.Start(context.Background())).To(Succeed())
+	c.nodes[cfg.Name] = n
+	return n
+}
+
+func (c *cluster) close(name string) {
+	Expect(c.nodes[name].Close(context.Background())).To(Succeed())
+	delete(c.nodes, name)
+}
+
+func (c *cluster) leader() string {
+	var leader string
+	Eventually(func() string {
+		leader = ""
+		for name, n := range c.nodes {
+			if n.Status().Role == "leader" && n.ViewAge() < time.Second {
+				leader = name
+			}
+		}
+		return leader
+	}, patience, 10*time.Millisecond).ShouldNot(BeEmpty())
+	return leader
+}
+
+func (c *cluster) follower() *ctrl.Node {
+	leader := c.leader()
+	for name, n := range c.nodes {
+		if name != leader {
+			return n
+		}
+	}
+	return nil
+}
+
+func execute(n *ctrl.Node, cmd state.Command) state.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	res, err := n.Execute(ctx, cmd)
+	Expect(err).NotTo(HaveOccurred())
+	return res
+}
+
+func register(n *ctrl.Node, i int) {
+	execute(n, state.RegisterWorker{Worker: model.Worker{Name: fmt.Sprintf("worker-%04d", i), Incarnation: "1"}})
+}
+
+func patch(id string, base uint64) state.PatchConfig {
+	return state.PatchConfig{Patch: config.Patch{ID: id, BaseVersion: base, Changes: []config.Change{
+		{PutTeam: &config.Team{Name: id}},
+	}}}
+}
+
+func workers(n *ctrl.Node) func() int {
+	return func() int { return len(n.Machine().Workers()) }
+}
+
+// relay passes TCP connections on until it is frozen, as a silent partition does.
+type relay struct {
+	net.Listener
+	to     string
+	mu     sync.Mutex
+	frozen bool
+	conns  []net.Conn
+}
+
+func newRelay(to string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	r := &relay{Listener: l, to: to}
+	go r.serve()
+	DeferCleanup(func() {
+		l.Close()
+		r.freeze(true)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, c := range r.conns {
+			c.Close()
+		}
+	})
+	return r
+}
+
+func (r *relay) freeze(frozen bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frozen = frozen
+}
+
+func (r *relay) isFrozen() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.frozen
+}
+
+func (r *relay) serve() {
+	for {
+		in, err := r.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", r.to)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		r.mu.Lock()
+		r.conns = append(r.conns, in, out)
+		r.mu.Unlock()
+		go r.pass(in, out)
+		go r.pass(out, in)
+	}
+}
+
+// pass drops what is sent while frozen; the connection stays open but is useless then.
+func (r *relay) pass(from, to net.Conn) {
+	lost := false
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		lost = lost || r.isFrozen()
+		if err != nil && !lost {
+			to.Close()
+		}
+		if err != nil {
+			return
+		}
+		if lost {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			from.Close()
+			return
+		}
+	}
+}
+
+var _ = Describe("cluster", func() {
+	It("forms, commits from any instance, and keeps what was accepted when the leader closes", func() {
+		c := newCluster("a", "b", "c")
+		c.start("a", "b", "c")
+		for i := range 20 {
+			register(c.follower(), i)
+		}
+		old := c.leader()
+		c.close(old)
+		Expect(c.leader()).NotTo(Equal(old))
+		for _, n := range c.nodes {
+			Expect(n.Barrier(context.Background())).To(Succeed())
+			Expect(n.Machine().Workers()).To(HaveLen(20))
+		}
+		for _, n := range c.nodes {
+			register(n, 20)
+		}
+	})
+
+	It("restarts from disk, from a snapshot and the rest", func() {
+		c := newCluster("a", "b", "c")
+		c.entries = 16
+		c.start("a", "b", "c")
+		for i := range 50 {
+			register(c.follower(), i)
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			c.close(name)
+			Expect(filepath.Glob(filepath.Join(c.folder(name), "snap-*"))).NotTo(BeEmpty())
+		}
+		c.start("a", "b", "c")
+		for _, n := range c.nodes {
+			Expect(n.Barrier(context.Background())).To(Succeed())
+			Expect(n.Machine().Workers()).To(HaveLen(50))
+		}
+	})
+
+	DescribeTable("an instance that lost its log rejoins under another identity, as a voter in the end",
+		func(lose func(dir string)) {
+			c := newCluster("a", "b", "c")
+			c.entries = 16
+			c.start("a", "b", "c")
+			register(c.follower(), 0)
+			lost := c.follower().Status().Name
+			before := memberIDs(c.nodes[c.leader()])
+			c.close(lost)
+			lose(c.folder(lost))
+			for i := range 40 {
+				register(c.nodes[c.leader()], i)
+			}
+			c.start(lost)
+			Eventually(workers(c.nodes[lost]), patience).Should(Equal(40))
+			Eventually(func() map[string]string { return memberIDs(c.nodes[c.leader()]) }, patience).Should(And(
+				HaveLen(3), HaveKeyWithValue(lost, Not(Equal(before[lost])))))
+			// The repaired instance counts: another one may now be lost.
+			c.close(c.leader())
+			register(c.nodes[c.leader()], 41)
+		},
+		Entry("wiped", func(dir string) { Expect(os.RemoveAll(dir)).To(Succeed()) }),
+		Entry("damaged", func(dir string) {
+			names, err := filepath.Glob(filepath.Join(dir, "log-*"))
+			Expect(err).NotTo(HaveOccurred())
+			b, err := os.ReadFile(names[0])
+			Expect(err).NotTo(HaveOccurred())
+			b[40] ^= 1
+			Expect(os.WriteFile(names[0], b, 0o600)).To(Succeed())
+		}),
+	)
+
+	It("never forms a second cluster while a peer does not answer", func() {
+		c := newCluster("a", "b", "c")
+		c.start("a", "b")
+		Consistently(func() string { return c.nodes["a"].Status().Role }, 1500*time.Millisecond).Should(Equal("follower"))
+		Expect(c.nodes["a"].Status().Members).To(BeEmpty())
+		c.start("c")
+		register(c.nodes["b"], 1)
+	})
+
+	It("lets exactly one of several racing patches win", func() {
+		c := newCluster("a", "b", "c")
+		c.start("a", "b", "c")
+		c.leader()
+		const racers = 24
+		results := make([]state.Result, racers)
+		var wg sync.WaitGroup
+		for i := range racers {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				results[i] = execute(c.nodes[string(rune('a'+i%3))], patch(fmt.Sprintf("patch-%d", i), 0))
+			})
+		}
+		wg.Wait()
+		won := 0
+		for i, r := range results {
+			if r.Failure == nil {
+				won++
+				Expect(execute(c.nodes["a"], patch(fmt.Sprintf("patch-%d", i), 0)).Version).To(Equal(uint64(1)), "a resend gets the first answer")
+				continue
+			}
+			Expect(r.Failure.Code).To(Equal(model.CodeStaleVersion))
+			Expect(r.Failure.Outcome).To(Equal(model.OutcomeNotRun))
+		}
+		Expect(won).To(Equal(1))
+	})
+
+	It("follows without a disk from a snapshot, and notices a silent partition", func() {
+		c := newCluster("a", "b", "c")
+		c.entries = 16
+		c.start("a", "b", "c")
+		for i := range 50 {
+			register(c.follower(), i)
+		}
+		var relays []*relay
+		var seen []ctrl.Peer
+		for _, p := range c.peers {
+			r := newRelay(p.Address)
+			relays = append(relays, r)
+			seen = append(seen, ctrl.Peer{Name: p.Name, Address: r.Addr().String(), Control: true})
+		}
+		d := c.startWith(ctrl.Config{Name: "d", Address: freeAddress(), Peers: seen})
+		Eventually(workers(d), patience).Should(Equal(50))
+		Eventually(d.ViewAge, patience).Should(BeNumerically("<", time.Second))
+		Expect(d.Status().Members).To(HaveLen(3))
+		for _, r := range relays {
+			r.freeze(true)
+		}
+		register(c.follower(), 50)
+		Eventually(d.ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		Expect(d.Barrier(ctx)).NotTo(Succeed())
+		Expect(workers(d)()).To(Equal(50))
+		for _, r := range relays {
+			r.freeze(false)
+		}
+		Eventually(workers(d), patience).Should(Equal(51))
+		Eventually(d.ViewAge, patience).Should(BeNumerically("<", model.MaxViewAge))
+	})
+
+	It("refuses truthfully when no majority is left", func() {
+		c := newCluster("a", "b", "c")
+		c.start("a", "b", "c")
+		register(c.follower(), 0)
+		leader := c.leader()
+		for name := range c.nodes {
+			if name != leader {
+				c.close(name)
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_, err := c.nodes[leader].Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: "late"}})
+		Expect(err).To(HaveOccurred())
+		Eventually(c.nodes[leader].ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+		ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		_, err = c.nodes[leader].Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: "later"}})
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+		Expect(model.AsError(err).Code).To(Equal(model.CodeNoLeader))
+	})
+})
+
+// memberIDs returns the identities of the voters by name.
+func memberIDs(n *ctrl.Node) map[string]string {
+	ids := map[string]string{}
+	for _, v := range ctrl.Voters(n) {
+		ids[v.Name] = v.ID
+	}
+	return ids
+}
--- /dev/null
+++ b/ctrl/config.go
@@ -0,0 +1,154 @@
+package ctrl
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"turmericroute/model"
+	"turmericroute/quorum"
+	"turmericroute/state"
+)
+
+const (
+	// tick is the unit of quorum's timeouts.
+	tick = 50 * time.Millisecond
+	// leadWatchdog ends leadership when the protocol loop hangs, for instance in a sync; it is below the leader lease.
+	leadWatchdog = 250 * time.Millisecond
+	// viewInterval is how often an instance asks for the commit index.
+	viewInterval = 250 * time.Millisecond
+	// viewTimeout bounds one such question and one attempt to find the leader.
+	viewTimeout = 500 * time.Millisecond
+	// stallTimeout is how long a stream or connection may be silent before another one is tried.
+	stallTimeout = time.Second
+	// watchKeepalive is how often Watch sends a response without entries.
+	watchKeepalive = 400 * time.Millisecond
+	// executeTimeout bounds a command whose caller gives no deadline.
+	executeTimeout = 10 * time.Second
+	// retryDelay is the pause before a command is tried again that certainly was not proposed.
+	retryDelay = 20 * time.Millisecond
+	// bootInterval is how often a control instance without membership asks its peers.
+	bootInterval = 200 * time.Millisecond
+	// joinTimeout bounds the addition of a learner.
+	joinTimeout = 5 * time.Second
+	// memberInterval is how often the leader checks whether a learner can become a voter.
+	memberInterval = 200 * time.Millisecond
+	// handoverTimeout bounds the transfer of leadership in Close.
+	handoverTimeout = 1500 * time.Millisecond
+
+	// maxQueued bounds proposals that wait for the log; further ones are refused.
+	maxQueued = 4096
+	// sendQueue and receiveQueue bound protocol messages; further ones are dropped, which the protocol tolerates.
+	sendQueue    = 256
+	receiveQueue = 1024
+	// maxAppendBytes bounds the entries of one protocol message.
+	maxAppendBytes = 1 << 20
+	// maxWatchBytes bounds the entries of one response of Watch.
+	maxWatchBytes = 256 << 10
+	// maxMessageBytes bounds a gRPC message; a snapshot is sent as one.
+	maxMessageBytes = 256 << 20
+	// windowBytes is the fixed flow-control window; a fixed one saves the pings of gRPC's estimator.
+	windowBytes = 1 << 20
+
+	// DefaultSnapshotEntries is how many entries are applied between two snapshots.
+	DefaultSnapshotEntries = 4096
+	// DefaultSnapshotBytes is how many bytes of entries are applied between two snapshots at most.
+	DefaultSnapshotBytes = 16 << 20
+	// keepShare of the entries between two snapshots stays in the log for followers that are a little behind.
+	keepShare = 4
+)
+
+// Peer is an instance of the deployment.
+type Peer struct {
+	Name    string
+	Address string
+	// Control says that the instance has the control role.
+	Control bool
+}
+
+// LeaderRole is run by the leader; package gang implements it.
+type LeaderRole interface {
+	// Lead runs until ctx ends, when the lease or the term is lost.
+	Lead(ctx context.Context, term uint64, r state.Replica)
+	// Poll answers a worker while leading.
+	Poll(ctx context.Context, req model.PollRequest) (model.PollResponse, error)
+	// Admit checks a command before it is proposed, against the current state; nil admits.
+	Admit(m *state.Machine, c state.Command) *model.Error
+	// Dump returns the leader's own state for the process dump.
+	Dump() any
+}
+
+// Storage keeps a member's log durably; package store implements it.
+type Storage interface {
+	Save(hs *quorum.HardState, entries []quorum.Entry) error
+	SaveSnapshot(s quorum.Snapshot) error
+	SaveMembership(m quorum.Membership) error
+	Compact(index uint64) error
+	Close() error
+}
+
+// Config describes an instance.
+type Config struct {
+	Name       string
+	DataCentre string
+	// Address is host:port of the gRPC listener.
+	Address string
+	// DataDir is empty without the control role.
+	DataDir string
+	// Peers are all instances of the deployment, this one included.
+	Peers []Peer
+	// Bootstrap forms a new cluster of the control peers when all their data folders are empty.
+	Bootstrap bool
+	// Leader runs while this instance leads; nil when there is nothing to run.
+	Leader  LeaderRole
+	Logger  log.Logger
+	Metrics *metrics.Set
+	// Listen replaces net.Listen.
+	Listen func(network, address string) (net.Listener, error)
+	// SnapshotEntries and SnapshotBytes bound what is applied between two snapshots; 0 means the defaults.
+	SnapshotEntries int
+	SnapshotBytes   int
+}
+
+func (cfg Config) withDefaults() Config {
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	if cfg.Listen == nil {
+		cfg.Listen = net.Listen
+	}
+	if cfg.SnapshotEntries == 0 {
+		cfg.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if cfg.SnapshotBytes == 0 {
+		cfg.SnapshotBytes = DefaultSnapshotBytes
+	}
+	return cfg
+}
+
+// controls returns the control peers except this instance.
+func (cfg Config) controls() []Peer {
+	var list []Peer
+	for _, p := range cfg.Peers {
+		if p.Control && p.Name != cfg.Name {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// addressOf returns the address of a member: that of the settings, else the one it joined with.
+func (cfg Config) addressOf(m quorum.Member) string {
+	for _, p := range cfg.Peers {
+		if p.Name == m.Name {
+			return p.Address
+		}
+	}
+	return m.Address
+}
--- /dev/null
+++ b/ctrl/dump.go
@@ -0,0 +1,87 @@
+package ctrl
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"turmericroute/quorum"
+	"turmericroute/state"
+)
+
+// nodeMetrics are the figures of a Node; member, applier and links have their own.
+type nodeMetrics struct {
+	commitSeconds *metrics.Summary
+	roleChanges   *metrics.Counter
+}
+
+func newNodeMetrics(set *metrics.Set, n *Node) nodeMetrics {
+	set.NewGauge(`turmericroute_ctrl_view_age_seconds`, func() float64 { return n.ViewAge().Seconds() })
+	set.NewGauge(`turmericroute_ctrl_applied_index`, func() float64 { return float64(n.machine.Applied()) })
+	set.NewGauge(`turmericroute_ctrl_leading`, func() float64 {
+		if _, ok := n.leading.current(); ok {
+			return 1
+		}
+		return 0
+	})
+	return nodeMetrics{
+		commitSeconds: set.NewSummary(`turmericroute_ctrl_commit_seconds`),
+		roleChanges:   set.NewCounter(`turmericroute_ctrl_role_changes_total`),
+	}
+}
+
+// nodeDump is the state of a Node without the replicated state itself.
+type nodeDump struct {
+	Status   state.ReplicaStatus `json:"status"`
+	ID       string              `json:"id,omitempty"`
+	Protocol *quorum.Status      `json:"protocol,omitempty"`
+	Queues   queueDump           `json:"queues"`
+	Snapshot uint64              `json:"snapshot_index"`
+	Links    map[string]bool     `json:"links_ready"`
+	Leading  uint64              `json:"leading_term,omitempty"`
+	Leader   any                 `json:"leader_role,omitempty"`
+}
+
+type queueDump struct {
+	Messages  int `json:"messages"`
+	Proposals int `json:"proposals"`
+	Apply     int `json:"apply"`
+	Waiters   int `json:"waiters"`
+}
+
+// Dump returns the state of this instance for people; its JSON has a stable order.
+func (n *Node) Dump() any {
+	d := nodeDump{Status: n.Status(), ID: n.recovered.ID, Links: n.links.dump()}
+	if m := n.member.Load(); m != nil {
+		d.Protocol = m.status.Load()
+		d.Queues.Messages, d.Queues.Proposals = len(m.inbox), len(m.proposals)
+	}
+	d.Queues.Apply, d.Queues.Waiters, d.Snapshot = n.applier.dump()
+	if o, ok := n.leading.current(); ok {
+		d.Leading = o.term
+		if n.cfg.Leader != nil {
+			d.Leader = n.cfg.Leader.Dump()
+		}
+	}
+	return d
+}
+
+func (a *applier) dump() (queued, waiters int, snapshot uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.snapshot != nil {
+		snapshot = a.snapshot.Index
+	}
+	return len(a.queue), len(a.waiters), snapshot
+}
+
+// dump returns whether each address has a connection.
+func (p *links) dump() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ready := map[string]bool{}
+	for a, l := range p.by {
+		l.mu.Lock()
+		ready[a] = l.conn != nil
+		l.mu.Unlock()
+	}
+	return ready
+}
--- /dev/null
+++ b/ctrl/exchange.go
@@ -0,0 +1,154 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/grpc"
+
+	"turmericroute/quorum"
+	"turmericroute/wire"
+)
+
+// Transport carries protocol messages to other members; it may lose them.
+type Transport interface {
+	// Members names the members that messages can be sent to.
+	Members(m quorum.Membership)
+	// Send queues a message for the member m.To.
+	Send(m quorum.Message)
+	// Heard notes that a member has sent a message.
+	Heard(id string)
+	// Close ends all streams.
+	Close()
+}
+
+// exchange is the Transport over Quorum.Exchange, one stream for each member.
+type exchange struct {
+	cfg     Config
+	self    string
+	links   *links
+	dropped *metrics.Counter
+
+	wg    sync.WaitGroup
+	mu    sync.Mutex
+	peers map[string]*sender
+}
+
+type sender struct {
+	link   *link
+	queue  chan *wire.QuorumMessage
+	cancel context.CancelFunc
+}
+
+func newExchange(cfg Config, self string, l *links) *exchange {
+	return &exchange{
+		cfg: cfg, self: self, links: l, peers: map[string]*sender{},
+		dropped: cfg.Metrics.GetOrCreateCounter(`turmericroute_ctrl_dropped_messages_total{direction="sent"}`),
+	}
+}
+
+// Members starts streams to new members and ends those to former ones.
+func (x *exchange) Members(m quorum.Membership) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	current := map[string]bool{}
+	for _, list := range [][]quorum.Member{m.Voters, m.Learners} {
+		for _, member := range list {
+			current[member.ID] = true
+			if _, ok := x.peers[member.ID]; !ok && member.ID != x.self {
+				x.start(member)
+			}
+		}
+	}
+	for id, s := range x.peers {
+		if !current[id] {
+			s.cancel()
+			delete(x.peers, id)
+		}
+	}
+}
+
+func (x *exchange) start(m quorum.Member) {
+	ctx, cancel := context.WithCancel(x.links.ctx)
+	s := &sender{
+		link: x.links.get(x.cfg.addressOf(m)), queue: make(chan *wire.QuorumMessage, sendQueue), cancel: cancel,
+	}
+	x.peers[m.ID] = s
+	x.wg.Go(func() { s.run(ctx) })
+}
+
+// Send queues a message or drops it when the queue is full.
+func (x *exchange) Send(m quorum.Message) {
+	x.mu.Lock()
+	s := x.peers[m.To]
+	x.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case s.queue <- messageToWire(m):
+	default:
+		x.dropped.Inc()
+	}
+}
+
+// Heard notes a sign of life of a member.
+func (x *exchange) Heard(id string) {
+	x.mu.Lock()
+	s := x.peers[id]
+	x.mu.Unlock()
+	if s != nil {
+		s.link.answered()
+	}
+}
+
+// Close ends all streams.
+func (x *exchange) Close() {
+	x.mu.Lock()
+	for _, s := range x.peers {
+		s.cancel()
+	}
+	x.mu.Unlock()
+	x.wg.Wait()
+}
+
+func (s *sender) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if conn := s.link.ready(ctx); conn != nil {
+			s.stream(ctx, conn)
+		}
+	}
+}
+
+// stream sends from the queue until the stream breaks.
+func (s *sender) stream(ctx context.Context, conn *grpc.ClientConn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := wire.NewQuorumClient(conn).Exchange(ctx)
+	if err != nil {
+		s.pause(ctx)
+		return
+	}
+	// What waited for the connection is out of date.
+	for len(s.queue) > 0 {
+		<-s.queue
+	}
+	for {
+		select {
+		case m := <-s.queue:
+			s.link.asked()
+			if err := stream.Send(m); err != nil {
+				s.pause(ctx)
+				return
+			}
+		case <-stream.Context().Done():
+			s.pause(ctx)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *sender) pause(ctx context.Context) { sleep(ctx, minBackoff) }
--- /dev/null
+++ b/ctrl/execute.go
@@ -0,0 +1,243 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/wire"
+)
+
+// Execute commits c through the leader. Refusals by the leader or by the state
+// are in Result.Failure. A command that certainly was not proposed is tried
+// again until ctx ends.
+func (n *Node) Execute(ctx context.Context, c state.Command) (state.Result, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, executeTimeout)
+		defer cancel()
+	}
+	data, err := state.Encode(c)
+	if err != nil {
+		return state.Result{}, model.NotRun(model.CodeInvalid, "%v", err)
+	}
+	for {
+		if n.closing.Load() {
+			return state.Result{}, model.NotRun(model.CodeShuttingDown, "instance is stopping")
+		}
+		out := n.executeOnce(ctx, c, data)
+		if out.err == nil || out.err.Outcome != model.OutcomeNotRun || out.err.Code != model.CodeNoLeader {
+			return out.result, errorOf(out.err)
+		}
+		if !sleep(ctx, retryDelay) {
+			return state.Result{}, out.err
+		}
+	}
+}
+
+func (n *Node) executeOnce(ctx context.Context, c state.Command, data []byte) outcome {
+	if _, ok := n.leading.current(); ok {
+		return n.executeHere(ctx, c)
+	}
+	return n.executeThere(ctx, data)
+}
+
+// executeHere commits a command on the leader.
+func (n *Node) executeHere(ctx context.Context, c state.Command) outcome {
+	o, ok := n.leading.current()
+	if !ok {
+		return outcome{err: notLeader()}
+	}
+	// Admission needs all that earlier leaders committed: a resent patch must find its first answer.
+	if err := n.machine.Wait(ctx, o.index); err != nil {
+		return outcome{err: model.AsError(err)}
+	}
+	if n.cfg.Leader != nil {
+		if refusal := n.cfg.Leader.Admit(n.machine, c); refusal != nil {
+			return outcome{result: state.Result{Failure: refusal}}
+		}
+	}
+	data, err := state.Encode(stamp(c, time.Now().UnixMilli()))
+	if err != nil {
+		return outcome{err: model.NotRun(model.CodeInvalid, "%v", err)}
+	}
+	start := time.Now()
+	out := n.member.Load().submit(ctx, &proposal{data: data, term: o.term})
+	n.metrics.commitSeconds.UpdateDuration(start)
+	return out
+}
+
+// stamp sets the times of a command by the leader's clock. The deadline of a
+// key keeps its distance from the key's creation.
+func stamp(c state.Command, nowMS int64) state.Command {
+	switch c := c.(type) {
+	case state.PatchConfig:
+		c.AtMS = nowMS
+		return c
+	case state.SubmitJob:
+		c.AtMS = nowMS
+		return c
+	case state.CancelJob:
+		c.AtMS = nowMS
+		return c
+	case state.MoveJob:
+		c.AtMS = nowMS
+		return c
+	case state.ClaimKey:
+		c.Key.DeadlineMS += nowMS - c.Key.CreatedMS
+		c.Key.CreatedMS = nowMS
+		return c
+	default:
+		return c
+	}
+}
+
+// executeThere forwards a command to the leader.
+func (n *Node) executeThere(ctx context.Context, data []byte) outcome {
+	p, conn := n.leaderConn(ctx)
+	if conn == nil {
+		return outcome{err: noLeader(p.Name)}
+	}
+	resp, err := wire.NewControlClient(conn).Execute(ctx, &wire.ExecuteRequest{Command: data})
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			n.forget(p.Name)
+		}
+		return outcome{err: callFailed(ctx, p.Name, err)}
+	case resp.GetNotLeader():
+		n.redirect(p.Name, resp.GetLeader())
+		return outcome{err: noLeader(p.Name)}
+	case resp.GetFailure() != nil:
+		return outcome{err: failureFromWire(resp.GetFailure())}
+	}
+	var out outcome
+	if err := json.Unmarshal(resp.GetResult(), &out.result); err != nil {
+		return outcome{err: model.Unknown(model.CodeInternal, "decode result: %v", err)}
+	}
+	return out
+}
+
+func noLeader(asked string) *model.Error {
+	if asked == "" {
+		return model.NotRun(model.CodeNoLeader, "no leader is known")
+	}
+	return model.NotRun(model.CodeNoLeader, "%s does not lead or cannot be reached", asked)
+}
+
+// callFailed describes a call that may have reached the other side.
+func callFailed(ctx context.Context, asked string, err error) *model.Error {
+	if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
+		return model.Unknown(model.CodeDeadline, "%s has not answered in time", asked)
+	}
+	return model.Unknown(model.CodeUnavailable, "call to %s failed: %v", asked, err)
+}
+
+// leaderConn returns the leader, or a control peer that may know it, and a
+// connection to it; nil when there is none.
+func (n *Node) leaderConn(ctx context.Context) (Peer, *grpc.ClientConn) {
+	p, ok := n.target()
+	if !ok {
+		return Peer{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout/2)
+	defer cancel()
+	conn := n.links.get(p.Address).ready(ctx)
+	if conn == nil {
+		n.forget(p.Name)
+	}
+	return p, conn
+}
+
+// target returns the leader if known, else the control peers in turn.
+func (n *Node) target() (Peer, bool) {
+	peers := n.cfg.controls()
+	if name := n.leaderName(); name != "" && name != n.cfg.Name {
+		for _, p := range peers {
+			if p.Name == name {
+				return p, true
+			}
+		}
+		for _, v := range n.applier.membership().Voters {
+			if v.Name == name {
+				return Peer{Name: name, Address: v.Address, Control: true}, true
+			}
+		}
+	}
+	if len(peers) == 0 {
+		return Peer{}, false
+	}
+	return peers[int(n.turn.Add(1))%len(peers)], true
+}
+
+// forget drops what was believed of the leader after it could not be reached.
+func (n *Node) forget(name string) {
+	if n.leaderName() == name {
+		n.learn("")
+	}
+}
+
+// redirect notes what an instance that does not lead says of the leader.
+func (n *Node) redirect(asked, leader string) {
+	if leader == asked {
+		leader = ""
+	}
+	if leader != "" || n.leaderName() == asked {
+		n.learn(leader)
+	}
+}
+
+// Poll hands a worker's poll to the leader.
+func (n *Node) Poll(ctx context.Context, req model.PollRequest) (model.PollResponse, error) {
+	if _, ok := n.leading.current(); ok {
+		return n.pollHere(ctx, req)
+	}
+	var none model.PollResponse
+	data, err := json.Marshal(req)
+	if err != nil {
+		return none, model.NotRun(model.CodeInvalid, "encode poll: %v", err)
+	}
+	p, conn := n.leaderConn(ctx)
+	if conn == nil {
+		return none, noLeader(p.Name)
+	}
+	resp, err := wire.NewControlClient(conn).Poll(ctx, &wire.PollRequest{Request: data})
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			n.forget(p.Name)
+		}
+		return none, callFailed(ctx, p.Name, err)
+	case resp.GetNotLeader():
+		n.redirect(p.Name, resp.GetLeader())
+		return none, noLeader(p.Name)
+	case resp.GetFailure() != nil:
+		return none, failureFromWire(resp.GetFailure())
+	}
+	var out model.PollResponse
+	if err := json.Unmarshal(resp.GetResponse(), &out); err != nil {
+		return none, model.Unknown(model.CodeInternal, "decode answer to poll: %v", err)
+	}
+	return out, nil
+}
+
+// pollHere answers a poll on the leader, for as long as it leads.
+func (n *Node) pollHere(ctx context.Context, req model.PollRequest) (model.PollResponse, error) {
+	o, ok := n.leading.current()
+	if !ok {
+		return model.PollResponse{}, notLeader()
+	}
+	if n.cfg.Leader == nil {
+		return model.PollResponse{}, model.NotRun(model.CodeUnavailable, "this deployment schedules nothing")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(o.ctx, cancel)()
+	return n.cfg.Leader.Poll(ctx, req) //nolint:wrapcheck // a typed error.
+}
--- /dev/null
+++ b/ctrl/link.go
@@ -0,0 +1,246 @@
+package ctrl
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	dialTimeout = time.Second
+	minBackoff  = 50 * time.Millisecond
+	maxBackoff  = time.Second
+)
+
+// link keeps one connection to one address.
+type link struct {
+	address string
+	pool    *links
+
+	mu      sync.Mutex
+	conn    *grpc.ClientConn // nil unless ready
+	drop    context.CancelFunc
+	changed chan struct{}
+	// silentSince is when the first of the unanswered questions was sent, askedAt when the last was.
+	silentSince, askedAt time.Time
+	// timeouts counts calls in a row that were not answered in time.
+	timeouts int
+}
+
+// links holds the link of each address; links are made when first asked for.
+type links struct {
+	ctx            context.Context
+	cancel         context.CancelFunc
+	logger         log.Logger
+	sent, received *metrics.Counter
+	reconnects     *metrics.Counter
+
+	wg sync.WaitGroup
+	mu sync.Mutex
+	by map[string]*link
+}
+
+func newLinks(cfg Config) *links {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &links{
+		ctx: ctx, cancel: cancel, logger: cfg.Logger, by: map[string]*link{},
+		sent:       cfg.Metrics.NewCounter(`turmericroute_ctrl_sent_bytes_total`),
+		received:   cfg.Metrics.NewCounter(`turmericroute_ctrl_received_bytes_total`),
+		reconnects: cfg.Metrics.NewCounter(`turmericroute_ctrl_reconnects_total`),
+	}
+}
+
+func (p *links) get(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.by[address]; ok {
+		return l
+	}
+	l := &link{address: address, pool: p, changed: make(chan struct{})}
+	p.by[address] = l
+	p.wg.Go(l.run)
+	return l
+}
+
+func (p *links) close() {
+	p.cancel()
+	p.wg.Wait()
+}
+
+// run connects, waits until the connection is lost or dropped, and connects again.
+func (l *link) run() {
+	backoff := minBackoff
+	for l.pool.ctx.Err() == nil {
+		started := time.Now()
+		l.connectOnce()
+		if time.Since(started) > maxBackoff {
+			backoff = minBackoff
+		}
+		wait := backoff/2 + rand.N(backoff/2)
+		backoff = min(2*backoff, maxBackoff)
+		select {
+		case <-time.After(wait):
+		case <-l.pool.ctx.Done():
+		}
+	}
+}
+
+// connectOnce holds one connection from dialling to its loss.
+func (l *link) connectOnce() {
+	ctx, cancel := context.WithCancel(l.pool.ctx)
+	defer cancel()
+	conn, err := grpc.NewClient("passthrough:///"+l.address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(l.pool.dial),
+		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+	)
+	if err != nil {
+		l.pool.logger.Log("event", "link_failed", "address", l.address, "err", err)
+		return
+	}
+	defer conn.Close()
+	if !waitReady(ctx, conn) {
+		return
+	}
+	l.set(conn, cancel)
+	defer l.set(nil, nil)
+	conn.WaitForStateChange(ctx, connectivity.Ready)
+	l.pool.reconnects.Inc()
+}
+
+func waitReady(ctx context.Context, conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn.Connect()
+	for {
+		switch s := conn.GetState(); s {
+		case connectivity.Ready:
+			return true
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return false
+		default:
+			if !conn.WaitForStateChange(ctx, s) {
+				return false
+			}
+		}
+	}
+}
+
+func (l *link) set(conn *grpc.ClientConn, drop context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn, l.drop, l.silentSince, l.timeouts = conn, drop, time.Time{}, 0
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// ready returns the connection, waiting for it until ctx ends; nil when there is none.
+func (l *link) ready(ctx context.Context) *grpc.ClientConn {
+	for {
+		l.mu.Lock()
+		conn, changed := l.conn, l.changed
+		l.mu.Unlock()
+		if conn != nil {
+			return conn
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// asked notes that something was sent that the other side answers. It drops a
+// connection on which questions went unanswered for stallTimeout, since TCP would
+// notice a silent partition, and its end, only much later. A single question may
+// rightly get no answer, so that a pause starts the count anew.
+func (l *link) asked() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.silentSince.IsZero() || now.Sub(l.askedAt) > stallTimeout {
+		l.silentSince = now
+	}
+	l.askedAt = now
+	if now.Sub(l.silentSince) > stallTimeout {
+		l.dropSilent()
+	}
+}
+
+// timedOut notes a call without an answer in time; the second in a row drops the connection.
+func (l *link) timedOut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timeouts++; l.timeouts > 1 {
+		l.dropSilent()
+	}
+}
+
+func (l *link) dropSilent() {
+	if l.drop == nil {
+		return
+	}
+	l.pool.logger.Log("event", "link_dropped", "address", l.address, "reason", "no answer")
+	l.drop()
+}
+
+// answered notes a sign of life from the other side.
+func (l *link) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silentSince, l.timeouts = time.Time{}, 0
+}
+
+func (p *links) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // gRPC reports it with the address.
+	}
+	return &countedConn{Conn: c, links: p}, nil
+}
+
+// countedListener counts the bytes of accepted connections.
+type countedListener struct {
+	net.Listener
+	links *links
+}
+
+// Accept returns the next connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err //nolint:wrapcheck // gRPC inspects it.
+	}
+	return &countedConn{Conn: c, links: l.links}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	links *links
+}
+
+// Read counts what it reads.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.links.received.Add(n)
+	return n, err //nolint:wrapcheck // passes io.EOF and time-outs on.
+}
+
+// Write counts what it writes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.links.sent.Add(n)
+	return n, err //nolint:wrapcheck // passes time-outs on.
+}
--- /dev/null
+++ b/ctrl/node.go
@@ -0,0 +1,286 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"turmericroute/model"
+	"turmericroute/quorum"
+	"turmericroute/state"
+	"turmericroute/store"
+)
+
+// Node is a process's part in the replicated state; it implements state.Replica.
+type Node struct {
+	cfg     Config
+	machine *state.Machine
+	applier *applier
+	links   *links
+	leading *leading
+	metrics nodeMetrics
+
+	listener net.Listener
+	server   *grpc.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	booting  sync.WaitGroup // ends before the member is stopped
+	closing  atomic.Bool
+
+	// store and recovered are set with the control role.
+	store     *store.Store
+	recovered store.Recovered
+	// member is nil without the control role and until there is a membership.
+	member atomic.Pointer[member]
+	boot   boot
+
+	hint     atomic.Pointer[string] // name of the leader, nil or empty when unknown
+	turn     atomic.Uint32          // counts the peers asked for the leader
+	view     atomic.Int64           // time of the view, since started
+	started  time.Time
+	refollow atomic.Pointer[context.CancelFunc] // ends the stream that a diskless instance follows
+
+	failure chan struct{} // closed when the member has failed
+}
+
+// New returns an instance that Start starts.
+func New(cfg Config) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Name == "" || cfg.Address == "" {
+		return nil, errors.New("control node needs a name and an address")
+	}
+	if cfg.DataDir == "" && len(cfg.controls()) == 0 {
+		return nil, errors.New("an instance without a data folder needs a control peer")
+	}
+	n := &Node{cfg: cfg, machine: state.New(), started: time.Now(), failure: make(chan struct{})}
+	n.metrics = newNodeMetrics(cfg.Metrics, n)
+	n.applier = newApplier(cfg, n.machine)
+	n.links = newLinks(cfg)
+	n.leading = &leading{run: n.lead}
+	n.view.Store(math.MinInt64)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n, nil
+}
+
+// Start opens the data folder, listens and begins to take part; it does not
+// wait for a leader or a membership.
+func (n *Node) Start(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	if n.cfg.DataDir != "" {
+		if err := n.openStore(); err != nil {
+			return err
+		}
+	}
+	lis, err := n.cfg.Listen("tcp", n.cfg.Address)
+	if err != nil {
+		if n.store != nil {
+			err = errors.Join(err, n.store.Close())
+		}
+		return fmt.Errorf("listen on %s: %w", n.cfg.Address, err)
+	}
+	n.listener = lis
+	n.applier.wg.Go(n.applier.run)
+	if n.store != nil && n.recovered.Membership != nil {
+		if err := n.startMember(); err != nil {
+			return errors.Join(err, n.Close(ctx))
+		}
+	}
+	n.server = newServer(n)
+	n.wg.Go(func() { n.server.Serve(countedListener{lis, n.links}) }) //nolint:errcheck // ends with Stop.
+	if n.store == nil {
+		n.wg.Go(n.follow)
+	} else if n.member.Load() == nil {
+		n.booting.Go(n.bootstrap)
+	}
+	n.wg.Go(n.keepView)
+	n.cfg.Logger.Log("event", "node_started", "name", n.cfg.Name, "address", n.cfg.Address, "id", n.recovered.ID, "applied", n.machine.Applied())
+	return nil
+}
+
+// openStore recovers the data folder; a damaged one is put aside and its
+// identity given up, so that what it promised to others is never relied on.
+func (n *Node) openStore() error {
+	for {
+		s, rec, err := store.Open(store.Config{Dir: n.cfg.DataDir})
+		if err != nil {
+			return fmt.Errorf("open data folder: %w", err)
+		}
+		if rec.Repair == nil {
+			n.store, n.recovered = s, rec
+			n.boot.set(rec)
+			return nil
+		}
+		n.cfg.Logger.Log("event", "data_folder_damaged", "id", rec.ID, "err", rec.Repair)
+		if err := s.Discard(); err != nil {
+			return fmt.Errorf("put damaged files aside: %w", err)
+		}
+	}
+}
+
+// startMember begins to take part in the log with the recovered state.
+func (n *Node) startMember() error {
+	if err := n.applier.base(*n.recovered.Membership, n.recovered.Snapshot); err != nil {
+		return fmt.Errorf("restore snapshot: %w", err)
+	}
+	m, err := newMember(n.cfg, n.recovered, n.store, newExchange(n.cfg, n.recovered.ID, n.links), n.applier, n.leading)
+	if err != nil {
+		return err
+	}
+	m.changed = n.roleChanged
+	n.applier.setPersist(m.saveSnapshot)
+	n.member.Store(m)
+	n.wg.Go(func() {
+		m.run()
+		if !errors.Is(m.err, errStopped) {
+			n.leading.close()
+			close(n.failure)
+		}
+	})
+	return nil
+}
+
+// Failed returns a channel that is closed when the log can no longer be kept,
+// for instance after a failed sync; the process must then end.
+func (n *Node) Failed() <-chan struct{} { return n.failure }
+
+// roleChanged is called on the protocol loop.
+func (n *Node) roleChanged(s quorum.Status) {
+	n.cfg.Logger.Log("event", "role_changed", "role", s.Role, "term", s.Term, "leader", s.Leader, "voters", len(s.Membership.Voters), "learners", len(s.Membership.Learners))
+	n.metrics.roleChanges.Inc()
+	leader, _ := s.Membership.Find(s.Leader)
+	n.learn(leader.Name)
+}
+
+// learn notes the name of the leader; an empty one means unknown.
+func (n *Node) learn(name string) { n.hint.Store(&name) }
+
+func (n *Node) leaderName() string {
+	if name := n.hint.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
+// Machine returns the local copy of the state.
+func (n *Node) Machine() *state.Machine { return n.machine }
+
+// Status describes this instance and the members it knows.
+func (n *Node) Status() state.ReplicaStatus {
+	s := state.ReplicaStatus{
+		Name: n.cfg.Name, DataCentre: n.cfg.DataCentre, Role: "follower", Leader: n.leaderName(),
+		Applied: n.machine.Applied(), ViewAgeMS: n.ViewAge().Milliseconds(),
+	}
+	s.Commit = s.Applied
+	members, known := n.applier.membership(), map[string]quorum.MemberStatus{}
+	if m := n.member.Load(); m != nil {
+		q := m.status.Load()
+		s.Role, s.Term, s.Commit = string(q.Role), q.Term, q.Commit
+		members, known = q.Membership, q.Members
+	}
+	for _, v := range members.Voters {
+		s.Members = append(s.Members, n.memberStatus(v, true, known))
+	}
+	for _, l := range members.Learners {
+		s.Members = append(s.Members, n.memberStatus(l, false, known))
+	}
+	return s
+}
+
+func (n *Node) memberStatus(m quorum.Member, voter bool, known map[string]quorum.MemberStatus) state.MemberStatus {
+	return state.MemberStatus{Name: m.Name, Address: n.cfg.addressOf(m), Voter: voter, Match: known[m.ID].Match}
+}
+
+// Close hands over leadership and ends the instance.
+func (n *Node) Close(ctx context.Context) error {
+	if !n.closing.CompareAndSwap(false, true) {
+		return nil
+	}
+	if m := n.member.Load(); m != nil {
+		n.handOver(ctx, m)
+	}
+	n.cancel()
+	if n.server != nil {
+		n.server.Stop()
+	} else if n.listener != nil {
+		n.listener.Close()
+	}
+	n.booting.Wait()
+	if m := n.member.Load(); m != nil {
+		m.close()
+		m.transport.Close()
+	}
+	n.leading.close()
+	n.applier.stop()
+	n.wg.Wait()
+	n.links.close()
+	if n.store != nil {
+		if err := n.store.Close(); err != nil {
+			return fmt.Errorf("close data folder: %w", err)
+		}
+	}
+	n.cfg.Logger.Log("event", "node_closed", "name", n.cfg.Name)
+	return nil
+}
+
+// handOver makes the voter with the longest log the leader and waits until it is.
+func (n *Node) handOver(ctx context.Context, m *member) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	to := ""
+	err := m.call(ctx, func(q *quorum.Node) {
+		if to = successor(q.Status()); to != "" {
+			if err := q.TransferLeadership(to); err != nil {
+				to = ""
+			}
+		}
+	})
+	if err != nil || to == "" {
+		return
+	}
+	for s := m.status.Load(); s.Role == quorum.RoleLeader || s.Leader == ""; s = m.status.Load() {
+		if !sleep(ctx, tick/10) {
+			return
+		}
+	}
+	n.cfg.Logger.Log("event", "leadership_handed_over", "to", to)
+}
+
+func successor(s quorum.Status) string {
+	best := ""
+	for _, v := range s.Membership.Voters {
+		if v.ID != s.ID && s.Members[v.ID].Active && (best == "" || s.Members[v.ID].Match > s.Members[best].Match) {
+			best = v.ID
+		}
+	}
+	return best
+}
+
+// sleep pauses and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// errorOf turns a typed nil into an untyped one.
+func errorOf(e *model.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/ctrl/server.go
@@ -0,0 +1,170 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/wire"
+)
+
+const (
+	// idlePing and idleTimeout end connections of instances that vanished.
+	idlePing    = 5 * time.Second
+	idleTimeout = 2 * time.Second
+)
+
+// server serves both gRPC services for a Node.
+type server struct {
+	wire.UnimplementedQuorumServer
+	wire.UnimplementedControlServer
+	n *Node
+}
+
+func newServer(n *Node) *grpc.Server {
+	s := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: idlePing, Timeout: idleTimeout}),
+	)
+	h := &server{n: n}
+	wire.RegisterQuorumServer(s, h)
+	wire.RegisterControlServer(s, h)
+	return s
+}
+
+func grpcError(code model.Code, message string) error {
+	return status.Error(codes.Unavailable, string(code)+": "+message)
+}
+
+// Exchange receives protocol messages from another member.
+func (s *server) Exchange(stream grpc.ClientStreamingServer[wire.QuorumMessage, wire.ExchangeSummary]) error {
+	for {
+		msg, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&wire.ExchangeSummary{}) //nolint:wrapcheck // a gRPC status.
+		}
+		if err != nil {
+			return err //nolint:wrapcheck // a gRPC status.
+		}
+		// Messages to an identity that this disk no longer has are not for it.
+		if m := s.n.member.Load(); m != nil && msg.GetTo() == m.id {
+			m.step(messageFromWire(msg))
+		}
+	}
+}
+
+// Execute commits a command that another instance forwards.
+func (s *server) Execute(ctx context.Context, req *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
+	c, err := state.Decode(req.GetCommand())
+	if err != nil {
+		return &wire.ExecuteResponse{Failure: failureToWire(model.NotRun(model.CodeInvalid, "%v", err))}, nil
+	}
+	out := s.n.executeHere(ctx, c)
+	switch {
+	case out.err != nil && out.err.Code == model.CodeNoLeader && out.err.Outcome == model.OutcomeNotRun:
+		return &wire.ExecuteResponse{NotLeader: true, Leader: s.n.leaderName()}, nil
+	case out.err != nil:
+		return &wire.ExecuteResponse{Failure: failureToWire(out.err)}, nil
+	}
+	data, err := json.Marshal(out.result)
+	if err != nil {
+		return &wire.ExecuteResponse{Failure: failureToWire(model.Unknown(model.CodeInternal, "encode result: %v", err))}, nil
+	}
+	return &wire.ExecuteResponse{Result: data}, nil
+}
+
+// ReadIndex returns the commit index while this instance holds the leader lease.
+func (s *server) ReadIndex(ctx context.Context, _ *wire.ReadIndexRequest) (*wire.ReadIndexResponse, error) {
+	if m := s.n.member.Load(); m != nil {
+		if index, term, ok := m.readIndex(ctx); ok {
+			return &wire.ReadIndexResponse{Index: index, Term: term}, nil
+		}
+	}
+	return &wire.ReadIndexResponse{NotLeader: true, Leader: s.n.leaderName()}, nil
+}
+
+// Watch streams the log to an instance without a disk.
+func (s *server) Watch(req *wire.WatchRequest, stream grpc.ServerStreamingServer[wire.WatchResponse]) error {
+	return s.n.watch(req, stream)
+}
+
+// Poll answers a worker's poll that another instance relays.
+func (s *server) Poll(ctx context.Context, req *wire.PollRequest) (*wire.PollResponse, error) {
+	var poll model.PollRequest
+	if err := json.Unmarshal(req.GetRequest(), &poll); err != nil {
+		return &wire.PollResponse{Failure: failureToWire(model.NotRun(model.CodeInvalid, "decode poll: %v", err))}, nil
+	}
+	if _, ok := s.n.leading.current(); !ok {
+		return &wire.PollResponse{NotLeader: true, Leader: s.n.leaderName()}, nil
+	}
+	resp, err := s.n.pollHere(ctx, poll)
+	if err != nil {
+		return &wire.PollResponse{Failure: failureToWire(model.AsError(err))}, nil
+	}
+	data, err := json.Marshal(resp)
+	if err != nil {
+		return &wire.PollResponse{Failure: failureToWire(model.Unknown(model.CodeInternal, "encode answer to poll: %v", err))}, nil
+	}
+	return &wire.PollResponse{Response: data}, nil
+}
+
+// Dump returns the state of the process as JSON.
+func (s *server) Dump(context.Context, *wire.DumpRequest) (*wire.DumpResponse, error) {
+	data, err := json.Marshal(s.n.Dump())
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &wire.DumpResponse{Dump: data}, nil
+}
+
+// Identify tells who this instance is and which membership is committed here.
+func (s *server) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+	id, tainted, m := s.n.boot.get()
+	resp := &wire.IdentifyResponse{Name: s.n.cfg.Name, Id: id, Leader: s.n.leaderName()}
+	resp.Fresh = id != "" && !tainted && m == nil
+	switch {
+	case s.n.member.Load() != nil:
+		resp.Membership = membershipToWire(s.n.applier.membership())
+	case m != nil:
+		resp.Membership = membershipToWire(*m)
+	}
+	return resp, nil
+}
+
+// Form accepts the initial membership on a fresh control instance.
+func (s *server) Form(_ context.Context, req *wire.FormRequest) (*wire.FormResponse, error) {
+	id, tainted, _ := s.n.boot.get()
+	m := membershipFromWire(req.GetMembership())
+	if _, ok := m.Find(id); !ok || tainted || s.n.store == nil {
+		return &wire.FormResponse{}, nil
+	}
+	accepted, err := s.n.adopt(m)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &wire.FormResponse{Accepted: accepted}, nil
+}
+
+// Join adds a fresh control instance as a learner.
+func (s *server) Join(ctx context.Context, req *wire.JoinRequest) (*wire.JoinResponse, error) {
+	m, fail := s.n.admitMember(ctx, memberFromWire(req.GetMember()))
+	if fail != nil && fail.Code == model.CodeNoLeader {
+		return &wire.JoinResponse{NotLeader: true, Leader: s.n.leaderName()}, nil
+	}
+	if fail != nil {
+		return &wire.JoinResponse{Failure: failureToWire(fail)}, nil
+	}
+	return &wire.JoinResponse{Membership: membershipToWire(m)}, nil
+}
+
+var _ wire.QuorumServer = (*server)(nil)
--- /dev/null
+++ b/ctrl/watch.go
@@ -0,0 +1,154 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"turmericroute/model"
+	"turmericroute/quorum"
+	"turmericroute/wire"
+)
+
+// follow keeps the state of an instance without a disk up to date from any
+// control instance, and tries the next one when the stream breaks or stalls.
+func (n *Node) follow() {
+	peers := n.cfg.controls()
+	for at := rand.IntN(len(peers)); n.ctx.Err() == nil; at = (at + 1) % len(peers) {
+		err := n.followOne(peers[at])
+		if n.ctx.Err() == nil {
+			n.cfg.Logger.Log("event", "watch_ended", "peer", peers[at].Name, "applied", n.machine.Applied(), "err", err)
+		}
+		sleep(n.ctx, minBackoff)
+	}
+}
+
+func (n *Node) followOne(p Peer) error {
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	n.refollow.Store(&cancel)
+	stall := time.AfterFunc(stallTimeout, cancel)
+	defer stall.Stop()
+	conn := n.links.get(p.Address).ready(ctx)
+	if conn == nil {
+		return fmt.Errorf("no connection to %s", p.Address)
+	}
+	next := n.machine.Applied() + 1
+	stream, err := wire.NewControlClient(conn).Watch(ctx, &wire.WatchRequest{From: next})
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	for {
+		resp, err := stream.Recv()
+		if err != nil {
+			return fmt.Errorf("receive: %w", err)
+		}
+		stall.Reset(stallTimeout)
+		if next, err = n.received(resp, next); err != nil {
+			return err
+		}
+	}
+}
+
+// received applies one response and returns the next index wanted.
+func (n *Node) received(resp *wire.WatchResponse, next uint64) (uint64, error) {
+	if a := resp.GetLeader(); a != "" && n.leaderName() == "" {
+		n.learn(a)
+	}
+	if m := resp.GetMembers(); m != nil {
+		n.applier.setMembership(membershipFromWire(m))
+	}
+	if s := snapshotFromWire(resp.GetSnapshot()); s != nil {
+		if s.Index < next {
+			return next, fmt.Errorf("snapshot at %d is older than the state at %d", s.Index, next-1)
+		}
+		n.applier.do(work{snapshot: s})
+		if got := n.machine.Applied(); got != s.Index {
+			return next, fmt.Errorf("snapshot at %d gives a state at %d", s.Index, got)
+		}
+		next = s.Index + 1
+	}
+	entries := entriesFromWire(resp.GetEntries())
+	for _, e := range entries {
+		if e.Index != next {
+			return next, fmt.Errorf("received entry %d instead of %d", e.Index, next)
+		}
+		next++
+	}
+	n.applier.do(work{entries: entries})
+	n.applier.forget()
+	return next, nil
+}
+
+// watch serves Control.Watch: a snapshot first where entries are compacted, then
+// entries as they are applied, and something at least every watchKeepalive.
+func (n *Node) watch(req *wire.WatchRequest, stream grpc.ServerStreamingServer[wire.WatchResponse]) error {
+	if n.member.Load() == nil {
+		return errNoMember
+	}
+	next := max(req.GetFrom(), 1)
+	resp := &wire.WatchResponse{Members: membershipToWire(n.applier.membership()), Leader: n.leaderName()}
+	keepalive := time.NewTicker(watchKeepalive)
+	defer keepalive.Stop()
+	for {
+		changed := n.machine.Changed()
+		entries, snapshot := n.applier.since(next, maxWatchBytes)
+		resp.Entries, resp.Snapshot = entriesToWire(entries), snapshotToWire(snapshot)
+		next = after(next, entries, snapshot)
+		if len(entries) > 0 || snapshot != nil || resp.Leader != "" || resp.Members != nil {
+			if err := stream.Send(resp); err != nil {
+				return err //nolint:wrapcheck // a gRPC status.
+			}
+			resp = &wire.WatchResponse{}
+			continue
+		}
+		select {
+		case <-changed:
+		case <-keepalive.C:
+			resp.Leader = n.leaderName()
+			if resp.Leader == "" {
+				if err := stream.Send(resp); err != nil {
+					return err //nolint:wrapcheck // a gRPC status.
+				}
+			}
+		case <-stream.Context().Done():
+			return nil
+		case <-n.ctx.Done():
+			return errStopping
+		}
+	}
+}
+
+func after(next uint64, entries []quorum.Entry, s *quorum.Snapshot) uint64 {
+	if s != nil {
+		return s.Index + 1
+	}
+	return next + uint64(len(entries))
+}
+
+// forget drops the applied entries that an instance without a disk has no use for.
+func (a *applier) forget() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recent, a.snapshot, a.sinceN, a.sinceB = nil, nil, 0, 0
+}
+
+func (a *applier) setMembership(m quorum.Membership) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.members = m
+}
+
+func (a *applier) setPersist(f func(quorum.Snapshot, uint64) error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.persist = f
+}
+
+var (
+	errNoMember = grpcError(model.CodeUnavailable, "this instance has no membership")
+	errStopping = grpcError(model.CodeShuttingDown, "instance is stopping")
+)
--- a/store/files.go
+++ b/store/files.go
@@ -201,6 +201,14 @@
 	return d.syncFolder(d.path)
 }
 
+func (d folder) hasPutAside() (bool, error) {
+	_, err := os.Stat(d.file(damagedName))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return false, fmt.Errorf("look for damaged files: %w", err)
+	}
+	return err == nil, nil
+}
+
 // identity returns the ID of the folder and makes one when there is none. Files
 // without an identity are put aside, since nothing says whose they are.
 func (d folder) identity() (string, error) {
--- a/store/store.go
+++ b/store/store.go
@@ -38,6 +38,8 @@
 	Membership *quorum.Membership
 	// Repair is damage other than a torn tail: the instance must not vote and is repaired from peers.
 	Repair error
+	// PutAside says that files of an earlier identity were put aside: the disk is not a fresh one.
+	PutAside bool
 }
 
 // Store is an open data folder.
@@ -99,6 +101,9 @@
 	if rec.ID, err = s.dir.identity(); err != nil {
 		return rec, err
 	}
+	if rec.PutAside, err = s.dir.hasPutAside(); err != nil {
+		return rec, err
+	}
 	if rec.Membership, err = s.dir.loadMembership(); err != nil {
 		return rec, err
 	}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -172,6 +172,7 @@
 		Expect(rec.Repair).NotTo(HaveOccurred())
 		Expect(rec.ID).NotTo(Equal(id))
 		Expect(rec.Entries).To(BeEmpty())
+		Expect(rec.PutAside).To(BeTrue())
 	})
 
 	It("makes another identity when only that file is lost, and reads none of the rest", func() {
