Assemble the roles and add the command line

The command line has one file per subcommand, documented exit codes and a next step for each error. Connections between instances take transport credentials, a new field of ctrl.Config, so that they can use mutual TLS.

--- a/auth/auth_test.go
+++ b/auth/auth_test.go
@@ -131,7 +131,7 @@
 	It("accept instances of the deployment in both directions", func() {
 		dir, _ := authority("c1", "c2")
 		a, b := keysOf(dir, "c1", auth.Watch{}), keysOf(dir, "c2", auth.Watch{})
-		_, clientErr, serverErr := shake(a.Peers(names), b.Peers(names))
+		_, clientErr, serverErr := shake(a.Peers(names, nil), b.Peers(names, nil))
 		Expect(clientErr).NotTo(HaveOccurred())
 		Expect(serverErr).NotTo(HaveOccurred())
 	})
@@ -139,9 +139,9 @@
 	It("refuse another authority, another name and no certificate at all", func() {
 		dir, _ := authority("c1", "c2", "intruder")
 		other, _ := authority("c2")
-		good := keysOf(dir, "c1", auth.Watch{}).Peers(names)
-		stranger := keysOf(other, "c2", auth.Watch{}).Peers(names)
-		intruder := keysOf(dir, "intruder", auth.Watch{}).Peers(append(names, "intruder"))
+		good := keysOf(dir, "c1", auth.Watch{}).Peers(names, nil)
+		stranger := keysOf(other, "c2", auth.Watch{}).Peers(names, nil)
+		intruder := keysOf(dir, "intruder", auth.Watch{}).Peers(append(names, "intruder"), nil)
 		for _, bad := range []credentials.TransportCredentials{stranger, intruder} {
 			_, clientErr, _ := shake(good, bad)
 			Expect(clientErr).To(HaveOccurred())
@@ -157,12 +157,12 @@
 		dir, _ := authority("c1", "c2")
 		c := &clock{t: time.Unix(1000, 0)}
 		a, b := keysOf(dir, "c1", auth.Watch{}), keysOf(dir, "c2", auth.Watch{Now: c.now})
-		before, _, _ := shake(a.Peers(names), b.Peers(names))
+		before, _, _ := shake(a.Peers(names, nil), b.Peers(names, nil))
 		again, err := auth.OpenAuthority(dir)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.Issue("c2", nil)).To(Succeed())
 		c.pass(2 * time.Second)
-		after, clientErr, _ := shake(a.Peers(names), b.Peers(names))
+		after, clientErr, _ := shake(a.Peers(names, nil), b.Peers(names, nil))
 		Expect(clientErr).NotTo(HaveOccurred())
 		Expect(after).NotTo(Equal(before))
 	})
--- a/auth/tls.go
+++ b/auth/tls.go
@@ -83,13 +83,18 @@
 // Peers returns credentials for connections between processes, in both
 // directions. The other side must present a certificate of the authority that
 // names one of the instances; addresses are not compared, so instances can move.
-func (k *Keys) Peers(names []string) credentials.TransportCredentials {
-	return peerCredentials{keys: k, names: names}
+// Failed handshakes are reported, since gRPC only shows them as a lost connection.
+func (k *Keys) Peers(names []string, report func(error)) credentials.TransportCredentials {
+	if report == nil {
+		report = func(error) {}
+	}
+	return peerCredentials{keys: k, names: names, report: report}
 }
 
 type peerCredentials struct {
-	keys  *Keys
-	names []string
+	keys   *Keys
+	names  []string
+	report func(error)
 }
 
 // config returns the TLS settings with the present certificate and authorities.
@@ -126,12 +131,24 @@
 
 // ClientHandshake authenticates both sides of a connection that this process opened.
 func (p peerCredentials) ClientHandshake(ctx context.Context, authority string, c net.Conn) (net.Conn, credentials.AuthInfo, error) {
-	return credentials.NewTLS(p.config()).ClientHandshake(ctx, authority, c)
+	conn, info, err := credentials.NewTLS(p.config()).ClientHandshake(ctx, authority, c)
+	return conn, info, p.failed("handshake with", c, err)
 }
 
 // ServerHandshake authenticates both sides of a connection that this process accepted.
 func (p peerCredentials) ServerHandshake(c net.Conn) (net.Conn, credentials.AuthInfo, error) {
-	return credentials.NewTLS(p.config()).ServerHandshake(c)
+	conn, info, err := credentials.NewTLS(p.config()).ServerHandshake(c)
+	return conn, info, p.failed("handshake from", c, err)
+}
+
+// failed reports and returns the error of a handshake, nil when there is none.
+func (p peerCredentials) failed(what string, c net.Conn, err error) error {
+	if err == nil {
+		return nil
+	}
+	err = fmt.Errorf("%s %s: %w", what, c.RemoteAddr(), err)
+	p.report(err)
+	return err
 }
 
 // Info describes the protocol.
--- /dev/null
+++ b/cmd/turmericroute/exit.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+
+	"turmericroute/client"
+	"turmericroute/model"
+)
+
+// Exit codes; docs/commands.md documents them.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitRefused     = 3
+	exitUnknown     = 4
+	exitUnreachable = 5
+)
+
+// usageError is a wrong command line or file, with what to do next.
+type usageError struct {
+	message, hint string
+	faults        []string
+}
+
+// Error returns the message.
+func (e *usageError) Error() string { return e.message }
+
+func usagef(hint, format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...), hint: hint}
+}
+
+// hinted adds what to do next to an error of the API.
+type hinted struct {
+	err  error
+	hint string
+}
+
+// Error returns the message of the error.
+func (e *hinted) Error() string { return e.err.Error() }
+
+// Unwrap returns the error.
+func (e *hinted) Unwrap() error { return e.err }
+
+// report writes an error with what to do next and returns the exit code.
+func (a *app) report(err error) int {
+	code, message, hint := a.explain(err)
+	fmt.Fprintf(a.err, "error: %s\n", message)
+	for _, f := range faultsOf(err) {
+		fmt.Fprintf(a.err, "  %s\n", f)
+	}
+	fmt.Fprintf(a.err, "next: %s\n", hint)
+	return code
+}
+
+func faultsOf(err error) []string {
+	var u *usageError
+	var m *model.Error
+	switch {
+	case errors.As(err, &u):
+		return u.faults
+	case errors.As(err, &m):
+		return m.Faults
+	default:
+		return nil
+	}
+}
+
+func (a *app) explain(err error) (code int, message, hint string) {
+	var u *usageError
+	var h *hinted
+	var m *model.Error
+	if errors.As(err, &h) {
+		hint = h.hint
+	}
+	switch {
+	case errors.As(err, &u):
+		return exitUsage, u.message, u.hint
+	case errors.As(err, &m):
+		code, next := classify(err, m)
+		if hint == "" {
+			hint = next
+		}
+		return code, fmt.Sprintf("%s (%s)", m.Message, m.Code), hint
+	case errors.Is(err, context.Canceled):
+		return exitUnknown, "interrupted", "run the command again; it is safe to repeat"
+	case hint == "":
+		hint = "see: " + program + " -h"
+	}
+	return exitFailed, err.Error(), hint
+}
+
+// classify returns the exit code of an error of the API and what to do next.
+func classify(err error, m *model.Error) (int, string) {
+	switch {
+	case client.Unreachable.Has(err):
+		return exitUnreachable, "check -addresses and that an instance runs there; nothing was changed"
+	case m.Outcome != model.OutcomeNotRun:
+		return exitUnknown, "it may have been carried out: look at the state, or repeat the same command with the same ID"
+	}
+	return exitRefused, nextStep(m.Code)
+}
+
+func nextStep(code model.Code) string {
+	switch code {
+	case model.CodeStaleVersion:
+		return "another change was accepted first: look at it with 'config history', then run the command again"
+	case model.CodeImpossible:
+		return "change the request, or the configuration that it does not fit"
+	case model.CodeNotFound:
+		return "check the name; list what exists with 'job list', 'worker list' or 'config get'"
+	case model.CodeConflict, model.CodeKeyConflict:
+		return "use another ID, or repeat the request exactly as it was sent first"
+	case model.CodeInvalid, model.CodeTooLarge, model.CodeUnsupportedMedia:
+		return "correct what is named above and run the command again"
+	case model.CodeLimit:
+		return "wait until requests of the team have finished"
+	case model.CodeUnauthorised, model.CodeForbidden:
+		return "set a token of the needed role with -token or " + envPrefix + "_TOKEN"
+	default:
+		return "wait a few seconds and run the command again; if it persists, look at 'status' on each instance"
+	}
+}
+
+// flagHint suggests the nearest flag of the command that refused one.
+func (a *app) flagHint(err error) string {
+	c := a.helped()
+	path := c.FlagSet.Name()
+	_, name, ok := strings.Cut(err.Error(), "flag provided but not defined: -")
+	if !ok {
+		return "see: " + path + " -h"
+	}
+	var names []string
+	c.FlagSet.VisitAll(func(f *flag.Flag) { names = append(names, f.Name) })
+	if near := nearest(strings.TrimLeft(name, "-"), names); near != "" {
+		return fmt.Sprintf("did you mean -%s? See: %s -h", near, path)
+	}
+	return "see: " + path + " -h"
+}
--- /dev/null
+++ b/cmd/turmericroute/job_cancel.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"turmericroute/client"
+)
+
+const jobCancelUsage = `
+Asks for the end of a job. A running job is stopped on all its workers first; it
+is then "stopping" until they confirm. Cancelling twice is safe.
+
+EXAMPLE
+  turmericroute job cancel bend-417`
+
+func jobCancelCommand() leaf {
+	return leaf{
+		name: "cancel", args: "ID", short: "cancel a job", long: jobCancelUsage, minArgs: 1, maxArgs: 1,
+		run: call(func(ctx context.Context, s *session, c *client.Client, args []string) error {
+			j, err := c.CancelJob(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return s.print(j, func(w io.Writer) error {
+				_, err := fmt.Fprintf(w, "job %s is %s\n", j.Spec.ID, j.State)
+				return err
+			})
+		}),
+	}
+}
--- /dev/null
+++ b/cmd/turmericroute/job_get.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"turmericroute/client"
+	"turmericroute/model"
+)
+
+const jobGetUsage = `
+Shows state, attempt, placement and checkpoint of one job.
+
+EXAMPLE
+  turmericroute job get bend-417`
+
+func jobGetCommand() leaf {
+	return leaf{
+		name: "get", args: "ID", short: "show a job", long: jobGetUsage, minArgs: 1, maxArgs: 1,
+		run: call(func(ctx context.Context, s *session, c *client.Client, args []string) error {
+			j, err := c.Job(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return s.print(j, func(w io.Writer) error { return printJob(w, j) })
+		}),
+	}
+}
+
+func printJob(w io.Writer, j model.Job) error {
+	return table(w, "FIELD VALUE", [][]string{
+		{"id", j.Spec.ID}, {"team", j.Spec.Team}, {"state", string(j.State)}, {"reason", orDash(j.Reason)},
+		{"shape", shapeText(j.Spec.Shape)},
+		{"attempt", fmt.Sprint(j.Attempt)}, {"failures", fmt.Sprint(j.Failures)},
+		{"workers", orDash(strings.Join(j.Placement.Workers, " "))},
+		{"checkpoint_s", fmt.Sprintf("%.1f", j.Checkpoint)},
+		{"accepted", clock(j.Accepted)}, {"started", clock(j.Started)}, {"finished", clock(j.Finished)},
+	})
+}
+
+func shapeText(s model.Shape) string {
+	text := fmt.Sprintf("%dx(%d gpus, %d cores, %d MiB)", s.Tasks, s.GPUs, s.Cores, s.MemoryMB)
+	if s.SameRack {
+		text += " in one rack"
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/turmericroute/keys_test.go
@@ -0,0 +1,98 @@
+package main_test
+
+import (
+	"crypto/tls"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/auth"
+	"turmericroute/fakes"
+	"turmericroute/webapi"
+)
+
+const exampleSettings = "../../examples/cobreria/c1.yaml"
+
+var secretPattern = regexp.MustCompile(`trk_\w+`)
+
+var _ = Describe("keys", func() {
+	It("let an operator call instances over TLS with a token, and nobody without one", func() {
+		dir := filepath.Join(GinkgoT().TempDir(), "keys")
+		out := (&runner{}).ok("keys", "init", "-settings", exampleSettings, "-dir", dir)
+		secret := secretPattern.FindString(out)
+		Expect(secret).NotTo(BeEmpty())
+		kept, err := os.ReadFile(filepath.Join(dir, "tokens.yaml"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(kept)).NotTo(ContainSubstring(secret))
+
+		tokens, faults, err := auth.ReadTokens(filepath.Join(dir, "tokens.yaml"), auth.Watch{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(faults).To(BeEmpty())
+		keys, err := auth.ReadKeys(auth.Files{Cert: filepath.Join(dir, "c1.crt"), Key: filepath.Join(dir, "c1.key")}, auth.Watch{})
+		Expect(err).NotTo(HaveOccurred())
+		s := httptest.NewUnstartedServer(webapi.New(webapi.Config{Replica: fakes.NewReplica(), Tokens: tokens}))
+		s.Listener = tls.NewListener(s.Listener, keys.Server())
+		s.Start()
+		DeferCleanup(s.Close)
+		r := &runner{env: []string{"TURMERICROUTE_ADDRESSES=" + s.Listener.Addr().String(), "TURMERICROUTE_CA=" + filepath.Join(dir, "ca.crt")}}
+		res := r.run("job", "list")
+		Expect(res.code).To(Equal(3), res.err)
+		Expect(res.err).To(ContainSubstring("TURMERICROUTE_TOKEN"))
+		r.env = append(r.env, "TURMERICROUTE_TOKEN="+secret)
+		Expect(r.ok("job", "list")).To(HavePrefix("ID"))
+
+		res = r.run("keys", "init", "-settings", exampleSettings, "-dir", dir)
+		Expect(res.code).To(Equal(2))
+		Expect(res.err).To(ContainSubstring("holds an authority already"))
+		Expect(r.ok("keys", "renew", "-settings", exampleSettings, "-dir", dir)).To(ContainSubstring("7 instances"))
+		Expect(r.ok("job", "list")).To(HavePrefix("ID"))
+	})
+
+	It("are made for a team, and refused for an unknown role", func() {
+		out := (&runner{}).ok("keys", "token", "-name", "ci", "-role", "team", "-subject", "tejados")
+		Expect(out).To(ContainSubstring(auth.HashOf(secretPattern.FindString(out))))
+		res := (&runner{}).run("keys", "token", "-name", "ci", "-role", "root")
+		Expect(res.code).To(Equal(2))
+	})
+})
+
+var _ = Describe("completion", func() {
+	It("completes subcommands and flags, and knows three shells", func() {
+		r := &runner{}
+		Expect(r.ok("completion", "words", "--", "con")).To(Equal("config\n"))
+		Expect(strings.Fields(r.ok("completion", "words", "--", "job", ""))).To(Equal([]string{"submit", "get", "list", "cancel"}))
+		Expect(r.ok("completion", "words", "--", "job", "submit", "-same")).To(Equal("-same-rack\n"))
+		for _, shell := range []string{"bash", "zsh", "fish"} {
+			Expect(r.ok("completion", shell)).To(ContainSubstring("completion words"))
+		}
+		Expect(r.run("completion", "csh").code).To(Equal(2))
+	})
+})
+
+var _ = Describe("docs/commands.md", func() {
+	It("lists every command and every exit code", func() {
+		page, err := os.ReadFile("../../docs/commands.md")
+		Expect(err).NotTo(HaveOccurred())
+		r := &runner{}
+		for _, name := range strings.Fields(r.ok("completion", "words", "--", "")) {
+			paths := []string{name}
+			if subs := strings.Fields(r.ok("completion", "words", "--", name, "")); len(subs) > 0 {
+				paths = nil
+				for _, s := range subs {
+					paths = append(paths, name+" "+s)
+				}
+			}
+			for _, p := range paths {
+				Expect(string(page)).To(ContainSubstring("`turmericroute " + p))
+			}
+		}
+		for _, code := range []string{"0", "1", "2", "3", "4", "5"} {
+			Expect(string(page)).To(ContainSubstring("\n| " + code + " | "))
+		}
+	})
+})
--- /dev/null
+++ b/cmd/turmericroute/serve.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"turmericroute/config"
+	"turmericroute/serve"
+)
+
+const serveUsage = `
+Runs one instance with the roles that its settings name, until it receives an
+interrupt or a termination signal; it then finishes the requests in flight and
+hands over leadership. All faults in the settings are reported before anything
+listens. With -check the settings are only checked.
+
+EXAMPLE
+  turmericroute serve -settings examples/cobreria/a1.yaml`
+
+func serveCommand() leaf {
+	var settings string
+	var check bool
+	return leaf{
+		name: "serve", short: "run an instance", long: serveUsage, local: true,
+		flags: func(fs *flag.FlagSet) {
+			fs.StringVar(&settings, "settings", "", "YAML `file` with the settings of the process")
+			fs.BoolVar(&check, "check", false, "check the settings and end")
+		},
+		run: func(ctx context.Context, s *session, _ []string) error {
+			cfg, err := readSettings(settings)
+			if err != nil {
+				return err
+			}
+			if check {
+				fmt.Fprintf(s.out, "valid: instance %s\n", cfg.Name)
+				return nil
+			}
+			if err := serve.Run(ctx, cfg, serve.NewLogger(s.err, cfg.LogLevel)); err != nil {
+				return &hinted{err: fmt.Errorf("serve: %w", err), hint: "read the log lines above; docs/operations.md lists the usual causes"}
+			}
+			return nil
+		},
+	}
+}
+
+func readSettings(path string) (serve.Settings, error) {
+	if path == "" {
+		return serve.Settings{}, usagef("add -settings FILE", "no settings file is named")
+	}
+	cfg, faults, err := serve.ReadSettings(path)
+	if err != nil {
+		return serve.Settings{}, usagef("check the path after -settings", "%v", err)
+	}
+	if len(faults) > 0 {
+		return serve.Settings{}, &usageError{
+			message: fmt.Sprintf("%d faults in the settings", len(faults)),
+			hint:    "correct the lines above; nothing was started", faults: config.Strings(faults),
+		}
+	}
+	return cfg, nil
+}
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"turmericroute/model"
 	"turmericroute/quorum"
@@ -106,6 +108,8 @@
 	Leader  LeaderRole
 	Logger  log.Logger
 	Metrics *metrics.Set
+	// Credentials authenticate connections between instances in both directions; nil means plain TCP.
+	Credentials credentials.TransportCredentials
 	// Listen replaces net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 	// SnapshotEntries and SnapshotBytes bound what is applied between two snapshots; 0 means the defaults.
@@ -120,6 +124,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
+	if cfg.Credentials == nil {
+		cfg.Credentials = insecure.NewCredentials()
+	}
 	if cfg.Listen == nil {
 		cfg.Listen = net.Listen
 	}
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 )
 
 const (
@@ -40,6 +40,7 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	logger         log.Logger
+	credentials    credentials.TransportCredentials
 	sent, received *metrics.Counter
 	reconnects     *metrics.Counter
 
@@ -51,7 +52,7 @@
 func newLinks(cfg Config) *links {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &links{
-		ctx: ctx, cancel: cancel, logger: cfg.Logger, by: map[string]*link{},
+		ctx: ctx, cancel: cancel, logger: cfg.Logger, credentials: cfg.Credentials, by: map[string]*link{},
 		sent:       cfg.Metrics.NewCounter(`turmericroute_ctrl_sent_bytes_total`),
 		received:   cfg.Metrics.NewCounter(`turmericroute_ctrl_received_bytes_total`),
 		reconnects: cfg.Metrics.NewCounter(`turmericroute_ctrl_reconnects_total`),
@@ -98,7 +99,7 @@
 	ctx, cancel := context.WithCancel(l.pool.ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(l.pool.credentials),
 		grpc.WithContextDialer(l.pool.dial),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -32,6 +32,7 @@
 
 func newServer(n *Node) *grpc.Server {
 	s := grpc.NewServer(
+		grpc.Creds(n.cfg.Credentials),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: idlePing, Timeout: idleTimeout}),
--- a/serve/log.go
+++ b/serve/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"sync/atomic"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -14,3 +16,18 @@
 	l = level.NewFilter(l, level.Allow(level.ParseDefault(name, level.InfoValue())))
 	return log.With(l, "ts", log.DefaultTimestampUTC)
 }
+
+// warnInterval bounds how often a failure that repeats several times a second is logged.
+const warnInterval = 10 * time.Second
+
+// warnSeldom returns a function that logs an error unless it has just done so.
+func warnSeldom(logger log.Logger) func(error) {
+	var last atomic.Int64
+	return func(err error) {
+		now := time.Now().UnixNano()
+		before := last.Load()
+		if now-before >= int64(warnInterval) && last.CompareAndSwap(before, now) {
+			level.Warn(logger).Log("event", "peer_refused", "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/serve/run.go
@@ -0,0 +1,98 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"turmericroute/auth"
+	"turmericroute/ctrl"
+	"turmericroute/entry"
+	"turmericroute/gang"
+	"turmericroute/place"
+)
+
+// Run runs an instance until ctx ends and then shuts it down gracefully.
+func Run(ctx context.Context, s Settings, logger log.Logger) error {
+	parts, err := assemble(s, logger)
+	if err != nil {
+		return err
+	}
+	return NewProcess(s, parts).Run(ctx)
+}
+
+// assemble makes the parts of a process. Every process serves the whole HTTP
+// API, so each has the request path, whatever its roles.
+func assemble(s Settings, logger log.Logger) (Parts, error) {
+	set := metrics.NewSet()
+	cfg := ctrl.Config{
+		Name: s.Name, DataCentre: s.DataCentre, Address: s.GRPC.Address, DataDir: s.DataFolder, Bootstrap: s.Bootstrap,
+		Logger: log.With(logger, "part", "control"), Metrics: set,
+	}
+	for _, p := range s.Peers {
+		cfg.Peers = append(cfg.Peers, ctrl.Peer{Name: p.Name, Address: p.GRPCAddress, Control: p.Control})
+	}
+	if s.Has(RoleControl) {
+		cfg.Leader = gang.New(gang.Config{Logger: log.With(logger, "part", "gang"), Metrics: set, Place: place.Config{}})
+	}
+	p := Parts{Metrics: set, Logger: logger, CheckConfig: Shortages, CheckJob: place.CheckJob}
+	if err := secure(s, &p, &cfg); err != nil {
+		return Parts{}, err
+	}
+	node, err := ctrl.New(cfg)
+	if err != nil {
+		return Parts{}, fmt.Errorf("open replica: %w", err)
+	}
+	p.Node = node
+	p.Services = entry.New(entry.Config{
+		Replica: node, Name: s.Name, DataCentre: s.DataCentre, Logger: log.With(logger, "part", "entry"), Metrics: set,
+		Entries: s.names, MaxBodyBytes: int64(s.Limits.MaxBodyBytes),
+	})
+	return p, nil
+}
+
+// secure adds keys and tokens to the parts and to the settings of the replica.
+func secure(s Settings, p *Parts, cfg *ctrl.Config) error {
+	how := auth.Watch{OnError: func(err error) { level.Error(p.Logger).Log("event", "reload_failed", "err", err) }}
+	if s.HTTP.TLS != nil {
+		keys, err := auth.ReadKeys(*s.HTTP.TLS, how)
+		if err != nil {
+			return fmt.Errorf("keys of the HTTP listener: %w", err)
+		}
+		p.Keys = keys
+	}
+	if s.GRPC.TLS != nil {
+		keys, err := auth.ReadKeys(*s.GRPC.TLS, how)
+		if err != nil {
+			return fmt.Errorf("keys between processes: %w", err)
+		}
+		cfg.Credentials = keys.Peers(s.names(), warnSeldom(p.Logger))
+	}
+	if s.Tokens == "" {
+		return nil
+	}
+	tokens, faults, err := auth.ReadTokens(s.Tokens, how)
+	if err == nil && len(faults) > 0 {
+		err = errors.New(faults[0].String())
+	}
+	if err != nil {
+		return fmt.Errorf("tokens: %w", err)
+	}
+	p.Tokens = tokens
+	return nil
+}
+
+// names returns the names of all instances. They share team limits and
+// connections: one that is down keeps its share until the settings change, so
+// limits hold without agreement on who is alive.
+func (s Settings) names() []string {
+	names := make([]string, len(s.Peers))
+	for i, p := range s.Peers {
+		names[i] = p.Name
+	}
+	return names
+}
