--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -107,7 +107,7 @@
 		a.group("upstream", "lists upstreams", a.leaf("upstream", upstreamListCommand())),
 		a.group("keys", "makes development keys and access tokens", a.leaf("keys", keysInitCommand()), a.leaf("keys", keysRenewCommand()),
 			a.leaf("keys", keysTokenCommand())),
-		a.leaf("", statusCommand()), a.leaf("", dumpCommand()), a.leaf("", completionCommand()), a.leaf("", versionCommand()),
+		a.leaf("", statusCommand()), a.leaf("", tryCommand()), a.leaf("", dumpCommand()), a.leaf("", completionCommand()), a.leaf("", versionCommand()),
 	)
 }
 
