--- a/sizing/run.go
+++ b/sizing/run.go
@@ -40,7 +40,7 @@
 	FullWorkers = 880
 	FullTasks   = 8600
 	teams       = 22
-	racksPerDC  = 11
+	perRack     = 16
 	dataCentres = 5
 	gangTasks   = 10
 )
@@ -178,6 +178,7 @@
 func declare(workers int) config.Config {
 	var cfg config.Config
 	left := workers
+	racksPerDC := (workers + dataCentres*perRack - 1) / (dataCentres * perRack)
 	for d := range dataCentres {
 		dc := config.DataCentre{Name: fmt.Sprintf("dc%d", d+1), Region: fmt.Sprintf("region%d", d/3+1)}
 		for r := range racksPerDC {
