Test the request path against faulty upstreams

Go's transport puts a connection back into use before it looks for bytes beyond the answer.

An answer that names another request is refused as well. A latency estimate steers only after ten samples and fades when no request refreshes it.

--- a/entry/conn.go
+++ b/entry/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -20,28 +21,67 @@
 	maxAnswerHeaderBytes = 64 << 10
 )
 
-var errSealed = errors.New("nothing more is written to this connection")
+var (
+	errSealed  = errors.New("nothing more is written to this connection")
+	errSurplus = errors.New("the executor sent bytes beyond its answer")
+)
 
-// countedConn counts writes, so that after a failure it is known whether any
-// byte of a request can have reached the executor.
-type countedConn struct {
+// upstreamConn is a connection to an executor. It counts writes, so that after
+// a failure it is known whether any byte of a request can have reached the
+// executor, and it ends at bytes that belong to no answer.
+type upstreamConn struct {
 	net.Conn
 	writes atomic.Int64
 	sealed atomic.Bool
+
+	mu    sync.Mutex
+	frame framer
+}
+
+// begin prepares for one request and returns the count of writes before it. A connection
+// with an unfinished answer is sealed.
+func (c *upstreamConn) begin(method string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.frame.begin(method) {
+		c.sealed.Store(true)
+	}
+	return c.writes.Load()
+}
+
+// Read reads bytes of the expected answer and fails at surplus ones.
+func (c *upstreamConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	m := c.frame.feed(b[:n])
+	c.mu.Unlock()
+	if m == n {
+		return n, err
+	}
+	c.sealed.Store(true)
+	c.Close()
+	if m == 0 {
+		return 0, errSurplus
+	}
+	return m, nil
 }
 
 // Write writes b unless the connection is sealed. The count goes up before the
 // check, so a write that seal did not stop is always counted.
-func (c *countedConn) Write(b []byte) (int, error) {
+func (c *upstreamConn) Write(b []byte) (int, error) {
 	c.writes.Add(1)
 	if c.sealed.Load() {
+		c.writes.Add(-1)
 		return 0, errSealed
 	}
 	return c.Conn.Write(b)
 }
 
 // seal stops all later writes and reports whether none began since the count was mark.
-func (c *countedConn) seal(mark int64) bool {
+func (c *upstreamConn) seal(mark int64) bool {
 	c.sealed.Store(true)
 	return c.writes.Load() == mark
 }
@@ -59,7 +99,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c}, nil
+			return &upstreamConn{Conn: c}, nil
 		},
 		MaxConnsPerHost:        perHost,
 		MaxIdleConnsPerHost:    idle,
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,266 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/entry"
+	"turmericroute/fakes"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+var _ = Describe("Requests", func() {
+	// Guards the plain path: method, path, query, body and status pass unchanged, one run each.
+	It("reach an executor and get its answer", func() {
+		r := newReplica()
+		u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{Status: http.StatusCreated})
+		s := newStand(r, nil)
+		s.usable(1)
+		for _, method := range []string{"GET", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"} {
+			for _, body := range []string{"", "seam plan"} {
+				id := method + body
+				got := s.do(call{id: strings.ReplaceAll(id, " ", "-"), method: method, body: body, path: "plans/a%2Fb?x=%2F"})
+				Expect(got.err).NotTo(HaveOccurred())
+				Expect(got.status).To(Equal(http.StatusCreated))
+				Expect(got.outcome).To(Equal(model.OutcomeDone))
+				run := u.Ledger()[strings.ReplaceAll(id, " ", "-")]
+				Expect(run.Started).To(Equal(1))
+				Expect(string(run.Body)).To(Equal(body))
+				Expect(run.URL).To(Equal("/plans/a%2Fb?x=%2F"))
+			}
+		}
+		got := s.do(call{method: "HEAD", id: "h"})
+		Expect(got.header.Get("Content-Length")).To(Equal(fmt.Sprint(len(fakes.Body("h", 0)))))
+	})
+
+	// Guards that headers of one connection and the caller's key never reach executors,
+	// and that the internal headers of the executor never reach the caller.
+	It("pass on end-to-end headers only", func() {
+		r := newReplica()
+		u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{})
+		s := newStand(r, nil)
+		s.usable(1)
+		got := s.do(call{key: "k1", header: map[string]string{
+			"Connection": "X-Hop, close", "X-Hop": "1", "Te": "trailers", "Keep-Alive": "3", "X-End": "2", "Turmericroute-Key": "forged",
+		}})
+		Expect(got.header).NotTo(HaveKey("Turmericroute-Load"))
+		h := u.Ledger()["k1"].Header
+		Expect(h.Get("X-End")).To(Equal("2"))
+		Expect(h.Values("Turmericroute-Key")).To(Equal([]string{"k1"}))
+		for _, name := range []string{"X-Hop", "Te", "Keep-Alive", "Idempotency-Key", "Turmericroute-Key-Time"} {
+			Expect(h).NotTo(HaveKey(name))
+		}
+	})
+
+	// Guards against running requests that break the rules, and against a false not_run for a key
+	// whose earlier sending may have run.
+	DescribeTable("are refused before they are sent",
+		func(c call, status int, code model.Code, outcome model.Outcome) {
+			r := newReplica()
+			u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{})
+			s := newStand(r, func(c *entry.Config) { c.MaxBodyBytes = 100 })
+			s.usable(1)
+			got := s.do(c)
+			Expect([]any{got.status, got.code, got.outcome}).To(Equal([]any{status, string(code), outcome}))
+			Expect(u.Ledger()).To(BeEmpty())
+		},
+		Entry("unknown team", call{team: "nobody"}, 404, model.CodeNotFound, model.OutcomeNotRun),
+		Entry("no team", call{header: map[string]string{entry.HeaderTeam: ""}}, 400, model.CodeInvalid, model.OutcomeNotRun),
+		Entry("team without data centre in use", call{team: "norte"}, 503, model.CodeNoUpstream, model.OutcomeNotRun),
+		Entry("large body", call{body: strings.Repeat("x", 101)}, 413, model.CodeTooLarge, model.OutcomeNotRun),
+		Entry("bad timeout", call{header: map[string]string{entry.HeaderTimeout: "-1"}}, 400, model.CodeInvalid, model.OutcomeNotRun),
+		Entry("bad mark", call{header: map[string]string{entry.HeaderIdempotent: "no"}}, 400, model.CodeInvalid, model.OutcomeNotRun),
+		Entry("mark without key", call{header: map[string]string{entry.HeaderIdempotent: "false"}}, 400, model.CodeInvalid, model.OutcomeNotRun),
+		Entry("key without time", call{key: "k", header: map[string]string{entry.HeaderKeyTime: ""}}, 400, model.CodeInvalid, model.OutcomeUnknown),
+		Entry("old key", call{key: "k", header: map[string]string{entry.HeaderKeyTime: "1700000000000"}}, 410, model.CodeKeyExpired, model.OutcomeUnknown),
+		Entry("key from the future", call{key: "k", header: map[string]string{entry.HeaderKeyTime: "99999999999999"}}, 400, model.CodeInvalid, model.OutcomeUnknown),
+	)
+
+	// Guards the hard bound of a team's requests at one entry.
+	It("are bounded by the team's limit", func() {
+		r := newReplica()
+		u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{Mode: fakes.Hang})
+		s := newStand(r, nil)
+		s.usable(1)
+		var wg sync.WaitGroup
+		for i := range 2 {
+			wg.Go(func() { s.do(call{team: "pequena", id: fmt.Sprint("held", i), timeout: 400 * time.Millisecond}) })
+		}
+		Eventually(u.Ledger).Should(HaveLen(2))
+		Expect(s.do(call{team: "pequena"}).code).To(Equal(string(model.CodeLimit)))
+		wg.Wait()
+	})
+
+	// Guards that a stale view sends nothing, neither at arrival nor from the queue.
+	It("are not sent by an entry with a stale view", func() {
+		r := newReplica()
+		u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{Delay: 300 * time.Millisecond})
+		s := newStand(r, nil)
+		s.usable(1)
+		var wg sync.WaitGroup
+		codes := make(chan string, 20)
+		for i := range 20 {
+			wg.Go(func() { codes <- s.do(call{id: fmt.Sprint(i), timeout: 2 * time.Second}).code })
+		}
+		Eventually(u.Ledger).Should(HaveLen(8))
+		r.age.Store(int64(2 * time.Second))
+		got := s.do(call{})
+		Expect([]any{got.code, got.outcome}).To(Equal([]any{string(model.CodeStaleView), model.OutcomeNotRun}))
+		Expect(s.do(call{key: "k1"}).outcome).To(Equal(model.OutcomeUnknown))
+		wg.Wait()
+		close(codes)
+		refused := 0
+		for c := range codes {
+			if c == string(model.CodeStaleView) {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(12))
+		Expect(u.Ledger()).To(HaveLen(8))
+	})
+
+	// Guards against requests lost or run without an answer during a graceful shutdown.
+	It("in flight survive a drain under load", func() {
+		r := newReplica()
+		u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{Delay: 20 * time.Millisecond})
+		s := newStand(r, nil)
+		s.usable(1)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		count := map[string]int{}
+		for i := range 40 {
+			wg.Go(func() {
+				for j := range 10 {
+					c := call{id: fmt.Sprint(i, "-", j)}
+					if i%4 == 0 {
+						c.key = c.id
+					}
+					got := s.do(c)
+					mu.Lock()
+					count[fmt.Sprint(got.code, got.outcome)]++
+					mu.Unlock()
+				}
+			})
+		}
+		Eventually(func() int { return len(u.Ledger()) }).Should(BeNumerically(">", 40))
+		Expect(s.entry.Drain(context.Background())).To(Succeed())
+		done := len(u.Ledger())
+		wg.Wait()
+		Expect(u.Ledger()).To(HaveLen(done), "nothing is sent after the drain")
+		Expect(count["done"]).To(Equal(done))
+		Expect(count["done"] + count["shutting_downnot_run"] + count["shutting_downunknown"]).To(Equal(400))
+	})
+})
+
+var _ = Describe("Executors", func() {
+	// Guards against new work for an executor that left or whose data centre is out of service.
+	DescribeTable("that are taken out get nothing new", func(out func(r *replica)) {
+		r := newReplica()
+		u1 := startUpstream(r, "u1", "scl-1", fakes.Behaviour{})
+		startUpstream(r, "u2", "scl-2", fakes.Behaviour{})
+		s := newStand(r, nil)
+		s.usable(2)
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						if got := s.do(call{}); got.outcome != model.OutcomeDone {
+							GinkgoT().Errorf("refused: %+v", got)
+							return
+						}
+					}
+				}
+			})
+		}
+		Eventually(func() int { return len(u1.Ledger()) }).Should(BeNumerically(">", 20))
+		out(r)
+		at := time.Now()
+		last := func() time.Time {
+			var t time.Time
+			for _, run := range u1.Ledger() {
+				if run.At.After(t) {
+					t = run.At
+				}
+			}
+			return t
+		}
+		Eventually(func() time.Duration { return time.Since(last()) }).WithTimeout(3 * time.Second).Should(BeNumerically(">", 300*time.Millisecond))
+		close(stop)
+		wg.Wait()
+		Expect(last()).To(BeTemporally("<", at.Add(500*time.Millisecond)))
+	},
+		Entry("by leaving", func(r *replica) {
+			_, err := r.Execute(context.Background(), state.LeaveUpstream{Name: "u1", Incarnation: 1})
+			Expect(err).NotTo(HaveOccurred())
+		}),
+		Entry("with their data centre", func(r *replica) {
+			r.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: "scl-1", OutOfService: true}})
+		}),
+	)
+
+	// Guards against failed requests while one of several executors is dead, flaps, or is slow.
+	DescribeTable("that fail are avoided", func(harm func(u *fakes.Upstream, i int)) {
+		r := newReplica()
+		bad := startUpstream(r, "bad", "scl-1", fakes.Behaviour{})
+		for i := range 3 {
+			startUpstream(r, fmt.Sprint("good", i), "scl-1", fakes.Behaviour{})
+		}
+		s := newStand(r, nil)
+		s.usable(4)
+		lost := 0
+		for i := range 300 {
+			harm(bad, i)
+			if got := s.do(call{id: fmt.Sprint("q", i), timeout: 5 * time.Second}); got.status != http.StatusOK || got.body != string(fakes.Body(fmt.Sprint("q", i), 0)) {
+				lost++
+			}
+		}
+		Expect(lost).To(BeZero())
+	},
+		Entry("dead", func(u *fakes.Upstream, i int) {
+			if i == 20 {
+				u.Close()
+			}
+		}),
+		Entry("flapping", func(u *fakes.Upstream, i int) {
+			u.Set(fakes.Behaviour{Mode: map[bool]fakes.Mode{true: fakes.CutHeader, false: fakes.Normal}[i/30%2 == 1]})
+		}),
+		Entry("slow", func(u *fakes.Upstream, i int) {
+			if i == 20 {
+				u.Set(fakes.Behaviour{Delay: 100 * time.Millisecond})
+			}
+		}),
+	)
+
+	// Guards the removal of upstreams that died without leaving, and against a leader that
+	// removes all of them because its own network is down.
+	It("that stay unreachable are removed by the leader's entry", func() {
+		r := newReplica()
+		u1 := startUpstream(r, "u1", "scl-1", fakes.Behaviour{})
+		u2 := startUpstream(r, "u2", "scl-1", fakes.Behaviour{})
+		s := newStand(r, func(c *entry.Config) { c.RemoveAfter = 400 * time.Millisecond })
+		s.usable(2)
+		u1.Close()
+		left := func(name string) func() bool {
+			return func() bool { u, _ := r.m.Upstream(name); return u.Left }
+		}
+		Consistently(left("u1")).WithTimeout(time.Second).Should(BeFalse(), "this entry does not lead")
+		r.leader.Store(true)
+		Eventually(left("u1")).WithTimeout(2 * time.Second).Should(BeTrue())
+		u2.Close()
+		Consistently(left("u2")).WithTimeout(time.Second).Should(BeFalse())
+	})
+})
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -19,8 +19,9 @@
 	probeJitter = 0.2
 	// maxProbeBytes bounds what is read of the answer to a probe.
 	maxProbeBytes = 4 << 10
-	// reachedWithin is the age of a success that shows that this entry's own network works.
-	reachedWithin = 3 * time.Second
+	// reachedProbes is the number of probe intervals within which a success shows that this
+	// entry's own network works.
+	reachedProbes = 3
 )
 
 // probe is the schedule of one executor's health probes.
@@ -106,7 +107,8 @@
 func (e *Entry) probe(ctx context.Context, s *service, x route.Executor) {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ProbeTimeout)
 	defer cancel()
-	load, err := fetchHealth(ctx, s.httpClient(), x)
+	st := &sending{e: e, method: http.MethodGet, picked: e.cfg.Clock.Now(), probe: true}
+	load, err := fetchHealth(st.trace(ctx), s.httpClient(), x)
 	if err != nil {
 		e.metrics.probeFailures.Inc()
 	}
@@ -153,7 +155,7 @@
 	for _, s := range e.services {
 		s.mu.Lock()
 		gone = append(gone, s.set.Unreachable(now, e.cfg.RemoveAfter)...)
-		reached = reached || s.set.Reached(now, reachedWithin)
+		reached = reached || s.set.Reached(now, reachedProbes*e.cfg.ProbeInterval)
 		s.mu.Unlock()
 	}
 	e.mu.Unlock()
--- a/entry/send.go
+++ b/entry/send.go
@@ -28,22 +28,29 @@
 // sending watches which connection carries an attempt.
 type sending struct {
 	e      *Entry
+	method string
 	picked time.Time
-	conn   *countedConn
+	conn   *upstreamConn
 	mark   int64
+	// probe reports that the view of the state does not matter.
+	probe bool
 	// opaque reports that the connection does not count its writes.
 	opaque bool
 }
 
+func (st *sending) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: st.gotConn})
+}
+
 // gotConn is called before the first byte is written.
 func (st *sending) gotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*countedConn)
+	c, ok := info.Conn.(*upstreamConn)
 	if !ok {
 		st.opaque = true
 		return
 	}
-	st.conn, st.mark = c, c.writes.Load()
-	if st.e.cfg.Clock.Now().Sub(st.picked) > sendWithin || st.e.fresh() != nil {
+	st.conn, st.mark = c, c.begin(st.method)
+	if !st.probe && (st.e.cfg.Clock.Now().Sub(st.picked) > sendWithin || st.e.fresh() != nil) {
 		c.sealed.Store(true)
 	}
 }
@@ -53,6 +60,14 @@
 	return !st.opaque && (st.conn == nil || st.conn.seal(st.mark))
 }
 
+// abandon closes the connection, whose answers no longer match its requests.
+func (st *sending) abandon() {
+	if st.conn != nil {
+		st.conn.sealed.Store(true)
+		st.conn.Close()
+	}
+}
+
 // emptyBody is a body without bytes that Go's transport does not know to be empty;
 // it resends requests without a body by itself.
 type emptyBody struct{}
@@ -83,12 +98,11 @@
 
 // attempt sends the request once. The executor's slot is given back when the
 // attempt failed, or else when the answer is finished.
-func (s *service) attempt(ctx context.Context, q *request, x route.Executor) (*answer, *failure) {
+func (s *service) attempt(ctx context.Context, q *request, x route.Lease) (*answer, *failure) {
 	clock := s.e.cfg.Clock
-	st := &sending{e: s.e, picked: clock.Now()}
+	st := &sending{e: s.e, method: q.method, picked: clock.Now()}
 	sctx, cancel := context.WithCancel(ctx)
-	tctx := httptrace.WithClientTrace(sctx, &httptrace.ClientTrace{GotConn: st.gotConn})
-	a, f := s.exchange(q.outgoing(tctx, x, q.deadline.Sub(st.picked)), st)
+	a, f := s.exchange(q.outgoing(st.trace(sctx), x.Executor, q.deadline.Sub(st.picked)), st)
 	r := route.Result{Latency: clock.Now().Sub(st.picked)}
 	if f != nil {
 		cancel()
@@ -136,6 +150,10 @@
 		return nil, &failure{err: errors.New("the executor has no free slot"), refused: true, kind: route.Refused}
 	}
 	a, err := readAnswer(resp)
+	if id := resp.Header.Get(HeaderRequestID); err == nil && id != "" && id != req.Header.Get(HeaderRequestID) {
+		err = errors.New("the answer names another request")
+		st.abandon()
+	}
 	if err != nil {
 		resp.Body.Close()
 		return nil, &failure{err: err, ran: true, kind: route.Failed}
@@ -243,12 +261,14 @@
 func explain(ctx context.Context, err *model.Error, cause *failure, ran bool) *model.Error {
 	var out *model.Error
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		out = model.NotRun(model.CodeDeadline, "the deadline has passed")
-	case cause != nil && cause.refused:
-		out = model.NotRun(model.CodeOverloaded, "all executors that were asked have no free slot")
 	case err != nil && !ran:
 		out = err
+	case cause != nil && cause.refused && !ran:
+		out = model.NotRun(model.CodeOverloaded, "all executors that were asked have no free slot")
+	case errors.Is(ctx.Err(), context.Canceled):
+		out = callerGone()
+	case ctx.Err() != nil:
+		out = model.NotRun(model.CodeDeadline, "the deadline has passed")
 	case cause != nil:
 		out = model.NotRun(model.CodeUpstreamFailed, "the executor failed: %v", cause.err)
 	default:
--- a/entry/service.go
+++ b/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -40,7 +41,7 @@
 
 // grant is what a waiting request gets.
 type grant struct {
-	executor route.Executor
+	executor route.Lease
 	err      *model.Error
 }
 
@@ -156,7 +157,7 @@
 }
 
 // acquire chooses an executor for the request, waiting in the queue when none has a free slot.
-func (s *service) acquire(ctx context.Context, q *request, tried []string) (route.Executor, *model.Error) {
+func (s *service) acquire(ctx context.Context, q *request, tried []string) (route.Lease, *model.Error) {
 	now := s.e.cfg.Clock.Now()
 	s.mu.Lock()
 	query := route.Query{Near: s.e.cfg.DataCentre, Allowed: s.dataCentres(q.team), Tried: tried, Rand: s.e.cfg.Rand}
@@ -179,12 +180,12 @@
 	}
 	s.mu.Unlock()
 	if !ok {
-		return route.Executor{}, overloaded(s.name)
+		return route.Lease{}, overloaded(s.name)
 	}
 	return s.wait(ctx, w, wt)
 }
 
-func (s *service) wait(ctx context.Context, w *route.Waiter, wt *waiting) (route.Executor, *model.Error) {
+func (s *service) wait(ctx context.Context, w *route.Waiter, wt *waiting) (route.Lease, *model.Error) {
 	select {
 	case g := <-wt.ch:
 		return g.executor, g.err
@@ -198,7 +199,14 @@
 			s.done(g.executor, route.Result{Kind: route.Dropped})
 		}
 	}
-	return route.Executor{}, model.NotRun(model.CodeDeadline, "the deadline passed while the request waited for a slot")
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return route.Lease{}, callerGone()
+	}
+	return route.Lease{}, overloaded(s.name)
+}
+
+func callerGone() *model.Error {
+	return model.NotRun(model.CodeUnavailable, "the caller went away")
 }
 
 func overloaded(service string) *model.Error {
@@ -224,11 +232,11 @@
 }
 
 // done ends a request to an executor and lets waiting ones have its slot.
-func (s *service) done(x route.Executor, r route.Result) {
+func (s *service) done(x route.Lease, r route.Result) {
 	now := s.e.cfg.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.set.Done(now, x.ID, r)
+	s.set.Done(now, x, r)
 	s.dispatch(now)
 }
 
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -67,8 +67,11 @@
 	Refused int
 	// At is the time of the last start.
 	At time.Time
-	// Body is the body of the last start.
-	Body []byte
+	// Body and Header are those of the last start.
+	Body   []byte
+	Header http.Header
+	// URL is the request target of the last start.
+	URL string
 }
 
 // UpstreamConfig describes a fake upstream.
@@ -78,8 +81,8 @@
 	Entries []string
 	// Behaviour is how it starts.
 	Behaviour Behaviour
-	// NoBody drops the bodies from the ledger.
-	NoBody bool
+	// CountsOnly drops bodies and headers from the ledger.
+	CountsOnly bool
 }
 
 // Upstream is a fake executor on a loopback port.
@@ -144,6 +147,9 @@
 	return out
 }
 
+// InUse returns the requests that are here now, refused ones included.
+func (u *Upstream) InUse() int { return int(u.inUse.Load()) }
+
 // MaxInUse returns the most slots that were in use at once.
 func (u *Upstream) MaxInUse() int {
 	u.mu.Lock()
@@ -205,13 +211,17 @@
 		u.refuse(w, key)
 		return
 	}
-	if u.cfg.NoBody {
-		body = nil
+	header := r.Header
+	if u.cfg.CountsOnly {
+		body, header = nil, nil
 	}
 	u.mu.Lock()
 	u.maxInUse = max(u.maxInUse, n)
 	u.mu.Unlock()
-	u.note(key, func(run *Run) { run.Started++; run.At = time.Now(); run.Body = body })
+	u.note(key, func(run *Run) {
+		run.Started++
+		run.At, run.Body, run.Header, run.URL = time.Now(), body, header, r.RequestURI
+	})
 	if !u.work(r.Context(), b) {
 		return
 	}
--- a/route/result.go
+++ b/route/result.go
@@ -35,9 +35,11 @@
 }
 
 // Done ends a picked request.
-func (s *Set) Done(now time.Time, id ID, r Result) {
-	m := s.byName[id.Name]
-	if m == nil || m.Incarnation != id.Incarnation {
+func (s *Set) Done(now time.Time, l Lease, r Result) {
+	m := l.m
+	if s.byName[l.Name] != m {
+		// The executor left, and may have come back as another member.
+		m.inFlight--
 		return
 	}
 	s.report(m, now, r)
@@ -46,12 +48,12 @@
 	switch r.Kind {
 	case Succeeded:
 		m.failures, m.lastSuccess = 0, now
-		s.sample(m, r.Latency)
+		s.sample(m, now, r.Latency)
 		s.settle(m, now)
 		s.checkSlow(m, now)
 	case Erred:
 		m.lastSuccess = now
-		s.sample(m, r.Latency)
+		s.sample(m, now, r.Latency)
 		s.fail(m, now)
 	case Refused:
 		m.lastSuccess = now
@@ -97,11 +99,12 @@
 	m.others, m.loadAt = others, now
 }
 
-func (s *Set) sample(m *member, latency time.Duration) {
+func (s *Set) sample(m *member, now time.Time, latency time.Duration) {
 	v := latency.Seconds()
 	m.latency = average(m.latency, v, m.samples == 0)
 	s.latency = average(s.latency, v, s.latency == 0)
 	m.samples++
+	m.sampledAt = now
 }
 
 func average(old, v float64, first bool) float64 {
--- a/route/set.go
+++ b/route/set.go
@@ -32,6 +32,9 @@
 	minSamples = 10
 	// minPeers is the number of executors with enough samples before a median is meaningful.
 	minPeers = 3
+	// latencyMemory is the time in seconds after which a slow executor that gets no requests is
+	// tried again.
+	latencyMemory = 10.0
 	// rampFloor is the share of traffic that a recovering executor starts with.
 	rampFloor = 0.1
 	// latencyTolerance is the ratio to the average below which latency does not steer; the
@@ -103,6 +106,7 @@
 	loadAt      time.Time
 	latency     float64 // moving average in seconds
 	samples     int
+	sampledAt   time.Time
 	firstSeen   time.Time
 	lastSuccess time.Time
 	failures    int
@@ -195,9 +199,15 @@
 	None
 )
 
+// Lease is a request that counts as in flight to an executor until Done.
+type Lease struct {
+	Executor
+	m *member
+}
+
 // Pick chooses an executor by power of two choices on expected wait and counts
 // the request as in flight until Done.
-func (s *Set) Pick(now time.Time, q Query) (Executor, Verdict) {
+func (s *Set) Pick(now time.Time, q Query) (Lease, Verdict) {
 	v := s.gather(now, q, true)
 	if v == None || v == Full && len(q.Tried) > 0 {
 		if v2 := s.gather(now, q, false); v2 == Picked || v == None {
@@ -205,17 +215,17 @@
 		}
 	}
 	if v != Picked {
-		return Executor{}, v
+		return Lease{}, v
 	}
-	best := s.best(s.near, q.Rand)
+	best := s.best(now, s.near, q.Rand)
 	if best.m == nil || best.used >= nearLimit*float64(best.m.Slots) {
-		if other := s.best(s.far, q.Rand); other.m != nil && (best.m == nil || s.cost(other) < s.cost(best)) {
+		if other := s.best(now, s.far, q.Rand); other.m != nil && (best.m == nil || s.cost(now, other) < s.cost(now, best)) {
 			best = other
 		}
 	}
 	best.m.inFlight++
 	s.inFlight++
-	return best.m.Executor, Picked
+	return Lease{Executor: best.m.Executor, m: best.m}, Picked
 }
 
 // gather fills the candidate lists; strict leaves out tried executors and
@@ -286,7 +296,7 @@
 	return float64(m.inFlight) + others
 }
 
-func (s *Set) best(list []candidate, rnd func() float64) candidate {
+func (s *Set) best(now time.Time, list []candidate, rnd func() float64) candidate {
 	switch len(list) {
 	case 0:
 		return candidate{}
@@ -299,7 +309,7 @@
 		j++
 	}
 	a, b := list[i], list[j]
-	if s.cost(b) < s.cost(a) {
+	if s.cost(now, b) < s.cost(now, a) {
 		return b
 	}
 	return a
@@ -308,12 +318,13 @@
 func index(rnd func() float64, n int) int { return min(int(rnd()*float64(n)), n-1) }
 
 // cost is the expected wait relative to an idle executor of average speed.
-func (s *Set) cost(c candidate) float64 {
+func (s *Set) cost(now time.Time, c candidate) float64 {
 	cost := (c.used + 1) / float64(c.m.Slots)
-	if c.m.samples > 0 && s.latency > 0 {
-		if ratio := c.m.latency / s.latency; ratio > latencyTolerance {
-			cost *= ratio
-		}
+	if c.m.samples < minSamples || s.latency == 0 {
+		return cost
+	}
+	if ratio := c.m.latency / s.latency; ratio > latencyTolerance {
+		cost *= 1 + (ratio-1)*math.Exp(-now.Sub(c.m.sampledAt).Seconds()/latencyMemory)
 	}
 	return cost
 }
