--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -31,19 +31,19 @@
 }
 
 func newCounters(set *metrics.Set, e *Entry) *counters {
-	set.GetOrCreateGauge("entry_requests_in_flight_count", func() float64 {
+	set.GetOrCreateGauge("turmericroute_entry_requests_in_flight_count", func() float64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		return float64(e.inFlight)
 	})
 	return &counters{
 		set:           set,
-		attempts:      set.GetOrCreateCounter("entry_attempts_total"),
-		retries:       set.GetOrCreateCounter("entry_retries_total"),
-		retriesDenied: set.GetOrCreateCounter("entry_retries_denied_total"),
-		refusals:      set.GetOrCreateCounter("entry_upstream_refusals_total"),
-		failures:      set.GetOrCreateCounter("entry_upstream_failures_total"),
-		probeFailures: set.GetOrCreateCounter("entry_probe_failures_total"),
+		attempts:      set.GetOrCreateCounter("turmericroute_entry_attempts_total"),
+		retries:       set.GetOrCreateCounter("turmericroute_entry_retries_total"),
+		retriesDenied: set.GetOrCreateCounter("turmericroute_entry_retries_denied_total"),
+		refusals:      set.GetOrCreateCounter("turmericroute_entry_upstream_refusals_total"),
+		failures:      set.GetOrCreateCounter("turmericroute_entry_upstream_failures_total"),
+		probeFailures: set.GetOrCreateCounter("turmericroute_entry_probe_failures_total"),
 	}
 }
 
@@ -66,13 +66,13 @@
 	v, ok := c.requests.Load(l)
 	if !ok {
 		v, _ = c.requests.LoadOrStore(l, c.set.GetOrCreateCounter(
-			fmt.Sprintf("entry_requests_total{service=%q,outcome=%q,code=%q}", l.service, l.outcome, l.code)))
+			fmt.Sprintf("turmericroute_entry_requests_total{service=%q,outcome=%q,code=%q}", l.service, l.outcome, l.code)))
 	}
 	v.(*metrics.Counter).Inc()
 	h, ok := c.durations.Load(l.service)
 	if !ok {
 		h, _ = c.durations.LoadOrStore(l.service, c.set.GetOrCreateHistogram(
-			fmt.Sprintf("entry_request_duration_seconds{service=%q}", l.service)))
+			fmt.Sprintf("turmericroute_entry_request_duration_seconds{service=%q}", l.service)))
 	}
 	h.(*metrics.Histogram).Update(d.Seconds())
 }
--- a/serve/process.go
+++ b/serve/process.go
@@ -180,7 +180,7 @@
 
 // dumped is the process state of GET /dump; it holds no secrets.
 type dumped struct {
-	Settings      Settings            `json:"settings"`
+	Settings      any                 `json:"settings"`
 	StartedMS     int64               `json:"started_ms"`
 	Unready       bool                `json:"unready"`
 	Closing       bool                `json:"closing"`
@@ -196,7 +196,7 @@
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	return dumped{
-		Settings: p.settings, StartedMS: p.started.UnixMilli(), Unready: p.unready.Load(), Closing: p.closing.Load(),
+		Settings: p.settings.readable(), StartedMS: p.started.UnixMilli(), Unready: p.unready.Load(), Closing: p.closing.Load(),
 		Goroutines: runtime.NumGoroutine(), HeapBytes: mem.HeapAlloc,
 		Replica: p.parts.Node.Status(), ConfigVersion: p.parts.Node.Machine().Config().Version,
 		Control: p.parts.Node.Dump(), Entry: p.parts.Services.Dump(),
--- a/serve/process_test.go
+++ b/serve/process_test.go
@@ -171,6 +171,19 @@
 		Expect(r.get("/readyz")).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	It("dumps its settings as they are written", func() {
+		s := serve.DefaultSettings()
+		s.Name = "c1"
+		r := start(s, nil)
+		defer r.stop()
+		res, err := http.Get(r.base + "/dump")
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		b, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(b)).To(MatchRegexp(`(?s)"drain_delay": "2s".*"name": "c1"`))
+	})
+
 	It("bounds the size of headers", func() {
 		s := serve.DefaultSettings()
 		s.Limits.MaxHeaderBytes = 4 << 10
--- /dev/null
+++ b/serve/run_test.go
@@ -0,0 +1,124 @@
+package serve_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/auth"
+	"turmericroute/client"
+	"turmericroute/model"
+	"turmericroute/serve"
+)
+
+// syncBuffer is a log that several goroutines write.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+func freeAddress() string {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// pair returns settings of one control and one entry instance with keys and tokens.
+func pair(dir string) []serve.Settings {
+	peers := []serve.Peer{{Name: "c1", Control: true}, {Name: "e1"}}
+	for i := range peers {
+		peers[i].HTTPAddress, peers[i].GRPCAddress = freeAddress(), freeAddress()
+	}
+	var all []serve.Settings
+	for _, p := range peers {
+		s := serve.DefaultSettings()
+		s.Name, s.DataCentre, s.Peers = p.Name, "norte", peers
+		s.DrainDelay, s.ShutdownTimeout = 0, 5*time.Second
+		cert, key := filepath.Join(dir, p.Name+".crt"), filepath.Join(dir, p.Name+".key")
+		s.HTTP = serve.Listener{Address: p.HTTPAddress, TLS: &auth.Files{Cert: cert, Key: key}}
+		s.GRPC = serve.Listener{Address: p.GRPCAddress, TLS: &auth.Files{Cert: cert, Key: key, CA: filepath.Join(dir, "ca.crt")}}
+		s.Roles = []serve.Role{serve.RoleEntry}
+		if p.Control {
+			s.Roles, s.DataFolder, s.Bootstrap = []serve.Role{serve.RoleControl}, filepath.Join(dir, "data"), true
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func runAll(settings []serve.Settings, logs *syncBuffer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, s := range settings {
+		wg.Go(func() {
+			defer GinkgoRecover()
+			Expect(serve.Run(ctx, s, serve.NewLogger(logs, "info"))).To(Succeed())
+		})
+	}
+	DeferCleanup(func() { cancel(); wg.Wait() })
+}
+
+func secureClient(s serve.Settings, dir string) *client.Client {
+	pool, err := auth.ReadPool(filepath.Join(dir, "ca.crt"))
+	Expect(err).NotTo(HaveOccurred())
+	return client.New(client.Config{Addresses: []string{s.HTTP.Address}, TLS: &tls.Config{RootCAs: pool}})
+}
+
+func keysFor(names ...string) string {
+	dir := GinkgoT().TempDir()
+	a, err := auth.NewAuthority(dir)
+	Expect(err).NotTo(HaveOccurred())
+	for _, n := range names {
+		Expect(a.Issue(n, []net.IP{net.IPv4(127, 0, 0, 1)})).To(Succeed())
+	}
+	return dir
+}
+
+var _ = Describe("instances with keys", func() {
+	It("follow each other over mutual TLS and serve HTTPS", func() {
+		dir := keysFor("c1", "e1")
+		settings := pair(dir)
+		runAll(settings, &syncBuffer{})
+		c := secureClient(settings[1], dir)
+		Eventually(func() error {
+			st, err := c.Status(context.Background())
+			if err == nil && !st.Ready {
+				return model.NotRun(model.CodeUnavailable, "%s", st.NotReady)
+			}
+			return err
+		}, 10).Should(Succeed())
+	})
+
+	It("do not follow one whose certificate is of another authority, and say so", func() {
+		dir, other := keysFor("c1", "e1"), keysFor("e1")
+		settings := pair(dir)
+		settings[1].GRPC.TLS = &auth.Files{Cert: filepath.Join(other, "e1.crt"), Key: filepath.Join(other, "e1.key"), CA: filepath.Join(dir, "ca.crt")}
+		logs := &syncBuffer{}
+		runAll(settings, logs)
+		Eventually(logs.String, 10).Should(MatchRegexp(`event=peer_refused .*certificate signed by unknown authority`))
+		st, err := secureClient(settings[1], dir).Status(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(st.Ready).To(BeFalse())
+	})
+})
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"go.yaml.in/yaml/v3"
+
 	"turmericroute/auth"
 	"turmericroute/config"
 )
@@ -35,56 +37,56 @@
 // Settings describe one process; they are read once, at its start.
 type Settings struct {
 	// Name is unique in the deployment and kept for the life of the instance.
-	Name       string `yaml:"name" json:"name"`
-	DataCentre string `yaml:"data_centre" json:"data_centre"`
-	Roles      []Role `yaml:"roles" json:"roles"`
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"data_centre"`
+	Roles      []Role `yaml:"roles"`
 	// HTTP is the listener for callers, operators, workers and upstreams.
-	HTTP Listener `yaml:"http" json:"http"`
+	HTTP Listener `yaml:"http"`
 	// GRPC is the listener for the other processes of the deployment.
-	GRPC Listener `yaml:"grpc" json:"grpc"`
+	GRPC Listener `yaml:"grpc"`
 	// DataFolder holds the replicated log; only control instances have one.
-	DataFolder string `yaml:"data_folder" json:"data_folder"`
+	DataFolder string `yaml:"data_folder"`
 	// Peers are all instances of the deployment, this one included.
-	Peers []Peer `yaml:"peers" json:"peers"`
+	Peers []Peer `yaml:"peers"`
 	// Bootstrap forms a new cluster of the control peers when the data folder is empty.
-	Bootstrap bool `yaml:"bootstrap" json:"bootstrap"`
+	Bootstrap bool `yaml:"bootstrap"`
 	// Tokens is the file of access tokens; without one callers are not checked.
-	Tokens string `yaml:"tokens,omitempty" json:"tokens,omitempty"`
+	Tokens string `yaml:"tokens,omitempty"`
 	// DrainDelay is the wait between readiness false and the first refusal, for the load balancer to notice.
-	DrainDelay time.Duration `yaml:"drain_delay" json:"drain_delay"`
+	DrainDelay time.Duration `yaml:"drain_delay"`
 	// ShutdownTimeout bounds the wait for requests in flight.
-	ShutdownTimeout time.Duration `yaml:"shutdown_timeout" json:"shutdown_timeout"`
-	Limits          Limits        `yaml:"limits" json:"limits"`
+	ShutdownTimeout time.Duration `yaml:"shutdown_timeout"`
+	Limits          Limits        `yaml:"limits"`
 	// LogLevel is debug, info, warn or error.
-	LogLevel string `yaml:"log_level" json:"log_level"`
+	LogLevel string `yaml:"log_level"`
 	// Insecure allows listeners beyond loopback without TLS.
-	Insecure bool `yaml:"insecure" json:"insecure"`
+	Insecure bool `yaml:"insecure"`
 }
 
 // Listener is one listening address.
 type Listener struct {
 	// Address is IP:port.
-	Address string `yaml:"address" json:"address"`
+	Address string `yaml:"address"`
 	// TLS names certificate and key; the gRPC listener also needs the authority of its peers.
-	TLS *auth.Files `yaml:"tls,omitempty" json:"tls,omitempty"`
+	TLS *auth.Files `yaml:"tls,omitempty"`
 }
 
 // Peer is one instance of the deployment.
 type Peer struct {
-	Name        string `yaml:"name" json:"name"`
-	GRPCAddress string `yaml:"grpc_address" json:"grpc_address"`
-	HTTPAddress string `yaml:"http_address" json:"http_address"`
+	Name        string `yaml:"name"`
+	GRPCAddress string `yaml:"grpc_address"`
+	HTTPAddress string `yaml:"http_address"`
 	// Control says that the instance has the control role.
-	Control bool `yaml:"control" json:"control"`
+	Control bool `yaml:"control"`
 }
 
 // Limits bound what callers can use up.
 type Limits struct {
-	MaxConnections    int           `yaml:"max_connections" json:"max_connections"`
-	MaxHeaderBytes    int           `yaml:"max_header_bytes" json:"max_header_bytes"`
-	MaxBodyBytes      int           `yaml:"max_body_bytes" json:"max_body_bytes"`
-	ReadHeaderTimeout time.Duration `yaml:"read_header_timeout" json:"read_header_timeout"`
-	IdleTimeout       time.Duration `yaml:"idle_timeout" json:"idle_timeout"`
+	MaxConnections    int           `yaml:"max_connections"`
+	MaxHeaderBytes    int           `yaml:"max_header_bytes"`
+	MaxBodyBytes      int           `yaml:"max_body_bytes"`
+	ReadHeaderTimeout time.Duration `yaml:"read_header_timeout"`
+	IdleTimeout       time.Duration `yaml:"idle_timeout"`
 }
 
 // DefaultSettings returns settings with all defaults.
@@ -165,6 +167,20 @@
 // Has reports whether the process has a role.
 func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
 
+// readable returns the settings as they are written in a file, with durations
+// such as 2s instead of counts of nanoseconds.
+func (s Settings) readable() any {
+	var out map[string]any
+	b, err := yaml.Marshal(s)
+	if err == nil {
+		err = yaml.Unmarshal(b, &out)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return out
+}
+
 // Bounds of the settings.
 const (
 	maxPeers           = 64
