Bound the answers of lists and the time to read them

A list of 20,000 jobs with payloads of 64 KB would take over a gigabyte in one answer. Lists leave out payloads and are paged; the client asks for all pages. Write deadlines end answers that a caller reads too slowly. Announcements of an unknown data centre are refused.

--- a/client/calls.go
+++ b/client/calls.go
@@ -23,7 +23,7 @@
 	return get[model.Job](ctx, c, read("/v1/jobs/"+url.PathEscape(id), nil))
 }
 
-// Jobs lists jobs; an empty team or state means all.
+// Jobs lists jobs without their payloads; an empty team or state means all.
 func (c *Client) Jobs(ctx context.Context, team string, state model.JobState) ([]model.Job, error) {
 	q := url.Values{}
 	if team != "" {
@@ -32,7 +32,18 @@
 	if state != "" {
 		q.Set("state", string(state))
 	}
-	return get[[]model.Job](ctx, c, read("/v1/jobs", q))
+	all := []model.Job{}
+	for {
+		page, err := get[[]model.Job](ctx, c, read("/v1/jobs", q))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < webapi.PageJobs {
+			return all, nil
+		}
+		q.Set("after", page[len(page)-1].Spec.ID)
+	}
 }
 
 // CancelJob asks for the end of a job.
@@ -52,8 +63,19 @@
 
 // History lists the accepted patches after a version, oldest first.
 func (c *Client) History(ctx context.Context, since uint64) ([]state.Record, error) {
-	q := url.Values{"since": {strconv.FormatUint(since, 10)}}
-	return get[[]state.Record](ctx, c, read("/v1/config/history", q))
+	all := []state.Record{}
+	for {
+		q := url.Values{"since": {strconv.FormatUint(since, 10)}}
+		page, err := get[[]state.Record](ctx, c, read("/v1/config/history", q))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < webapi.PageHistory {
+			return all, nil
+		}
+		since = page[len(page)-1].Version
+	}
 }
 
 // Workers lists the registered workers.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -14,6 +14,8 @@
 	"turmericroute/client"
 	"turmericroute/config"
 	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/webapi"
 )
 
 // instance is a server that counts calls and answers each with the next of its answers.
@@ -128,6 +130,18 @@
 		_, err := c.Patch(ctx, patch())
 		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
 	})
+
+	It("that list ask for the next page until one is not full", func() {
+		full := make([]state.Record, webapi.PageHistory)
+		for i := range full {
+			full[i].Version = uint64(i + 1)
+		}
+		a := serve(accept(full), accept([]state.Record{{Version: 9999}}))
+		c, ctx := call(a.URL)
+		all, err := c.History(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(webapi.PageHistory + 1))
+	})
 })
 
 func patch() config.Patch {
--- a/cmd/turmericroute/config_apply.go
+++ b/cmd/turmericroute/config_apply.go
@@ -48,7 +48,7 @@
 	}
 	return s.print(res, func(w io.Writer) error {
 		if len(p.Changes) == 0 {
-			fmt.Fprintf(w, "no changes: version %d is as declared\n", res.Version)
+			fmt.Fprintf(w, "no changes needed: version %d stays in force\n", res.Version)
 			return nil
 		}
 		fmt.Fprintf(w, "patch %s is version %d\n", p.ID, res.Version)
--- a/cmd/turmericroute/config_plan.go
+++ b/cmd/turmericroute/config_plan.go
@@ -71,7 +71,7 @@
 
 func printPlan(w io.Writer, p config.Patch, running config.Config) error {
 	if len(p.Changes) == 0 {
-		fmt.Fprintf(w, "no changes: version %d is as declared\n", p.BaseVersion)
+		fmt.Fprintf(w, "no changes needed: version %d stays in force\n", p.BaseVersion)
 		return nil
 	}
 	fmt.Fprintf(w, "patch %s for version %d:\n", p.ID, p.BaseVersion)
--- a/cmd/turmericroute/main_test.go
+++ b/cmd/turmericroute/main_test.go
@@ -90,7 +90,7 @@
 		Expect(plan).To(ContainSubstring("put team tejados"))
 		Expect(r.replica.Machine().Config().Version).To(Equal(uint64(0)))
 		Expect(r.ok("config", "apply", "-f", example, "-reason", "first")).To(ContainSubstring("is version 1"))
-		Expect(r.ok("config", "apply", "-f", example)).To(ContainSubstring("no changes: version 1"))
+		Expect(r.ok("config", "apply", "-f", example)).To(ContainSubstring("no changes needed: version 1"))
 		Expect(r.ok("config", "diff", "-f", example)).To(BeEmpty())
 		Expect(r.ok("config", "diff", "-f", tempFile("running.yaml", r.ok("config", "get")))).To(BeEmpty())
 		Expect(r.ok("config", "history")).To(MatchRegexp(`1 .* ana .* first .*put team tejados`))
--- a/serve/process.go
+++ b/serve/process.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"runtime"
@@ -77,6 +78,7 @@
 	proc.server = &http.Server{
 		Handler: api, ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+		ErrorLog:       stdlog.New(log.NewStdlibAdapter(level.Warn(p.Logger), log.MessageKey("err")), "", 0),
 	}
 	return proc
 }
--- a/webapi/api.go
+++ b/webapi/api.go
@@ -28,6 +28,8 @@
 	defaultTimeout = 10 * time.Second
 	// maxTimeout bounds the deadline that a caller may name.
 	maxTimeout = 5 * time.Minute
+	// slowReader is how long a caller may take to read an answer after the longest deadline.
+	slowReader = 30 * time.Second
 	// maxJobBytes bounds the body of a job submission.
 	maxJobBytes = 256 << 10
 	// maxPollBytes bounds a worker's poll; 64 tasks with long messages take about 100 KB.
--- a/webapi/api_test.go
+++ b/webapi/api_test.go
@@ -205,6 +205,16 @@
 		Expect(f.send("DELETE", "/v1/jobs/j2", "").Code).To(Equal(model.CodeNotFound))
 	})
 
+	It("are listed without payloads, page by page", func() {
+		f := newFixture()
+		f.post("/v1/jobs", strings.Replace(job, `"j1"`, `"j1","payload":"secret plan"`, 1))
+		f.post("/v1/jobs", strings.Replace(job, "j1", "j2", 1))
+		Expect(f.get("/v1/jobs").body).NotTo(ContainSubstring("secret plan"))
+		Expect(f.get("/v1/jobs/j1").body).To(ContainSubstring("secret plan"))
+		Expect(f.get("/v1/jobs?after=j1").body).To(And(ContainSubstring(`"j2"`), Not(ContainSubstring(`"j1"`))))
+		Expect(f.get("/v1/jobs?after=j2").body).To(Equal("[]\n"))
+	})
+
 	It("are not read from a copy that may be old", func() {
 		f := newFixture()
 		f.replica.barrier = model.NotRun(model.CodeStaleView, "partitioned")
@@ -306,6 +316,7 @@
 		Entry("port beyond the range", ":9", ":99999", model.CodeInvalid),
 		Entry("no slots", `"slots":8`, `"slots":0`, model.CodeInvalid),
 		Entry("negative incarnation", `"incarnation":5`, `"incarnation":-5`, model.CodeInvalid),
+		Entry("unknown data centre", "norte", "sur", model.CodeNotFound),
 		Entry("unknown service", "fabrication", "design", model.CodeNotFound),
 	)
 
--- a/webapi/conf.go
+++ b/webapi/conf.go
@@ -26,7 +26,11 @@
 	return a.Replica.Machine().Config(), nil
 }
 
-// getHistory lists accepted patches, oldest first, after ?since=version.
+// PageHistory bounds the patches of one answer.
+const PageHistory = 256
+
+// getHistory lists accepted patches, oldest first, at most PageHistory after
+// ?since=version. A full page may have a next one.
 func (a *api) getHistory(r *http.Request) (any, error) {
 	since := uint64(0)
 	if s := r.URL.Query().Get("since"); s != "" {
@@ -41,7 +45,7 @@
 	}
 	out := []state.Record{}
 	for _, rec := range a.Replica.Machine().History() {
-		if rec.Version > since {
+		if rec.Version > since && len(out) < PageHistory {
 			out = append(out, rec)
 		}
 	}
--- a/webapi/fleet.go
+++ b/webapi/fleet.go
@@ -178,6 +178,9 @@
 	if _, known := a.Replica.Machine().Config().Service(u.Service); !known {
 		return nil, model.NotRun(model.CodeNotFound, "no service %s", u.Service)
 	}
+	if _, known := a.Replica.Machine().Config().DataCentre(u.DataCentre); !known {
+		return nil, model.NotRun(model.CodeNotFound, "no data centre %s", u.DataCentre)
+	}
 	if ok && old == u {
 		return u, nil
 	}
--- a/webapi/jobs.go
+++ b/webapi/jobs.go
@@ -18,6 +18,8 @@
 	// maxDeclared bounds the declared run time in seconds to one year.
 	maxDeclared = 366 * 24 * 3600
 	maxAttempts = 100
+	// PageJobs bounds the jobs of one answer; without payloads that is about 3 MB.
+	PageJobs = 5000
 )
 
 // submitJob accepts a job; the caller's ID makes it safe to send again.
@@ -108,20 +110,27 @@
 	return f
 }
 
+// listJobs lists jobs without their payloads in the order of their IDs, at most
+// PageJobs after the ID that the query names. A full page may have a next one.
 func (a *api) listJobs(r *http.Request) (any, error) {
 	if err := a.fresh(r.Context()); err != nil {
 		return nil, err
 	}
 	team, jobState := r.URL.Query().Get("team"), model.JobState(r.URL.Query().Get("state"))
+	after := r.URL.Query().Get("after")
 	own, limited := ownTeam(r.Context())
 	out := []model.Job{}
 	for _, j := range a.Replica.Machine().Jobs() {
-		if limited && j.Spec.Team != own {
+		if limited && j.Spec.Team != own || j.Spec.ID <= after {
 			continue
 		}
 		if (team == "" || j.Spec.Team == team) && (jobState == "" || j.State == jobState) {
+			j.Spec.Payload = ""
 			out = append(out, j)
 		}
+		if len(out) == PageJobs {
+			break
+		}
 	}
 	return out, nil
 }
--- a/webapi/log.go
+++ b/webapi/log.go
@@ -51,12 +51,25 @@
 	r.Header.Set(HeaderRequestID, id)
 	w.Header().Set(HeaderRequestID, id)
 	rec := &recorder{ResponseWriter: w}
+	limitWrite(rec, r, start)
 	who := &caller{}
 	r = r.WithContext(context.WithValue(r.Context(), callerKey{}, who))
 	defer func() { a.observe(rec, r, id, who, a.Now().Sub(start)) }()
 	a.mux.ServeHTTP(rec, r)
 }
 
+// limitWrite ends answers that a caller reads too slowly. The deadline stays on
+// the connection, so each request sets its own; the request path to services has
+// none, since it bounds its requests itself.
+func limitWrite(w http.ResponseWriter, r *http.Request, start time.Time) {
+	var at time.Time
+	if !strings.HasPrefix(r.URL.Path, "/v1/services/") {
+		at = start.Add(maxTimeout + slowReader)
+	}
+	// Connections that support no deadlines, as in unit tests, are left as they are.
+	http.NewResponseController(w).SetWriteDeadline(at) //nolint:errcheck // see above
+}
+
 type callerKey struct{}
 
 // caller is filled in while a request is served, for its log line.
