--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -94,7 +94,7 @@
 
 func (a *app) tree() *ffcli.Command {
 	return a.group("", "schedules multi-accelerator jobs with guarantees for each team",
-		a.leaf("", serveCommand()),
+		a.leaf("", serveCommand()), a.leaf("", tryCommand()),
 		a.group("job", "submits, shows and cancels jobs",
 			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()),
 			a.leaf("job", jobListCommand()), a.leaf("job", jobCancelCommand())),
--- a/itest/cluster.go
+++ b/itest/cluster.go
@@ -166,7 +166,7 @@
 	}
 	for _, links := range c.links {
 		for _, p := range links {
-			p.Close()
+			_ = p.Close()
 		}
 	}
 }
--- a/sizing/run.go
+++ b/sizing/run.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return sample{}, fmt.Errorf("make folder: %w", err)
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	c, err := itest.New(itest.Config{Binary: cfg.Binary, Command: cfg.Command, Dir: dir, Instances: instances(), Delay: 500 * time.Microsecond})
 	if err != nil {
 		return sample{}, fmt.Errorf("make cluster: %w", err)
