--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -94,7 +94,7 @@
 
 func (a *app) tree() *ffcli.Command {
 	return a.group("", "schedules multi-accelerator jobs with guarantees for each team",
-		a.leaf("", serveCommand()),
+		a.leaf("", serveCommand()), a.leaf("", tryCommand()),
 		a.group("job", "submits, shows and cancels jobs",
 			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()),
 			a.leaf("job", jobListCommand()), a.leaf("job", jobCancelCommand())),
@@ -107,7 +107,7 @@
 		a.group("upstream", "lists upstreams", a.leaf("upstream", upstreamListCommand())),
 		a.group("keys", "makes development keys and access tokens", a.leaf("keys", keysInitCommand()), a.leaf("keys", keysRenewCommand()),
 			a.leaf("keys", keysTokenCommand())),
-		a.leaf("", statusCommand()), a.leaf("", tryCommand()), a.leaf("", dumpCommand()), a.leaf("", completionCommand()), a.leaf("", versionCommand()),
+		a.leaf("", statusCommand()), a.leaf("", dumpCommand()), a.leaf("", completionCommand()), a.leaf("", versionCommand()),
 	)
 }
 
--- a/cmd/turmericroute/try.go
+++ b/cmd/turmericroute/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 
 	"github.com/go-kit/log"
 
@@ -11,26 +12,31 @@
 )
 
 const tryUsage = `
-Runs a whole deployment inside this process for less than a minute: three
-control and two entry instances with fake workers and upstreams, on loopback
-ports. It goes through the main promises step by step, prints one line for each,
-and leaves nothing behind.
+Runs three control and two entry instances inside this process over loopback
+sockets, with small fake workers and upstreams, loads an example configuration
+and goes through the main promises: a gang that starts whole, a guaranteed shape
+reclaimed from a borrower, a request answered, a non-idempotent request resent
+to another entry and run once, a stale patch refused, a data centre taken out of
+service and returned.
 
-EXAMPLE
-  turmericroute try`
+Prints one line a step with its time, ends with an error if a step fails, takes
+less than 30 s and leaves nothing behind. With -logs the instances' logs go to
+standard error.`
 
 func tryCommand() leaf {
 	var logs bool
 	return leaf{
-		name: "try", short: "run a trial deployment and show what it does", long: tryUsage, local: true,
-		flags: func(fs *flag.FlagSet) { fs.BoolVar(&logs, "logs", false, "print the logs of the instances") },
+		name: "try", short: "show the whole system inside one process", long: tryUsage, local: true,
+		flags: func(fs *flag.FlagSet) {
+			fs.BoolVar(&logs, "logs", false, "write the logs of all instances to standard error")
+		},
 		run: func(ctx context.Context, s *session, _ []string) error {
-			cfg := trial.Config{Out: s.out, Logger: log.NewNopLogger()}
+			logger := log.NewNopLogger()
 			if logs {
-				cfg.Logger = serve.NewLogger(s.err, "info")
+				logger = serve.NewLogger(s.err, "info")
 			}
-			if err := trial.Run(ctx, cfg); err != nil {
-				return &hinted{err: err, hint: "run it again with -logs and look at the step that failed"}
+			if err := trial.Run(ctx, trial.Config{Out: s.out, Logger: logger}); err != nil {
+				return &hinted{err: fmt.Errorf("try: %w", err), hint: "run it again with -logs and look for the step that failed"}
 			}
 			return nil
 		},
