Choose test addresses below the range of outgoing ports

Cause: a capacity run failed because proxies' outgoing connections took ports that had been chosen for instances a moment before (bind: address already in use). Change: addresses come from 12000 to 31999, each given out once a process. Ruled out: a fault in the instances, which reported the collision correctly.

--- a/itest/cluster.go
+++ b/itest/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"turmericroute/client"
+	"turmericroute/fakes"
 	"turmericroute/fault"
 	"turmericroute/model"
 	"turmericroute/serve"
@@ -71,9 +71,9 @@
 // New makes the settings and proxies of a cluster; Start starts its processes.
 func New(cfg Config) (*Cluster, error) {
 	c := &Cluster{cfg: cfg, links: map[string]map[string]*fault.Proxy{}}
-	addresses, err := FreeAddresses(2 * len(cfg.Instances))
+	addresses, err := fakes.FreeAddresses(2 * len(cfg.Instances))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("choose addresses: %w", err)
 	}
 	for i, s := range cfg.Instances {
 		n := &Node{Spec: s, HTTP: addresses[2*i], cluster: c}
@@ -134,20 +134,6 @@
 	return nil
 }
 
-// FreeAddresses returns loopback addresses that were free a moment ago.
-func FreeAddresses(n int) ([]string, error) {
-	var found []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
-		}
-		defer ln.Close()
-		found = append(found, ln.Addr().String())
-	}
-	return found, nil
-}
-
 // Start starts all processes.
 func (c *Cluster) Start() error {
 	for _, n := range c.Nodes {
--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -5,7 +5,6 @@
 	_ "embed" // The example configuration is part of the binary.
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -75,9 +74,9 @@
 		{"c1", "north", serve.RoleControl}, {"c2", "south", serve.RoleControl}, {"c3", "east", serve.RoleControl},
 		{"e1", "north", serve.RoleEntry}, {"e2", "south", serve.RoleEntry},
 	}
-	ports, err := freePorts(2 * len(nodes))
+	ports, err := fakes.FreeAddresses(2 * len(nodes))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("choose addresses: %w", err)
 	}
 	var peers []serve.Peer
 	for i, n := range nodes {
@@ -98,20 +97,6 @@
 	return all, nil
 }
 
-// freePorts reserves loopback addresses by listening on them for a moment.
-func freePorts(n int) ([]string, error) {
-	var found []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
-		}
-		defer ln.Close()
-		found = append(found, ln.Addr().String())
-	}
-	return found, nil
-}
-
 func (d *deployment) start(s serve.Settings) {
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &instance{settings: s, stop: cancel, done: make(chan error, 1)}
