--- a/serve/run_test.go
+++ b/serve/run_test.go
@@ -14,6 +14,7 @@
 
 	"turmericroute/auth"
 	"turmericroute/client"
+	"turmericroute/fakes"
 	"turmericroute/model"
 	"turmericroute/serve"
 )
@@ -36,19 +37,13 @@
 	return s.b.String()
 }
 
-func freeAddress() string {
-	GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // pair returns settings of one control and one entry instance with keys and tokens.
 func pair(dir string) []serve.Settings {
 	peers := []serve.Peer{{Name: "c1", Control: true}, {Name: "e1"}}
+	free, err := fakes.FreeAddresses(2 * len(peers))
+	Expect(err).NotTo(HaveOccurred())
 	for i := range peers {
-		peers[i].HTTPAddress, peers[i].GRPCAddress = freeAddress(), freeAddress()
+		peers[i].HTTPAddress, peers[i].GRPCAddress = free[2*i], free[2*i+1]
 	}
 	var all []serve.Settings
 	for _, p := range peers {
