Bound the wait for one instance and for a leader

Cause: with the leader frozen or cut off, a submission through it took the whole 30 s of the call (itest: 'cut off silently' and 'frozen leader' failed with 'no answer ... context deadline exceeded'). A frozen process still accepts connections, and a cut-off one looked for a leader until the call's end. Change: a repeatable call gets 4 s at one instance, then the next is tried; an instance gives up looking for a leader after 2.5 s and says not_run.

--- a/client/client.go
+++ b/client/client.go
@@ -25,6 +25,10 @@
 	maxAnswerBytes = 64 << 20
 	// defaultTimeout bounds a call over all addresses when its context has no deadline.
 	defaultTimeout = 30 * time.Second
+	// attemptTimeout bounds one sending of a repeatable call, so that a frozen
+	// instance does not use up the time of the whole call. It is longer than an
+	// instance looks for a leader.
+	attemptTimeout = 4 * time.Second
 	// retryRounds is how often all addresses are tried.
 	retryRounds = 3
 	// retryPause is the wait between rounds; an election takes up to 800 ms.
@@ -134,7 +138,7 @@
 			break
 		}
 		n := (first + i) % len(c.bases)
-		a := c.send(ctx, c.bases[n], q, body, out)
+		a := c.attempt(ctx, c.bases[n], q, body, out)
 		if a.err == nil {
 			c.next.Store(int64(n))
 			return nil
@@ -149,6 +153,16 @@
 	return conclude(last, unknown, reached)
 }
 
+// attempt sends a call once, with a time limit of its own when it can be sent again elsewhere.
+func (c *Client) attempt(ctx context.Context, base string, q call, body []byte, out any) attempt {
+	if q.repeatable && len(c.bases) > 1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+	}
+	return c.send(ctx, base, q, body, out)
+}
+
 // conclude returns the error of a call whose attempts all failed. After an
 // attempt with an unknown outcome a later "not run" speaks only of itself,
 // unless it was decided by looking at the state.
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -83,6 +84,20 @@
 		Expect(a.calls.Load()).To(Equal(int64(1)), "the instance that answered is asked first from then on")
 	})
 
+	It("with an ID go to the next instance while one takes them and never answers", func() {
+		// A stopped process still has its connections accepted by the kernel.
+		frozen, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(frozen.Close)
+		good := serve(accept(model.Job{Spec: model.JobSpec{ID: "j"}}))
+		c := client.New(client.Config{Addresses: []string{frozen.Addr().String(), good.URL}})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		j, err := c.SubmitJob(ctx, model.JobSpec{ID: "j"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.Spec.ID).To(Equal("j"))
+	})
+
 	It("without an ID are not sent again once they may have run", func() {
 		a, b := serve(abort), serve(accepted)
 		c, ctx := call(a.URL, b.URL)
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -30,6 +30,9 @@
 	watchKeepalive = 400 * time.Millisecond
 	// executeTimeout bounds a command whose caller gives no deadline.
 	executeTimeout = 10 * time.Second
+	// leaderSearch bounds the search for a leader; an election takes under 2 s, and
+	// an instance that is cut off must say so while its caller can still try another.
+	leaderSearch = 2500 * time.Millisecond
 	// retryDelay is the pause before a command is tried again that certainly was not proposed.
 	retryDelay = 20 * time.Millisecond
 	// bootInterval is how often a control instance without membership asks its peers.
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -16,7 +16,7 @@
 
 // Execute commits c through the leader. Refusals by the leader or by the state
 // are in Result.Failure. A command that certainly was not proposed is tried
-// again until ctx ends.
+// again while a leader may still be found.
 func (n *Node) Execute(ctx context.Context, c state.Command) (state.Result, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -27,6 +27,7 @@
 	if err != nil {
 		return state.Result{}, model.NotRun(model.CodeInvalid, "%v", err)
 	}
+	searched := time.Now().Add(leaderSearch)
 	for {
 		if n.closing.Load() {
 			return state.Result{}, model.NotRun(model.CodeShuttingDown, "instance is stopping")
@@ -35,7 +36,7 @@
 		if out.err == nil || out.err.Outcome != model.OutcomeNotRun || out.err.Code != model.CodeNoLeader {
 			return out.result, errorOf(out.err)
 		}
-		if !sleep(ctx, retryDelay) {
+		if time.Now().After(searched) || !sleep(ctx, retryDelay) {
 			return state.Result{}, out.err
 		}
 	}
--- a/itest/example_test.go
+++ b/itest/example_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -20,12 +21,13 @@
 
 // The example deployments must run as they are shipped, or an operator's first start fails.
 var _ = DescribeTable("example deployment", func(ctx SpecContext, name string, gang model.Shape) {
-	folder, err := filepath.Abs(filepath.Join("..", "examples", name))
-	Expect(err).NotTo(HaveOccurred())
+	// Data folders lie beside the settings, so the files are used in a copy.
+	folder := tempDir()
+	Expect(os.CopyFS(folder, os.DirFS(filepath.Join("..", "examples", name)))).To(Succeed())
 	paths, err := filepath.Glob(filepath.Join(folder, "[ac][0-9].yaml"))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(paths).To(HaveLen(7))
-	c, err := itest.FromFiles(itest.Config{Binary: binary, Dir: tempDir()}, paths)
+	c, err := itest.FromFiles(itest.Config{Binary: binary, Dir: folder}, paths)
 	Expect(err).NotTo(HaveOccurred())
 	closeAfter(c)
 	Expect(c.Start()).To(Succeed())
--- /dev/null
+++ b/itest/fixture_test.go
@@ -0,0 +1,102 @@
+package itest_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/fakes"
+	"turmericroute/itest"
+	"turmericroute/model"
+)
+
+var perWorker = model.Resources{GPUs: 8, Cores: 32, MemoryMB: 65536}
+
+// smallConfig has three data centres of two workers, a team with a guarantee, one without, and a service.
+func smallConfig() config.Config {
+	cfg := config.Config{
+		Teams: []config.Team{
+			{Name: "owner", Services: []string{"plans"}, Guarantees: []config.Guarantee{
+				{Shape: model.Shape{Tasks: 2, GPUs: 8, SameRack: true}, Count: 1},
+			}},
+			{Name: "borrower", Services: []string{"plans"}},
+		},
+		Services: []config.Service{{Name: "plans", Slots: 8, Connections: 64}},
+	}
+	for _, dc := range []string{"dc1", "dc2", "dc3"} {
+		cfg.DataCentres = append(cfg.DataCentres, config.DataCentre{
+			Name: dc, Region: "home", Racks: []config.Rack{{Name: dc + "-r1", Workers: 2, PerWorker: perWorker}},
+		})
+	}
+	return cfg
+}
+
+// five is five control instances, two of them alone with their data centre, and one entry without a disk.
+var five = []itest.Spec{
+	{Name: "a1", DataCentre: "dc1", Control: true, Entry: true},
+	{Name: "a2", DataCentre: "dc1", Control: true, Entry: true},
+	{Name: "b1", DataCentre: "dc2", Control: true, Entry: true},
+	{Name: "b2", DataCentre: "dc2", Control: true, Entry: true},
+	{Name: "c1", DataCentre: "dc3", Control: true, Entry: true},
+	{Name: "c2", DataCentre: "dc3", Entry: true},
+}
+
+// start runs a cluster with the small configuration.
+func start(ctx context.Context, specs []itest.Spec) *itest.Cluster {
+	c, err := itest.New(itest.Config{Binary: binary, Dir: tempDir(), Instances: specs, Delay: 1400 * time.Microsecond})
+	Expect(err).NotTo(HaveOccurred())
+	closeAfter(c)
+	Expect(c.Start()).To(Succeed())
+	Eventually(c.AllFresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+	_, err = c.Client().Patch(ctx, config.Patch{ID: "first", Changes: config.Diff(config.Config{}, smallConfig())})
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// populate starts the workers and n executors in each data centre.
+func populate(ctx context.Context, c *itest.Cluster, n int) *itest.Site {
+	site := itest.NewSite(c.Addresses())
+	DeferCleanup(site.Close)
+	cfg := smallConfig()
+	site.AddWorkers(cfg, fakes.WorkerConfig{CheckpointTime: 50 * time.Millisecond, Step: 20 * time.Millisecond})
+	Expect(site.AddUpstreams(cfg, cfg.Services[0], 3*n, fakes.Behaviour{Delay: 10 * time.Millisecond})).To(Succeed())
+	Eventually(func() (int, error) {
+		ws, err := c.Client().Workers(ctx)
+		return len(ws), err
+	}, "10s").Should(Equal(6))
+	Eventually(func() (int, error) {
+		us, err := c.Client().Upstreams(ctx)
+		return len(us), err
+	}, "10s").Should(Equal(3 * n))
+	return site
+}
+
+func submit(ctx context.Context, c *itest.Cluster, id, team string, shape model.Shape, work float64) {
+	_, err := c.Client().SubmitJob(ctx, model.JobSpec{
+		ID: id, Team: team, Shape: shape, Urgent: team == "owner", Payload: fmt.Sprintf(`{"work_seconds": %g}`, work),
+	})
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func patchNow(ctx context.Context, c *itest.Cluster, changes ...config.Change) uint64 {
+	cfg, err := c.Client().Config(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	got, err := c.Client().Patch(ctx, config.Patch{ID: fmt.Sprint("patch-", cfg.Version), BaseVersion: cfg.Version, Changes: changes})
+	Expect(err).NotTo(HaveOccurred())
+	return got.Version
+}
+
+func inService(dc string, in bool) config.Change {
+	return config.Change{SetDataCentre: &config.DataCentreInService{Name: dc, OutOfService: !in, Reason: "test"}}
+}
+
+// leader waits for a leader with a fresh view.
+func leader(ctx context.Context, c *itest.Cluster) *itest.Node {
+	var n *itest.Node
+	Eventually(func() *itest.Node { n = c.Leader(ctx); return n }, "10s", "10ms").ShouldNot(BeNil())
+	return n
+}
