--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -47,9 +47,9 @@
 	cond     *sync.Cond
 	queue    []work
 	stopped  bool
-	waiters  map[uint64]waiter
-	snapshot *quorum.Snapshot // the last one, nil before
-	recent   []quorum.Entry   // applied entries, contiguous up to the last one
+	waiters  map[uint64][]waiter // by index; several when the index was given out again in another term
+	snapshot *quorum.Snapshot    // the last one, nil before
+	recent   []quorum.Entry      // applied entries, contiguous up to the last one
 	members  quorum.Membership
 	sinceN   int // entries and bytes applied since the last snapshot
 	sinceB   int
@@ -59,7 +59,7 @@
 
 func newApplier(cfg Config, m *state.Machine) *applier {
 	a := &applier{
-		machine: m, logger: cfg.Logger, waiters: map[uint64]waiter{},
+		machine: m, logger: cfg.Logger, waiters: map[uint64][]waiter{},
 		snapshotEntries: cfg.SnapshotEntries, snapshotBytes: cfg.SnapshotBytes,
 		applySeconds:    cfg.Metrics.NewSummary(`turmericroute_ctrl_apply_seconds`),
 		snapshotSeconds: cfg.Metrics.NewSummary(`turmericroute_ctrl_snapshot_seconds`),
@@ -91,12 +91,7 @@
 func (a *applier) wait(index, term uint64, done chan outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if old, ok := a.waiters[index]; ok {
-		// The log was cut back and index given out again: the earlier entry may still commit elsewhere
-		// only under its own term, so its proposer cannot be told more.
-		old.done <- unknownOutcome("leadership was lost")
-	}
-	a.waiters[index] = waiter{term: term, done: done}
+	a.waiters[index] = append(a.waiters[index], waiter{term: term, done: done})
 }
 
 func unknownOutcome(why string) outcome {
@@ -133,11 +128,14 @@
 func (a *applier) failWaiters(upTo uint64, why string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for index, w := range a.waiters {
-		if index <= upTo {
+	for index, list := range a.waiters {
+		if index > upTo {
+			continue
+		}
+		for _, w := range list {
 			w.done <- unknownOutcome(why)
-			delete(a.waiters, index)
 		}
+		delete(a.waiters, index)
 	}
 }
 
@@ -198,17 +196,17 @@
 	a.answer(e, res)
 }
 
-// answer tells the proposer at the entry's index how its command ended.
+// answer tells the proposers at the entry's index how their commands ended.
 func (a *applier) answer(e quorum.Entry, res state.Result) {
 	a.mu.Lock()
-	w, ok := a.waiters[e.Index]
+	list := a.waiters[e.Index]
 	delete(a.waiters, e.Index)
 	a.mu.Unlock()
-	switch {
-	case !ok:
-	case w.term == e.Term:
-		w.done <- outcome{result: res}
-	default:
+	for _, w := range list {
+		if w.term == e.Term {
+			w.done <- outcome{result: res}
+			continue
+		}
 		w.done <- outcome{err: model.NotRun(model.CodeNoLeader, "leadership was lost and another command took the place in the log")}
 	}
 }
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -105,7 +105,7 @@
 			m.handle(msg)
 		case p := <-m.proposals:
 			m.ticks()
-			m.propose(p)
+			m.propose(p, m.protocol.Status().Term)
 		case f := <-m.calls:
 			m.ticks()
 			f()
@@ -142,16 +142,21 @@
 	for n := len(m.inbox); n > 0; n-- {
 		m.handle(<-m.inbox)
 	}
-	for n := len(m.proposals); n > 0; n-- {
-		m.propose(<-m.proposals)
+	n := len(m.proposals)
+	if n == 0 {
+		return
+	}
+	for current := m.protocol.Status().Term; n > 0; n-- {
+		m.propose(<-m.proposals, current)
 	}
 }
 
-func (m *member) propose(p *proposal) {
+// propose appends a proposal that was admitted in the current term.
+func (m *member) propose(p *proposal, current uint64) {
 	if !p.settled.CompareAndSwap(false, true) {
 		return
 	}
-	if term := m.protocol.Status().Term; p.term != 0 && p.term != term {
+	if p.term != current {
 		p.done <- outcome{err: notLeader()}
 		return
 	}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -138,6 +138,7 @@
 	}
 	m.changed = n.roleChanged
 	n.applier.setPersist(m.saveSnapshot)
+	n.recovered.Snapshot, n.recovered.Entries = nil, nil
 	n.member.Store(m)
 	n.wg.Go(func() {
 		m.run()
@@ -200,7 +201,7 @@
 	return state.MemberStatus{Name: m.Name, Address: n.cfg.addressOf(m), Voter: voter, Match: known[m.ID].Match}
 }
 
-// Close hands over leadership and ends the instance.
+// Close hands over leadership and ends the instance; an ended ctx skips the handover.
 func (n *Node) Close(ctx context.Context) error {
 	if !n.closing.CompareAndSwap(false, true) {
 		return nil
@@ -234,6 +235,9 @@
 
 // handOver makes the voter with the longest log the leader and waits until it is.
 func (n *Node) handOver(ctx context.Context, m *member) {
+	if ctx.Err() != nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	to := ""
