--- /dev/null
+++ b/cmd/bench/commit.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericroute/ctrl"
+	"turmericroute/quorum"
+	"turmericroute/state"
+	"turmericroute/store"
+)
+
+const (
+	commitSamples = 2000
+	groupWriters  = 64
+	groupTime     = 2 * time.Second
+	patchSamples  = 200
+)
+
+// measureCommit compares commits on three instances with an append and sync of
+// the same bytes, alternating, and 64 writers with one.
+func measureCommit(_ context.Context, l lab, f figures) error {
+	if err := l.start(3, 0); err != nil {
+		return err
+	}
+	defer l.close()
+	n := l.leader()
+	size, err := recordBytes(register(0))
+	if err != nil {
+		return err
+	}
+	file, err := os.OpenFile(filepath.Join(l.dir, "baseline"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("create baseline file: %w", err)
+	}
+	defer file.Close()
+	commits, syncs := make([]time.Duration, commitSamples), make([]time.Duration, commitSamples)
+	for i := range commitSamples {
+		if commits[i], err = timed(func() error { return commit(n, register(i)) }); err != nil {
+			return err
+		}
+		if syncs[i], err = timed(func() error { return appendSync(file, size) }); err != nil {
+			return err
+		}
+	}
+	f["commit_p50_ms"], f["commit_p99_ms"] = ms(quantile(commits, 0.5)), ms(quantile(commits, 0.99))
+	f["sync_p50_ms"], f["sync_p99_ms"] = ms(quantile(syncs, 0.5)), ms(quantile(syncs, 0.99))
+	f["commit_p50_ratio"] = f["commit_p50_ms"] / f["sync_p50_ms"]
+	f["commit_p99_ratio"] = f["commit_p99_ms"] / f["sync_p99_ms"]
+	one, err := throughput(n, 1)
+	if err != nil {
+		return err
+	}
+	many, err := throughput(n, groupWriters)
+	if err != nil {
+		return err
+	}
+	f["commits_s_1_writer"], f["commits_s_64_writers"], f["group_commit_ratio"] = one, many, many/one
+	return nil
+}
+
+// recordBytes returns the size of a command in the log.
+func recordBytes(c state.Command) (int, error) {
+	data, err := state.Encode(c)
+	if err != nil {
+		return 0, fmt.Errorf("encode command: %w", err)
+	}
+	return store.RecordBytes(quorum.Entry{Data: data}), nil
+}
+
+func appendSync(file *os.File, size int) error {
+	if _, err := file.Write(make([]byte, size)); err != nil {
+		return fmt.Errorf("append: %w", err)
+	}
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync: %w", err)
+	}
+	return nil
+}
+
+func timed(f func() error) (time.Duration, error) {
+	start := time.Now()
+	err := f()
+	return time.Since(start), err
+}
+
+// throughput returns commits a second with a number of concurrent writers.
+func throughput(n *ctrl.Node, writers int) (float64, error) {
+	var count atomic.Int64
+	errs := make([]error, writers)
+	var wg sync.WaitGroup
+	start := time.Now()
+	for w := range writers {
+		wg.Go(func() {
+			for i := 0; time.Since(start) < groupTime && errs[w] == nil; i++ {
+				errs[w] = commit(n, register(w*1000+i%1000))
+				count.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return float64(count.Load()) / time.Since(start).Seconds(), errors.Join(errs...)
+}
+
+// measurePatch measures how long after its acceptance a patch is in force on
+// the slowest of nine instances: three with disks, six without.
+func measurePatch(_ context.Context, l lab, f figures) error {
+	if err := l.start(3, 6); err != nil {
+		return err
+	}
+	defer l.close()
+	issuer := l.nodes["d0"]
+	var delays []time.Duration
+	for v := range uint64(patchSamples) {
+		seen := make(chan time.Time, len(l.nodes))
+		for _, n := range l.nodes {
+			go func() { seen <- waitVersion(n, v+1) }()
+		}
+		if err := commit(issuer, patch(v)); err != nil {
+			return err
+		}
+		accepted := time.Now()
+		var slowest time.Duration
+		for range l.nodes {
+			slowest = max(slowest, (<-seen).Sub(accepted))
+		}
+		delays = append(delays, slowest)
+	}
+	f["in_force_p50_ms"], f["in_force_p99_ms"] = ms(quantile(delays, 0.5)), ms(quantile(delays, 0.99))
+	return nil
+}
+
+// waitVersion returns when an instance has a configuration version.
+func waitVersion(n *ctrl.Node, version uint64) time.Time {
+	for {
+		changed := n.Machine().Changed()
+		if n.Machine().Config().Version >= version {
+			return time.Now()
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/cmd/bench/lab.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"turmericroute/config"
+	"turmericroute/ctrl"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+const (
+	labTimeout = 20 * time.Second
+	labPoll    = 5 * time.Millisecond
+)
+
+// lab runs instances in this process over loopback.
+type lab struct {
+	dir     string
+	verbose bool
+	peers   []ctrl.Peer
+	nodes   map[string]*ctrl.Node
+	metrics map[string]*metrics.Set
+}
+
+// start runs control instances c0, c1, ... and diskless ones d0, d1, ...
+func (l *lab) start(controls, diskless int) error {
+	l.nodes, l.metrics = map[string]*ctrl.Node{}, map[string]*metrics.Set{}
+	for i := range controls + diskless {
+		p := ctrl.Peer{Name: fmt.Sprintf("c%d", i), Control: true}
+		if i >= controls {
+			p = ctrl.Peer{Name: fmt.Sprintf("d%d", i-controls)}
+		}
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		p.Address = addr
+		l.peers = append(l.peers, p)
+	}
+	for _, p := range l.peers {
+		if err := l.run(p); err != nil {
+			return err
+		}
+	}
+	return l.settle()
+}
+
+// freeAddress returns a loopback address below the ports that outgoing
+// connections get, so that it is still free when its instance restarts.
+func freeAddress() (string, error) {
+	const lowest, count, tries = 15000, 15000, 100
+	for range tries {
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count)))
+		if err != nil {
+			continue
+		}
+		defer lis.Close()
+		return lis.Addr().String(), nil
+	}
+	return "", errors.New("no free port was found")
+}
+
+func (l *lab) run(p ctrl.Peer) error {
+	cfg := ctrl.Config{Name: p.Name, Address: p.Address, Peers: l.peers, Bootstrap: true, Metrics: metrics.NewSet()}
+	if p.Control {
+		cfg.DataDir = filepath.Join(l.dir, p.Name)
+	}
+	if l.verbose {
+		cfg.Logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), "node", p.Name, "at", log.DefaultTimestampUTC)
+	}
+	n, err := ctrl.New(cfg)
+	if err != nil {
+		return fmt.Errorf("new instance: %w", err)
+	}
+	if err := n.Start(context.Background()); err != nil {
+		return fmt.Errorf("start instance: %w", err)
+	}
+	l.nodes[p.Name], l.metrics[p.Name] = n, cfg.Metrics
+	return nil
+}
+
+// settle waits until all instances have a fresh view.
+func (l *lab) settle() error {
+	deadline := time.Now().Add(labTimeout)
+	for _, n := range l.nodes {
+		for n.ViewAge() > time.Second {
+			if time.Now().After(deadline) {
+				return errors.New("instances have no leader")
+			}
+			time.Sleep(labPoll)
+		}
+	}
+	return nil
+}
+
+func (l *lab) leader() *ctrl.Node {
+	for {
+		for _, n := range l.nodes {
+			if n.Status().Role == "leader" {
+				return n
+			}
+		}
+		time.Sleep(labPoll)
+	}
+}
+
+func (l *lab) close() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	var wg sync.WaitGroup
+	for _, n := range l.nodes {
+		wg.Go(func() { n.Close(ended) }) //nolint:errcheck // the folder goes away.
+	}
+	wg.Wait()
+}
+
+func register(i int) state.Command {
+	return state.RegisterWorker{Worker: model.Worker{
+		Name: fmt.Sprintf("worker-%06d", i), Incarnation: "00112233", DataCentre: "dc-1", Rack: "rack-01",
+		Capacity: model.Resources{GPUs: 8, Cores: 32, MemoryMB: 65536},
+	}}
+}
+
+// patch sets the limit of one of 22 teams.
+func patch(base uint64) state.PatchConfig {
+	return state.PatchConfig{Patch: config.Patch{
+		ID: fmt.Sprintf("patch-%06d", base), BaseVersion: base, Author: "bench", Reason: "measurement",
+		Changes: []config.Change{{PutTeam: &config.Team{
+			Name: fmt.Sprintf("team-%02d", base%22), Weight: 1, MaxGPUs: int(base % 100),
+			DataCentres: []string{"dc-1", "dc-2"}, Services: []string{"fabrication"},
+		}}},
+	}}
+}
+
+// commit executes a command and fails when it is refused.
+func commit(n *ctrl.Node, c state.Command) error {
+	ctx, cancel := context.WithTimeout(context.Background(), labTimeout)
+	defer cancel()
+	res, err := n.Execute(ctx, c)
+	if err != nil {
+		return fmt.Errorf("commit: %w", err)
+	}
+	if res.Failure != nil {
+		return fmt.Errorf("commit: %w", res.Failure)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bench/recover.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"turmericroute/ctrl"
+	"turmericroute/quorum"
+	"turmericroute/state"
+	"turmericroute/store"
+)
+
+const (
+	changesADay    = 1300
+	changesTenDays = 13000
+	recoveryRuns   = 9
+)
+
+// measureRecovery compares a restart after the configuration changes of one day with one after those of ten.
+func measureRecovery(_ context.Context, l lab, f figures) error {
+	name := "c0"
+	addr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	l.peers = []ctrl.Peer{{Name: name, Address: addr, Control: true}}
+	l.nodes, l.metrics = map[string]*ctrl.Node{}, nil
+	done := 0
+	for _, changes := range []int{changesADay, changesTenDays} {
+		if err := l.change(done, changes); err != nil {
+			return err
+		}
+		done = changes
+		dir := filepath.Join(l.dir, name)
+		kb, err := folderKB(dir)
+		if err != nil {
+			return err
+		}
+		took, err := recoveryTime(dir)
+		if err != nil {
+			return err
+		}
+		f[fmt.Sprintf("recovery_%d_ms", changes)], f[fmt.Sprintf("disk_%d_kb", changes)] = ms(took), kb
+	}
+	f["recovery_growth_ratio"] = f["recovery_13000_ms"] / f["recovery_1300_ms"]
+	f["disk_growth_ratio"] = f["disk_13000_kb"] / f["disk_1300_kb"]
+	return nil
+}
+
+// change commits patches from one count to another on a single instance and closes it.
+func (l lab) change(from, to int) error {
+	n, err := ctrl.New(ctrl.Config{
+		Name: l.peers[0].Name, Address: l.peers[0].Address, Peers: l.peers, Bootstrap: true,
+		DataDir: filepath.Join(l.dir, l.peers[0].Name),
+	})
+	if err != nil {
+		return fmt.Errorf("new instance: %w", err)
+	}
+	if err := n.Start(context.Background()); err != nil {
+		return fmt.Errorf("start instance: %w", err)
+	}
+	for v := from; v < to; v++ {
+		if err := commit(n, patch(uint64(v))); err != nil {
+			return err
+		}
+	}
+	if err := n.Close(context.Background()); err != nil {
+		return fmt.Errorf("close instance: %w", err)
+	}
+	return nil
+}
+
+func folderKB(dir string) (float64, error) {
+	list, err := os.ReadDir(dir)
+	if err != nil {
+		return 0, fmt.Errorf("list folder: %w", err)
+	}
+	var bytes int64
+	for _, e := range list {
+		info, err := e.Info()
+		if err != nil {
+			return 0, fmt.Errorf("list folder: %w", err)
+		}
+		bytes += info.Size()
+	}
+	return float64(bytes) / 1024, nil
+}
+
+// recoveryTime returns the median time to open the folder and rebuild the state.
+func recoveryTime(dir string) (time.Duration, error) {
+	var list []time.Duration
+	for range recoveryRuns {
+		took, err := timed(func() error { return rebuild(dir) })
+		if err != nil {
+			return 0, err
+		}
+		list = append(list, took)
+	}
+	return quantile(list, 0.5), nil
+}
+
+func rebuild(dir string) error {
+	s, rec, err := store.Open(store.Config{Dir: dir})
+	if err != nil {
+		return fmt.Errorf("open folder: %w", err)
+	}
+	m := state.New()
+	if rec.Snapshot != nil {
+		if err := m.Restore(rec.Snapshot.Data); err != nil {
+			return fmt.Errorf("restore: %w", err)
+		}
+	}
+	for _, e := range rec.Entries {
+		var c state.Command
+		if e.Kind == quorum.EntryCommand {
+			if c, err = state.Decode(e.Data); err != nil {
+				return fmt.Errorf("decode entry: %w", err)
+			}
+		}
+		m.Apply(e.Index, c)
+	}
+	if err := s.Close(); err != nil {
+		return fmt.Errorf("close folder: %w", err)
+	}
+	return nil
+}
--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -44,11 +45,16 @@
 	return c
 }
 
+// freeAddress returns a loopback address below the ports that outgoing
+// connections get, so that it is still free when its instance restarts.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
 }
 
 func (c *cluster) folder(name string) string { return filepath.Join(c.dir, name) }
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -41,6 +41,7 @@
 	cancel         context.CancelFunc
 	logger         log.Logger
 	sent, received *metrics.Counter
+	writes, reads  *metrics.Counter // about one segment each
 	reconnects     *metrics.Counter
 
 	wg sync.WaitGroup
@@ -54,6 +55,8 @@
 		ctx: ctx, cancel: cancel, logger: cfg.Logger, by: map[string]*link{},
 		sent:       cfg.Metrics.NewCounter(`turmericroute_ctrl_sent_bytes_total`),
 		received:   cfg.Metrics.NewCounter(`turmericroute_ctrl_received_bytes_total`),
+		writes:     cfg.Metrics.NewCounter(`turmericroute_ctrl_writes_total`),
+		reads:      cfg.Metrics.NewCounter(`turmericroute_ctrl_reads_total`),
 		reconnects: cfg.Metrics.NewCounter(`turmericroute_ctrl_reconnects_total`),
 	}
 }
@@ -235,6 +238,7 @@
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.links.received.Add(n)
+	c.links.reads.Inc()
 	return n, err //nolint:wrapcheck // passes io.EOF and time-outs on.
 }
 
@@ -242,5 +246,6 @@
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.links.sent.Add(n)
+	c.links.writes.Inc()
 	return n, err //nolint:wrapcheck // passes time-outs on.
 }
--- a/store/record.go
+++ b/store/record.go
@@ -114,3 +114,8 @@
 	}
 	return false
 }
+
+// RecordBytes returns the size of an entry in a segment.
+func RecordBytes(e quorum.Entry) int {
+	return recordPrefixBytes + recordFixedBytes + len(e.Data)
+}
