--- a/model/errors.go
+++ b/model/errors.go
@@ -41,9 +41,12 @@
 	CodeOutcomeUnknown   Code = "outcome_unknown"
 	CodeNoUpstream       Code = "no_upstream"
 	CodeUpstreamFailed   Code = "upstream_failed"
+	CodeAnswerNotKept    Code = "answer_not_kept"
 	CodeShuttingDown     Code = "shutting_down"
 	CodeUnavailable      Code = "unavailable"
 	CodeInternal         Code = "internal"
+	CodeUnauthorised     Code = "unauthorised"
+	CodeForbidden        Code = "forbidden"
 )
 
 // Error is an error with a code, an outcome and, for validation, all faults found.
--- /dev/null
+++ b/webapi/api.go
@@ -0,0 +1,220 @@
+package webapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"turmericroute/auth"
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderTeam      = "Turmericroute-Team"
+	HeaderTimeout   = "Turmericroute-Timeout-Ms"
+	HeaderRequestID = "Turmericroute-Request-Id"
+	HeaderOutcome   = "Turmericroute-Outcome"
+	HeaderViewAge   = "Turmericroute-View-Age-Ms"
+)
+
+const (
+	// defaultTimeout bounds a request whose caller names no deadline.
+	defaultTimeout = 10 * time.Second
+	// maxTimeout bounds the deadline that a caller may name.
+	maxTimeout = 5 * time.Minute
+	// maxJobBytes bounds the body of a job submission.
+	maxJobBytes = 256 << 10
+	// maxPollBytes bounds a worker's poll; 64 tasks with long messages take about 100 KB.
+	maxPollBytes = 512 << 10
+	// maxSmallBytes bounds announcements and departures of upstreams.
+	maxSmallBytes = 16 << 10
+)
+
+// ServiceHandler serves requests to upstream services; package entry implements it.
+type ServiceHandler interface {
+	ServeService(w http.ResponseWriter, r *http.Request)
+}
+
+// Config holds what the API serves.
+type Config struct {
+	Replica state.Replica
+	Entry   ServiceHandler
+	Logger  log.Logger
+	// Metrics is the set that requests are counted in; it is also served.
+	Metrics *metrics.Set
+	// Tokens identifies callers; nil lets everyone do everything.
+	Tokens Identifier
+	// Dump returns the process state for GET /dump.
+	Dump func() any
+	// Ready returns why the process should receive no requests, or nil.
+	Ready func() error
+	// CheckConfig returns why the guarantees of a configuration cannot all hold.
+	CheckConfig func(config.Config) []string
+	// CheckJob returns a *model.Error when a job can never run.
+	CheckJob func(config.Config, model.JobSpec) error
+	// Closing reports that the process is shutting down and takes no new requests.
+	Closing func() bool
+	// Now returns the time; the default is time.Now.
+	Now func() time.Time
+}
+
+type api struct {
+	Config
+	mux *http.ServeMux
+}
+
+// handler serves one request and returns the value to encode as JSON.
+type handler func(r *http.Request) (any, error)
+
+// New returns the handler of the whole API.
+func New(cfg Config) http.Handler {
+	if cfg.Logger == nil {
+		cfg.Logger = log.NewNopLogger()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	a := &api{Config: cfg, mux: http.NewServeMux()}
+	a.routes()
+	return a
+}
+
+func (a *api) routes() {
+	a.json("POST", "/v1/jobs", a.submitJob, auth.RoleTeam)
+	a.json("GET", "/v1/jobs", a.listJobs, auth.RoleTeam)
+	a.json("GET", "/v1/jobs/{id}", a.getJob, auth.RoleTeam)
+	a.json("DELETE", "/v1/jobs/{id}", a.cancelJob, auth.RoleTeam)
+	a.json("GET", "/v1/config", a.getConfig)
+	a.json("POST", "/v1/config/patches", a.patchConfig)
+	a.json("GET", "/v1/config/history", a.getHistory)
+	a.json("GET", "/v1/workers", a.listWorkers)
+	a.json("GET", "/v1/upstreams", a.listUpstreams)
+	a.json("POST", "/v1/workers/{name}/poll", a.pollWorker, auth.RoleWorker)
+	a.json("POST", "/v1/upstreams/{name}/announce", a.announceUpstream, auth.RoleUpstream)
+	a.json("POST", "/v1/upstreams/{name}/leave", a.leaveUpstream, auth.RoleUpstream)
+	a.always("GET", "/v1/status", a.guarded(a.getStatus))
+	a.always("GET", "/dump", a.guarded(a.getDump))
+	a.always("GET", "/readyz", a.getReady)
+	a.always("GET", "/livez", func(*http.Request) (any, error) { return map[string]bool{"live": true}, nil })
+	a.mux.HandleFunc("GET /metrics", a.serveMetrics)
+	a.mux.HandleFunc("/v1/services/{service}/{path...}", a.serveService)
+	a.noMethod()
+	a.json("", "/", func(r *http.Request) (any, error) {
+		return nil, model.NotRun(model.CodeNotFound, "no resource %s", r.URL.Path)
+	})
+}
+
+// noMethod answers other methods of the paths above with a typed error.
+func (a *api) noMethod() {
+	for _, path := range []string{
+		"/v1/jobs", "/v1/jobs/{id}", "/v1/config", "/v1/config/patches", "/v1/config/history", "/v1/workers",
+		"/v1/upstreams", "/v1/status", "/v1/workers/{name}/poll", "/v1/upstreams/{name}/announce",
+		"/v1/upstreams/{name}/leave", "/dump", "/readyz", "/livez", "/metrics",
+	} {
+		a.json("", path, func(r *http.Request) (any, error) {
+			return nil, model.NotRun(codeMethod, "method %s is not supported here", r.Method)
+		})
+	}
+}
+
+// json registers a handler that answers with JSON to the roles and to
+// operators, and is refused during a shutdown.
+func (a *api) json(method, path string, h handler, roles ...auth.Role) {
+	a.always(method, path, a.guarded(func(r *http.Request) (any, error) {
+		if a.Closing != nil && a.Closing() {
+			return nil, unsettled(r, model.NotRun(model.CodeShuttingDown, "this instance is shutting down"))
+		}
+		return h(r)
+	}, roles...))
+}
+
+// guarded lets only the roles and operators through.
+func (a *api) guarded(h handler, roles ...auth.Role) handler {
+	return func(r *http.Request) (any, error) {
+		r, err := a.allow(r, roles)
+		if err != nil {
+			return nil, err
+		}
+		return h(r)
+	}
+}
+
+// always registers a handler that answers with JSON, also during a shutdown.
+func (a *api) always(method, path string, h handler) {
+	pattern := path
+	if method != "" {
+		pattern = method + " " + path
+	}
+	a.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel, err := withDeadline(r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		defer cancel()
+		limitRead(ctx, w)
+		v, err := h(r.WithContext(ctx))
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, r, v)
+	})
+}
+
+// withDeadline bounds a request by the caller's deadline.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc, error) {
+	d, err := timeoutOf(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d)
+	return ctx, cancel, nil
+}
+
+// limitRead ends the reading of a body that arrives too slowly. Connections
+// that support no deadlines, as in unit tests, are left as they are.
+func limitRead(ctx context.Context, w http.ResponseWriter) {
+	if d, ok := ctx.Deadline(); ok {
+		// The reply to a request that ran into its deadline is still sent, so the bound is later.
+		http.NewResponseController(w).SetReadDeadline(d.Add(time.Second)) //nolint:errcheck // see above
+	}
+}
+
+func (a *api) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if _, err := a.allow(r, nil); err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	a.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (a *api) serveService(w http.ResponseWriter, r *http.Request) {
+	r, err := a.allow(r, []auth.Role{auth.RoleTeam})
+	if err == nil {
+		err = asTeam(r)
+	}
+	if err == nil && a.Entry == nil {
+		err = unsettled(r, model.NotRun(model.CodeUnavailable, "this instance serves no services"))
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if a.Tokens != nil {
+		// The token is for this API and is not passed on to upstreams.
+		r.Header.Del("Authorization")
+	}
+	a.Entry.ServeService(w, r)
+}
--- /dev/null
+++ b/webapi/log.go
@@ -0,0 +1,132 @@
+package webapi
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"turmericroute/auth"
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// recorder notes status and error code of an answer for the log and the metrics.
+type recorder struct {
+	http.ResponseWriter
+	status int
+	err    *model.Error
+}
+
+// WriteHeader notes the status.
+func (w *recorder) WriteHeader(status int) {
+	if w.status == 0 && status >= http.StatusOK {
+		w.status = status
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write notes the implied status 200.
+func (w *recorder) Write(b []byte) (int, error) {
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (w *recorder) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *recorder) noteCode(e *model.Error) { w.err = e }
+
+// ServeHTTP gives the request an ID, serves it, counts it and logs it.
+func (a *api) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := a.Now()
+	id := requestID(r)
+	r.Header.Set(HeaderRequestID, id)
+	w.Header().Set(HeaderRequestID, id)
+	rec := &recorder{ResponseWriter: w}
+	who := &caller{}
+	r = r.WithContext(context.WithValue(r.Context(), callerKey{}, who))
+	defer func() { a.observe(rec, r, id, who, a.Now().Sub(start)) }()
+	a.mux.ServeHTTP(rec, r)
+}
+
+type callerKey struct{}
+
+// caller is filled in while a request is served, for its log line.
+type caller struct {
+	identity auth.Identity
+	details  []any
+}
+
+// detail adds a key and a value to the log line of a request.
+func detail(ctx context.Context, key string, value any) {
+	if c, ok := ctx.Value(callerKey{}).(*caller); ok {
+		c.details = append(c.details, key, value)
+	}
+}
+
+// requestID returns the caller's request ID when it is safe to log, or a new one.
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(HeaderRequestID); config.CheckName(id) == nil {
+		return id
+	}
+	return rand.Text()
+}
+
+func (a *api) observe(rec *recorder, r *http.Request, id string, who *caller, took time.Duration) {
+	route := r.Pattern
+	if _, path, ok := strings.Cut(route, " "); ok {
+		route = path
+	}
+	if rec.status == 0 {
+		rec.status = http.StatusOK
+	}
+	a.Metrics.GetOrCreateCounter(fmt.Sprintf("turmericroute_http_requests_total{method=%q,route=%q,status=%q}",
+		knownMethod(r.Method), route, strconv.Itoa(rec.status))).Inc()
+	a.Metrics.GetOrCreateHistogram(fmt.Sprintf("turmericroute_http_request_seconds{route=%q}", route)).Update(took.Seconds())
+	a.logRequest(rec, r, id, who, took)
+}
+
+// knownMethod bounds the label values of the request counter.
+func knownMethod(m string) string {
+	switch m {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+		return m
+	default:
+		return "other"
+	}
+}
+
+// logRequest logs one line a request. Changes and refused access are audit
+// lines that name the caller; other failures are logged at info, and reads,
+// polls and heartbeats at debug, since workers alone send thousands of polls a second.
+func (a *api) logRequest(rec *recorder, r *http.Request, id string, who *caller, took time.Duration) {
+	frequent := strings.HasSuffix(r.URL.Path, "/poll") || strings.HasSuffix(r.URL.Path, "/announce") || strings.HasPrefix(r.URL.Path, "/v1/services/")
+	denied := rec.status == http.StatusUnauthorized || rec.status == http.StatusForbidden
+	logger, event := level.Debug(a.Logger), "http_request"
+	switch {
+	case denied, r.Method != http.MethodGet && !frequent:
+		logger, event = level.Info(a.Logger), "audit"
+	case rec.status >= http.StatusBadRequest && !frequent:
+		logger = level.Info(a.Logger)
+	}
+	kv := []any{
+		"event", event, "request_id", id, "method", r.Method, "path", r.URL.Path,
+		"status", rec.status, "took_ms", took.Milliseconds(), "remote", r.RemoteAddr,
+	}
+	if who.identity.Name != "" {
+		kv = append(kv, "who", who.identity.Name, "role", who.identity.Role)
+	}
+	kv = append(kv, who.details...)
+	if rec.err != nil {
+		kv = append(kv, "code", rec.err.Code, "outcome", rec.err.Outcome, "error", rec.err.Message)
+	}
+	logger.Log(kv...)
+}
