--- a/cmd/bench/recover.go
+++ b/cmd/bench/recover.go
@@ -109,7 +109,11 @@
 	}
 	m := state.New()
 	if rec.Snapshot != nil {
-		if err := m.Restore(rec.Snapshot.Data); err != nil {
+		data, err := ctrl.UnpackSnapshot(rec.Snapshot.Data)
+		if err != nil {
+			return fmt.Errorf("restore: %w", err)
+		}
+		if err := m.Restore(data); err != nil {
 			return fmt.Errorf("restore: %w", err)
 		}
 	}
--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -153,7 +153,11 @@
 }
 
 func (a *applier) restore(s quorum.Snapshot) error {
-	if err := a.machine.Restore(s.Data); err != nil {
+	data, err := UnpackSnapshot(s.Data)
+	if err != nil {
+		return err
+	}
+	if err := a.machine.Restore(data); err != nil {
 		return err //nolint:wrapcheck // says what it is.
 	}
 	a.mu.Lock()
@@ -225,15 +229,19 @@
 	a.mu.Unlock()
 
 	start := time.Now()
-	var err error
-	if s.Data, err = a.machine.Snapshot(); err != nil {
+	data, err := a.machine.Snapshot()
+	if err != nil {
 		a.logger.Log("event", "snapshot_failed", "index", s.Index, "err", err)
 		a.saved(nil, 0)
 		return
 	}
 	a.wg.Go(func() {
 		keepFrom := s.Index - min(s.Index, uint64(a.snapshotEntries/keepShare))
-		if err := a.persist(s, keepFrom); err != nil {
+		var err error
+		if s.Data, err = packSnapshot(data); err == nil {
+			err = a.persist(s, keepFrom)
+		}
+		if err != nil {
 			a.logger.Log("event", "snapshot_failed", "index", s.Index, "err", err)
 			a.saved(nil, 0)
 			return
