--- a/cmd/bench/recover.go
+++ b/cmd/bench/recover.go
@@ -17,9 +17,12 @@
 	changesADay    = 1300
 	changesTenDays = 13000
 	recoveryRuns   = 9
+	// Each figure is the mean of several points, so that the distance to the last snapshot matters little.
+	recoveryPoints = 4
+	pointDistance  = 225
 )
 
-// measureRecovery compares a restart after the configuration changes of one day with one after those of ten.
+// measureRecovery compares restarts after the configuration changes of one day with restarts after those of ten.
 func measureRecovery(_ context.Context, l lab, f figures) error {
 	name := "c0"
 	addr, err := freeAddress()
@@ -30,18 +33,23 @@
 	l.nodes, l.metrics = map[string]*ctrl.Node{}, nil
 	done := 0
 	for _, changes := range []int{changesADay, changesTenDays} {
-		if err := l.change(done, changes); err != nil {
-			return err
-		}
-		done = changes
-		dir := filepath.Join(l.dir, name)
-		kb, err := folderKB(dir)
-		if err != nil {
-			return err
-		}
-		took, err := recoveryTime(dir)
-		if err != nil {
-			return err
+		var took time.Duration
+		var kb float64
+		for point := range recoveryPoints {
+			to := changes + point*pointDistance
+			if err := l.change(done, to); err != nil {
+				return err
+			}
+			done = to
+			size, err := folderKB(filepath.Join(l.dir, name))
+			if err != nil {
+				return err
+			}
+			t, err := recoveryTime(filepath.Join(l.dir, name))
+			if err != nil {
+				return err
+			}
+			took, kb = took+t/recoveryPoints, kb+size/recoveryPoints
 		}
 		f[fmt.Sprintf("recovery_%d_ms", changes)], f[fmt.Sprintf("disk_%d_kb", changes)] = ms(took), kb
 	}
