--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -35,7 +35,7 @@
 type applier struct {
 	machine *state.Machine
 	logger  log.Logger
-	// snapshotEntries and snapshotBytes bound what is applied between snapshots.
+	// snapshotEntries and snapshotBytes say how much is applied between snapshots, see Config.
 	snapshotEntries, snapshotBytes int
 	// persist saves a snapshot; nil where there is no disk.
 	persist func(quorum.Snapshot, uint64) error
@@ -218,12 +218,12 @@
 // maybeSnapshot takes a snapshot when enough was applied since the last one, and saves it in the background.
 func (a *applier) maybeSnapshot() {
 	a.mu.Lock()
-	due := a.persist != nil && !a.saving && len(a.recent) > 0 && (a.sinceN >= a.snapshotEntries || a.sinceB >= a.snapshotBytes)
-	if !due {
+	if !a.due() {
 		a.mu.Unlock()
 		return
 	}
 	last := a.recent[len(a.recent)-1]
+	keepFrom := last.Index - uint64(a.sinceN/keepShare)
 	s := quorum.Snapshot{Index: last.Index, Term: last.Term, Membership: a.members}
 	a.saving, a.sinceN, a.sinceB = true, 0, 0
 	a.mu.Unlock()
@@ -236,7 +236,6 @@
 		return
 	}
 	a.wg.Go(func() {
-		keepFrom := s.Index - min(s.Index, uint64(a.snapshotEntries/keepShare))
 		var err error
 		if s.Data, err = packSnapshot(data); err == nil {
 			err = a.persist(s, keepFrom)
@@ -253,6 +252,18 @@
 	})
 }
 
+// due reports whether it is time for a snapshot.
+func (a *applier) due() bool {
+	if a.persist == nil || a.saving || len(a.recent) == 0 {
+		return false
+	}
+	bytes := a.snapshotBytes
+	if a.snapshot != nil {
+		bytes = max(bytes, snapshotShare*len(a.snapshot.Data))
+	}
+	return a.sinceN >= a.snapshotEntries || a.sinceB >= bytes
+}
+
 // saved replaces the last snapshot and forgets the entries up to keepFrom.
 func (a *applier) saved(s *quorum.Snapshot, keepFrom uint64) {
 	a.mu.Lock()
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -57,8 +57,11 @@
 
 	// DefaultSnapshotEntries is how many entries are applied between two snapshots.
 	DefaultSnapshotEntries = 4096
-	// DefaultSnapshotBytes is how many bytes of entries are applied between two snapshots at most.
-	DefaultSnapshotBytes = 16 << 20
+	// DefaultSnapshotBytes is how many bytes of entries are applied between two snapshots at least.
+	DefaultSnapshotBytes = 256 << 10
+	// snapshotShare times the size of the last snapshot is how many bytes of entries are applied before the
+	// next one, so that snapshots add a quarter to what is written at most and the log stays in proportion.
+	snapshotShare = 4
 	// keepShare of the entries between two snapshots stays in the log for followers that are a little behind.
 	keepShare = 4
 )
@@ -112,7 +115,8 @@
 	Credentials credentials.TransportCredentials
 	// Listen replaces net.Listen.
 	Listen func(network, address string) (net.Listener, error)
-	// SnapshotEntries and SnapshotBytes bound what is applied between two snapshots; 0 means the defaults.
+	// SnapshotEntries bounds the entries between two snapshots. An earlier one is taken after SnapshotBytes of
+	// entries, or a multiple of the last snapshot's size if that is more. 0 means the defaults.
 	SnapshotEntries int
 	SnapshotBytes   int
 }
