--- a/store/store.go
+++ b/store/store.go
@@ -11,7 +11,7 @@
 )
 
 // DefaultSegmentBytes is the size at which a new segment is begun.
-const DefaultSegmentBytes = 1 << 20
+const DefaultSegmentBytes = 256 << 10
 
 // ErrClosed is returned by a store after Close.
 var ErrClosed = errors.New("store is closed")
