--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -35,7 +35,7 @@
 type applier struct {
 	machine *state.Machine
 	logger  log.Logger
-	// snapshotEntries and snapshotBytes bound what is applied between snapshots.
+	// snapshotEntries and snapshotBytes say how much is applied between snapshots, see Config.
 	snapshotEntries, snapshotBytes int
 	// persist saves a snapshot; nil where there is no disk.
 	persist func(quorum.Snapshot, uint64) error
@@ -47,9 +47,9 @@
 	cond     *sync.Cond
 	queue    []work
 	stopped  bool
-	waiters  map[uint64]waiter
-	snapshot *quorum.Snapshot // the last one, nil before
-	recent   []quorum.Entry   // applied entries, contiguous up to the last one
+	waiters  map[uint64][]waiter // by index; several when the index was given out again in another term
+	snapshot *quorum.Snapshot    // the last one, nil before
+	recent   []quorum.Entry      // applied entries, contiguous up to the last one
 	members  quorum.Membership
 	sinceN   int // entries and bytes applied since the last snapshot
 	sinceB   int
@@ -59,7 +59,7 @@
 
 func newApplier(cfg Config, m *state.Machine) *applier {
 	a := &applier{
-		machine: m, logger: cfg.Logger, waiters: map[uint64]waiter{},
+		machine: m, logger: cfg.Logger, waiters: map[uint64][]waiter{},
 		snapshotEntries: cfg.SnapshotEntries, snapshotBytes: cfg.SnapshotBytes,
 		applySeconds:    cfg.Metrics.NewSummary(`turmericroute_ctrl_apply_seconds`),
 		snapshotSeconds: cfg.Metrics.NewSummary(`turmericroute_ctrl_snapshot_seconds`),
@@ -91,12 +91,7 @@
 func (a *applier) wait(index, term uint64, done chan outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if old, ok := a.waiters[index]; ok {
-		// The log was cut back and index given out again: the earlier entry may still commit elsewhere
-		// only under its own term, so its proposer cannot be told more.
-		old.done <- unknownOutcome("leadership was lost")
-	}
-	a.waiters[index] = waiter{term: term, done: done}
+	a.waiters[index] = append(a.waiters[index], waiter{term: term, done: done})
 }
 
 func unknownOutcome(why string) outcome {
@@ -133,11 +128,14 @@
 func (a *applier) failWaiters(upTo uint64, why string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for index, w := range a.waiters {
-		if index <= upTo {
+	for index, list := range a.waiters {
+		if index > upTo {
+			continue
+		}
+		for _, w := range list {
 			w.done <- unknownOutcome(why)
-			delete(a.waiters, index)
 		}
+		delete(a.waiters, index)
 	}
 }
 
@@ -155,7 +153,11 @@
 }
 
 func (a *applier) restore(s quorum.Snapshot) error {
-	if err := a.machine.Restore(s.Data); err != nil {
+	data, err := UnpackSnapshot(s.Data)
+	if err != nil {
+		return err
+	}
+	if err := a.machine.Restore(data); err != nil {
 		return err //nolint:wrapcheck // says what it is.
 	}
 	a.mu.Lock()
@@ -198,17 +200,17 @@
 	a.answer(e, res)
 }
 
-// answer tells the proposer at the entry's index how its command ended.
+// answer tells the proposers at the entry's index how their commands ended.
 func (a *applier) answer(e quorum.Entry, res state.Result) {
 	a.mu.Lock()
-	w, ok := a.waiters[e.Index]
+	list := a.waiters[e.Index]
 	delete(a.waiters, e.Index)
 	a.mu.Unlock()
-	switch {
-	case !ok:
-	case w.term == e.Term:
-		w.done <- outcome{result: res}
-	default:
+	for _, w := range list {
+		if w.term == e.Term {
+			w.done <- outcome{result: res}
+			continue
+		}
 		w.done <- outcome{err: model.NotRun(model.CodeNoLeader, "leadership was lost and another command took the place in the log")}
 	}
 }
@@ -216,26 +218,29 @@
 // maybeSnapshot takes a snapshot when enough was applied since the last one, and saves it in the background.
 func (a *applier) maybeSnapshot() {
 	a.mu.Lock()
-	due := a.persist != nil && !a.saving && len(a.recent) > 0 && (a.sinceN >= a.snapshotEntries || a.sinceB >= a.snapshotBytes)
-	if !due {
+	if !a.due() {
 		a.mu.Unlock()
 		return
 	}
 	last := a.recent[len(a.recent)-1]
+	keepFrom := last.Index - uint64(a.sinceN/keepShare)
 	s := quorum.Snapshot{Index: last.Index, Term: last.Term, Membership: a.members}
 	a.saving, a.sinceN, a.sinceB = true, 0, 0
 	a.mu.Unlock()
 
 	start := time.Now()
-	var err error
-	if s.Data, err = a.machine.Snapshot(); err != nil {
+	data, err := a.machine.Snapshot()
+	if err != nil {
 		a.logger.Log("event", "snapshot_failed", "index", s.Index, "err", err)
 		a.saved(nil, 0)
 		return
 	}
 	a.wg.Go(func() {
-		keepFrom := s.Index - min(s.Index, uint64(a.snapshotEntries/keepShare))
-		if err := a.persist(s, keepFrom); err != nil {
+		var err error
+		if s.Data, err = packSnapshot(data); err == nil {
+			err = a.persist(s, keepFrom)
+		}
+		if err != nil {
 			a.logger.Log("event", "snapshot_failed", "index", s.Index, "err", err)
 			a.saved(nil, 0)
 			return
@@ -247,6 +252,18 @@
 	})
 }
 
+// due reports whether it is time for a snapshot.
+func (a *applier) due() bool {
+	if a.persist == nil || a.saving || len(a.recent) == 0 {
+		return false
+	}
+	bytes := a.snapshotBytes
+	if a.snapshot != nil {
+		bytes = max(bytes, snapshotShare*len(a.snapshot.Data))
+	}
+	return a.sinceN >= a.snapshotEntries || a.sinceB >= bytes
+}
+
 // saved replaces the last snapshot and forgets the entries up to keepFrom.
 func (a *applier) saved(s *quorum.Snapshot, keepFrom uint64) {
 	a.mu.Lock()
