Prove accepted changes under failure with real processes

Cause found on the way: reads through an instance that is cut off waited for a leader until the call's end of 30 s, so the case timed out after 60 s. Change: the search for the commit index is bounded like that for a leader (2.5 s), and a new leader waits for its barrier until its term ends. The race of eight operators with lost answers is checked for linearizability (porcupine).

--- a/ctrl/view.go
+++ b/ctrl/view.go
@@ -81,8 +81,10 @@
 	return nil
 }
 
-// readIndex asks for the commit index until the leader answers or ctx ends.
+// readIndex asks for the commit index while a leader may still be found.
 func (n *Node) readIndex(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderSearch)
+	defer cancel()
 	for {
 		index, ok := n.readIndexOnce(ctx)
 		if ok {
--- a/gang/driver.go
+++ b/gang/driver.go
@@ -83,9 +83,10 @@
 		policy:   place.New(d.cfg.Place),
 		attempts: map[string]*attempt{}, waiting: map[string]bool{},
 	}
-	if err := r.Barrier(ctx); err != nil {
-		d.cfg.Logger.Log("event", "lead_aborted", "term", term, "err", err)
-		return
+	for r.Barrier(ctx) != nil {
+		if ctx.Err() != nil {
+			return
+		}
 	}
 	l.recover()
 	d.lead.Store(l)
--- /dev/null
+++ b/itest/state_test.go
@@ -0,0 +1,294 @@
+package itest_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/client"
+	"turmericroute/config"
+	"turmericroute/fault"
+	"turmericroute/itest"
+	"turmericroute/model"
+)
+
+// weight returns a patch of one team's weight.
+func weight(id string, base uint64, w int) config.Patch {
+	t := smallConfig().Teams[1]
+	t.Weight = float64(w)
+	return config.Patch{ID: id, BaseVersion: base, Changes: []config.Change{{PutTeam: &t}}}
+}
+
+// patches sends n patches one after another and returns the last version.
+func patches(ctx context.Context, c *itest.Cluster, prefix string, n int) uint64 {
+	cfg, err := c.Client().Config(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	v := cfg.Version
+	api := c.Client()
+	for i := range n {
+		got, err := api.Patch(ctx, weight(fmt.Sprint(prefix, i), v, i+1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Version).To(Equal(v + 1))
+		v = got.Version
+	}
+	return v
+}
+
+// atVersion waits until every instance has a version in force.
+func atVersion(ctx context.Context, c *itest.Cluster, v uint64) {
+	for _, n := range c.Nodes {
+		Eventually(func() (uint64, error) {
+			st, err := n.Status(ctx)
+			return st.ConfigVersion, err
+		}, "20s", "20ms").Should(BeNumerically(">=", v), n.Spec.Name)
+	}
+}
+
+var _ = Describe("accepted changes", func() {
+	var c *itest.Cluster
+
+	BeforeEach(func(ctx SpecContext) { c = start(ctx, five) })
+
+	It("never revert when every process is killed and restarted after 500 patches", func(ctx SpecContext) {
+		v := patches(ctx, c, "p", 500)
+		for _, n := range c.Nodes {
+			n.Kill()
+		}
+		Expect(c.Start()).To(Succeed())
+		Eventually(c.AllFresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+		atVersion(ctx, c, v)
+		again, err := c.Client().Patch(ctx, weight("p3", 4, 4))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Version).To(Equal(uint64(5)), "a resend gets the first answer")
+	}, NodeTimeout(90*time.Second))
+
+	It("survive kills of the leader in the middle of writes", func(ctx SpecContext) {
+		api := c.Client()
+		cfg, err := api.Config(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		v := cfg.Version
+		for round := range 3 {
+			old := leader(ctx, c)
+			time.AfterFunc(time.Duration(50+round*37)*time.Millisecond, old.Kill)
+			for i := range 60 {
+				got, err := api.Patch(ctx, weight(fmt.Sprint("k", round, "-", i), v, i+1))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(got.Version).To(Equal(v + 1))
+				v = got.Version
+			}
+			Eventually(old.Start, "5s").Should(Succeed())
+			Eventually(c.AllFresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+		}
+		atVersion(ctx, c, v)
+	}, NodeTimeout(90*time.Second))
+
+	It("stay with the majority while a leader is cut off for long, which refuses and later catches up", func(ctx SpecContext) {
+		old := leader(ctx, c)
+		before := patches(ctx, c, "a", 3)
+		c.Isolate(old.Spec.Name)
+		_, err := old.Client.Patch(ctx, weight("lost", before, 77))
+		Expect(err).To(HaveOccurred())
+		var others []string
+		for _, n := range c.Nodes {
+			if n != old {
+				others = append(others, n.HTTP)
+			}
+		}
+		rest := client.New(client.Config{Addresses: others})
+		Eventually(func() error {
+			_, err := rest.Patch(ctx, weight("after", before, 88))
+			return err
+		}, "10s").Should(Succeed())
+		_, err = old.Client.Config(ctx)
+		var e *model.Error
+		Expect(errors.As(err, &e)).To(BeTrue(), "a cut-off instance must not answer from an old view: %v", err)
+		c.Heal(old.Spec.Name)
+		Eventually(c.AllFresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+		atVersion(ctx, c, before+1)
+		got, err := old.Client.Config(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		team, _ := got.Team("borrower")
+		Expect(team.Weight).To(BeEquivalentTo(88))
+	}, NodeTimeout(60*time.Second))
+
+	It("survive a lost disk and the loss of a second instance right after its repair", func(ctx SpecContext) {
+		patches(ctx, c, "a", 5)
+		lost := c.Node("b1")
+		lost.Kill()
+		Expect(lost.Wipe()).To(Succeed())
+		v := patches(ctx, c, "b", 5)
+		Expect(lost.Start()).To(Succeed())
+		// Repaired means that the new identity is a voter again.
+		Eventually(func() (bool, error) {
+			st, err := leader(ctx, c).Status(ctx)
+			voters := 0
+			for _, m := range st.Replica.Members {
+				if m.Voter {
+					voters++
+				}
+			}
+			return voters == 5, err
+		}, "20s", "50ms").Should(BeTrue())
+		Eventually(lost.Fresh, "10s", "20ms").WithContext(ctx).Should(Succeed())
+		leader(ctx, c).Kill()
+		killed := 1
+		for _, n := range c.Nodes {
+			if _, err := n.Status(ctx); err == nil && n != lost && n.Spec.Control && killed < 2 {
+				n.Kill()
+				killed++
+			}
+		}
+		// Three of five voters live, the repaired one among them.
+		Eventually(func() error {
+			_, err := c.Client().Patch(ctx, weight("c", v, 9))
+			return err
+		}, "15s").Should(Succeed())
+		cfg, err := lost.Client.Config(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(cfg.Version).To(Equal(v + 1))
+	}, NodeTimeout(90*time.Second))
+
+	It("are linearizable when eight operators race and answers are lost", func(ctx SpecContext) {
+		race(ctx, c)
+	}, NodeTimeout(90*time.Second))
+})
+
+// call is one patch or read of an operator, for the check of linearizability.
+type call struct {
+	id   string // empty for a read
+	base uint64
+}
+
+// answer is what the operator learned; unknown means nothing.
+type answer struct {
+	version uint64
+	stale   bool
+	unknown bool
+}
+
+// registry is a sequence of accepted patch IDs; its length is the version after the first one.
+var registry = porcupine.Model{
+	Init:  func() any { return []string{"first"} },
+	Equal: func(a, b any) bool { return slices.Equal(a.([]string), b.([]string)) },
+	Step: func(s, in, out any) (bool, any) {
+		ids, c, a := s.([]string), in.(call), out.(answer)
+		now := uint64(len(ids))
+		if c.id == "" {
+			return a.unknown || a.version == now, ids
+		}
+		if i := slices.Index(ids, c.id); i >= 0 {
+			return a.unknown || !a.stale && a.version == uint64(i)+1, ids
+		}
+		if c.base != now {
+			return a.unknown || a.stale && a.version == now, ids
+		}
+		return a.unknown || !a.stale && a.version == now+1, append(slices.Clone(ids), c.id)
+	},
+}
+
+// race lets eight operators patch the version that they read last, each
+// through a proxy that loses some answers, and checks the whole history.
+func race(ctx context.Context, c *itest.Cluster) {
+	const operators, rounds, seed = 8, 25, 11
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	began := time.Now()
+	var wg sync.WaitGroup
+	for op := range operators {
+		wg.Add(1)
+		go func() {
+			defer GinkgoRecover()
+			defer wg.Done()
+			p, err := fault.Listen("127.0.0.1:0", c.Nodes[op%len(c.Nodes)].HTTP)
+			Expect(err).NotTo(HaveOccurred())
+			defer p.Close()
+			rnd := rand.New(rand.NewSource(seed + int64(op)))
+			lossy := client.New(client.Config{Addresses: []string{p.Address()}})
+			direct := client.New(client.Config{Addresses: []string{c.Nodes[(op+1)%len(c.Nodes)].HTTP}})
+			note := func(in call, run func() answer) answer {
+				start := time.Since(began)
+				out := run()
+				end := time.Since(began)
+				if out.unknown {
+					// The command may still take effect at any later time.
+					end = time.Hour
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				history = append(history, porcupine.Operation{ClientId: op, Input: in, Call: start.Nanoseconds(), Output: out, Return: end.Nanoseconds()})
+				return out
+			}
+			for i := range rounds {
+				base := note(call{}, func() answer { return read(ctx, direct) })
+				if base.unknown {
+					continue
+				}
+				id := fmt.Sprintf("op%d-%d", op, i)
+				lose := rnd.Intn(3) == 0
+				p.Set(fault.Rule{DropBack: lose})
+				first := note(call{id, base.version}, func() answer { return send(ctx, lossy, id, base.version) })
+				p.Set(fault.Rule{})
+				if lose {
+					p.Reset()
+				}
+				if first.unknown {
+					note(call{id, base.version}, func() answer { return send(ctx, direct, id, base.version) })
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	result, _ := porcupine.CheckOperationsVerbose(registry, clients(history), 30*time.Second)
+	Expect(result).To(Equal(porcupine.Ok))
+	accepted := 0
+	for _, o := range history {
+		if a := o.Output.(answer); o.Input.(call).id != "" && !a.unknown && !a.stale {
+			accepted++
+		}
+	}
+	// A history without accepted patches would be linearizable and prove nothing.
+	Expect(accepted).To(BeNumerically(">=", rounds))
+}
+
+// clients gives operations that never returned a client of their own, since a client has one call at a time.
+func clients(history []porcupine.Operation) []porcupine.Operation {
+	for i := range history {
+		if history[i].Output.(answer).unknown {
+			history[i].ClientId = 100 + i
+		}
+	}
+	return history
+}
+
+func read(ctx context.Context, api *client.Client) answer {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	cfg, err := api.Config(ctx)
+	if err != nil {
+		return answer{unknown: true}
+	}
+	return answer{version: cfg.Version}
+}
+
+func send(ctx context.Context, api *client.Client, id string, base uint64) answer {
+	ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	got, err := api.Patch(ctx, weight(id, base, int(base)+2))
+	var e *model.Error
+	switch {
+	case err == nil:
+		return answer{version: got.Version}
+	case errors.As(err, &e) && e.Code == model.CodeStaleVersion:
+		return answer{version: e.Version, stale: true}
+	default:
+		return answer{unknown: true}
+	}
+}
