Report readiness only once executors have been probed

Cause: in a rolling restart under load, a restarted instance was ready as soon as its view was fresh, took requests and answered 404 'no service' or 503 'no executor in use', since its entry had neither taken over the configuration nor probed an executor. Ruled out: the shutdown side, which lost none. Change: entry.Ready needs the first fresh view taken over and one probe of each executor in it; /readyz asks it. Adds these cases: kills of entries and the leader under non-idempotent load (no key ran twice), rolling restarts, departures seen by a cut-off entry, executors replaced under load.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,12 +113,15 @@
 	mu          sync.Mutex // guards the fields below
 	services    map[string]*service
 	refreshedAt time.Time
-	applied     uint64
-	teams       map[string]int // requests in flight by team
-	inFlight    int
-	draining    bool
-	idle        chan struct{} // closed when draining and nothing is in flight
-	probes      map[string]*probe
+	// firstFresh is the index that the first fresh view held; settled says that it was taken over and its executors probed.
+	firstFresh uint64
+	settled    bool
+	applied    uint64
+	teams      map[string]int // requests in flight by team
+	inFlight   int
+	draining   bool
+	idle       chan struct{} // closed when draining and nothing is in flight
+	probes     map[string]*probe
 }
 
 // New returns an Entry that knows the executors of the replica's present state.
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -29,6 +29,8 @@
 	id   route.ID
 	next time.Time
 	busy bool
+	// tried says that one probe has ended, with whatever result.
+	tried bool
 }
 
 // Run probes executors, follows the local state and, on the leader's instance, removes
@@ -85,7 +87,7 @@
 				e.probe(ctx, s, x)
 				e.mu.Lock()
 				defer e.mu.Unlock()
-				p.busy = false
+				p.busy, p.tried = false, true
 				p.next = now.Add(time.Duration(float64(e.cfg.ProbeInterval) * (1 + probeJitter*(e.cfg.Rand()-0.5))))
 			}()
 		}
--- a/itest/fixture_test.go
+++ b/itest/fixture_test.go
@@ -72,6 +72,12 @@
 		us, err := c.Client().Upstreams(ctx)
 		return len(us), err
 	}, "10s").Should(Equal(3 * n))
+	for _, node := range c.Nodes {
+		Eventually(func() int {
+			status, _ := request(ctx, node.HTTP, "plans", "borrower", "first")
+			return status
+		}, "10s", "10ms").Should(Equal(200), node.Spec.Name)
+	}
 	return site
 }
 
--- /dev/null
+++ b/itest/route_test.go
@@ -0,0 +1,281 @@
+package itest_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/fakes"
+	"turmericroute/itest"
+)
+
+// reply is what a caller saw; err is set when it saw no whole answer.
+type reply struct {
+	status  int
+	outcome string
+	body    string
+	err     error
+}
+
+// caller sends requests of one team; connections are not reused over restarts of instances.
+type caller struct{ http *http.Client }
+
+func newCaller() *caller {
+	return &caller{http: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+}
+
+func (c *caller) send(ctx context.Context, address, id, key string) reply {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/services/plans/bend", strings.NewReader("sheet "+id))
+	Expect(err).NotTo(HaveOccurred())
+	r.GetBody = nil
+	r.Header.Set("Turmericroute-Team", "borrower")
+	r.Header.Set("Turmericroute-Timeout-Ms", "3000")
+	r.Header.Set("Turmericroute-Request-Id", id)
+	if key != "" {
+		r.Header.Set("Turmericroute-Idempotent", "false")
+		r.Header.Set("Idempotency-Key", key)
+		r.Header.Set("Turmericroute-Key-Time", fmt.Sprint(time.Now().UnixMilli()))
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, outcome: resp.Header.Get("Turmericroute-Outcome"), body: string(b), err: err}
+}
+
+// order sends a non-idempotent request until it is done, certainly not run after the last try, or unknown.
+func (c *caller) order(ctx context.Context, rnd *rand.Rand, addresses []string, key string) string {
+	for range 60 {
+		got := c.send(ctx, addresses[rnd.Intn(len(addresses))], key, key)
+		switch {
+		case got.err == nil && got.status == http.StatusOK && got.outcome == "done":
+			if !strings.Contains(got.body, key) {
+				return "wrong answer: " + got.body
+			}
+			return "done"
+		case got.err == nil && strings.Contains(got.body, "outcome_unknown"):
+			return "unknown"
+		}
+		select {
+		case <-ctx.Done():
+			return "gave up"
+		case <-time.After(time.Duration(20+rnd.Intn(40)) * time.Millisecond):
+		}
+	}
+	return "gave up"
+}
+
+var _ = Describe("requests while instances fail", func() {
+	var c *itest.Cluster
+	var site *itest.Site
+
+	BeforeEach(func(ctx SpecContext) {
+		c = start(ctx, five)
+		site = populate(ctx, c, 2)
+	})
+
+	It("run at most once and get one true answer while entries and the leader are killed", func(ctx SpecContext) {
+		const callers, orders, seed = 12, 30, 5
+		results := make([]map[string]string, callers)
+		var wg sync.WaitGroup
+		for i := range callers {
+			results[i] = map[string]string{}
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				rnd, cl := rand.New(rand.NewSource(seed+int64(i))), newCaller()
+				for n := range orders {
+					key := fmt.Sprintf("order-%d-%d", i, n)
+					results[i][key] = cl.order(ctx, rnd, c.Addresses(), key)
+				}
+			}()
+		}
+		done := make(chan struct{})
+		go func() { wg.Wait(); close(done) }()
+		rnd := rand.New(rand.NewSource(seed))
+		for kills := 0; ; kills++ {
+			n := c.Nodes[rnd.Intn(len(c.Nodes))]
+			if kills%3 == 0 {
+				if l := c.Leader(ctx); l != nil {
+					n = l
+				}
+			}
+			n.Kill()
+			Expect(n.Start()).To(Succeed())
+			Eventually(n.Fresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+			select {
+			case <-done:
+			default:
+				continue
+			}
+			break
+		}
+		count := map[string]int{}
+		for _, r := range results {
+			for key, outcome := range r {
+				count[outcome]++
+				runs := site.Runs(key)
+				Expect(runs).To(BeNumerically("<=", 1), key)
+				if outcome == "done" {
+					Expect(runs).To(Equal(1), key)
+				}
+				Expect(outcome).To(BeElementOf("done", "unknown"), key)
+			}
+		}
+		Expect(count["done"]).To(BeNumerically(">", callers*orders/2), "%v", count)
+	}, NodeTimeout(120*time.Second))
+
+	It("are all answered while instances are restarted one after another", func(ctx SpecContext) {
+		var mu sync.Mutex
+		ready := map[string]bool{}
+		for _, a := range c.Addresses() {
+			ready[a] = true
+		}
+		// pick acts as the platform's balancer, which follows readiness.
+		pick := func(rnd *rand.Rand) string {
+			mu.Lock()
+			defer mu.Unlock()
+			all := c.Addresses()
+			for i, n := 0, rnd.Intn(len(all)); i < len(all); i++ {
+				if a := all[(n+i)%len(all)]; ready[a] {
+					return a
+				}
+			}
+			return all[0]
+		}
+		watch, stopWatch := context.WithCancel(ctx)
+		defer stopWatch()
+		for _, a := range c.Addresses() {
+			go func() {
+				for watch.Err() == nil {
+					resp, err := http.Get("http://" + a + "/readyz")
+					ok := err == nil && resp.StatusCode == http.StatusOK
+					if err == nil {
+						resp.Body.Close()
+					}
+					mu.Lock()
+					ready[a] = ok
+					mu.Unlock()
+					select {
+					case <-watch.Done():
+					case <-time.After(20 * time.Millisecond):
+					}
+				}
+			}()
+		}
+		load, stopLoad := context.WithCancel(ctx)
+		defer stopLoad()
+		var wg sync.WaitGroup
+		lost := make(chan string, 1000)
+		sent := make([]int, 8)
+		for i := range sent {
+			wg.Add(1)
+			go func() {
+				defer GinkgoRecover()
+				defer wg.Done()
+				rnd, cl := rand.New(rand.NewSource(int64(i))), newCaller()
+				for n := 0; load.Err() == nil; n++ {
+					id := fmt.Sprintf("rolling-%d-%d", i, n)
+					got := cl.send(ctx, pick(rnd), id, "")
+					if got.err != nil || got.status != http.StatusOK || !strings.Contains(got.body, id) {
+						lost <- fmt.Sprintf("%s: status %d, %v: %s", id, got.status, got.err, got.body)
+					}
+					sent[i]++
+				}
+			}()
+		}
+		for _, n := range c.Nodes {
+			Expect(n.Terminate()).To(Succeed())
+			Expect(n.Start()).To(Succeed())
+			Eventually(n.Fresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+		}
+		stopLoad()
+		wg.Wait()
+		close(lost)
+		var all []string
+		for l := range lost {
+			all = append(all, l)
+		}
+		Expect(all).To(BeEmpty())
+		Expect(sent).To(HaveEach(BeNumerically(">", 10)))
+	}, NodeTimeout(120*time.Second))
+
+	DescribeTable("reach no upstream that left, 3 s after, from an entry that is cut off", func(ctx SpecContext, leave func(context.Context) []string) {
+		cut := c.Node("c2")
+		c.Isolate(cut.Spec.Name)
+		left := leave(ctx)
+		out := time.Now()
+		cl := newCaller()
+		last := func() time.Time {
+			var at time.Time
+			for _, name := range left {
+				for _, r := range site.Upstreams[name].Ledger() {
+					if r.At.After(at) {
+						at = r.At
+					}
+				}
+			}
+			return at
+		}
+		served := 0
+		for i := 0; time.Since(out) < 5*time.Second; i++ {
+			if got := cl.send(ctx, cut.HTTP, fmt.Sprint("cut-", i), ""); got.status == http.StatusOK {
+				served++
+			}
+		}
+		Expect(served).To(BeNumerically(">", 0), "the entry serves for a while")
+		Expect(last()).To(BeTemporally("<", out.Add(departureBound)))
+		c.Heal(cut.Spec.Name)
+		Eventually(cut.Fresh, "20s", "20ms").WithContext(ctx).Should(Succeed())
+		back := time.Now()
+		for i := range 50 {
+			got := cl.send(ctx, cut.HTTP, fmt.Sprint("healed-", i), "")
+			Expect(got.status).To(Equal(http.StatusOK), got.body)
+		}
+		Expect(last()).To(BeTemporally("<", back))
+	},
+		Entry("itself", func(ctx context.Context) []string {
+			Expect(site.Upstreams["plans-1"].Leave(ctx)).To(Succeed())
+			return []string{"plans-1"}
+		}, NodeTimeout(60*time.Second)),
+		Entry("with its data centre", func(ctx context.Context) []string {
+			patchNow(ctx, c, inService("dc1", false))
+			return []string{"plans-1", "plans-4"}
+		}, NodeTimeout(60*time.Second)),
+	)
+
+	It("go to other executors when some are killed and replaced under load", func(ctx SpecContext) {
+		cl, failed := newCaller(), 0
+		for i := range 200 {
+			switch i {
+			case 40:
+				site.Upstreams["plans-1"].Close()
+				site.Upstreams["plans-2"].Close()
+			case 120:
+				Expect(site.AddUpstream("plans-7", "dc1", smallConfig().Services[0], fakes.Behaviour{Delay: 10 * time.Millisecond})).To(Succeed())
+			}
+			got := cl.send(ctx, c.Nodes[i%len(c.Nodes)].HTTP, fmt.Sprint("swap-", i), "")
+			// A request without a mark that was sent to a dying executor may have run, so it is not sent again.
+			if got.status != http.StatusOK {
+				failed++
+				Expect(got.outcome).To(Equal("unknown"))
+			}
+		}
+		Expect(failed).To(BeNumerically("<=", 4))
+		Eventually(func() int {
+			cl.send(ctx, c.Nodes[0].HTTP, fmt.Sprint("new-", time.Now().UnixNano()), "")
+			return len(site.Upstreams["plans-7"].Ledger())
+		}, "10s", "10ms").Should(BeNumerically(">", 0))
+	}, NodeTimeout(60*time.Second))
+})
--- a/serve/process.go
+++ b/serve/process.go
@@ -40,6 +40,7 @@
 	webapi.ServiceHandler
 	Run(ctx context.Context)
 	Drain(ctx context.Context) error
+	Ready() error
 	Dump() any
 }
 
@@ -91,7 +92,7 @@
 	if age := p.parts.Node.ViewAge(); age > model.MaxViewAge {
 		return fmt.Errorf("view of the state is %d ms old, at most %d are allowed", age.Milliseconds(), model.MaxViewAge.Milliseconds())
 	}
-	return nil
+	return p.parts.Services.Ready()
 }
 
 // Run serves until ctx ends and then shuts down gracefully.
--- a/serve/process_test.go
+++ b/serve/process_test.go
@@ -66,6 +66,8 @@
 
 func (s *services) Run(ctx context.Context) { <-ctx.Done(); s.j.note("stopped") }
 func (s *services) Dump() any               { return nil }
+func (s *services) Ready() error            { return nil }
+
 func (s *services) Drain(context.Context) error {
 	s.j.note("drain")
 	s.inFlight.Wait()
