--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -50,6 +50,10 @@
 
 	status   atomic.Pointer[quorum.Status]
 	lastTick time.Time
+	// proposed is the last index proposed here; until it is committed or hold fires, proposals wait.
+	proposed uint64
+	hold     *time.Timer
+	held     bool
 
 	syncSeconds *metrics.Summary
 	batch       *metrics.Summary
@@ -92,6 +96,8 @@
 	defer close(m.done)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	m.hold = time.NewTimer(maxHold)
+	defer m.hold.Stop()
 	m.lastTick = time.Now()
 	for {
 		select {
@@ -103,9 +109,12 @@
 		case msg := <-m.inbox:
 			m.ticks()
 			m.handle(msg)
-		case p := <-m.proposals:
+		case p := <-m.gate():
 			m.ticks()
 			m.propose(p, m.protocol.Status().Term)
+		case <-m.hold.C:
+			m.held = false
+			m.ticks()
 		case f := <-m.calls:
 			m.ticks()
 			f()
@@ -146,9 +155,23 @@
 	if n == 0 {
 		return
 	}
-	for current := m.protocol.Status().Term; n > 0; n-- {
-		m.propose(<-m.proposals, current)
+	s := m.protocol.Status()
+	if m.held && s.Commit < m.proposed && s.Role == quorum.RoleLeader {
+		return
+	}
+	for ; n > 0; n-- {
+		m.propose(<-m.proposals, s.Term)
+	}
+}
+
+// gate returns the queue of proposals, or nil while those before them are on
+// their way: proposals then gather and share the next sync on all members.
+func (m *member) gate() <-chan *proposal {
+	s := m.status.Load()
+	if m.held && s.Commit < m.proposed && s.Role == quorum.RoleLeader {
+		return nil
 	}
+	return m.proposals
 }
 
 // propose appends a proposal that was admitted in the current term.
@@ -173,6 +196,10 @@
 	case err != nil:
 		p.done <- outcome{err: model.NotRun(model.CodeUnavailable, "propose: %v", err)}
 	default:
+		if !m.held || m.proposed < index-1 {
+			m.hold.Reset(maxHold)
+		}
+		m.proposed, m.held = index, true
 		m.applier.wait(index, term, p.done)
 	}
 }
@@ -188,12 +215,11 @@
 		if !ok {
 			return nil
 		}
+		m.send(r.Messages, beforeSync)
 		if err := m.save(r); err != nil {
 			return err
 		}
-		for _, msg := range r.Messages {
-			m.transport.Send(msg)
-		}
+		m.send(r.Messages, afterSync)
 		if len(r.Committed) > 0 {
 			m.applier.enqueue(work{entries: r.Committed})
 		}
@@ -201,6 +227,28 @@
 	}
 }
 
+// Messages of the leader promise nothing about its own disk, so that followers
+// can sync at the same time as it does.
+const (
+	beforeSync = true
+	afterSync  = false
+)
+
+func (m *member) send(messages []quorum.Message, before bool) {
+	for _, msg := range messages {
+		switch msg.Kind {
+		case quorum.MessageAppend, quorum.MessageHeartbeat, quorum.MessageSnapshot:
+			if before {
+				m.transport.Send(msg)
+			}
+		default:
+			if !before {
+				m.transport.Send(msg)
+			}
+		}
+	}
+}
+
 func (m *member) save(r quorum.Ready) error {
 	if r.Snapshot != nil {
 		if err := m.storage.SaveSnapshot(*r.Snapshot); err != nil {
