--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -50,10 +50,6 @@
 
 	status   atomic.Pointer[quorum.Status]
 	lastTick time.Time
-	// proposed is the last index proposed here; until it is committed or hold fires, proposals wait.
-	proposed uint64
-	hold     *time.Timer
-	held     bool
 
 	syncSeconds *metrics.Summary
 	batch       *metrics.Summary
@@ -96,8 +92,6 @@
 	defer close(m.done)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	m.hold = time.NewTimer(maxHold)
-	defer m.hold.Stop()
 	m.lastTick = time.Now()
 	for {
 		select {
@@ -109,12 +103,9 @@
 		case msg := <-m.inbox:
 			m.ticks()
 			m.handle(msg)
-		case p := <-m.gate():
+		case p := <-m.proposals:
 			m.ticks()
 			m.propose(p, m.protocol.Status().Term)
-		case <-m.hold.C:
-			m.held = false
-			m.ticks()
 		case f := <-m.calls:
 			m.ticks()
 			f()
@@ -155,25 +146,11 @@
 	if n == 0 {
 		return
 	}
-	s := m.protocol.Status()
-	if m.held && s.Commit < m.proposed && s.Role == quorum.RoleLeader {
-		return
-	}
-	for ; n > 0; n-- {
-		m.propose(<-m.proposals, s.Term)
+	for current := m.protocol.Status().Term; n > 0; n-- {
+		m.propose(<-m.proposals, current)
 	}
 }
 
-// gate returns the queue of proposals, or nil while those before them are on
-// their way: proposals then gather and share the next sync on all members.
-func (m *member) gate() <-chan *proposal {
-	s := m.status.Load()
-	if m.held && s.Commit < m.proposed && s.Role == quorum.RoleLeader {
-		return nil
-	}
-	return m.proposals
-}
-
 // propose appends a proposal that was admitted in the current term.
 func (m *member) propose(p *proposal, current uint64) {
 	if !p.settled.CompareAndSwap(false, true) {
@@ -196,10 +173,6 @@
 	case err != nil:
 		p.done <- outcome{err: model.NotRun(model.CodeUnavailable, "propose: %v", err)}
 	default:
-		if !m.held || m.proposed < index-1 {
-			m.hold.Reset(maxHold)
-		}
-		m.proposed, m.held = index, true
 		m.applier.wait(index, term, p.done)
 	}
 }
