--- a/client/client_test.go
+++ b/client/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 	"turmericroute/client"
 	"turmericroute/config"
 	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/webapi"
 )
 
 // instance is a server that counts calls and answers each with the next of its answers.
@@ -81,6 +84,20 @@
 		Expect(a.calls.Load()).To(Equal(int64(1)), "the instance that answered is asked first from then on")
 	})
 
+	It("with an ID go to the next instance while one takes them and never answers", func() {
+		// A stopped process still has its connections accepted by the kernel.
+		frozen, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(frozen.Close)
+		good := serve(accept(model.Job{Spec: model.JobSpec{ID: "j"}}))
+		c := client.New(client.Config{Addresses: []string{frozen.Addr().String(), good.URL}})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		j, err := c.SubmitJob(ctx, model.JobSpec{ID: "j"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.Spec.ID).To(Equal("j"))
+	})
+
 	It("without an ID are not sent again once they may have run", func() {
 		a, b := serve(abort), serve(accepted)
 		c, ctx := call(a.URL, b.URL)
@@ -128,6 +145,18 @@
 		_, err := c.Patch(ctx, patch())
 		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
 	})
+
+	It("that list ask for the next page until one is not full", func() {
+		full := make([]state.Record, webapi.PageHistory)
+		for i := range full {
+			full[i].Version = uint64(i + 1)
+		}
+		a := serve(accept(full), accept([]state.Record{{Version: 9999}}))
+		c, ctx := call(a.URL)
+		all, err := c.History(ctx, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(all).To(HaveLen(webapi.PageHistory + 1))
+	})
 })
 
 func patch() config.Patch {
