--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -229,15 +229,14 @@
 	a.mu.Unlock()
 
 	start := time.Now()
-	data, err := a.machine.Snapshot()
-	if err != nil {
-		a.logger.Log("event", "snapshot_failed", "index", s.Index, "err", err)
-		a.saved(nil, 0)
-		return
-	}
+	// Encoding a large state takes too long to apply nothing meanwhile.
+	image := a.machine.Image()
 	a.wg.Go(func() {
-		var err error
-		if s.Data, err = packSnapshot(data); err == nil {
+		data, err := image.Encode()
+		if err == nil {
+			s.Data, err = packSnapshot(data)
+		}
+		if err == nil {
 			err = a.persist(s, keepFrom)
 		}
 		if err != nil {
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -44,8 +44,6 @@
 	// handoverTimeout bounds the transfer of leadership in Close.
 	handoverTimeout = 1500 * time.Millisecond
 
-	// maxHold bounds how long proposals wait for those before them to be committed.
-	maxHold = time.Millisecond
 	// maxQueued bounds proposals that wait for the log; further ones are refused.
 	maxQueued = 4096
 	// sendQueue and receiveQueue bound protocol messages; further ones are dropped, which the protocol tolerates.
--- a/state/machine.go
+++ b/state/machine.go
@@ -217,6 +217,16 @@
 
 // Jobs returns all jobs in the order of their IDs.
 func (m *Machine) Jobs() []model.Job {
+	all := m.copyJobs()
+	sortJobs(all)
+	return all
+}
+
+func sortJobs(all []model.Job) {
+	slices.SortFunc(all, func(a, b model.Job) int { return compare(a.Spec.ID, b.Spec.ID) })
+}
+
+func (m *Machine) copyJobs() []model.Job {
 	var all []model.Job
 	for i := range m.jobs {
 		s := &m.jobs[i]
@@ -226,7 +236,6 @@
 		}
 		s.mu.RUnlock()
 	}
-	slices.SortFunc(all, func(a, b model.Job) int { return compare(a.Spec.ID, b.Spec.ID) })
 	return all
 }
 
--- a/state/snap.go
+++ b/state/snap.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -23,20 +24,34 @@
 	Upstreams []model.Upstream `json:"upstreams,omitempty"`
 }
 
-// Snapshot encodes the state; it must not run together with Apply.
-func (m *Machine) Snapshot() ([]byte, error) {
-	im := image{
+// Image is a copy of the state at one index, which later commands do not change.
+type Image struct{ image image }
+
+// Image copies the state; it must not run together with Apply.
+func (m *Machine) Image() Image {
+	return Image{image{
 		Applied: m.Applied(), Config: m.Config(), History: m.History(),
-		Jobs: m.Jobs(), Finished: m.finished, Keys: m.sortedKeys(), Answered: m.answered,
+		Jobs: m.copyJobs(), Finished: slices.Clone(m.finished), Keys: m.copyKeys(), Answered: slices.Clone(m.answered),
 		Workers: m.Workers(), Upstreams: m.Upstreams(),
-	}
-	b, err := json.Marshal(im)
+	}}
+}
+
+// Encode returns the snapshot that Restore reads; it may run together with Apply.
+func (i Image) Encode() ([]byte, error) {
+	sortJobs(i.image.Jobs)
+	slices.SortFunc(i.image.Keys, func(a, b model.Key) int {
+		return cmp.Or(compare(a.ID.Team, b.ID.Team), compare(a.ID.Key, b.ID.Key))
+	})
+	b, err := json.Marshal(i.image)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
 	return b, nil
 }
 
+// Snapshot encodes the state; it must not run together with Apply.
+func (m *Machine) Snapshot() ([]byte, error) { return m.Image().Encode() }
+
 // Restore replaces the state by a snapshot; it must not run together with Apply.
 func (m *Machine) Restore(b []byte) error {
 	var im image
@@ -73,8 +88,8 @@
 	return nil
 }
 
-func (m *Machine) sortedKeys() []model.Key {
-	var all []model.Key
+func (m *Machine) copyKeys() []model.Key {
+	all := make([]model.Key, 0, m.keyCount)
 	for i := range m.keys {
 		s := &m.keys[i]
 		s.mu.RLock()
@@ -83,9 +98,6 @@
 		}
 		s.mu.RUnlock()
 	}
-	slices.SortFunc(all, func(a, b model.Key) int {
-		return compare(a.ID.Team+"/"+a.ID.Key, b.ID.Team+"/"+b.ID.Key)
-	})
 	return all
 }
 
