--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -188,12 +188,11 @@
 		if !ok {
 			return nil
 		}
+		m.send(r.Messages, beforeSync)
 		if err := m.save(r); err != nil {
 			return err
 		}
-		for _, msg := range r.Messages {
-			m.transport.Send(msg)
-		}
+		m.send(r.Messages, afterSync)
 		if len(r.Committed) > 0 {
 			m.applier.enqueue(work{entries: r.Committed})
 		}
@@ -201,6 +200,28 @@
 	}
 }
 
+// Messages of the leader promise nothing about its own disk, so that followers
+// can sync at the same time as it does.
+const (
+	beforeSync = true
+	afterSync  = false
+)
+
+func (m *member) send(messages []quorum.Message, before bool) {
+	for _, msg := range messages {
+		switch msg.Kind {
+		case quorum.MessageAppend, quorum.MessageHeartbeat, quorum.MessageSnapshot:
+			if before {
+				m.transport.Send(msg)
+			}
+		default:
+			if !before {
+				m.transport.Send(msg)
+			}
+		}
+	}
+}
+
 func (m *member) save(r quorum.Ready) error {
 	if r.Snapshot != nil {
 		if err := m.storage.SaveSnapshot(*r.Snapshot); err != nil {
