--- /dev/null
+++ b/cmd/bench/route_base.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// commitTime stands for a majority commit between data centres 0.5 ms apart: one round trip and one sync.
+const commitTime = 2 * time.Millisecond
+
+// memoryReplica applies commands to a state machine in this process, each after commitTime, at once for all entries.
+type memoryReplica struct {
+	m       *state.Machine
+	mu      sync.Mutex
+	index   uint64
+	commits atomic.Int64
+	spentNS atomic.Int64
+}
+
+func (r *memoryReplica) apply(c state.Command) state.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.index++
+	return r.m.Apply(r.index, c)
+}
+
+func (r *memoryReplica) Execute(_ context.Context, c state.Command) (state.Result, error) {
+	start := time.Now()
+	time.Sleep(commitTime)
+	res := r.apply(c)
+	r.commits.Add(1)
+	r.spentNS.Add(int64(time.Since(start)))
+	return res, nil
+}
+
+func (r *memoryReplica) Barrier(context.Context) error { return nil }
+func (r *memoryReplica) Machine() *state.Machine       { return r.m }
+func (r *memoryReplica) ViewAge() time.Duration        { return 0 }
+func (r *memoryReplica) Status() state.ReplicaStatus   { return state.ReplicaStatus{} }
+func (r *memoryReplica) Poll(context.Context, model.PollRequest) (model.PollResponse, error) {
+	return model.PollResponse{}, model.NotRun(model.CodeNoLeader, "no leader")
+}
+
+const (
+	// baseTries is how often the baseline sends a request.
+	baseTries = 4
+	// baseRefresh is how often the baseline reads the list of executors.
+	baseRefresh = time.Second
+)
+
+// baseline forwards in turn to all executors and sends again at once when that fails, without
+// budget, queue, probes or ejection.
+type baseline struct {
+	m        *state.Machine
+	client   *http.Client
+	next     atomic.Uint64
+	attempts *atomic.Int64
+
+	mu        sync.Mutex
+	list      []model.Upstream
+	refreshed time.Time
+}
+
+func newBaseline(m *state.Machine, attempts *atomic.Int64) *baseline {
+	return &baseline{m: m, attempts: attempts, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}}}
+}
+
+func (b *baseline) executors() []model.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Since(b.refreshed) > baseRefresh {
+		b.refreshed = time.Now()
+		b.list = nil
+		cfg := b.m.Config()
+		for _, u := range b.m.Upstreams() {
+			if !u.Left && cfg.InService(u.DataCentre) {
+				b.list = append(b.list, u)
+			}
+		}
+	}
+	return b.list
+}
+
+// ServeHTTP forwards one request.
+func (b *baseline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/services/"), "/")
+	for range baseTries {
+		list := b.executors()
+		u := list[b.next.Add(1)%uint64(len(list))]
+		b.attempts.Add(1)
+		if b.try(w, r, "http://"+u.Address+"/"+path, body) {
+			return
+		}
+	}
+	w.Header().Set("Turmericroute-Outcome", "unknown")
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+func (b *baseline) try(w http.ResponseWriter, r *http.Request, url string, body []byte) bool {
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	req.Header = r.Header.Clone()
+	req.Header.Del("Idempotency-Key")
+	if k := r.Header.Get("Idempotency-Key"); k != "" {
+		req.Header.Set("Turmericroute-Key", k)
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode >= 500 {
+		return false
+	}
+	for k, v := range resp.Header {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(resp.StatusCode)
+	w.Write(answer)
+	return true
+}
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -51,8 +51,12 @@
 	Mode  Mode
 	Delay time.Duration
 	// DelayFunc gives the time of each request when set, instead of Delay.
-	DelayFunc func() time.Duration
-	Status    int
+	DelayFunc func(*http.Request) time.Duration
+	// ConnRequests ends each connection after so many requests; 0 means never.
+	ConnRequests int
+	// ResetShare is the share of connections that are reset during one of their ConnRequests requests.
+	ResetShare float64
+	Status     int
 	// Bytes is the size of the answer's body; 0 means that the body names the request.
 	Bytes int
 	// Unhealthy makes the health path answer 503.
@@ -112,7 +116,7 @@
 	}
 	cfg.Upstream.Address = l.Addr().String()
 	u := &Upstream{cfg: cfg, behave: cfg.Behaviour, ledger: map[string]Run{}, client: &http.Client{Timeout: 2 * time.Second}}
-	u.srv = &http.Server{Handler: http.HandlerFunc(u.serve), ConnState: u.connState}
+	u.srv = &http.Server{Handler: http.HandlerFunc(u.serve), ConnState: u.connState, ConnContext: newConnPlan}
 	go u.srv.Serve(l) //nolint:errcheck // ends with Close
 	return u, nil
 }
@@ -150,6 +154,13 @@
 // InUse returns the requests that are here now, refused ones included.
 func (u *Upstream) InUse() int { return int(u.inUse.Load()) }
 
+// Reset empties the ledger.
+func (u *Upstream) Reset() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ledger, u.maxInUse, u.maxConns = map[string]Run{}, 0, u.conns.Load()
+}
+
 // MaxInUse returns the most slots that were in use at once.
 func (u *Upstream) MaxInUse() int {
 	u.mu.Lock()
@@ -207,6 +218,11 @@
 	}
 	n := int(u.inUse.Add(1))
 	defer u.inUse.Add(-1)
+	if b.ConnRequests > 0 {
+		plan := planOf(r.Context())
+		plan.step(w, b)
+		defer plan.finish()
+	}
 	if b.Mode == Refuse || n > u.cfg.Upstream.Slots {
 		u.refuse(w, key)
 		return
@@ -222,7 +238,7 @@
 		run.Started++
 		run.At, run.Body, run.Header, run.URL = time.Now(), body, header, r.RequestURI
 	})
-	if !u.work(r.Context(), b) {
+	if !u.work(r, b) {
 		return
 	}
 	u.note(key, func(run *Run) { run.Finished++ })
@@ -241,10 +257,10 @@
 }
 
 // work takes the time of the request; false when the caller went away before its end.
-func (u *Upstream) work(ctx context.Context, b Behaviour) bool {
+func (u *Upstream) work(r *http.Request, b Behaviour) bool {
 	d := b.Delay
 	if b.DelayFunc != nil {
-		d = b.DelayFunc()
+		d = b.DelayFunc(r)
 	}
 	if b.Mode == Hang {
 		d = time.Hour
@@ -257,7 +273,7 @@
 	select {
 	case <-t.C:
 		return true
-	case <-ctx.Done():
+	case <-r.Context().Done():
 		return false
 	}
 }
