--- a/cmd/bench/leader.go
+++ b/cmd/bench/leader.go
@@ -37,7 +37,7 @@
 	}
 	wg.Wait()
 	f["leaderless_tries"], f["accepted_commits"] = float64(len(gaps)), float64(accepted)
-	f["leaderless_p50_ms"], f["leaderless_p99_ms"] = ms(quantile(gaps, 0.5)), ms(quantile(gaps, 0.99))
+	f["leaderless_p50_ms"], f["leaderless_p99_ms"] = millis(quantile(gaps, 0.5)), millis(quantile(gaps, 0.99))
 	f["lost_commits"] = float64(lost)
 	return errors.Join(errs...)
 }
--- a/cmd/bench/recover.go
+++ b/cmd/bench/recover.go
@@ -51,7 +51,7 @@
 			}
 			took, kb = took+t/recoveryPoints, kb+size/recoveryPoints
 		}
-		f[fmt.Sprintf("recovery_%d_ms", changes)], f[fmt.Sprintf("disk_%d_kb", changes)] = ms(took), kb
+		f[fmt.Sprintf("recovery_%d_ms", changes)], f[fmt.Sprintf("disk_%d_kb", changes)] = millis(took), kb
 	}
 	f["recovery_growth_ratio"] = f["recovery_13000_ms"] / f["recovery_1300_ms"]
 	f["disk_growth_ratio"] = f["disk_13000_kb"] / f["disk_1300_kb"]
--- a/cmd/bench/state.go
+++ b/cmd/bench/state.go
@@ -95,4 +95,4 @@
 	return list[min(len(list)-1, int(q*float64(len(list))))]
 }
 
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
