Count attempts under the metric's present name in bench route

Cause: the metric was renamed, so the bench created a new counter and reported a retry amplification of 0. Change: the present name, and an error when no attempt was counted.

--- a/cmd/bench/route.go
+++ b/cmd/bench/route.go
@@ -230,5 +230,5 @@
 
 // attemptsTotal returns the requests sent to executors by the entries so far.
 func (b *bench) attemptsTotal() int64 {
-	return int64(b.set.GetOrCreateCounter("entry_attempts_total").Get())
+	return int64(b.set.GetOrCreateCounter("turmericroute_entry_attempts_total").Get())
 }
--- a/cmd/bench/route_phase.go
+++ b/cmd/bench/route_phase.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -209,6 +210,9 @@
 			return ours, st, err
 		}
 		sent := b.attemptsTotal() + b.attempts.Load() - before
+		if sent == 0 {
+			return ours, st, errors.New("no attempt was counted, so the amplification is not known")
+		}
 		if st, err = b.ledgers(ours.NotRun, side.name == "entry"); err != nil {
 			return ours, st, err
 		}
