Checkpoint a preempted gang whose start is not reported yet

Change: a committed start is checkpointed before it is stopped, whatever was reported; a start that was not sent is not sent any more.

--- a/gang/attempt.go
+++ b/gang/attempt.go
@@ -212,19 +212,21 @@
 		l.move(a, state.MoveJob{To: model.JobDone}, now)
 		return
 	}
-	if a.reclaim == reclaimStop {
-		l.stop(a, model.JobWaiting, a.reclaimReason, now)
-		return
-	}
 	if !a.sent && !a.recovered {
+		if a.reclaim != reclaimNone {
+			l.stop(a, model.JobWaiting, a.reclaimReason, now)
+			return
+		}
 		a.sent = true
 		l.send(a, model.CommandStart)
 	}
+	if a.reclaim != reclaimNone {
+		l.advanceReclaim(a, now)
+		return
+	}
 	if !a.started {
 		l.awaitStart(a, now)
-		return
 	}
-	l.advanceReclaim(a, now)
 }
 
 func (l *lead) awaitStart(a *attempt, now time.Time) {
--- a/gang/claim.go
+++ b/gang/claim.go
@@ -19,7 +19,7 @@
 	}
 	l.cfg.Logger.Log("event", "preempt", "job", dec.ID, "attempt", a.job.Attempt, "for", dec.For, "reason", dec.Reason)
 	a.reclaim, a.reclaimAt = reclaimCheckpoint, now
-	if a.job.State == model.JobRunning && a.started {
+	if a.job.State == model.JobRunning {
 		for i := range a.tasks {
 			t := &a.tasks[i]
 			t.wantSeq = l.workers.get(t.worker).push(model.Command{Kind: model.CommandCheckpoint, Task: a.id(i)})
@@ -54,10 +54,13 @@
 	}
 }
 
-// checkpointed reports whether every task has completed the checkpoint of the reclaim.
+// checkpointed reports whether every task that has not ended has completed the
+// checkpoint of the reclaim. A task whose start is not reported yet counts too:
+// after a change of leader it may have run for hours.
 func (a *attempt) checkpointed() bool {
 	for _, t := range a.tasks {
-		if t.state == model.TaskRunning && t.checkpointSeq < t.wantSeq {
+		ended := contains([]model.TaskState{model.TaskDone, model.TaskFailed, model.TaskStopped, taskLost}, t.state)
+		if !ended && t.checkpointSeq < t.wantSeq {
 			return false
 		}
 	}
