Follow refusals when choosing executors near saturation

Entries took each other's slots between the end of a request and the report of it, and the estimate shrank to an average of the others' use that is too low where an entry has no own request.

Change: the total in use is estimated beside own plus others, and the higher counts; a margin for old reports follows the refusals to a target of 8%, while a slot that an own request has just left is taken at once; at most once in the time of a request the executor with the oldest report is tried though it seems full; near executors are used up to 90% before far ones.

--- a/route/result.go
+++ b/route/result.go
@@ -45,6 +45,8 @@
 	s.report(m, now, r)
 	m.inFlight--
 	s.inFlight--
+	s.adapt(r.Kind)
+	m.left = r.Kind == Succeeded && r.Load != nil
 	switch r.Kind {
 	case Succeeded:
 		m.failures, m.lastSuccess = 0, now
@@ -70,6 +72,16 @@
 	}
 }
 
+// adapt moves the caution towards the refusal target.
+func (s *Set) adapt(k Kind) {
+	switch k {
+	case Refused:
+		s.caution = min(s.caution+cautionStep, cautionMax)
+	case Succeeded, Erred:
+		s.caution = max(s.caution-cautionStep*refusalTarget/(1-refusalTarget), cautionMin)
+	}
+}
+
 // Probe records the result of a health probe.
 func (s *Set) Probe(now time.Time, id ID, ok bool, load *Load) {
 	m := s.byName[id.Name]
@@ -78,7 +90,7 @@
 	}
 	m.lastSuccess = now
 	if load != nil {
-		s.setOthers(m, now, float64(load.InUse-m.inFlight))
+		s.setLoad(m, now, load.InUse, load.InUse-m.inFlight)
 	}
 }
 
@@ -87,16 +99,18 @@
 	switch {
 	case r.Kind == Refused:
 		// The refused request holds no slot.
-		s.setOthers(m, now, float64(m.Slots-(m.inFlight-1)))
+		s.setLoad(m, now, m.Slots, m.Slots-(m.inFlight-1))
 	case r.Load != nil:
-		s.setOthers(m, now, float64(r.Load.InUse-m.inFlight))
+		s.setLoad(m, now, r.Load.InUse-1, r.Load.InUse-m.inFlight)
 	}
 }
 
-func (s *Set) setOthers(m *member, now time.Time, others float64) {
-	others = min(max(others, 0), float64(m.Slots))
-	s.othersSum += others - m.others
-	m.others, m.loadAt = others, now
+func (s *Set) setLoad(m *member, now time.Time, total, others int) {
+	t := float64(min(max(total, 0), m.Slots))
+	o := float64(min(max(others, 0), m.Slots))
+	s.totalSum += t - m.total
+	s.othersSum += o - m.others
+	m.total, m.others, m.loadAt = t, o, now
 }
 
 func (s *Set) sample(m *member, now time.Time, latency time.Duration) {
--- a/route/set.go
+++ b/route/set.go
@@ -40,10 +40,20 @@
 	// latencyTolerance is the ratio to the average below which latency does not steer; the
 	// average of a few samples is too noisy to prefer one executor by less.
 	latencyTolerance = 2.0
-	// fullMargin is how close to its slots, in requests, an estimate counts as full.
-	fullMargin = 0.5
+	// fullMargin is how close to its slots, in requests, an estimate counts as full. To it comes
+	// the caution, which grows by cautionStep with each refusal and shrinks so that about
+	// refusalTarget of the requests are refused, less than the retry budget. Without it, at 150%
+	// load nine entries take each other's slots between the end of a request and the report of it.
+	fullMargin    = 1.0
+	cautionStep   = 0.1
+	cautionMin    = -0.5
+	cautionMax    = 4.0
+	refusalTarget = 0.08
+	// reuseShare is the part of the time of a request within which a slot that an own request has
+	// left is taken again without caution.
+	reuseShare = 0.1
 	// nearLimit is the estimated use of the best near executor beyond which other data centres compete.
-	nearLimit = 0.75
+	nearLimit = 0.9
 )
 
 // Config holds the parameters of a Set; zero fields take the defaults.
@@ -103,7 +113,9 @@
 	Executor
 	inFlight    int
 	others      float64 // requests of other instances at loadAt
+	total       float64 // all requests at loadAt
 	loadAt      time.Time
+	left        bool    // an own request has left a slot since the last pick
 	latency     float64 // moving average in seconds
 	samples     int
 	sampledAt   time.Time
@@ -118,13 +130,16 @@
 
 // Set holds the executors of one service as one instance sees them.
 type Set struct {
-	cfg       Config
-	members   []*member
-	byName    map[string]*member
-	latency   float64 // moving average over all executors, in seconds
-	othersSum float64
-	inFlight  int
-	near, far []candidate // scratch space of Pick
+	cfg        Config
+	members    []*member
+	byName     map[string]*member
+	latency    float64 // moving average over all executors, in seconds
+	othersSum  float64
+	totalSum   float64
+	caution    float64 // extra margin for old reports, in requests
+	inFlight   int
+	exploredAt time.Time
+	near, far  []candidate // scratch space of Pick
 }
 
 type candidate struct {
@@ -141,7 +156,7 @@
 func (s *Set) Update(now time.Time, list []Executor) {
 	next := make([]*member, 0, len(list))
 	byName := make(map[string]*member, len(list))
-	s.othersSum, s.inFlight = 0, 0
+	s.othersSum, s.totalSum, s.inFlight = 0, 0, 0
 	for _, x := range list {
 		m := s.byName[x.Name]
 		if m == nil || m.Incarnation != x.Incarnation {
@@ -151,6 +166,7 @@
 		next = append(next, m)
 		byName[x.Name] = m
 		s.othersSum += m.others
+		s.totalSum += m.total
 		s.inFlight += m.inFlight
 	}
 	s.members, s.byName = next, byName
@@ -214,6 +230,11 @@
 			v = v2
 		}
 	}
+	if v == Full {
+		if m := s.explore(now, q); m != nil {
+			return s.lease(m), Picked
+		}
+	}
 	if v != Picked {
 		return Lease{}, v
 	}
@@ -223,9 +244,36 @@
 			best = other
 		}
 	}
-	best.m.inFlight++
+	return s.lease(best.m), Picked
+}
+
+func (s *Set) lease(m *member) Lease {
+	m.inFlight++
+	m.left = false
 	s.inFlight++
-	return Lease{Executor: best.m.Executor, m: best.m}, Picked
+	return Lease{Executor: m.Executor, m: m}
+}
+
+// explore returns, at most once in the time of a request, the executor with the oldest report.
+// Where all seem full and few own requests end, slots that others gave up would stay unknown.
+func (s *Set) explore(now time.Time, q Query) *member {
+	age := s.Latency()
+	if now.Sub(s.exploredAt) < age {
+		return nil
+	}
+	var oldest *member
+	for _, m := range s.members {
+		if !q.Allowed[m.DataCentre] || !s.eligible(m, now) || m.inFlight >= m.limit() || now.Sub(m.loadAt) < age {
+			continue
+		}
+		if oldest == nil || m.loadAt.Before(oldest.loadAt) {
+			oldest = m
+		}
+	}
+	if oldest != nil {
+		s.exploredAt = now
+	}
+	return oldest
 }
 
 // gather fills the candidate lists; strict leaves out tried executors and
@@ -242,7 +290,7 @@
 		}
 		usable = true
 		used := s.used(m, now)
-		if m.inFlight >= m.limit() || used > float64(m.Slots)-fullMargin {
+		if m.inFlight >= m.limit() || used > float64(m.Slots)-s.margin(m, now) {
 			continue
 		}
 		if m.DataCentre == q.Near {
@@ -284,16 +332,27 @@
 	return rnd() < rampFloor+(1-rampFloor)*float64(since)/float64(s.cfg.Ramp)
 }
 
-// used estimates the slots in use: own requests and the others' last report,
-// which loses its weight against the average within the time of a request.
+// margin returns how many slots must be free by estimate.
+func (s *Set) margin(m *member, now time.Time) float64 {
+	if m.left && now.Sub(m.loadAt).Seconds() <= reuseShare*s.latency {
+		return fullMargin
+	}
+	return fullMargin + s.caution
+}
+
+// used estimates the slots in use. A report loses its weight against the average within the
+// time of a request. Near saturation the others' use is what own requests leave, so the total
+// in use is estimated as well, and the higher estimate counts.
 func (s *Set) used(m *member, now time.Time) float64 {
+	own := float64(m.inFlight)
 	if m.loadAt.IsZero() {
-		return float64(m.inFlight)
+		return own
 	}
-	mean := s.othersSum / float64(len(s.members))
-	age := now.Sub(m.loadAt).Seconds()
-	others := mean + (m.others-mean)*math.Exp(-age/max(s.latency, minLatency))
-	return float64(m.inFlight) + others
+	n := float64(len(s.members))
+	fresh := math.Exp(-now.Sub(m.loadAt).Seconds() / max(s.latency, minLatency))
+	others := s.othersSum/n*(1-fresh) + m.others*fresh
+	total := s.totalSum/n*(1-fresh) + m.total*fresh
+	return max(own+others, total)
 }
 
 func (s *Set) best(now time.Time, list []candidate, rnd func() float64) candidate {
