Take refused requests back into the queue

Cause: requests that met a full executor used up the retry budget, and at 70% load and after the loss of a data centre others were refused as overloaded while they had time left.

Change: a refusal sends the request back to the queue and takes nothing from the retry budget; refusals are bounded by the caution of the set, whose exploring is limited to one request in 10 ms. The caution is at most half of an executor's slots.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -100,6 +100,37 @@
 		wg.Wait()
 	})
 
+	// Guards against refusing requests that have time left because full executors used up the retry budget.
+	It("wait while executors are full and the retry budget is used up", func() {
+		r := newReplica()
+		var ups []*fakes.Upstream
+		for i := range 30 {
+			ups = append(ups, startUpstream(r, fmt.Sprint("u", i), "scl-1", fakes.Behaviour{Mode: fakes.Refuse}))
+		}
+		s := newStand(r, nil)
+		s.usable(30)
+		var wg sync.WaitGroup
+		codes := make(chan string, 60)
+		for i := range 60 {
+			wg.Go(func() { codes <- s.do(call{id: fmt.Sprint(i), timeout: 5 * time.Second}).code })
+		}
+		Eventually(func() int {
+			n := 0
+			for _, u := range ups {
+				n += len(u.Ledger())
+			}
+			return n
+		}).Should(BeNumerically(">", 25))
+		for _, u := range ups {
+			u.Set(fakes.Behaviour{})
+		}
+		wg.Wait()
+		close(codes)
+		for c := range codes {
+			Expect(c).To(BeEmpty())
+		}
+	})
+
 	// Guards that a stale view sends nothing, neither at arrival nor from the queue.
 	It("are not sent by an entry with a stale view", func() {
 		r := newReplica()
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -143,11 +143,7 @@
 		if ctx.Err() != nil || me.Code == model.CodeInvalid || me.Code == model.CodeTooLarge {
 			return state.Result{}, me
 		}
-		t := time.NewTimer(time.Duration((0.5 + e.cfg.Rand()) * float64(executeRetryDelay)))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !sleep(ctx, time.Duration((0.5+e.cfg.Rand())*float64(executeRetryDelay))) {
 			return state.Result{}, me
 		}
 	}
--- a/entry/send.go
+++ b/entry/send.go
@@ -223,7 +223,10 @@
 		default:
 			last, ran = a, true
 		}
-		if ran && q.key != "" || !s.retry(ctx, q) {
+		if f != nil && f.refused && s.again(ctx, q) {
+			continue
+		}
+		if f != nil && f.refused || ran && q.key != "" || !s.retry(ctx, q) {
 			if last != nil {
 				return last, nil
 			}
@@ -232,22 +235,46 @@
 	}
 }
 
-// retry takes a retry from the budget and waits before it; false when there is none or no time for it.
+// retry takes a retry from the budget and waits before it; false when there is none or no time
+// for it.
 func (s *service) retry(ctx context.Context, q *request) bool {
-	if ctx.Err() != nil {
-		return false
-	}
 	delay := route.Backoff(q.attempts, s.e.cfg.Rand())
 	s.mu.Lock()
-	inTime := s.e.cfg.Clock.Now().Add(delay + s.set.Latency()).Before(q.deadline)
-	allowed := inTime && s.budget.Withdraw()
+	allowed := s.inTime(q, delay) && s.budget.Withdraw()
 	s.mu.Unlock()
 	if !allowed {
 		s.e.metrics.retriesDenied.Inc()
 		return false
 	}
 	s.e.metrics.retries.Inc()
-	t := time.NewTimer(delay)
+	return sleep(ctx, delay)
+}
+
+// again waits before a refused request goes back to the queue; false when there is no time for
+// that. It takes nothing from the retry budget: the set bounds refusals itself, and a budget
+// that they use up refuses requests at 70% load.
+func (s *service) again(ctx context.Context, q *request) bool {
+	delay := time.Duration(0)
+	if q.attempts > 1 {
+		delay = route.Backoff(q.attempts, s.e.cfg.Rand())
+	}
+	s.mu.Lock()
+	inTime := s.inTime(q, delay)
+	s.mu.Unlock()
+	return inTime && sleep(ctx, delay)
+}
+
+// inTime reports whether a request sent after the delay would probably end before its deadline.
+func (s *service) inTime(q *request, delay time.Duration) bool {
+	return s.e.cfg.Clock.Now().Add(delay + s.set.Latency()).Before(q.deadline)
+}
+
+// sleep waits for d; false when ctx ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/route/set.go
+++ b/route/set.go
@@ -52,6 +52,8 @@
 	// reuseShare is the part of the time of a request within which a slot that an own request has
 	// left is taken again without caution.
 	reuseShare = 0.1
+	// exploreInterval is the least time between requests to executors that seem full.
+	exploreInterval = 10 * time.Millisecond
 	// nearLimit is the estimated use of the best near executor beyond which other data centres compete.
 	nearLimit = 0.9
 )
@@ -257,7 +259,7 @@
 // explore returns, at most once in the time of a request, the executor with the oldest report.
 // Where all seem full and few own requests end, slots that others gave up would stay unknown.
 func (s *Set) explore(now time.Time, q Query) *member {
-	age := s.Latency()
+	age := max(s.Latency(), exploreInterval)
 	if now.Sub(s.exploredAt) < age {
 		return nil
 	}
@@ -337,7 +339,7 @@
 	if m.left && now.Sub(m.loadAt).Seconds() <= reuseShare*s.latency {
 		return fullMargin
 	}
-	return fullMargin + s.caution
+	return fullMargin + min(s.caution, float64(m.Slots)/2)
 }
 
 // used estimates the slots in use. A report loses its weight against the average within the
