Copy headers without their values

The headers of both directions now share their values. A test covers answers that name another request.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -43,13 +43,14 @@
 // readAnswer reads the answer whole if it is small, and else its beginning.
 func readAnswer(resp *http.Response) (*answer, error) {
 	a := &answer{
-		status: resp.StatusCode, header: answerHeader(resp.Header), outcome: model.OutcomeDone,
+		status: resp.StatusCode, outcome: model.OutcomeDone,
 		load: ParseLoad(resp.Header.Get(HeaderLoad)), length: resp.ContentLength,
 	}
 	switch o := model.Outcome(resp.Header.Get(HeaderOutcome)); o {
 	case model.OutcomeNotRun, model.OutcomeUnknown:
 		a.outcome = o
 	}
+	a.header = answerHeader(resp.Header)
 	a.bodiless = resp.Request.Method == http.MethodHead ||
 		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if a.bodiless {
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -49,6 +49,7 @@
 		Entry("cut between chunks", fakes.Behaviour{Mode: fakes.CutChunks}, 502, model.OutcomeUnknown, 1),
 		Entry("shorter than declared", fakes.Behaviour{Mode: fakes.TooLittle}, 502, model.OutcomeUnknown, 1),
 		Entry("without a length", fakes.Behaviour{Mode: fakes.NoLength}, 502, model.OutcomeUnknown, 1),
+		Entry("to another request", fakes.Behaviour{Mode: fakes.OtherAnswer}, 502, model.OutcomeUnknown, 1),
 		Entry("later than the deadline", fakes.Behaviour{Delay: 400 * time.Millisecond}, 504, model.OutcomeUnknown, 1),
 		Entry("never", fakes.Behaviour{Mode: fakes.Hang}, 504, model.OutcomeUnknown, 1),
 		Entry("large and cut", fakes.Behaviour{Mode: fakes.Cut, Bytes: 1 << 20}, 0, model.OutcomeUnknown, 1),
--- a/entry/header.go
+++ b/entry/header.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,6 +42,11 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// ownHeaders of a request are for the entry, or set by it anew.
+var ownHeaders = []string{
+	HeaderIdempotencyKey, "X-Idempotency-Key", HeaderKeyTime, HeaderKey, HeaderLoad, HeaderOutcome, "Expect", "Content-Length",
+}
+
 // removeHopHeaders removes the hop-by-hop headers and those that Connection names.
 func removeHopHeaders(h http.Header) {
 	for _, v := range h["Connection"] {
@@ -55,12 +61,13 @@
 	}
 }
 
-// sendHeader returns the header of a request to an executor.
+// sendHeader returns the header of a request to an executor. It shares the values of the
+// caller's header and replaces them whole.
 func (q *request) sendHeader(remaining time.Duration) http.Header {
-	h := q.header.Clone()
+	h := maps.Clone(q.header)
 	removeHopHeaders(h)
-	for _, name := range []string{HeaderIdempotencyKey, "X-Idempotency-Key", HeaderKeyTime, HeaderKey, HeaderLoad, HeaderOutcome, "Expect", "Content-Length"} {
-		h.Del(name)
+	for _, name := range ownHeaders {
+		delete(h, name)
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""}
@@ -74,12 +81,11 @@
 	return h
 }
 
-// answerHeader returns the header of an answer as it is passed on to the caller.
+// answerHeader makes the header of an answer the one that is passed on to the caller.
 func answerHeader(h http.Header) http.Header {
-	h = h.Clone()
 	removeHopHeaders(h)
 	for _, name := range []string{HeaderLoad, HeaderOutcome, HeaderRequestID} {
-		h.Del(name)
+		delete(h, name)
 	}
 	return h
 }
--- a/entry/send.go
+++ b/entry/send.go
@@ -149,8 +149,9 @@
 		discard(resp.Body)
 		return nil, &failure{err: errors.New("the executor has no free slot"), refused: true, kind: route.Refused}
 	}
+	id := resp.Header.Get(HeaderRequestID)
 	a, err := readAnswer(resp)
-	if id := resp.Header.Get(HeaderRequestID); err == nil && id != "" && id != req.Header.Get(HeaderRequestID) {
+	if err == nil && id != "" && id != req.Header.Get(HeaderRequestID) {
 		err = errors.New("the answer names another request")
 		st.abandon()
 	}
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -42,6 +42,8 @@
 	NoLength
 	// Chunks runs the request and answers in chunks.
 	Chunks
+	// OtherAnswer runs the request and sends an answer that names another one.
+	OtherAnswer
 	// Hang runs the request and answers nothing until the caller goes away.
 	Hang
 )
@@ -296,6 +298,9 @@
 		w.Write(body)
 	case Unavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case OtherAnswer:
+		w.Header().Set("Turmericroute-Request-Id", "other-"+key)
+		w.Write(body)
 	case CutHeader:
 		panic(http.ErrAbortHandler)
 	case Cut, TooLittle:
