Keep outcomes and team limits exact in corner cases

An answer 502, 503 or 504 without an outcome is unknown instead of done, and not_run after an attempt that may have run becomes unknown. Large answers count against the team's limit until they are copied. A service that was configured just now is found at once. The queue length is a metric.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -40,15 +40,26 @@
 	}
 }
 
+// after corrects the outcome of an answer for earlier attempts that may have run.
+func (a *answer) after(ran bool) *answer {
+	if ran && a.outcome == model.OutcomeNotRun {
+		a.outcome = model.OutcomeUnknown
+	}
+	return a
+}
+
 // readAnswer reads the answer whole if it is small, and else its beginning.
 func readAnswer(resp *http.Response) (*answer, error) {
 	a := &answer{
 		status: resp.StatusCode, outcome: model.OutcomeDone,
 		load: ParseLoad(resp.Header.Get(HeaderLoad)), length: resp.ContentLength,
 	}
-	switch o := model.Outcome(resp.Header.Get(HeaderOutcome)); o {
-	case model.OutcomeNotRun, model.OutcomeUnknown:
+	switch o := model.Outcome(resp.Header.Get(HeaderOutcome)); {
+	case o == model.OutcomeNotRun, o == model.OutcomeUnknown:
 		a.outcome = o
+	case o != model.OutcomeDone && a.unavailable():
+		// Such an answer may come from something in front of the executor.
+		a.outcome = model.OutcomeUnknown
 	}
 	a.header = answerHeader(resp.Header)
 	a.bodiless = resp.Request.Method == http.MethodHead ||
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,14 +135,26 @@
 	return e
 }
 
-// begin counts a request in, or refuses it while draining.
-func (e *Entry) begin() *model.Error {
+// begin counts a request in, or refuses it: while draining, with a stale view, or beyond this
+// entry's part of the team's limit.
+func (e *Entry) begin(q *request) *model.Error {
+	if err := e.fresh(); err != nil {
+		return err
+	}
+	share := q.limit
+	if q.limit > 0 {
+		share = route.Share(q.limit, q.team, e.cfg.Name, e.cfg.Entries())
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.draining {
 		return model.NotRun(model.CodeShuttingDown, "this entry is shutting down")
 	}
+	if q.limit > 0 && e.teams[q.team] >= share {
+		return model.NotRun(model.CodeLimit, "team %s has %d requests in flight, this entry's part of %d", q.team, e.teams[q.team], q.limit)
+	}
 	e.inFlight++
+	e.teams[q.team]++
 	return nil
 }
 
@@ -181,21 +193,6 @@
 	}
 }
 
-// enterTeam counts a request against this entry's part of the team's limit.
-func (e *Entry) enterTeam(team string, limit int) *model.Error {
-	share := limit
-	if limit > 0 {
-		share = route.Share(limit, team, e.cfg.Name, e.cfg.Entries())
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if limit > 0 && e.teams[team] >= share {
-		return model.NotRun(model.CodeLimit, "team %s has %d requests in flight, this entry's part of %d", team, e.teams[team], limit)
-	}
-	e.teams[team]++
-	return nil
-}
-
 func (e *Entry) leaveTeam(team string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -254,8 +251,16 @@
 	}
 }
 
+// service returns the service with the name, also when it was configured just now.
 func (e *Entry) service(name string) *service {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.services[name]
+	for _, force := range []bool{false, true} {
+		e.refresh(force)
+		e.mu.Lock()
+		s := e.services[name]
+		e.mu.Unlock()
+		if s != nil {
+			return s
+		}
+	}
+	return nil
 }
--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -55,6 +55,7 @@
 		Entry("large and cut", fakes.Behaviour{Mode: fakes.Cut, Bytes: 1 << 20}, 0, model.OutcomeUnknown, 1),
 		Entry("large, in chunks, cut", fakes.Behaviour{Mode: fakes.CutChunks, Bytes: 1 << 20}, 0, model.OutcomeUnknown, 1),
 		Entry("refused", fakes.Behaviour{Mode: fakes.Refuse}, 503, model.OutcomeNotRun, 0),
+		Entry("not available", fakes.Behaviour{Mode: fakes.Unavailable}, 503, model.OutcomeUnknown, 1),
 		Entry("an error", fakes.Behaviour{Mode: fakes.Fail}, 500, model.OutcomeDone, 1),
 	)
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// queue publishes the number of requests that wait for a service.
+func (c *counters) queue(e *Entry, name string) {
+	c.set.GetOrCreateGauge(fmt.Sprintf("entry_requests_waiting_count{service=%q}", name), func() float64 {
+		e.mu.Lock()
+		s := e.services[name]
+		e.mu.Unlock()
+		if s == nil {
+			return 0
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.queue.Len())
+	})
+}
+
 // request counts a request; names of services that do not exist share one label.
 func (c *counters) request(q *request, err *model.Error, d time.Duration) {
 	l := requestLabels{service: q.service, outcome: err.Outcome, code: err.Code}
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -166,6 +166,8 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			ctx, cancel := context.WithTimeout(ctx, e.cfg.ProbeInterval)
+			defer cancel()
 			_, err := e.cfg.Replica.Execute(ctx, state.LeaveUpstream{Name: id.Name, Incarnation: id.Incarnation})
 			e.cfg.Logger.Log("msg", "removed unreachable upstream", "upstream", id.Name, "incarnation", id.Incarnation, "err", err)
 		}()
--- a/entry/send.go
+++ b/entry/send.go
@@ -220,7 +220,7 @@
 			s.e.metrics.count(f)
 			cause, ran = f, ran || f.ran
 		case !a.unavailable() || q.key != "" || a.rest != nil:
-			return a, nil
+			return a.after(ran), nil
 		default:
 			last, ran = a, true
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -20,16 +20,17 @@
 // panics with http.ErrAbortHandler when an answer is cut after its beginning was sent.
 func (e *Entry) ServeService(w http.ResponseWriter, r *http.Request) {
 	start := e.cfg.Clock.Now()
-	e.refresh(false)
 	q, err := e.parse(r, start)
 	if err == nil {
-		err = e.begin()
+		err = e.begin(q)
 	}
 	if err != nil {
-		e.log(q, start, q.refusal(err), writeError(w, q, q.refusal(err)), nil)
+		err = q.refusal(err)
+		e.log(q, start, err, writeError(w, q, err), nil)
 		return
 	}
 	defer e.end()
+	defer e.leaveTeam(q.team)
 	res := e.admit(w, r, q)
 	if res.err != nil {
 		res.err = q.refusal(res.err)
@@ -46,15 +47,8 @@
 	}
 }
 
-// admit checks view age and team limit, reads the body and serves the request.
+// admit reads the body and serves the request.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request, q *request) result {
-	if err := e.fresh(); err != nil {
-		return result{err: err}
-	}
-	if err := e.enterTeam(q.team, q.limit); err != nil {
-		return result{err: err}
-	}
-	defer e.leaveTeam(q.team)
 	if err := q.readBody(w, r, e.cfg.MaxBodyBytes); err != nil {
 		return result{err: err}
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,6 +52,7 @@
 }
 
 func newService(e *Entry, name string) *service {
+	e.metrics.queue(e, name)
 	return &service{
 		e: e, name: name,
 		set:     route.NewSet(e.cfg.Route),
