--- a/cmd/bench/route_load.go
+++ b/cmd/bench/route_load.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"container/heap"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,7 +53,9 @@
 	IdealSlots int `json:"ideal_slots"`
 	// Open opens connections with one request each, which takes WorkUS, and keeps them.
 	Open int `json:"open"`
-	// Release closes the connections of Open.
+	// Idle opens connections one after the other with one request each and keeps them.
+	Idle int `json:"idle"`
+	// Release closes the connections of Open and Idle.
 	Release bool `json:"release"`
 }
 
@@ -74,6 +79,7 @@
 
 type loader struct {
 	client *http.Client
+	held   []net.Conn
 	seed   atomic.Uint64
 }
 
@@ -99,7 +105,13 @@
 	switch {
 	case req.Release:
 		l.client.CloseIdleConnections()
+		for _, c := range l.held {
+			c.Close()
+		}
+		l.held = nil
 		return loadResponse{}, nil
+	case req.Idle > 0:
+		return l.idle(req)
 	case req.Open > 0:
 		return l.open(req), nil
 	case req.Closed > 0:
@@ -184,6 +196,33 @@
 	return summarise(all)
 }
 
+func (l *loader) idle(req loadRequest) (loadResponse, error) {
+	resp := loadResponse{Sent: req.Idle}
+	for i := range req.Idle {
+		u, err := url.Parse(req.Targets[i%len(req.Targets)])
+		if err != nil {
+			return resp, fmt.Errorf("parse target: %w", err)
+		}
+		c, err := net.Dial("tcp", u.Host)
+		if err != nil {
+			return resp, fmt.Errorf("open idle connection: %w", err)
+		}
+		l.held = append(l.held, c)
+		if _, err := fmt.Fprintf(c, "GET %s/idle HTTP/1.1\r\nHost: x\r\n%s: %s\r\n\r\n", u.Path, entry.HeaderTeam, teamName); err != nil {
+			return resp, fmt.Errorf("send on idle connection: %w", err)
+		}
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return resp, fmt.Errorf("read on idle connection: %w", err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			resp.OK++
+		}
+	}
+	return resp, nil
+}
+
 func (l *loader) send(req loadRequest, s *sample, target string, due time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout+time.Second)
 	defer cancel()
--- a/cmd/bench/route_phase.go
+++ b/cmd/bench/route_phase.go
@@ -132,22 +132,28 @@
 		return err
 	}
 	base := residentKB()
-	targets := b.entries
+	quiet, err := b.run(loadRequest{Targets: b.entries, Idle: n})
+	if err != nil {
+		return err
+	}
+	debug.FreeOSMemory()
+	idle := residentKB()
+	if err := release(); err != nil {
+		return err
+	}
+	again := residentKB()
 	active := make(chan int64, 1)
 	go func() {
 		time.Sleep(700 * time.Millisecond)
 		debug.FreeOSMemory()
 		active <- residentKB()
 	}()
-	t, err := b.run(loadRequest{Name: "active", Targets: targets, Open: n, WorkUS: 1_000_000, BodyBytes: 512})
+	t, err := b.run(loadRequest{Name: "active", Targets: b.entries, Open: n, WorkUS: 1_000_000, BodyBytes: 512})
 	if err != nil {
 		return err
 	}
-	busy := <-active
-	debug.FreeOSMemory()
-	idle := residentKB()
-	fmt.Printf("memory: %d KB before, %d KB with %d active (%.1f KB each, connection to the executor included), %d KB with them idle (%.1f KB each), ok %d of %d %v\n",
-		base, busy, n, float64(busy-base)/n, idle, float64(idle-base)/n, t.OK, t.Sent, t.Codes)
+	fmt.Printf("memory: %d KB before, %.1f KB for each of %d idle connections (ok %d); %d KB before, %.1f KB for each of %d active ones with the connection to the executor (ok %d)\n",
+		base, float64(idle-base)/n, n, quiet.OK, again, float64(<-active-again)/n, n, t.OK)
 	return release()
 }
 
