--- a/client/calls.go
+++ b/client/calls.go
@@ -23,6 +23,11 @@
 	return get[model.Job](ctx, c, read("/v1/jobs/"+url.PathEscape(id), nil))
 }
 
+// Explain says why a job is in its state.
+func (c *Client) Explain(ctx context.Context, id string) (state.JobReport, error) {
+	return get[state.JobReport](ctx, c, read("/v1/jobs/"+url.PathEscape(id)+"/explain", nil))
+}
+
 // Jobs lists jobs without their payloads; an empty team or state means all.
 func (c *Client) Jobs(ctx context.Context, team string, state model.JobState) ([]model.Job, error) {
 	q := url.Values{}
@@ -56,6 +61,16 @@
 	return get[config.Config](ctx, c, read("/v1/config", nil))
 }
 
+// ConfigAt returns the configuration as it was at a version.
+func (c *Client) ConfigAt(ctx context.Context, version uint64) (config.Config, error) {
+	return get[config.Config](ctx, c, read("/v1/config", url.Values{"version": {strconv.FormatUint(version, 10)}}))
+}
+
+// Plan says what a patch would do, and changes nothing.
+func (c *Client) Plan(ctx context.Context, p config.Patch) (webapi.Planned, error) {
+	return get[webapi.Planned](ctx, c, call{method: http.MethodPost, path: "/v1/config/plan", body: p, repeatable: true})
+}
+
 // Patch sends a patch; its ID makes it safe to send again.
 func (c *Client) Patch(ctx context.Context, p config.Patch) (webapi.Patched, error) {
 	return get[webapi.Patched](ctx, c, call{method: http.MethodPost, path: "/v1/config/patches", body: p, repeatable: true})
@@ -93,6 +108,21 @@
 	return get[webapi.Status](ctx, c, read("/v1/status", nil))
 }
 
+// Overview returns the leader's view of the whole deployment.
+func (c *Client) Overview(ctx context.Context) (state.Overview, error) {
+	return get[state.Overview](ctx, c, read("/v1/overview", nil))
+}
+
+// TasksIn counts the tasks placed in a data centre.
+func (c *Client) TasksIn(ctx context.Context, dataCentre string) (webapi.Placed, error) {
+	return get[webapi.Placed](ctx, c, read("/v1/tasks", url.Values{"data_centre": {dataCentre}}))
+}
+
+// TasksOn counts the tasks placed on a worker.
+func (c *Client) TasksOn(ctx context.Context, worker string) (webapi.Placed, error) {
+	return get[webapi.Placed](ctx, c, read("/v1/tasks", url.Values{"worker": {worker}}))
+}
+
 // Dump returns the state of the process that answers.
 func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
 	return get[json.RawMessage](ctx, c, read("/dump", nil))
--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -95,8 +95,8 @@
 func (a *app) tree() *ffcli.Command {
 	return a.group("", "schedules multi-accelerator jobs with guarantees for each team",
 		a.leaf("", serveCommand()), a.leaf("", tryCommand()),
-		a.group("job", "submits, shows and cancels jobs",
-			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()),
+		a.group("job", "submits, shows, explains and cancels jobs",
+			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()), a.leaf("job", jobExplainCommand()),
 			a.leaf("job", jobListCommand()), a.leaf("job", jobCancelCommand())),
 		a.group("config", "reads, checks and changes the configuration",
 			a.leaf("config", configGetCommand()), a.leaf("config", configApplyCommand()),
@@ -230,8 +230,11 @@
 func usageText(c *ffcli.Command) string { return ffcli.DefaultUsageFunc(c) }
 
 // client returns a client of the instances that the flags name.
-func (s *session) client() (*client.Client, error) {
-	cfg := client.Config{Addresses: words(s.addresses), Token: s.token, Team: s.team}
+func (s *session) client() (*client.Client, error) { return s.clientOf(words(s.addresses)) }
+
+// clientOf returns a client of the instances at the addresses.
+func (s *session) clientOf(addresses []string) (*client.Client, error) {
+	cfg := client.Config{Addresses: addresses, Token: s.token, Team: s.team}
 	if s.ca != "" {
 		pool, err := auth.ReadPool(s.ca)
 		if err != nil {
--- a/cmd/turmericroute/dump.go
+++ b/cmd/turmericroute/dump.go
@@ -1,36 +1,125 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
+	"os"
+	"time"
 
 	"turmericroute/client"
+	"turmericroute/model"
 )
 
 const dumpUsage = `
-Prints the state of one process as JSON in a stable order, without secrets.
+Collects the state of every instance as JSON in a stable order, without secrets:
+of each address of -addresses and each instance that these name. With -o it is
+written to a file; a new one can be read by its owner only. Exits with 1 when an instance
+gave no dump; the rest is written all the same.
 
-EXAMPLE
-  turmericroute dump -addresses 127.0.0.1:7101 > a1.json`
+EXAMPLES
+  turmericroute dump -o dump.json
+  turmericroute dump -addresses 127.0.0.1:7101 -one > c1.json`
+
+// dumpFile is the collected state of a deployment.
+type dumpFile struct {
+	CollectedMS int64                  `json:"collected_ms"`
+	Instances   map[string]dumpedState `json:"instances"`
+}
+
+type dumpedState struct {
+	Address string          `json:"address"`
+	Error   string          `json:"error,omitempty"`
+	Dump    json.RawMessage `json:"dump,omitempty"`
+}
 
 func dumpCommand() leaf {
+	var file string
+	var one bool
 	return leaf{
-		name: "dump", short: "print the state of a process", long: dumpUsage,
+		name: "dump", short: "collect the state of every instance", long: dumpUsage,
+		flags: func(fs *flag.FlagSet) {
+			fs.StringVar(&file, "o", "", "`file` to write to instead of standard output")
+			fs.BoolVar(&one, "one", false, "only the instance that answers first")
+		},
 		run: call(func(ctx context.Context, s *session, c *client.Client, _ []string) error {
-			raw, err := c.Dump(ctx)
-			if err != nil {
-				return err
-			}
-			var b bytes.Buffer
-			if err := json.Indent(&b, raw, "", "  "); err != nil {
-				return fmt.Errorf("indent dump: %w", err)
+			if one {
+				raw, err := c.Dump(ctx)
+				if err != nil {
+					return err
+				}
+				return s.writeDump(file, raw)
 			}
-			if _, err := fmt.Fprintln(s.out, b.String()); err != nil {
-				return fmt.Errorf("write dump: %w", err)
-			}
-			return nil
+			return s.dumpAll(ctx, file)
 		}),
 	}
 }
+
+func (s *session) dumpAll(ctx context.Context, file string) error {
+	list, err := s.instances(ctx)
+	if err != nil {
+		return err
+	}
+	if len(reached(list)) == 0 {
+		return noneReached(list)
+	}
+	dumps := make([]dumpedState, len(list))
+	addresses := make([]string, len(list))
+	for n, i := range list {
+		addresses[n] = i.Address
+	}
+	err = s.each(ctx, addresses, func(ctx context.Context, n int, c *client.Client) {
+		dumps[n].Address = addresses[n]
+		raw, err := c.Dump(ctx)
+		if err != nil {
+			dumps[n].Error = model.AsError(err).Message
+			return
+		}
+		dumps[n].Dump = raw
+	})
+	if err != nil {
+		return err
+	}
+	out := dumpFile{CollectedMS: time.Now().UnixMilli(), Instances: map[string]dumpedState{}}
+	missing := 0
+	for n, d := range dumps {
+		name := list[n].Name
+		if name == "" {
+			name = d.Address
+		}
+		out.Instances[name] = d
+		if d.Dump == nil {
+			missing++
+		}
+	}
+	if err := s.writeDump(file, out); err != nil {
+		return err
+	}
+	if missing > 0 {
+		return &hinted{
+			err:  fmt.Errorf("%d of %d instances gave no dump", missing, len(dumps)),
+			hint: "the dumps of the others are written; look at \"error\" of the missing ones",
+		}
+	}
+	return nil
+}
+
+// writeDump writes v to the file, or to standard output when none is named.
+func (s *session) writeDump(file string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode dump: %w", err)
+	}
+	b = append(b, '\n')
+	if file == "" {
+		if _, err := s.out.Write(b); err != nil {
+			return fmt.Errorf("write dump: %w", err)
+		}
+		return nil
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		return fmt.Errorf("write dump: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/turmericroute/instances.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"turmericroute/client"
+	"turmericroute/model"
+	"turmericroute/webapi"
+)
+
+// instanceTimeout bounds the question to one instance, which can be frozen or
+// gone, so that the others are still shown within the default time limit.
+const instanceTimeout = 3 * time.Second
+
+// instance is one instance of the deployment and what it says of itself.
+type instance struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	// Status is nil when the instance gave none.
+	Status *webapi.Status `json:"status,omitempty"`
+	Error  string         `json:"error,omitempty"`
+	err    error
+}
+
+// instances asks every known address: those of -addresses and those that the
+// instances reached there name as their peers.
+func (s *session) instances(ctx context.Context) ([]instance, error) {
+	asked := words(s.addresses)
+	found, err := s.askAll(ctx, asked)
+	if err != nil {
+		return nil, err
+	}
+	peers := map[string]webapi.Peer{}
+	for _, i := range found {
+		if i.Status != nil {
+			for _, p := range i.Status.Peers {
+				peers[p.Name] = p
+			}
+		}
+	}
+	var more []string
+	for _, p := range peers {
+		known := func(i instance) bool { return i.Name == p.Name || hostPort(i.Address) == p.HTTPAddress }
+		if !slices.ContainsFunc(found, known) {
+			more = append(more, p.HTTPAddress)
+		}
+	}
+	rest, err := s.askAll(ctx, more)
+	if err != nil {
+		return nil, err
+	}
+	found = append(found, rest...)
+	for n, i := range found {
+		for _, p := range peers {
+			if i.Name == "" && hostPort(i.Address) == p.HTTPAddress {
+				found[n].Name = p.Name
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b instance) int { return strings.Compare(a.Name+" "+a.Address, b.Name+" "+b.Address) })
+	return slices.CompactFunc(found, func(a, b instance) bool { return a.Name != "" && a.Name == b.Name }), nil
+}
+
+// hostPort returns an address without its scheme.
+func hostPort(address string) string {
+	if _, rest, ok := strings.Cut(address, "://"); ok {
+		return rest
+	}
+	return address
+}
+
+// askAll asks several addresses for their status at the same time.
+func (s *session) askAll(ctx context.Context, addresses []string) ([]instance, error) {
+	out := make([]instance, len(addresses))
+	err := s.each(ctx, addresses, func(ctx context.Context, n int, c *client.Client) {
+		out[n].Address = addresses[n]
+		st, err := c.Status(ctx)
+		if err != nil {
+			out[n].Error, out[n].err = model.AsError(err).Message, err
+			return
+		}
+		out[n].Status, out[n].Name = &st, st.Replica.Name
+	})
+	return out, err
+}
+
+// each calls every address at the same time, with a client and a time limit of its own.
+func (s *session) each(ctx context.Context, addresses []string, do func(ctx context.Context, n int, c *client.Client)) error {
+	var wg sync.WaitGroup
+	for n, address := range addresses {
+		c, err := s.clientOf([]string{address})
+		if err != nil {
+			return err
+		}
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
+			defer cancel()
+			do(ctx, n, c)
+		})
+	}
+	wg.Wait()
+	return nil
+}
+
+// reached returns the addresses of the instances that answered.
+func reached(list []instance) []string {
+	var out []string
+	for _, i := range list {
+		if i.Status != nil {
+			out = append(out, i.Address)
+		}
+	}
+	return out
+}
--- a/cmd/turmericroute/status.go
+++ b/cmd/turmericroute/status.go
@@ -4,59 +4,109 @@
 	"context"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
-	"strings"
 
 	"turmericroute/client"
 	"turmericroute/model"
-	"turmericroute/webapi"
+	"turmericroute/state"
 )
 
 const statusUsage = `
-Describes the instance that answers first: its part in the replicated log, the
-age of its view, and sums over workers, upstreams and jobs.
+Shows the whole deployment on one screen: the leader, the instances with their
+lag and the configuration version in force on each, data centres, teams with
+their guarantees, shortages, workers on probation, upstreams, and the jobs that
+have waited longest. Asks every address of -addresses and every instance that
+these name; one address is enough while it answers.
+
+COLUMNS
+  LAG          log entries that the instance is behind the leader
+  VIEW_AGE_MS  age of its copy of the state; beyond 1600 it refuses requests
+  GUARANTEED, USED   sums of accelerators/cores
+  BORROWED     the part of USED beyond the guarantee; other teams may reclaim it
+  RECLAIMABLE  the part of GUARANTEED that the team can have by asking
+  SHORT        guaranteed shapes that fit nowhere now
+
+Without a leader it shows what the instances say of themselves and exits with 3.
 
 EXAMPLE
   turmericroute status -addresses 127.0.0.1:7101`
 
+// deployment is what status shows.
+type deployment struct {
+	Instances []instance `json:"instances"`
+	// Overview is the leader's view, nil when no leader answered.
+	Overview *state.Overview `json:"overview,omitempty"`
+	// Latest is the patch that gave the configuration in force.
+	Latest *state.Record `json:"latest_patch,omitempty"`
+	Error  string        `json:"error,omitempty"`
+}
+
 func statusCommand() leaf {
 	return leaf{
-		name: "status", short: "describe an instance", long: statusUsage,
-		run: call(func(ctx context.Context, s *session, c *client.Client, _ []string) error {
-			st, err := c.Status(ctx)
+		name: "status", short: "show the whole deployment", long: statusUsage,
+		run: call(func(ctx context.Context, s *session, _ *client.Client, _ []string) error {
+			d, err := s.deployment(ctx)
 			if err != nil {
 				return err
 			}
-			return s.print(st, func(w io.Writer) error { return printStatus(w, st) })
+			if printErr := s.print(d, func(w io.Writer) error { return printStatus(w, d) }); printErr != nil {
+				return printErr
+			}
+			return d.failure()
 		}),
 	}
 }
 
-func printStatus(w io.Writer, st webapi.Status) error {
-	ready := "yes"
-	if !st.Ready {
-		ready = "no: " + st.NotReady
+// deployment asks all instances, and the leader through one of them.
+func (s *session) deployment(ctx context.Context) (deployment, error) {
+	list, err := s.instances(ctx)
+	if err != nil {
+		return deployment{}, err
 	}
-	rows := [][]string{
-		{"instance", st.Replica.Name}, {"data_centre", st.Replica.DataCentre}, {"role", st.Replica.Role},
-		{"leader", orDash(st.Replica.Leader)}, {"term", fmt.Sprint(st.Replica.Term)}, {"applied", fmt.Sprint(st.Replica.Applied)},
-		{"view_age_ms", fmt.Sprint(st.Replica.ViewAgeMS)}, {"ready", ready}, {"config_version", fmt.Sprint(st.ConfigVersion)},
-		{"out_of_service", orDash(strings.Join(st.OutOfService, " "))}, {"drained_workers", fmt.Sprint(st.Drained)},
-		{"workers", fmt.Sprint(st.Workers)}, {"upstreams", fmt.Sprint(st.Upstreams)},
+	d := deployment{Instances: list}
+	alive := reached(list)
+	if len(alive) == 0 {
+		return d, noneReached(list)
 	}
-	for _, state := range slices.Sorted(maps.Keys(st.Jobs)) {
-		rows = append(rows, []string{"jobs_" + string(state), fmt.Sprint(st.Jobs[state])})
+	c, err := s.clientOf(alive)
+	if err != nil {
+		return d, err
 	}
-	if len(st.Jobs) == 0 {
-		rows = append(rows, []string{"jobs_" + string(model.JobWaiting), "0"})
+	ctx, cancel := context.WithTimeout(ctx, 2*instanceTimeout)
+	defer cancel()
+	o, err := c.Overview(ctx)
+	if err != nil {
+		d.Error = model.AsError(err).Message
+		return d, nil
 	}
-	for _, m := range st.Replica.Members {
-		kind := "learner"
-		if m.Voter {
-			kind = "voter"
+	d.Overview = &o
+	if o.ConfigVersion > 0 {
+		if records, err := c.History(ctx, o.ConfigVersion-1); err == nil && len(records) > 0 {
+			d.Latest = &records[0]
 		}
-		rows = append(rows, []string{"member", fmt.Sprintf("%s %s %s", m.Name, m.Address, kind)})
 	}
-	return table(w, "FIELD VALUE", rows)
+	return d, nil
+}
+
+// noneReached is the error when no instance gave its status: a refusal if there was one.
+func noneReached(list []instance) error {
+	e := model.NotRun(model.CodeUnavailable, "no instance answers")
+	for _, i := range list {
+		if !client.Unreachable.Has(i.err) {
+			return i.err
+		}
+		e.Faults = append(e.Faults, i.Address+": "+i.Error)
+	}
+	return client.Unreachable.Wrap(e)
+}
+
+// failure is the error of a status without the leader's view.
+func (d deployment) failure() error {
+	if d.Overview != nil {
+		return nil
+	}
+	err := model.NotRun(model.CodeNoLeader, "the leader's view is missing: %s", d.Error)
+	return &hinted{
+		err:  err,
+		hint: fmt.Sprintf("%d of %d instances answer; a majority of the voters must run and reach each other (docs/operations.md, lost majority)", len(reached(d.Instances)), len(d.Instances)),
+	}
 }
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -83,6 +83,8 @@
 	Lead(ctx context.Context, term uint64, r state.Replica)
 	// Poll answers a worker while leading.
 	Poll(ctx context.Context, req model.PollRequest) (model.PollResponse, error)
+	// Report answers an inquiry while leading, without holding up the leader's work.
+	Report(ctx context.Context, q state.Inquiry) (state.Report, error)
 	// Admit checks a command before it is proposed, against the current state; nil admits.
 	Admit(m *state.Machine, c state.Command) *model.Error
 	// Dump returns the leader's own state for the process dump.
--- /dev/null
+++ b/ctrl/inquire.go
@@ -0,0 +1,99 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"turmericroute/model"
+	"turmericroute/state"
+	"turmericroute/wire"
+)
+
+// Inquire asks the leader for what only it knows, and looks for a leader for a
+// while when none answers.
+func (n *Node) Inquire(ctx context.Context, q state.Inquiry) (state.Report, error) {
+	data, err := json.Marshal(q)
+	if err != nil {
+		return state.Report{}, model.NotRun(model.CodeInvalid, "encode inquiry: %v", err)
+	}
+	searched := time.Now().Add(leaderSearch)
+	for {
+		report, fail := n.inquireOnce(ctx, q, data)
+		switch {
+		case fail == nil:
+			return report, nil
+		case fail.Code != model.CodeNoLeader, time.Now().After(searched), !sleep(ctx, retryDelay):
+			return state.Report{}, fail
+		}
+	}
+}
+
+func (n *Node) inquireOnce(ctx context.Context, q state.Inquiry, data []byte) (state.Report, *model.Error) {
+	if _, ok := n.leading.current(); ok {
+		return n.inquireHere(ctx, q)
+	}
+	p, conn := n.leaderConn(ctx)
+	if conn == nil {
+		return state.Report{}, noLeader(p.Name)
+	}
+	resp, err := wire.NewControlClient(conn).Inquire(ctx, &wire.InquireRequest{Inquiry: data})
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			n.forget(p.Name)
+		}
+		// An inquiry changes nothing, so it counts as not run however the call ended.
+		e := callFailed(ctx, p.Name, err)
+		return state.Report{}, model.NotRun(e.Code, "%s", e.Message)
+	case resp.GetNotLeader():
+		n.redirect(p.Name, resp.GetLeader())
+		return state.Report{}, noLeader(p.Name)
+	case resp.GetFailure() != nil:
+		return state.Report{}, failureFromWire(resp.GetFailure())
+	}
+	var report state.Report
+	if err := json.Unmarshal(resp.GetReport(), &report); err != nil {
+		return state.Report{}, model.NotRun(model.CodeInternal, "decode report: %v", err)
+	}
+	return report, nil
+}
+
+// inquireHere answers on the leader, for as long as it leads.
+func (n *Node) inquireHere(ctx context.Context, q state.Inquiry) (state.Report, *model.Error) {
+	o, ok := n.leading.current()
+	if !ok {
+		return state.Report{}, notLeader()
+	}
+	if n.cfg.Leader == nil {
+		return state.Report{}, model.NotRun(model.CodeUnavailable, "this deployment schedules nothing")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(o.ctx, cancel)()
+	report, err := n.cfg.Leader.Report(ctx, q)
+	if err != nil {
+		return state.Report{}, model.AsError(err)
+	}
+	return report, nil
+}
+
+// Inquire answers an inquiry that another instance forwards.
+func (s *server) Inquire(ctx context.Context, req *wire.InquireRequest) (*wire.InquireResponse, error) {
+	var q state.Inquiry
+	if err := json.Unmarshal(req.GetInquiry(), &q); err != nil {
+		return &wire.InquireResponse{Failure: failureToWire(model.NotRun(model.CodeInvalid, "decode inquiry: %v", err))}, nil
+	}
+	report, fail := s.n.inquireHere(ctx, q)
+	switch {
+	case fail != nil && fail.Code == model.CodeNoLeader:
+		return &wire.InquireResponse{NotLeader: true, Leader: s.n.leaderName()}, nil
+	case fail != nil:
+		return &wire.InquireResponse{Failure: failureToWire(fail)}, nil
+	}
+	data, err := json.Marshal(report)
+	if err != nil {
+		return &wire.InquireResponse{Failure: failureToWire(model.NotRun(model.CodeInternal, "encode report: %v", err))}, nil
+	}
+	return &wire.InquireResponse{Report: data}, nil
+}
--- a/fakes/replica.go
+++ b/fakes/replica.go
@@ -19,6 +19,8 @@
 	PollFunc func(context.Context, model.PollRequest) (model.PollResponse, error)
 	// AdmitFunc checks commands as the leader does; nil admits all.
 	AdmitFunc func(*state.Machine, state.Command) *model.Error
+	// InquireFunc answers inquiries; nil refuses them.
+	InquireFunc func(context.Context, state.Inquiry) (state.Report, error)
 }
 
 // NewReplica returns a replica with an empty state.
@@ -59,6 +61,14 @@
 	return r.PollFunc(ctx, req)
 }
 
+// Inquire answers with InquireFunc.
+func (r *Replica) Inquire(ctx context.Context, q state.Inquiry) (state.Report, error) {
+	if r.InquireFunc == nil {
+		return state.Report{}, model.NotRun(model.CodeNoLeader, "no leader")
+	}
+	return r.InquireFunc(ctx, q)
+}
+
 // Status describes the replica as a lone leader.
 func (r *Replica) Status() state.ReplicaStatus {
 	n := r.machine.Applied()
--- a/gang/attempt.go
+++ b/gang/attempt.go
@@ -34,6 +34,8 @@
 	// checkpointSeq is the last checkpoint command completed, wantSeq the one sent for a reclaim.
 	checkpointSeq, wantSeq uint64
 	usage                  model.Resources
+	// message is what the worker said of the task's end.
+	message string
 	// gone reports that the worker itself said that it does not have the task, so no lease is running.
 	gone bool
 }
--- a/gang/driver.go
+++ b/gang/driver.go
@@ -73,6 +73,10 @@
 	replan bool
 	// placed is when the policy last looked for placements.
 	placed time.Time
+	tried  tries
+
+	overviews overviews
+	forecasts chan struct{} // holds a token while one is being made
 }
 
 // Lead runs until ctx ends.
@@ -82,6 +86,7 @@
 		events: make(chan event, 4096), workers: newSessions(),
 		policy:   place.New(d.cfg.Place),
 		attempts: map[string]*attempt{}, waiting: map[string]bool{},
+		tried: newTries(), forecasts: make(chan struct{}, 1),
 	}
 	if err := r.Barrier(ctx); err != nil {
 		d.cfg.Logger.Log("event", "lead_aborted", "term", term, "err", err)
@@ -164,14 +169,3 @@
 	fail.Faults = faults
 	return fail
 }
-
-// Explain says for people why a job waits; false when this instance does not lead.
-func (d *Driver) Explain(id string) (string, bool) {
-	l := d.lead.Load()
-	if l == nil {
-		return "", false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.policy.Explain(id), true
-}
--- /dev/null
+++ b/gang/forecast.go
@@ -0,0 +1,226 @@
+package gang
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/place"
+	"turmericroute/state"
+)
+
+const (
+	// forecastRounds bounds the decisions of a forecast, each a second later
+	// than the last; returned data centres fill over such seconds.
+	forecastRounds = 64
+	forecastStep   = time.Second
+)
+
+// forecast plays the decisions through that a configuration would lead to, on a
+// policy of its own, so that the leader's work goes on meanwhile.
+func (l *lead) forecast(ctx context.Context, next config.Config) (*state.Forecast, error) {
+	select {
+	case l.forecasts <- struct{}{}:
+		defer func() { <-l.forecasts }()
+	case <-ctx.Done():
+		return nil, model.NotRun(model.CodeDeadline, "another forecast was still being made")
+	}
+	current := l.r.Machine().Config()
+	s := l.newSimulation(current)
+	if _, err := s.settle(ctx); err != nil {
+		return nil, err
+	}
+	before := s.fits(current)
+	s.configure(next)
+	changes, err := s.settle(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f := &state.Forecast{Guarantees: []state.GuaranteeFit{}, Preempted: changes.preempted, Refused: changes.refused}
+	after := s.fits(next)
+	for _, k := range guaranteesOf(current, next) {
+		k.Before, k.After = before[fitOf(k)], after[fitOf(k)]
+		f.Guarantees = append(f.Guarantees, k)
+	}
+	for i := range f.Preempted {
+		f.Preempted[i].Restarts = s.running[f.Preempted[i].ID]
+	}
+	return f, nil
+}
+
+// simulation is a copy of the leader's situation that can be changed freely.
+type simulation struct {
+	p        *place.Policy
+	now      time.Time
+	resting  []string // workers on probation
+	jobs     map[string]model.Job
+	attempts map[string]int
+	running  map[string]bool
+}
+
+func (l *lead) newSimulation(cfg config.Config) *simulation {
+	s := &simulation{
+		p: place.New(l.cfg.Place), now: l.cfg.Now(),
+		jobs: map[string]model.Job{}, attempts: map[string]int{}, running: map[string]bool{},
+	}
+	l.mu.Lock()
+	for _, p := range l.policy.Survey().Probation {
+		s.resting = append(s.resting, p.Worker)
+	}
+	progress := make([]place.JobProgress, 0, len(l.attempts))
+	for id, a := range l.attempts {
+		s.jobs[id] = a.job
+		progress = append(progress, place.JobProgress{ID: id, Progress: a.progress(), Checkpoint: a.checkpoint()})
+	}
+	waiting := make([]string, 0, len(l.waiting))
+	for id := range l.waiting {
+		waiting = append(waiting, id)
+	}
+	l.mu.Unlock()
+
+	s.configure(cfg)
+	for _, w := range l.r.Machine().Workers() {
+		if l.workers.get(w.Name).alive() {
+			s.p.Step(s.now, place.WorkerJoined{Worker: w})
+		}
+	}
+	for _, id := range sortedKeys(s.jobs) {
+		j := s.jobs[id]
+		s.attempts[id], s.running[id] = j.Attempt, j.State != model.JobStopping
+		s.p.Step(s.now, place.JobRecovered{Job: j, At: s.now})
+		if j.State == model.JobStopping {
+			requeue := j.Next == "" || j.Next == model.JobWaiting
+			s.p.Step(s.now, place.JobReleased{ID: id, Attempt: j.Attempt, Requeue: requeue})
+		}
+	}
+	for _, p := range progress {
+		s.p.Step(s.now, p)
+	}
+	slices.Sort(waiting)
+	for _, id := range waiting {
+		if j, ok := l.r.Machine().Job(id); ok {
+			s.jobs[id], s.attempts[id] = j, j.Attempt
+			s.p.Step(s.now, place.JobSubmitted{Job: j, At: time.UnixMilli(j.Accepted)})
+		}
+	}
+	return s
+}
+
+func sortedKeys(jobs map[string]model.Job) []string {
+	ids := make([]string, 0, len(jobs))
+	for id := range jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// configure changes the configuration. Workers on probation count as drained,
+// which has the same effect: nothing starts there.
+func (s *simulation) configure(cfg config.Config) {
+	cfg.DrainedWorkers = slices.Clone(cfg.DrainedWorkers)
+	for _, w := range s.resting {
+		if !cfg.Drained(w) {
+			cfg.DrainedWorkers = append(cfg.DrainedWorkers, config.Drain{Worker: w})
+		}
+	}
+	s.p.Step(s.now, place.ConfigChanged{Config: cfg})
+}
+
+// outcomes are the jobs that a change of the configuration stops.
+type outcomes struct {
+	preempted, refused []state.PreemptedJob
+}
+
+// settle carries out decisions as if workers did at once what they are told, until there are no more.
+func (s *simulation) settle(ctx context.Context) (outcomes, error) {
+	out := outcomes{preempted: []state.PreemptedJob{}, refused: []state.PreemptedJob{}}
+	seen := map[string]bool{}
+	for range forecastRounds {
+		if ctx.Err() != nil {
+			return out, model.NotRun(model.CodeDeadline, "the forecast was not ready in time")
+		}
+		decisions := s.p.Decide(s.now)
+		for _, d := range decisions {
+			switch d := d.(type) {
+			case place.Start:
+				s.attempts[d.ID]++
+				s.running[d.ID] = true
+				s.p.Step(s.now, place.JobStarted{ID: d.ID, Attempt: s.attempts[d.ID]})
+			case place.Preempt:
+				s.running[d.ID] = false
+				s.p.Step(s.now, place.JobReleased{ID: d.ID, Attempt: s.attempts[d.ID], Requeue: true})
+				if !seen[d.ID] {
+					seen[d.ID] = true
+					out.preempted = append(out.preempted, s.stopped(d.ID, preemptReason(d)))
+				}
+			case place.Refuse:
+				out.refused = append(out.refused, s.stopped(d.ID, d.Reason))
+			}
+		}
+		if len(decisions) == 0 {
+			break
+		}
+		s.now = s.now.Add(forecastStep)
+	}
+	return out, nil
+}
+
+func preemptReason(d place.Preempt) string {
+	if d.For == "" {
+		return d.Reason
+	}
+	return "for job " + d.For + ": " + d.Reason
+}
+
+func (s *simulation) stopped(id, reason string) state.PreemptedJob {
+	j := s.jobs[id]
+	return state.PreemptedJob{ID: id, Team: j.Spec.Team, Tasks: j.Spec.Shape.Tasks, Reason: reason}
+}
+
+// fitKey names a guarantee by its place in the team's list and its shape.
+type fitKey struct {
+	team      string
+	guarantee int
+	shape     model.Shape
+}
+
+func fitOf(g state.GuaranteeFit) fitKey { return fitKey{g.Team, g.Guarantee, g.Shape} }
+
+// fits returns how many shapes of each guarantee have a place now.
+func (s *simulation) fits(cfg config.Config) map[fitKey]int {
+	short := map[fitKey]int{}
+	for _, m := range s.p.Shortages() {
+		short[fitKey{m.Team, m.Guarantee + 1, m.Shape}] = m.Missing
+	}
+	out := map[fitKey]int{}
+	for _, g := range guaranteesOf(cfg) {
+		out[fitOf(g)] = g.Count - short[fitOf(g)]
+	}
+	return out
+}
+
+// guaranteesOf lists the guarantees of the configurations; one that the last of them lacks has the count 0.
+func guaranteesOf(cfgs ...config.Config) []state.GuaranteeFit {
+	var out []state.GuaranteeFit
+	at := map[fitKey]int{}
+	for _, cfg := range cfgs {
+		for i := range out {
+			out[i].Count = 0
+		}
+		for _, t := range cfg.Teams {
+			for i, g := range t.Guarantees {
+				fit := state.GuaranteeFit{Team: t.Name, Guarantee: i + 1, Shape: g.Shape, Count: max(1, g.Count)}
+				if n, ok := at[fitOf(fit)]; ok {
+					out[n].Count = fit.Count
+					continue
+				}
+				at[fitOf(fit)] = len(out)
+				out = append(out, fit)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/gang/inquire.go
@@ -0,0 +1,227 @@
+package gang
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/place"
+	"turmericroute/state"
+)
+
+const (
+	// overviewAge is how long an overview serves further askers, so that any
+	// number of them takes a bounded share of the leader's time.
+	overviewAge = 200 * time.Millisecond
+	// longestWaiting bounds the waiting jobs of an overview.
+	longestWaiting = 10
+)
+
+// Report answers an inquiry. It holds the leader's lock only while it copies
+// what it needs; sorting, counting and forecasts happen outside.
+func (d *Driver) Report(ctx context.Context, q state.Inquiry) (state.Report, error) {
+	l := d.lead.Load()
+	if l == nil {
+		return state.Report{}, model.NotRun(model.CodeNoLeader, "this instance does not lead")
+	}
+	switch {
+	case q.Overview:
+		return state.Report{Overview: l.overview()}, nil
+	case q.Job != "":
+		r, err := l.jobReport(q.Job)
+		return state.Report{Job: r}, err
+	case q.Plan != nil:
+		f, err := l.forecast(ctx, *q.Plan)
+		return state.Report{Plan: f}, err
+	default:
+		return state.Report{}, model.NotRun(model.CodeInvalid, "the inquiry asks for nothing")
+	}
+}
+
+// overviews keeps the last overview for a moment.
+type overviews struct {
+	mu   sync.Mutex
+	at   time.Time
+	last *state.Overview
+}
+
+// copied is what an overview takes from the leader's state under its lock.
+type copied struct {
+	survey  place.Survey
+	waiting []string
+	placed  [][]string // the workers of each placed job
+}
+
+func (l *lead) copy() copied {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := copied{survey: l.policy.Survey(), waiting: make([]string, 0, len(l.waiting))}
+	for id := range l.waiting {
+		c.waiting = append(c.waiting, id)
+	}
+	for _, a := range l.attempts {
+		c.placed = append(c.placed, a.job.Placement.Workers)
+	}
+	return c
+}
+
+func (l *lead) overview() *state.Overview {
+	l.overviews.mu.Lock()
+	defer l.overviews.mu.Unlock()
+	now := l.cfg.Now()
+	if l.overviews.last != nil && now.Sub(l.overviews.at) < overviewAge {
+		return l.overviews.last
+	}
+	c := l.copy()
+	cfg := l.r.Machine().Config()
+	o := &state.Overview{
+		Leader: l.r.Status(), LeadingMS: now.Sub(l.start).Milliseconds(), ConfigVersion: cfg.Version,
+		DataCentres: l.dataCentres(cfg, c), Teams: teamsOf(c.survey), Shortages: shortagesOf(c.survey.Shortages),
+		Probation: troublesOf(c.survey.Probation, now), Silent: []string{},
+		Waiting: l.longestWaiting(c.waiting, now), WaitingCount: len(c.waiting),
+	}
+	for _, w := range l.r.Machine().Workers() {
+		if !l.workers.get(w.Name).alive() {
+			o.Silent = append(o.Silent, w.Name)
+		}
+	}
+	l.overviews.at, l.overviews.last = now, o
+	return o
+}
+
+func (l *lead) dataCentres(cfg config.Config, c copied) []state.DataCentreStatus {
+	out := make([]state.DataCentreStatus, len(cfg.DataCentres))
+	index := map[string]int{}
+	for i, dc := range cfg.DataCentres {
+		index[dc.Name] = i
+		out[i] = state.DataCentreStatus{Name: dc.Name, OutOfService: dc.OutOfService, Reason: dc.Reason, Usable: c.survey.Usable[dc.Name]}
+		for _, r := range dc.Racks {
+			out[i].Declared += r.Workers
+		}
+	}
+	home := map[string]int{}
+	for _, w := range l.r.Machine().Workers() {
+		if i, ok := index[w.DataCentre]; ok {
+			home[w.Name] = i
+			out[i].Registered++
+		}
+	}
+	for _, workers := range c.placed {
+		seen := map[int]bool{}
+		for _, w := range workers {
+			if i, ok := home[w]; ok {
+				out[i].Tasks++
+				if !seen[i] {
+					seen[i] = true
+					out[i].Jobs++
+				}
+			}
+		}
+	}
+	return out
+}
+
+func teamsOf(s place.Survey) []state.TeamStatus {
+	out := make([]state.TeamStatus, len(s.Teams))
+	for i, t := range s.Teams {
+		out[i] = state.TeamStatus(t)
+	}
+	return out
+}
+
+func shortagesOf(list []place.Shortage) []state.Shortage {
+	out := make([]state.Shortage, len(list))
+	for i, s := range list {
+		out[i] = state.Shortage{Team: s.Team, Guarantee: s.Guarantee + 1, Shape: s.Shape, Missing: s.Missing}
+	}
+	return out
+}
+
+func troublesOf(list []place.Probation, now time.Time) []state.WorkerTrouble {
+	out := make([]state.WorkerTrouble, len(list))
+	for i, p := range list {
+		out[i] = state.WorkerTrouble{Worker: p.Worker, DataCentre: p.DataCentre, LeftMS: p.Until.Sub(now).Milliseconds(), FailedJobs: p.FailedJobs}
+	}
+	return out
+}
+
+// longestWaiting describes the jobs that were accepted first among those that wait.
+func (l *lead) longestWaiting(ids []string, now time.Time) []state.WaitingJob {
+	jobs := make([]model.Job, 0, len(ids))
+	for _, id := range ids {
+		if j, ok := l.r.Machine().Job(id); ok {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b model.Job) int {
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	jobs = jobs[:min(len(jobs), longestWaiting)]
+	out := make([]state.WaitingJob, len(jobs))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, j := range jobs {
+		out[i] = state.WaitingJob{
+			ID: j.Spec.ID, Team: j.Spec.Team, Shape: j.Spec.Shape, Urgent: j.Spec.Urgent,
+			WaitedMS: max(0, now.UnixMilli()-j.Accepted), Why: l.policy.Explain(j.Spec.ID),
+		}
+	}
+	return out
+}
+
+// jobReport says why a job is in its state.
+func (l *lead) jobReport(id string) (*state.JobReport, error) {
+	j, ok := l.r.Machine().Job(id)
+	if !ok {
+		return nil, model.NotRun(model.CodeNotFound, "no job %s", id)
+	}
+	j.Spec.Payload = ""
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := &state.JobReport{Job: j, WaitsFor: []state.JobHold{}, Tried: slices.Clone(l.tried.of(id))}
+	if j.State.Final() {
+		r.Why = string(j.State)
+		if j.Reason != "" {
+			r.Why += ": " + j.Reason
+		}
+		return r, nil
+	}
+	now := l.cfg.Now()
+	d, _ := l.policy.Detail(id)
+	r.Why, r.Avoided = d.Why, d.Avoided
+	for _, holder := range d.Holders {
+		r.WaitsFor = append(r.WaitsFor, l.holdOf(holder))
+	}
+	switch {
+	case len(d.Reserved) > 0:
+		r.Reservation = &state.Reservation{
+			Workers: d.Reserved, Guaranteed: d.Guaranteed, FreeInMS: max(0, d.FreeAt.Sub(now).Milliseconds()),
+		}
+	case d.ReserveAt.After(now):
+		r.ReservationNote = fmt.Sprintf("none yet: it may get one after %s of waiting", d.ReserveAt.Sub(now).Round(time.Second))
+	case !d.ReserveAt.IsZero():
+		r.ReservationNote = "none: others have waited longer, or no place can be kept for it"
+	}
+	if a := l.attempts[id]; a != nil && a.reclaimReason != "" {
+		r.Why += "; being stopped (" + a.reclaim.String() + "): " + a.reclaimReason
+	}
+	return r, nil
+}
+
+func (l *lead) holdOf(id string) state.JobHold {
+	h := state.JobHold{ID: id}
+	if a := l.attempts[id]; a != nil {
+		h.Team, h.State, h.Reclaim = a.job.Spec.Team, string(a.job.State), a.reclaim.String()
+	}
+	return h
+}
+
+// String names the step; the empty name means that nothing is reclaimed.
+func (s reclaimStep) String() string {
+	return [...]string{"", "checkpoint", "throttle", "stop"}[s]
+}
--- /dev/null
+++ b/gang/inquire_test.go
@@ -0,0 +1,147 @@
+package gang_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/fakes"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+func (s *site) ask(q state.Inquiry) state.Report {
+	GinkgoHelper()
+	var r state.Report
+	Eventually(func() (err error) {
+		r, err = s.driver.Load().Report(s.ctx, q)
+		return err
+	}, "3s", "5ms").Should(Succeed())
+	return r
+}
+
+// overview returns one that is not the last one kept.
+func (s *site) overview() state.Overview {
+	GinkgoHelper()
+	return *s.ask(state.Inquiry{Overview: true}).Overview
+}
+
+func (s *site) teamUse(name string) func() state.TeamStatus {
+	return func() state.TeamStatus {
+		for _, t := range s.overview().Teams {
+			if t.Team == name {
+				return t
+			}
+		}
+		return state.TeamStatus{}
+	}
+}
+
+func gpus(n int) OmegaMatcher { return HaveField("GPUs", n) }
+
+var _ = Describe("reports of the leader", func() {
+	all := model.Shape{Tasks: 4, GPUs: 8}
+	whole := model.Shape{Tasks: 2, GPUs: 8, SameRack: true}
+	var s *site
+
+	BeforeEach(func() {
+		s = newSite()
+		s.startWorkers(fakes.WorkerConfig{CheckpointTime: time.Hour})
+	})
+
+	It("tell guaranteed, used, borrowed and reclaimable resources apart", func() {
+		s.submit("borrower", "small", all, 1000, nil)
+		Eventually(s.running("borrower"), "3s", "5ms").Should(Equal(4))
+		Eventually(s.teamUse("small"), "3s").Should(And(HaveField("Used", gpus(32)), HaveField("Borrowed", gpus(32))))
+		Expect(s.teamUse("large")()).To(And(HaveField("Guaranteed", gpus(16)), HaveField("Reclaimable", gpus(16)), HaveField("Used", gpus(0))))
+		s.submit("owner", "large", whole, 1000, nil)
+		Eventually(s.running("owner"), "3s", "5ms").Should(Equal(2))
+		Eventually(s.teamUse("large"), "3s").Should(And(
+			HaveField("Used", gpus(16)), HaveField("Borrowed", gpus(0)), HaveField("Reclaimable", gpus(0))))
+		Eventually(s.teamUse("small"), "3s").Should(And(HaveField("Used", gpus(0)), HaveField("Waiting", 1)))
+		o := s.overview()
+		Expect(o.Waiting).To(ConsistOf(And(HaveField("ID", "borrower"), HaveField("Why", ContainSubstring("no place is free")))))
+		Expect(o.DataCentres).To(ContainElement(And(HaveField("Usable", 2), HaveField("Tasks", 2), HaveField("Jobs", 1))))
+	})
+
+	It("name shortages while a data centre is out of service, and silent workers", func() {
+		s.patch(config.Change{PutTeam: &config.Team{Name: "large", Guarantees: []config.Guarantee{{Shape: whole, Count: 2}}}})
+		Eventually(func() []state.Shortage { return s.overview().Shortages }, "3s").Should(BeEmpty())
+		s.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: "north", OutOfService: true, Reason: "cooling"}})
+		Eventually(func() []state.Shortage { return s.overview().Shortages }, "3s").Should(
+			ConsistOf(state.Shortage{Team: "large", Guarantee: 1, Shape: whole, Missing: 1}))
+		Expect(s.overview().DataCentres).To(ContainElement(And(HaveField("Name", "north"), HaveField("Reason", "cooling"), HaveField("Usable", 0))))
+		s.kill["south-0"]()
+		Eventually(func() []string { return s.overview().Silent }, "8s").Should(ConsistOf("south-0"))
+	})
+
+	It("say which jobs put a worker on probation and what was tried of a job", func() {
+		for name, w := range s.workers {
+			w.SetFailAll(name == "north-0")
+		}
+		for i, want := range []model.JobState{model.JobFailed, model.JobFailed, model.JobWaiting} {
+			// The first failure of the third job is the one that counts.
+			id := fmt.Sprint("j", i)
+			s.submit(id, "small", all, 0.1, nil)
+			Eventually(func() []state.Try { return s.ask(state.Inquiry{Job: id}).Job.Tried }, "5s").ShouldNot(BeEmpty())
+			Eventually(s.state(id), "5s").Should(Equal(want))
+		}
+		Eventually(func() []state.WorkerTrouble { return s.overview().Probation }, "3s").Should(
+			ConsistOf(And(HaveField("Worker", "north-0"), HaveField("FailedJobs", HaveLen(3)), HaveField("LeftMS", BeNumerically(">", 0)))))
+		r := s.ask(state.Inquiry{Job: "j0"}).Job
+		Expect(r.Why).To(ContainSubstring("the last of 3 attempts"))
+		Expect(r.Tried).To(HaveLen(3))
+		Expect(r.Tried[0]).To(And(HaveField("FailedOn", "north-0"), HaveField("Message", "worker fails every task"), HaveField("Workers", HaveLen(4))))
+	})
+
+	It("say for whom a place is being freed and who holds it", func() {
+		s.submit("borrower", "small", all, 1000, nil)
+		Eventually(s.running("borrower"), "3s", "5ms").Should(Equal(4))
+		s.submit("owner", "large", whole, 1000, nil)
+		var r *state.JobReport
+		Eventually(func() []state.JobHold {
+			r = s.ask(state.Inquiry{Job: "owner"}).Job
+			return r.WaitsFor
+		}, "3s", "2ms").Should(ConsistOf(And(HaveField("ID", "borrower"), HaveField("Team", "small"), HaveField("Reclaim", "checkpoint"))))
+		Expect(r.Reservation).NotTo(BeNil())
+		Expect(r.Reservation.Guaranteed).To(BeTrue())
+		Expect(r.Reservation.Workers).To(HaveLen(2))
+		Expect(s.ask(state.Inquiry{Job: "borrower"}).Job.Why).To(ContainSubstring("preempted for job owner"))
+	})
+
+	It("forecast which jobs a drain stops, which of them restart and which guarantees fall short, and change nothing", func() {
+		s.submit("owner", "large", whole, 1000, nil)
+		s.submit("other", "small", whole, 1000, nil)
+		Eventually(s.running("owner"), "3s", "5ms").Should(Equal(2))
+		Eventually(s.running("other"), "3s", "5ms").Should(Equal(2))
+		home := s.job("owner").Placement.Workers[0][:5]
+		next := s.r.Machine().Config()
+		next, err := config.Apply(next, config.Patch{Changes: []config.Change{
+			{SetDataCentre: &config.DataCentreInService{Name: home, OutOfService: true}},
+			{PutTeam: &config.Team{Name: "small", Guarantees: []config.Guarantee{{Shape: whole}}}},
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		f := s.ask(state.Inquiry{Plan: &next}).Plan
+		Expect(f.Preempted).To(ConsistOf(
+			And(HaveField("ID", "owner"), HaveField("Tasks", 2), HaveField("Reason", ContainSubstring("out of service")), HaveField("Restarts", true)),
+			And(HaveField("ID", "other"), HaveField("Reason", ContainSubstring("for job owner")), HaveField("Restarts", false)),
+		))
+		Expect(f.Guarantees).To(ConsistOf(
+			And(HaveField("Team", "large"), HaveField("Count", 1), HaveField("Before", 1), HaveField("After", 1)),
+			And(HaveField("Team", "small"), HaveField("Count", 1), HaveField("Before", 0), HaveField("After", 0)),
+		))
+		Expect(s.running("owner")()).To(Equal(2))
+		Expect(s.job("owner").Attempt).To(Equal(1))
+	})
+
+	It("are refused where nothing leads", func() {
+		s.endLead()
+		Eventually(func() model.Code {
+			_, err := s.driver.Load().Report(s.ctx, state.Inquiry{Overview: true})
+			return model.AsError(err).Code
+		}, "3s").Should(Equal(model.CodeNoLeader))
+	})
+})
--- a/gang/report.go
+++ b/gang/report.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		known := &a.tasks[t.ID.Index]
-		known.state, known.gone = t.State, false
+		known.state, known.gone, known.message = t.State, false, t.Message
 		known.progress, known.usage = t.Progress, t.Usage
 		known.checkpoint = max(known.checkpoint, t.Checkpoint)
 		known.checkpointSeq = t.CheckpointSeq
--- a/gang/sync.go
+++ b/gang/sync.go
@@ -142,6 +142,7 @@
 func (l *lead) endAttempt(a *attempt, j model.Job, now time.Time) {
 	id := a.job.Spec.ID
 	delete(l.attempts, id)
+	l.tried.add(a, j, now)
 	l.send(a, model.CommandRelease)
 	l.step(now, place.JobReleased{
 		ID: id, Attempt: a.job.Attempt, Requeue: j.State == model.JobWaiting,
--- /dev/null
+++ b/place/inspect.go
@@ -0,0 +1,167 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericroute/model"
+)
+
+// TeamUse is how a team uses its guarantees.
+type TeamUse struct {
+	Team string
+	// Guaranteed is the sum of the guaranteed shapes, Used what the team's gangs hold.
+	Guaranteed, Used model.Resources
+	// Borrowed is the use beyond the guarantee, Reclaimable the guarantee that is not in use and has a place.
+	Borrowed, Reclaimable model.Resources
+	// Short counts guaranteed shapes without a place, Waiting the jobs that wait.
+	Short, Waiting int
+}
+
+// Probation is a worker that gets no tasks for a while.
+type Probation struct {
+	Worker, DataCentre string
+	Until              time.Time
+	// FailedJobs are the recent jobs that failed there first.
+	FailedJobs []string
+}
+
+// Survey sums up the policy's state for operators.
+type Survey struct {
+	Teams     []TeamUse
+	Shortages []Shortage
+	Probation []Probation
+	// Usable counts the workers by data centre where tasks may start now.
+	Usable map[string]int
+}
+
+// Survey takes time in proportion to workers, guaranteed shapes and placed gangs.
+func (p *Policy) Survey() Survey {
+	s := Survey{Shortages: p.Shortages(), Usable: map[string]int{}}
+	for _, t := range p.allTeams() {
+		s.Teams = append(s.Teams, t.use())
+	}
+	for _, w := range p.list {
+		if p.usable(w) {
+			s.Usable[w.rack.dc.name]++
+		}
+		if w.joined && w.health.onProbation(p.now) {
+			s.Probation = append(s.Probation, w.probation())
+		}
+	}
+	slices.SortFunc(s.Probation, func(a, b Probation) int { return cmp.Compare(a.Worker, b.Worker) })
+	return s
+}
+
+func (t *team) use() TeamUse {
+	var guaranteed, used, borrowed, reclaimable amount
+	u := TeamUse{Team: t.name}
+	for _, c := range t.cells {
+		whole := c.per.times(c.shape.Tasks)
+		guaranteed = guaranteed.plus(whole)
+		switch {
+		case c.pos == nil:
+			u.Short++
+		case c.occupant == nil || !c.occupant.placed():
+			reclaimable = reclaimable.plus(whole)
+		}
+	}
+	for _, j := range t.running {
+		all := j.per.times(j.spec.Shape.Tasks)
+		used = used.plus(all)
+		if j.cell == nil {
+			borrowed = borrowed.plus(all)
+		}
+	}
+	u.Guaranteed, u.Used = guaranteed.resources(), used.resources()
+	u.Borrowed, u.Reclaimable = borrowed.resources(), reclaimable.resources()
+	u.Waiting = len(t.waiting())
+	return u
+}
+
+func (a amount) resources() model.Resources {
+	return model.Resources{GPUs: a.gpus, Cores: a.cores, MemoryMB: a.mem}
+}
+
+func (w *worker) probation() Probation {
+	out := Probation{Worker: w.name, DataCentre: w.rack.dc.name, Until: w.health.until}
+	for _, o := range w.health.recent {
+		if o.failed {
+			out.FailedJobs = append(out.FailedJobs, o.job)
+		}
+	}
+	return out
+}
+
+// Detail is what the policy knows of one job.
+type Detail struct {
+	Why string
+	// Reserved is the place that is kept for a waiting job, FreeAt when it is expected to be free.
+	Reserved []string
+	FreeAt   time.Time
+	// Guaranteed says that the place is being freed within the team's guarantee.
+	Guaranteed bool
+	// Holders are the jobs that hold the reserved place.
+	Holders []string
+	// ReserveAt is when a waiting job without a reservation may get one.
+	ReserveAt time.Time
+	// Avoided are the workers where the job has failed.
+	Avoided []string
+}
+
+// Detail returns what the policy knows of a job; false when it does not know it.
+func (p *Policy) Detail(id string) (Detail, bool) {
+	j, ok := p.jobs[id]
+	d := Detail{Why: p.Explain(id)}
+	if !ok {
+		return d, false
+	}
+	d.Avoided = namesOf(j.avoid)
+	var place []*worker
+	switch {
+	case j.placed():
+		return d, true
+	case j.claim != nil:
+		place, d.Guaranteed, d.FreeAt = j.claim.workers, true, p.now
+		for _, w := range place {
+			for _, g := range w.gangs {
+				if end := p.endOf(g); g.state == jobStopping && end.After(d.FreeAt) {
+					d.FreeAt = end
+				}
+			}
+		}
+		d.Holders = holdersOf(place, func(g *job) bool { return g.state == jobStopping })
+	case j.shadow != nil:
+		place, d.FreeAt = j.shadow.workers, j.shadow.at
+		d.Holders = holdersOf(place, func(*job) bool { return true })
+	default:
+		d.ReserveAt = j.waitFrom.Add(p.cfg.ReserveAfter)
+	}
+	d.Reserved = namesOf(place)
+	return d, true
+}
+
+// holdersOf returns the IDs of the gangs on the workers that match.
+func holdersOf(place []*worker, match func(*job) bool) []string {
+	var ids []string
+	for _, w := range place {
+		for _, g := range w.gangs {
+			if match(g) && !slices.Contains(ids, g.id()) {
+				ids = append(ids, g.id())
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func namesOf(ws []*worker) []string {
+	var names []string
+	for _, w := range ws {
+		if !slices.Contains(names, w.name) {
+			names = append(names, w.name)
+		}
+	}
+	return names
+}
--- a/serve/process.go
+++ b/serve/process.go
@@ -19,6 +19,7 @@
 
 	"turmericroute/auth"
 	"turmericroute/config"
+	"turmericroute/entry"
 	"turmericroute/model"
 	"turmericroute/state"
 	"turmericroute/webapi"
@@ -29,7 +30,7 @@
 
 // Node is the process's part in the replicated log; package ctrl implements it.
 type Node interface {
-	state.Replica
+	webapi.Replica
 	Start(ctx context.Context) error
 	Close(ctx context.Context) error
 	Dump() any
@@ -40,6 +41,7 @@
 	webapi.ServiceHandler
 	Run(ctx context.Context)
 	Drain(ctx context.Context) error
+	States() []entry.ServiceState
 	Dump() any
 }
 
@@ -74,6 +76,7 @@
 	api := webapi.New(webapi.Config{
 		Replica: p.Node, Entry: p.Services, Logger: p.Logger, Metrics: p.Metrics, Dump: proc.dump, Ready: proc.ready,
 		Closing: proc.closing.Load, Tokens: p.Tokens, CheckConfig: p.CheckConfig, CheckJob: p.CheckJob,
+		Peers: s.peers(), Executors: proc.executors,
 	})
 	proc.server = &http.Server{
 		Handler: api, ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
@@ -94,6 +97,19 @@
 	return nil
 }
 
+// executors returns what this instance observes of upstream executors.
+func (p *Process) executors() []webapi.ExecutorCounts {
+	states := p.parts.Services.States()
+	out := make([]webapi.ExecutorCounts, len(states))
+	for i, st := range states {
+		out[i] = webapi.ExecutorCounts{Service: st.Service, Usable: st.Usable, Ejected: st.Ejected, Silent: st.Silent}
+		for _, n := range st.Queued {
+			out[i].Queued += n
+		}
+	}
+	return out
+}
+
 // Run serves until ctx ends and then shuts down gracefully.
 func (p *Process) Run(ctx context.Context) error {
 	l, err := net.Listen("tcp", p.settings.HTTP.Address)
--- a/serve/process_test.go
+++ b/serve/process_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"turmericroute/entry"
 	"turmericroute/fakes"
 	"turmericroute/serve"
 )
@@ -64,8 +65,9 @@
 	io.WriteString(w, "whole answer")
 }
 
-func (s *services) Run(ctx context.Context) { <-ctx.Done(); s.j.note("stopped") }
-func (s *services) Dump() any               { return nil }
+func (s *services) Run(ctx context.Context)      { <-ctx.Done(); s.j.note("stopped") }
+func (s *services) Dump() any                    { return nil }
+func (s *services) States() []entry.ServiceState { return nil }
 func (s *services) Drain(context.Context) error {
 	s.j.note("drain")
 	s.inFlight.Wait()
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -12,6 +12,7 @@
 
 	"turmericroute/auth"
 	"turmericroute/config"
+	"turmericroute/webapi"
 )
 
 // Role is a part that a process plays.
@@ -164,6 +165,15 @@
 	return faults
 }
 
+// peers returns the instances of the deployment as the API tells of them.
+func (s Settings) peers() []webapi.Peer {
+	out := make([]webapi.Peer, len(s.Peers))
+	for i, p := range s.Peers {
+		out[i] = webapi.Peer{Name: p.Name, HTTPAddress: p.HTTPAddress, Control: p.Control}
+	}
+	return out
+}
+
 // Has reports whether the process has a role.
 func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
 
--- a/state/apply.go
+++ b/state/apply.go
@@ -27,12 +27,21 @@
 	s.byID[c.Patch.ID] = next.Version
 	if len(s.history) > maxHistory {
 		delete(s.byID, s.history[0].Patch.ID)
+		s.rebase(s.history[0].Patch)
 		s.history[0] = Record{}
 		s.history = s.history[1:] // append moves the rest to a new array now and then; History returns copies
 	}
 	return Result{Version: next.Version}
 }
 
+// rebase moves the base over a patch that leaves the history. A base that is not
+// known, as after a snapshot of an earlier version, stays so.
+func (s *configShard) rebase(p config.Patch) {
+	if next, err := config.Apply(s.base, p); err == nil && s.base.Version == p.BaseVersion {
+		s.base = next
+	}
+}
+
 // staleness refuses a patch for another version. Beyond the kept history a
 // resent patch may have been accepted, so the outcome is then unknown.
 func (s *configShard) staleness(p config.Patch) *model.Error {
--- a/state/machine.go
+++ b/state/machine.go
@@ -33,6 +33,8 @@
 type configShard struct {
 	mu      sync.RWMutex
 	current config.Config
+	// base is the configuration before the oldest patch of the history.
+	base    config.Config
 	history []Record
 	byID    map[string]uint64
 }
@@ -85,7 +87,7 @@
 }
 
 func (m *Machine) clear() {
-	m.cfg.current = config.Config{}
+	m.cfg.current, m.cfg.base = config.Config{}, config.Config{}
 	m.cfg.history = nil
 	m.cfg.byID = map[string]uint64{}
 	for i := range m.jobs {
@@ -198,6 +200,36 @@
 	return slices.Clone(m.cfg.history)
 }
 
+func (m *Machine) base() config.Config {
+	m.cfg.mu.RLock()
+	defer m.cfg.mu.RUnlock()
+	return m.cfg.base
+}
+
+// ConfigAt returns the configuration as it was at a version, if the history goes back to it.
+func (m *Machine) ConfigAt(version uint64) (config.Config, bool) {
+	m.cfg.mu.RLock()
+	cfg, current, history := m.cfg.base, m.cfg.current, slices.Clone(m.cfg.history)
+	m.cfg.mu.RUnlock()
+	if version == current.Version {
+		return current, true
+	}
+	if version > current.Version {
+		return config.Config{}, false
+	}
+	for _, r := range history {
+		if cfg.Version == version {
+			break
+		}
+		next, err := config.Apply(cfg, r.Patch)
+		if err != nil || next.Version != r.Version {
+			return config.Config{}, false
+		}
+		cfg = next
+	}
+	return cfg, cfg.Version == version
+}
+
 // PatchVersion returns the version that a patch with this ID gave, if it is kept.
 func (m *Machine) PatchVersion(id string) (uint64, bool) {
 	m.cfg.mu.RLock()
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -43,6 +43,29 @@
 		Expect(m.Config().Version).To(BeZero())
 	})
 
+	It("reads back each version that is kept, also after a restore", func() {
+		m := state.New()
+		for i := range uint64(4100) {
+			Expect(m.Apply(i+1, patch(fmt.Sprint(i), i, fmt.Sprint("t", i))).Failure).To(BeNil())
+		}
+		snap, err := m.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		again := state.New()
+		Expect(again.Restore(snap)).To(Succeed())
+		for _, m := range []*state.Machine{m, again} {
+			for _, v := range []uint64{4, 5, 4000, 4100} {
+				cfg, ok := m.ConfigAt(v)
+				Expect(ok).To(BeTrue())
+				Expect(cfg.Version).To(Equal(v))
+				Expect(cfg.Teams).To(HaveLen(int(v)))
+			}
+			for _, v := range []uint64{0, 3, 4101} {
+				_, ok := m.ConfigAt(v)
+				Expect(ok).To(BeFalse())
+			}
+		}
+	})
+
 	It("says unknown to a resend from before the kept history", func() {
 		m := state.New()
 		for i := range uint64(4100) {
--- a/state/snap.go
+++ b/state/snap.go
@@ -14,6 +14,7 @@
 type image struct {
 	Applied   uint64           `json:"applied"`
 	Config    config.Config    `json:"config"`
+	Base      *config.Config   `json:"base,omitempty"`
 	History   []Record         `json:"history,omitempty"`
 	Jobs      []model.Job      `json:"jobs,omitempty"`
 	Finished  []string         `json:"finished,omitempty"`
@@ -30,6 +31,9 @@
 		Jobs: m.Jobs(), Finished: m.finished, Keys: m.sortedKeys(), Answered: m.answered,
 		Workers: m.Workers(), Upstreams: m.Upstreams(),
 	}
+	if base := m.base(); base.Version > 0 {
+		im.Base = &base
+	}
 	b, err := json.Marshal(im)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
@@ -46,6 +50,9 @@
 	m.lockAll()
 	m.clear()
 	m.cfg.current, m.cfg.history = im.Config, im.History
+	if im.Base != nil {
+		m.cfg.base = *im.Base
+	}
 	for _, r := range im.History {
 		m.cfg.byID[r.Patch.ID] = r.Version
 	}
--- a/webapi/access_test.go
+++ b/webapi/access_test.go
@@ -1,6 +1,7 @@
 package webapi_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 
@@ -9,6 +10,7 @@
 
 	"turmericroute/auth"
 	"turmericroute/model"
+	"turmericroute/state"
 	"turmericroute/webapi"
 )
 
@@ -63,6 +65,9 @@
 	},
 		Entry("teams read no configuration", "te", "GET", "/v1/config", http.StatusForbidden),
 		Entry("teams do not patch", "te", "POST", "/v1/config/patches", http.StatusForbidden),
+		Entry("teams see no overview", "te", "GET", "/v1/overview", http.StatusForbidden),
+		Entry("teams count no tasks", "te", "GET", "/v1/tasks?worker=w1", http.StatusForbidden),
+		Entry("teams plan nothing", "te", "POST", "/v1/config/plan", http.StatusForbidden),
 		Entry("teams see no workers", "te", "GET", "/v1/workers", http.StatusForbidden),
 		Entry("teams see no dump", "te", "GET", "/dump", http.StatusForbidden),
 		Entry("teams do not announce", "te", "POST", "/v1/upstreams/u1/announce", http.StatusForbidden),
@@ -81,6 +86,12 @@
 		Expect(as("pa", "GET", "/v1/jobs?team=tejados", "").body).To(Equal("[]\n"))
 		Expect(as("pa", "GET", "/v1/jobs/j1", "").Code).To(Equal(model.CodeNotFound))
 		Expect(as("pa", "DELETE", "/v1/jobs/j1", "").Code).To(Equal(model.CodeNotFound))
+		f.replica.InquireFunc = func(_ context.Context, q state.Inquiry) (state.Report, error) {
+			return state.Report{Job: &state.JobReport{Why: "why", WaitsFor: []state.JobHold{{ID: "mine", Team: "tejados"}, {ID: "theirs", Team: "patina"}}}}, nil
+		}
+		Expect(as("pa", "GET", "/v1/jobs/j1/explain", "").Code).To(Equal(model.CodeNotFound))
+		Expect(as("te", "GET", "/v1/jobs/j1/explain", "").body).To(And(ContainSubstring("mine"), Not(ContainSubstring("theirs"))))
+		Expect(as("op", "GET", "/v1/jobs/j1/explain", "").body).To(ContainSubstring("theirs"))
 		Expect(as("te", "DELETE", "/v1/jobs/j1", "").status).To(Equal(http.StatusOK))
 	})
 
--- a/webapi/api.go
+++ b/webapi/api.go
@@ -43,9 +43,15 @@
 	ServeService(w http.ResponseWriter, r *http.Request)
 }
 
+// Replica is the process's access to the replicated state and to the leader.
+type Replica interface {
+	state.Replica
+	state.Inquirer
+}
+
 // Config holds what the API serves.
 type Config struct {
-	Replica state.Replica
+	Replica Replica
 	Entry   ServiceHandler
 	Logger  log.Logger
 	// Metrics is the set that requests are counted in; it is also served.
@@ -60,6 +66,12 @@
 	CheckConfig func(config.Config) []string
 	// CheckJob returns a *model.Error when a job can never run.
 	CheckJob func(config.Config, model.JobSpec) error
+	// Peers are all instances of the deployment, told to operators who know one of them.
+	Peers []Peer
+	// Executors returns what this instance observes of upstream executors.
+	Executors func() []ExecutorCounts
+	// Refresh brings metrics up to date that are not kept all the time.
+	Refresh func()
 	// Closing reports that the process is shutting down and takes no new requests.
 	Closing func() bool
 	// Now returns the time; the default is time.Now.
@@ -95,7 +107,11 @@
 	a.json("GET", "/v1/jobs", a.listJobs, auth.RoleTeam)
 	a.json("GET", "/v1/jobs/{id}", a.getJob, auth.RoleTeam)
 	a.json("DELETE", "/v1/jobs/{id}", a.cancelJob, auth.RoleTeam)
+	a.json("GET", "/v1/jobs/{id}/explain", a.explainJob, auth.RoleTeam)
+	a.json("GET", "/v1/overview", a.getOverview)
+	a.json("GET", "/v1/tasks", a.countTasks)
 	a.json("GET", "/v1/config", a.getConfig)
+	a.json("POST", "/v1/config/plan", a.planConfig)
 	a.json("POST", "/v1/config/patches", a.patchConfig)
 	a.json("GET", "/v1/config/history", a.getHistory)
 	a.json("GET", "/v1/workers", a.listWorkers)
@@ -118,7 +134,8 @@
 // noMethod answers other methods of the paths above with a typed error.
 func (a *api) noMethod() {
 	for _, path := range []string{
-		"/v1/jobs", "/v1/jobs/{id}", "/v1/config", "/v1/config/patches", "/v1/config/history", "/v1/workers",
+		"/v1/jobs", "/v1/jobs/{id}", "/v1/jobs/{id}/explain", "/v1/overview", "/v1/tasks",
+		"/v1/config", "/v1/config/plan", "/v1/config/patches", "/v1/config/history", "/v1/workers",
 		"/v1/upstreams", "/v1/status", "/v1/workers/{name}/poll", "/v1/upstreams/{name}/announce",
 		"/v1/upstreams/{name}/leave", "/dump", "/readyz", "/livez", "/metrics",
 	} {
@@ -197,6 +214,9 @@
 		writeError(w, err)
 		return
 	}
+	if a.Refresh != nil {
+		a.Refresh()
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	a.Metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
--- a/webapi/conf.go
+++ b/webapi/conf.go
@@ -19,11 +19,36 @@
 	Shortages []string `json:"shortages,omitempty"`
 }
 
+// getConfig returns the configuration in force, or a kept version with ?version=.
 func (a *api) getConfig(r *http.Request) (any, error) {
+	version, named, err := versionOf(r, "version")
+	if err != nil {
+		return nil, err
+	}
 	if err := a.fresh(r.Context()); err != nil {
 		return nil, err
 	}
-	return a.Replica.Machine().Config(), nil
+	if !named {
+		return a.Replica.Machine().Config(), nil
+	}
+	cfg, ok := a.Replica.Machine().ConfigAt(version)
+	if !ok {
+		return nil, model.NotRun(model.CodeNotFound, "the history holds no version %d of the configuration", version)
+	}
+	return cfg, nil
+}
+
+// versionOf returns a version number of the query, if it names one.
+func versionOf(r *http.Request, key string) (uint64, bool, error) {
+	s := r.URL.Query().Get(key)
+	if s == "" {
+		return 0, false, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, false, model.NotRun(model.CodeInvalid, "%s must be a version number", key)
+	}
+	return n, true, nil
 }
 
 // PageHistory bounds the patches of one answer.
@@ -32,13 +57,9 @@
 // getHistory lists accepted patches, oldest first, at most PageHistory after
 // ?since=version. A full page may have a next one.
 func (a *api) getHistory(r *http.Request) (any, error) {
-	since := uint64(0)
-	if s := r.URL.Query().Get("since"); s != "" {
-		n, err := strconv.ParseUint(s, 10, 64)
-		if err != nil {
-			return nil, model.NotRun(model.CodeInvalid, "since must be a version number")
-		}
-		since = n
+	since, _, err := versionOf(r, "since")
+	if err != nil {
+		return nil, err
 	}
 	if err := a.fresh(r.Context()); err != nil {
 		return nil, err
@@ -97,18 +118,9 @@
 // short because something is out of service are returned, since operators must
 // be able to take a data centre out at any time.
 func (a *api) checkPatched(p config.Patch) ([]string, error) {
-	current := a.Replica.Machine().Config()
-	if current.Version != p.BaseVersion {
-		e := model.NotRun(model.CodeStaleVersion, "patch is for version %d, current is %d", p.BaseVersion, current.Version)
-		e.Version = current.Version
-		return nil, e
-	}
-	next, err := config.Apply(current, p)
+	next, err := a.patched(p)
 	if err != nil {
-		return nil, fmt.Errorf("apply patch: %w", err)
-	}
-	if faults := config.Validate(next); len(faults) > 0 {
-		return nil, config.Invalid("the configuration after the patch is not valid", faults)
+		return nil, err
 	}
 	if a.CheckConfig == nil {
 		return nil, nil
@@ -120,3 +132,21 @@
 	}
 	return a.CheckConfig(next), nil
 }
+
+// patched returns the configuration that the patch would give, if that is valid.
+func (a *api) patched(p config.Patch) (config.Config, error) {
+	current := a.Replica.Machine().Config()
+	if current.Version != p.BaseVersion {
+		e := model.NotRun(model.CodeStaleVersion, "patch is for version %d, current is %d", p.BaseVersion, current.Version)
+		e.Version = current.Version
+		return current, e
+	}
+	next, err := config.Apply(current, p)
+	if err != nil {
+		return current, fmt.Errorf("apply patch: %w", err)
+	}
+	if faults := config.Validate(next); len(faults) > 0 {
+		return current, config.Invalid("the configuration after the patch is not valid", faults)
+	}
+	return next, nil
+}
--- a/webapi/fleet.go
+++ b/webapi/fleet.go
@@ -33,6 +33,30 @@
 	Jobs          map[model.JobState]int `json:"jobs"`
 	OutOfService  []string               `json:"out_of_service"`
 	Drained       int                    `json:"drained_workers"`
+	// Peers are all instances of the deployment.
+	Peers []Peer `json:"peers,omitempty"`
+	// Executors is what this instance observes of upstream executors by service.
+	Executors []ExecutorCounts `json:"executors,omitempty"`
+}
+
+// Peer is one instance of the deployment.
+type Peer struct {
+	Name        string `json:"name"`
+	HTTPAddress string `json:"http_address"`
+	Control     bool   `json:"control"`
+}
+
+// ExecutorCounts counts the executors of a service by what one instance observes.
+type ExecutorCounts struct {
+	Service string `json:"service"`
+	// Usable executors get requests; ejected ones failed or were slow; silent ones do not answer probes.
+	Usable  int `json:"usable"`
+	Ejected int `json:"ejected"`
+	Silent  int `json:"silent"`
+	// Left counts the executors that announced their departure.
+	Left int `json:"left"`
+	// Queued counts the requests that wait for an executor.
+	Queued int `json:"queued"`
 }
 
 func (a *api) listWorkers(r *http.Request) (any, error) {
@@ -56,12 +80,17 @@
 	s := Status{
 		Replica: a.Replica.Status(), ConfigVersion: cfg.Version, Ready: true,
 		Workers: len(m.Workers()), Jobs: map[model.JobState]int{}, OutOfService: []string{}, Drained: len(cfg.DrainedWorkers),
+		Peers: a.Peers,
 	}
+	left := map[string]int{}
 	for _, u := range m.Upstreams() {
-		if !u.Left {
+		if u.Left {
+			left[u.Service]++
+		} else {
 			s.Upstreams++
 		}
 	}
+	s.Executors = a.executors(left)
 	for _, j := range m.Jobs() {
 		s.Jobs[j.State]++
 	}
@@ -76,6 +105,17 @@
 	return s, nil
 }
 
+func (a *api) executors(left map[string]int) []ExecutorCounts {
+	if a.Executors == nil {
+		return nil
+	}
+	list := a.Executors()
+	for i := range list {
+		list[i].Left = left[list[i].Service]
+	}
+	return list
+}
+
 func (a *api) ready() error {
 	if a.Ready == nil {
 		return nil
--- a/webapi/log.go
+++ b/webapi/log.go
@@ -121,11 +121,12 @@
 // lines that name the caller; other failures are logged at info, and reads,
 // polls and heartbeats at debug, since workers alone send thousands of polls a second.
 func (a *api) logRequest(rec *recorder, r *http.Request, id string, who *caller, took time.Duration) {
+	changes := r.Method != http.MethodGet && r.URL.Path != planPath
 	frequent := strings.HasSuffix(r.URL.Path, "/poll") || strings.HasSuffix(r.URL.Path, "/announce") || strings.HasPrefix(r.URL.Path, "/v1/services/")
 	denied := rec.status == http.StatusUnauthorized || rec.status == http.StatusForbidden
 	logger, event := level.Debug(a.Logger), "http_request"
 	switch {
-	case denied, r.Method != http.MethodGet && !frequent:
+	case denied, changes && !frequent:
 		logger, event = level.Info(a.Logger), "audit"
 	case rec.status >= http.StatusBadRequest && !frequent:
 		logger = level.Info(a.Logger)
