Plan with a forecast, apply plans, compare versions, wait for drains

Cause: a plan named only the changes, so that an operator learned from the running system which jobs a change stops and which guarantees it leaves short. A stale patch was refused without a word on what had changed, and a drain ended before its data centre was empty. Change: POST /v1/config/plan answers with the guarantees that fit before and after on the workers that answer, those that would be short without each one data centre, and the running jobs that would be stopped, from a simulation on the leader outside its lock. config plan -o and config apply -plan apply what was reviewed; a stale patch lists the changes since its version; config diff compares versions and paths; drain -plan shows and changes nothing; drain and undrain print progress and exit with 6 when -timeout passes first. Conclusion: the new case of itest drains a data centre in which the plan named two of three gangs as stopped and one of them as restarting; the same happened.

--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -24,6 +24,8 @@
 	program       = "turmericroute"
 	envPrefix     = "TURMERICROUTE"
 	defaultServer = "127.0.0.1:7101"
+	// defaultTimeout leaves time for an election of under 2 s and a second try.
+	defaultTimeout = 10 * time.Second
 )
 
 // app is one run of the command line.
@@ -43,6 +45,8 @@
 	minArgs, maxArgs int
 	// local says that the command calls no instance and has no connection flags.
 	local bool
+	// timeout is the default of -timeout; 0 means defaultTimeout.
+	timeout time.Duration
 	// raw says that arguments may begin with a dash.
 	raw   bool
 	flags func(fs *flag.FlagSet)
@@ -167,7 +171,11 @@
 	fs.StringVar(&s.token, "token", "", "access `token`; better set in the environment than on the command line")
 	fs.StringVar(&s.ca, "ca", "", "`file` of the authorities of the instances; makes calls use TLS")
 	fs.StringVar(&s.team, "as-team", "", "`team` to act for")
-	fs.DurationVar(&s.timeout, "timeout", 10*time.Second, "time limit of the whole command")
+	timeout := defaultTimeout
+	if l.timeout > 0 {
+		timeout = l.timeout
+	}
+	fs.DurationVar(&s.timeout, "timeout", timeout, "time limit of the whole command")
 	fs.BoolVar(&s.json, "json", false, "print JSON for scripts")
 }
 
--- a/cmd/turmericroute/config_apply.go
+++ b/cmd/turmericroute/config_apply.go
@@ -2,59 +2,133 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
+	"os"
+	"strings"
 
 	"turmericroute/client"
 	"turmericroute/config"
 	"turmericroute/model"
+	"turmericroute/state"
 	"turmericroute/webapi"
 )
 
 const configApplyUsage = `
 Reads declarations, makes a patch against the version in force and sends it. The
-patch applies whole or not at all, and only to that version. Its ID is the same
-for the same content and version, so an interrupted apply is safe to repeat.
-Data centres and workers that are out of service stay so unless -restore is given.
+patch applies whole or not at all, and only to that version; if another change
+was accepted first, it is refused and the changes made meanwhile are listed. Its
+ID is the same for the same content and version, so an interrupted apply is safe
+to repeat. Data centres and workers that are out of service stay so unless
+-restore is given.
 
-EXAMPLE
-  turmericroute config apply -f declarations/ -reason "raise quota of tejados"`
+With -plan the patch is the one that "config plan -o FILE" wrote: what was
+reviewed is what is applied, or nothing.
+
+EXAMPLES
+  turmericroute config apply -f declarations/ -reason "raise quota of tejados"
+  turmericroute config apply -plan quota.json`
 
 func configApplyCommand() leaf {
 	p := &patchFlags{}
+	var plan string
 	return leaf{
-		name: "apply", short: "make the configuration as declared", long: configApplyUsage, flags: p.register,
+		name: "apply", short: "make the configuration as declared", long: configApplyUsage,
+		flags: func(fs *flag.FlagSet) {
+			p.register(fs)
+			fs.StringVar(&plan, "plan", "", "`file` that 'config plan -o' wrote, instead of -f")
+		},
 		run: call(func(ctx context.Context, s *session, c *client.Client, _ []string) error {
-			patch, _, err := p.make(ctx, c)
+			patch, err := p.patchOf(ctx, c, plan)
+			if err != nil {
+				return err
+			}
+			res, err := s.commit(ctx, c, patch)
 			if err != nil {
 				return err
 			}
-			return s.send(ctx, c, patch)
+			return s.printPatched(patch, res)
 		}),
 	}
 }
 
-// send sends a patch and prints the version that it gave.
-func (s *session) send(ctx context.Context, c *client.Client, p config.Patch) error {
-	res := webapi.Patched{Version: p.BaseVersion}
-	if len(p.Changes) > 0 {
-		var err error
-		if res, err = c.Patch(ctx, p); err != nil {
-			if model.AsError(err).Outcome == model.OutcomeUnknown {
-				return &hinted{err: err, hint: fmt.Sprintf("run the same command again, or look for patch %s in 'config history'", p.ID)}
-			}
-			return err
-		}
+// patchOf returns the patch of a plan file, or one made of the declarations.
+func (p *patchFlags) patchOf(ctx context.Context, c *client.Client, plan string) (config.Patch, error) {
+	if plan == "" {
+		patch, _, err := p.make(ctx, c)
+		return patch, err
+	}
+	if p.path != "" || p.reason != "" || p.restore {
+		return config.Patch{}, usagef("give -f, -reason and -restore to 'config plan -o' instead", "a plan is applied as it is, without -f, -reason and -restore")
+	}
+	b, err := os.ReadFile(plan)
+	if err != nil {
+		return config.Patch{}, usagef("check the path after -plan", "cannot read the plan: %v", err)
+	}
+	patch, err := config.DecodePatch(b)
+	if err != nil {
+		return config.Patch{}, usagef("write it anew with 'config plan -o'", "%s is no plan: %s", plan, model.AsError(err).Message)
+	}
+	return patch, nil
+}
+
+// commit sends a patch; one without changes is not sent.
+func (s *session) commit(ctx context.Context, c *client.Client, p config.Patch) (webapi.Patched, error) {
+	if len(p.Changes) == 0 {
+		return webapi.Patched{Version: p.BaseVersion}, nil
+	}
+	res, err := c.Patch(ctx, p)
+	if err == nil {
+		return res, nil
+	}
+	e := model.AsError(err)
+	switch {
+	case e.Outcome == model.OutcomeUnknown:
+		return res, &hinted{err: err, hint: fmt.Sprintf("run the same command again, or look for patch %s in 'config history'", p.ID)}
+	case e.Code == model.CodeStaleVersion:
+		return res, staleError(ctx, c, p, err)
 	}
+	return res, err
+}
+
+// staleError adds to the refusal of a patch what was changed since its base version.
+func staleError(ctx context.Context, c *client.Client, p config.Patch, err error) error {
+	records, historyErr := c.History(ctx, p.BaseVersion)
+	if historyErr != nil || len(records) == 0 {
+		return err
+	}
+	h := &hinted{err: err, hint: fmt.Sprintf("compare with 'config diff %d %d', then plan and apply again", p.BaseVersion, records[len(records)-1].Version)}
+	for _, r := range records {
+		h.lines = append(h.lines, "changed meanwhile: "+recordText(r))
+	}
+	return h
+}
+
+func recordText(r state.Record) string {
+	var changes []string
+	for _, c := range r.Patch.Changes {
+		changes = append(changes, c.String())
+	}
+	return fmt.Sprintf("version %d at %s by %s, %s: %s",
+		r.Version, clock(r.AtMS), orDash(r.Patch.Author), orDash(r.Patch.Reason), strings.Join(changes, "; "))
+}
+
+func (s *session) printPatched(p config.Patch, res webapi.Patched) error {
 	return s.print(res, func(w io.Writer) error {
-		if len(p.Changes) == 0 {
-			fmt.Fprintf(w, "no changes needed: version %d stays in force\n", res.Version)
-			return nil
-		}
-		fmt.Fprintf(w, "patch %s is version %d\n", p.ID, res.Version)
-		for _, short := range res.Shortages {
-			fmt.Fprintf(w, "until more is in service, %s\n", short)
-		}
+		patchedText(w, p, res)
 		return nil
 	})
 }
+
+// patchedText says which version a patch gave.
+func patchedText(w io.Writer, p config.Patch, res webapi.Patched) {
+	if len(p.Changes) == 0 {
+		fmt.Fprintf(w, "no changes needed: version %d stays in force\n", res.Version)
+		return
+	}
+	fmt.Fprintf(w, "patch %s is version %d\n", p.ID, res.Version)
+	for _, short := range res.Shortages {
+		fmt.Fprintf(w, "until more is in service, %s\n", short)
+	}
+}
--- a/cmd/turmericroute/config_diff.go
+++ b/cmd/turmericroute/config_diff.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 
 	"turmericroute/client"
@@ -13,30 +14,39 @@
 )
 
 const configDiffUsage = `
-Shows the lines that differ between the configuration in force (-) and the
-declarations (+), in the order of names.
+Shows the lines that differ between two configurations, - for the first and +
+for the second, in the order of names. A and B are each a version number of the
+history, a path of declarations, or "running" for the version in force, which B
+is when it is missing. "-f PATH" alone means "running PATH".
 
-EXAMPLE
-  turmericroute config diff -f declarations/`
+EXAMPLES
+  turmericroute config diff -f declarations/
+  turmericroute config diff 41 42
+  turmericroute config diff 41 declarations/`
 
 // maxDiffLines bounds the texts compared line by line; the comparison takes time and memory of their product.
 const maxDiffLines = 5000
 
+// running names the configuration in force.
+const running = "running"
+
 func configDiffCommand() leaf {
 	var path string
 	return leaf{
-		name: "diff", short: "compare declarations with the configuration in force", long: configDiffUsage,
+		name: "diff", args: "[A [B]]", short: "compare versions and declarations", long: configDiffUsage, maxArgs: 2,
 		flags: func(fs *flag.FlagSet) { declarationsFlag(fs, &path) },
-		run: call(func(ctx context.Context, s *session, c *client.Client, _ []string) error {
-			declared, err := declarations(path)
+		run: call(func(ctx context.Context, s *session, c *client.Client, args []string) error {
+			sides, err := sidesOf(path, args)
 			if err != nil {
 				return err
 			}
-			running, err := c.Config(ctx)
-			if err != nil {
-				return err
+			var cfgs [2]config.Config
+			for i, side := range sides {
+				if cfgs[i], err = configOf(ctx, c, side); err != nil {
+					return err
+				}
 			}
-			lines, err := diffConfigs(running, declared)
+			lines, err := diffConfigs(cfgs[0], cfgs[1])
 			if err != nil {
 				return err
 			}
@@ -45,6 +55,35 @@
 	}
 }
 
+// sidesOf returns the names of the two configurations to compare.
+func sidesOf(path string, args []string) ([2]string, error) {
+	switch {
+	case path != "" && len(args) == 2:
+		return [2]string{}, usagef("leave -f out, or one of the arguments", "two configurations are named besides -f")
+	case path != "" && len(args) == 1:
+		return [2]string{args[0], path}, nil
+	case path != "":
+		return [2]string{running, path}, nil
+	case len(args) == 2:
+		return [2]string{args[0], args[1]}, nil
+	case len(args) == 1:
+		return [2]string{args[0], running}, nil
+	default:
+		return [2]string{}, usagef("add -f PATH, or one or two versions", "no declarations are named")
+	}
+}
+
+// configOf reads the configuration that a version number, "running" or a path names.
+func configOf(ctx context.Context, c *client.Client, name string) (config.Config, error) {
+	if name == running {
+		return c.Config(ctx)
+	}
+	if version, err := strconv.ParseUint(name, 10, 64); err == nil {
+		return c.ConfigAt(ctx, version)
+	}
+	return declarations(name)
+}
+
 func printChanged(w io.Writer, lines []string) error {
 	for _, l := range lines {
 		if _, err := fmt.Fprintln(w, l); err != nil {
--- a/cmd/turmericroute/config_get.go
+++ b/cmd/turmericroute/config_get.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"io"
+	"strconv"
 
 	"turmericroute/client"
 	"turmericroute/config"
@@ -10,16 +12,23 @@
 
 const configGetUsage = `
 Prints the configuration in force as YAML that "config apply" reads back without
-a change, or as JSON with its version.
+a change, or as JSON with its version. With -version it is an earlier one, as far
+as the history goes back: the last 4,096 changes.
 
-EXAMPLE
-  turmericroute config get > running.yaml`
+EXAMPLES
+  turmericroute config get > running.yaml
+  turmericroute config get -version 41 > before.yaml`
 
 func configGetCommand() leaf {
+	version := running
 	return leaf{
 		name: "get", short: "print the configuration in force", long: configGetUsage,
+		flags: func(fs *flag.FlagSet) { fs.StringVar(&version, "version", running, "`number` of an earlier version") },
 		run: call(func(ctx context.Context, s *session, c *client.Client, _ []string) error {
-			cfg, err := c.Config(ctx)
+			if _, err := strconv.ParseUint(version, 10, 64); err != nil && version != running {
+				return usagef("see: turmericroute config history", "%q is no version number", version)
+			}
+			cfg, err := configOf(ctx, c, version)
 			if err != nil {
 				return err
 			}
--- a/cmd/turmericroute/config_plan.go
+++ b/cmd/turmericroute/config_plan.go
@@ -6,17 +6,25 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 
 	"turmericroute/client"
 	"turmericroute/config"
+	"turmericroute/webapi"
 )
 
 const configPlanUsage = `
-Shows the patch that "config apply" would send, without sending it. Data centres
-and workers that are out of service stay so unless -restore is given.
+Shows the patch that "config apply" would send, without sending it, and what it
+would do: which guarantees fit before and after it on the workers that answer,
+which would be short while any one data centre is out of service, and which
+running jobs would be stopped. Data centres and workers that are out of service
+stay so unless -restore is given.
 
-EXAMPLE
-  turmericroute config plan -f declarations/`
+With -o the patch is also written to a file for "config apply -plan".
+
+EXAMPLES
+  turmericroute config plan -f declarations/
+  turmericroute config plan -f declarations/ -reason "raise quota" -o quota.json`
 
 // patchFlags are the flags that make a patch of declarations.
 type patchFlags struct {
@@ -55,78 +63,59 @@
 	return patch, running, nil
 }
 
+// plan is a patch and what it would do.
+type plan struct {
+	Patch config.Patch `json:"patch"`
+	// Planned is nil when the patch has no changes.
+	Planned *webapi.Planned `json:"planned,omitempty"`
+}
+
 func configPlanCommand() leaf {
 	p := &patchFlags{}
+	var file string
 	return leaf{
-		name: "plan", short: "show the changes that apply would make", long: configPlanUsage, flags: p.register,
+		name: "plan", short: "show what apply would do", long: configPlanUsage,
+		flags: func(fs *flag.FlagSet) {
+			p.register(fs)
+			fs.StringVar(&file, "o", "", "`file` for the patch, to be applied with 'config apply -plan'")
+		},
 		run: call(func(ctx context.Context, s *session, c *client.Client, _ []string) error {
 			patch, running, err := p.make(ctx, c)
 			if err != nil {
 				return err
 			}
-			return s.print(patch, func(w io.Writer) error { return printPlan(w, patch, running) })
+			if err := s.showPlan(ctx, c, patch, running); err != nil {
+				return err
+			}
+			return writePatch(file, patch)
 		}),
 	}
 }
 
-func printPlan(w io.Writer, p config.Patch, running config.Config) error {
-	if len(p.Changes) == 0 {
-		fmt.Fprintf(w, "no changes needed: version %d stays in force\n", p.BaseVersion)
-		return nil
-	}
-	fmt.Fprintf(w, "patch %s for version %d:\n", p.ID, p.BaseVersion)
-	for _, c := range p.Changes {
-		fmt.Fprintf(w, "  %s\n", c)
-		if err := printDetail(w, c, running); err != nil {
+// showPlan asks what a patch would do and prints it.
+func (s *session) showPlan(ctx context.Context, c *client.Client, patch config.Patch, running config.Config) error {
+	pl := plan{Patch: patch}
+	if len(patch.Changes) > 0 {
+		planned, err := c.Plan(ctx, patch)
+		if err != nil {
 			return err
 		}
+		pl.Planned = &planned
 	}
-	return nil
+	return s.print(pl, func(w io.Writer) error { return printPlan(w, pl, running) })
 }
 
-// printDetail shows the lines of a value that a put changes.
-func printDetail(w io.Writer, c config.Change, running config.Config) error {
-	var from, to any
-	switch {
-	case c.PutDataCentre != nil:
-		from, to = known(running.DataCentre(c.PutDataCentre.Name)), c.PutDataCentre
-	case c.PutTeam != nil:
-		from, to = known(running.Team(c.PutTeam.Name)), c.PutTeam
-	case c.PutService != nil:
-		from, to = known(running.Service(c.PutService.Name)), c.PutService
-	default:
+// writePatch writes a patch for "config apply -plan"; one without changes is not written.
+func writePatch(file string, p config.Patch) error {
+	if file == "" || len(p.Changes) == 0 {
 		return nil
 	}
-	before, err := jsonText(from)
-	if err != nil {
-		return err
-	}
-	after, err := jsonText(to)
+	b, err := json.MarshalIndent(p, "", "  ")
 	if err != nil {
-		return err
+		return fmt.Errorf("encode patch: %w", err)
 	}
-	for _, line := range diffLines(before, after) {
-		if line[0] != ' ' {
-			fmt.Fprintf(w, "    %s\n", line)
-		}
+	if err := os.WriteFile(file, append(b, '\n'), 0o600); err != nil {
+		return fmt.Errorf("write plan: %w", err)
 	}
 	return nil
 }
-
-func known[T any](v T, ok bool) any {
-	if !ok {
-		return nil
-	}
-	return v
-}
-
-func jsonText(v any) (string, error) {
-	if v == nil {
-		return "", nil
-	}
-	b, err := json.MarshalIndent(v, "", "  ")
-	if err != nil {
-		return "", fmt.Errorf("encode value: %w", err)
-	}
-	return string(b), nil
-}
--- a/cmd/turmericroute/exit.go
+++ b/cmd/turmericroute/exit.go
@@ -19,6 +19,7 @@
 	exitRefused     = 3
 	exitUnknown     = 4
 	exitUnreachable = 5
+	exitUnfinished  = 6
 )
 
 // usageError is a wrong command line or file, with what to do next.
@@ -34,10 +35,11 @@
 	return &usageError{message: fmt.Sprintf(format, args...), hint: hint}
 }
 
-// hinted adds what to do next to an error of the API.
+// hinted adds what to do next, and lines with details, to an error.
 type hinted struct {
-	err  error
-	hint string
+	err   error
+	hint  string
+	lines []string
 }
 
 // Error returns the message of the error.
@@ -59,8 +61,11 @@
 
 func faultsOf(err error) []string {
 	var u *usageError
+	var h *hinted
 	var m *model.Error
 	switch {
+	case errors.As(err, &h) && len(h.lines) > 0:
+		return h.lines
 	case errors.As(err, &u):
 		return u.faults
 	case errors.As(err, &m):
@@ -72,6 +77,7 @@
 
 func (a *app) explain(err error) (code int, message, hint string) {
 	var u *usageError
+	var w *unfinished
 	var h *hinted
 	var m *model.Error
 	if errors.As(err, &h) {
@@ -80,6 +86,8 @@
 	switch {
 	case errors.As(err, &u):
 		return exitUsage, u.message, u.hint
+	case errors.As(err, &w):
+		return exitUnfinished, w.Error(), "the change is in force; run the same command again to go on waiting, or look at 'status' and 'job explain'"
 	case errors.As(err, &m):
 		code, next := classify(err, m)
 		if hint == "" {
--- a/cmd/turmericroute/keys_test.go
+++ b/cmd/turmericroute/keys_test.go
@@ -91,7 +91,7 @@
 				Expect(string(page)).To(ContainSubstring("`turmericroute " + p))
 			}
 		}
-		for _, code := range []string{"0", "1", "2", "3", "4", "5"} {
+		for _, code := range []string{"0", "1", "2", "3", "4", "5", "6"} {
 			Expect(string(page)).To(ContainSubstring("\n| " + code + " | "))
 		}
 	})
--- /dev/null
+++ b/cmd/turmericroute/plan_text.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"turmericroute/config"
+	"turmericroute/state"
+	"turmericroute/webapi"
+)
+
+func printPlan(w io.Writer, pl plan, running config.Config) error {
+	p := pl.Patch
+	if pl.Planned == nil {
+		fmt.Fprintf(w, "no changes needed: version %d stays in force\n", p.BaseVersion)
+		return nil
+	}
+	fmt.Fprintf(w, "patch %s for version %d:\n", p.ID, p.BaseVersion)
+	for _, c := range p.Changes {
+		fmt.Fprintf(w, "  %s\n", c)
+		if err := printDetail(w, c, running); err != nil {
+			return err
+		}
+	}
+	return printEffects(w, *pl.Planned)
+}
+
+// printEffects shows what a patch does to guarantees and jobs.
+func printEffects(w io.Writer, p webapi.Planned) error {
+	for _, r := range p.Refused {
+		fmt.Fprintf(w, "\nREFUSED: the declared racks cannot hold it: %s\n", r)
+	}
+	if err := printFits(w, p.Forecast.Guarantees); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	printShort(w, "declared racks in service", p.Shortages)
+	for _, l := range p.WithoutDataCentre {
+		printShort(w, "also without "+l.DataCentre, l.Shortages)
+	}
+	return printStopped(w, p.Forecast)
+}
+
+func printFits(w io.Writer, fits []state.GuaranteeFit) error {
+	fmt.Fprintln(w, "\nguarantees on the workers that answer now:")
+	var rows [][]string
+	for _, g := range fits {
+		verdict := "fits"
+		switch {
+		case g.Count == 0:
+			verdict = "removed"
+		case g.After < g.Count && g.Before < g.Count:
+			verdict = fmt.Sprintf("SHORT of %d, as before the change", g.Count-g.After)
+		case g.After < g.Count:
+			verdict = fmt.Sprintf("SHORT of %d", g.Count-g.After)
+		}
+		rows = append(rows, []string{
+			g.Team, fmt.Sprint(g.Guarantee), shapeText(g.Shape), fmt.Sprint(g.Count), fmt.Sprint(g.Before), fmt.Sprint(g.After), verdict,
+		})
+	}
+	if len(rows) == 0 {
+		_, err := fmt.Fprintln(w, "none")
+		return err
+	}
+	return table(w, "TEAM GUARANTEE SHAPE COUNT FIT_BEFORE FIT_AFTER VERDICT", rows)
+}
+
+func printShort(w io.Writer, where string, short []string) {
+	if len(short) == 0 {
+		fmt.Fprintf(w, "%s: all guarantees fit\n", where)
+		return
+	}
+	for _, s := range short {
+		fmt.Fprintf(w, "%s: SHORT: %s\n", where, s)
+	}
+}
+
+func printStopped(w io.Writer, f state.Forecast) error {
+	fmt.Fprintln(w)
+	if len(f.Preempted) == 0 {
+		fmt.Fprintln(w, "running jobs: none would be stopped")
+	} else {
+		fmt.Fprintf(w, "running jobs: %d would be stopped:\n", len(f.Preempted))
+		var rows [][]string
+		for _, j := range f.Preempted {
+			next := "waits"
+			if j.Restarts {
+				next = "restarts elsewhere"
+			}
+			rows = append(rows, []string{j.ID, j.Team, fmt.Sprint(j.Tasks), next, j.Reason})
+		}
+		if err := table(w, "JOB TEAM TASKS THEN REASON", rows); err != nil {
+			return err
+		}
+	}
+	for _, j := range f.Refused {
+		fmt.Fprintf(w, "waiting job %s of team %s could never run: %s\n", j.ID, j.Team, j.Reason)
+	}
+	return nil
+}
+
+// printDetail shows the lines of a value that a put changes.
+func printDetail(w io.Writer, c config.Change, running config.Config) error {
+	var from, to any
+	switch {
+	case c.PutDataCentre != nil:
+		from, to = known(running.DataCentre(c.PutDataCentre.Name)), c.PutDataCentre
+	case c.PutTeam != nil:
+		from, to = known(running.Team(c.PutTeam.Name)), c.PutTeam
+	case c.PutService != nil:
+		from, to = known(running.Service(c.PutService.Name)), c.PutService
+	default:
+		return nil
+	}
+	before, err := jsonText(from)
+	if err != nil {
+		return err
+	}
+	after, err := jsonText(to)
+	if err != nil {
+		return err
+	}
+	for _, line := range diffLines(before, after) {
+		if line[0] != ' ' {
+			fmt.Fprintf(w, "    %s\n", line)
+		}
+	}
+	return nil
+}
+
+func known[T any](v T, ok bool) any {
+	if !ok {
+		return nil
+	}
+	return v
+}
+
+func jsonText(v any) (string, error) {
+	if v == nil {
+		return "", nil
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return "", fmt.Errorf("encode value: %w", err)
+	}
+	return string(b), nil
+}
--- a/cmd/turmericroute/suite_test.go
+++ b/cmd/turmericroute/suite_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"context"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -13,6 +14,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"turmericroute/fakes"
+	"turmericroute/state"
 	"turmericroute/webapi"
 )
 
@@ -43,11 +45,16 @@
 	server  *httptest.Server
 	env     []string
 	in      string
+	// preempted are the jobs that every plan would stop.
+	preempted []state.PreemptedJob
 }
 
 // newRunner serves the API on an in-memory replica for the program to call.
 func newRunner() *runner {
 	r := &runner{replica: fakes.NewReplica()}
+	r.replica.InquireFunc = func(_ context.Context, q state.Inquiry) (state.Report, error) {
+		return state.Report{Plan: &state.Forecast{Preempted: r.preempted}}, nil
+	}
 	r.server = httptest.NewServer(webapi.New(webapi.Config{Replica: r.replica}))
 	r.env = []string{"TURMERICROUTE_ADDRESSES=" + r.server.URL, "USER=ana"}
 	DeferCleanup(r.server.Close)
--- a/cmd/turmericroute/undrain.go
+++ b/cmd/turmericroute/undrain.go
@@ -7,19 +7,21 @@
 )
 
 const undrainUsage = `
-Returns a data centre or a worker to service.
+Returns a data centre or a worker to service and waits until every instance that
+serves knows it. Progress, -timeout, -wait, -plan and exit code 6 are those of
+drain.
 
 EXAMPLES
   turmericroute undrain -reason "cooling repaired" data-centre norte
   turmericroute undrain worker norte-r1-w3`
 
 func undrainCommand() leaf {
-	p := &patchFlags{}
+	f := &serviceFlags{}
 	return leaf{
 		name: "undrain", args: "data-centre|worker NAME", short: "return a data centre or worker to service",
-		long: undrainUsage, minArgs: 2, maxArgs: 2, flags: p.registerReason,
+		long: undrainUsage, minArgs: 2, maxArgs: 2, flags: f.register, timeout: drainTimeout,
 		run: call(func(ctx context.Context, s *session, c *client.Client, args []string) error {
-			return s.setService(ctx, c, p, target{kind: args[0], name: args[1]})
+			return s.setService(ctx, c, f, target{kind: args[0], name: args[1]})
 		}),
 	}
 }
--- a/itest/ops_test.go
+++ b/itest/ops_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"turmericroute/config"
 	"turmericroute/itest"
+	"turmericroute/webapi"
 )
 
 // result is how a run of the command line ended.
@@ -136,3 +138,58 @@
 	}
 	return out
 }
+
+var _ = Describe("operators drain a data centre", func() {
+	It("and what then happens is what the plan said", func(ctx SpecContext) {
+		c := start(ctx, five)
+		site := populate(ctx, c, 1)
+		patchNow(ctx, c, config.Change{PutTeam: &config.Team{Name: "owner", Guarantees: []config.Guarantee{{Shape: whole, Count: 2}}}})
+		ids := []string{"owner-1", "owner-2", "other"}
+		submit(ctx, c, ids[0], "owner", whole, 1000)
+		submit(ctx, c, ids[1], "owner", whole, 1000)
+		submit(ctx, c, ids[2], "borrower", whole, 1000)
+		for _, id := range ids {
+			Eventually(func() int { return site.Ledger.Running(id) }, "10s", "5ms").Should(Equal(2), id)
+		}
+		job, err := c.Client().Job(ctx, "owner-1")
+		Expect(err).NotTo(HaveOccurred())
+		home := job.Placement.Workers[0][:3]
+
+		r := command(ctx, c.Addresses(), "drain", "-plan", "-json", "-reason", "repair", "data-centre", home)
+		Expect(r.Code).To(Equal(0), r.Err)
+		var plan struct {
+			Planned webapi.Planned `json:"planned"`
+		}
+		Expect(json.Unmarshal([]byte(r.Out), &plan)).To(Succeed())
+		stopped := map[string]bool{}
+		for _, p := range plan.Planned.Forecast.Preempted {
+			stopped[p.ID] = p.Restarts
+		}
+		Expect(stopped).To(Equal(map[string]bool{"owner-1": true, "other": false}))
+		Expect(plan.Planned.Forecast.Guarantees).To(ConsistOf(And(HaveField("Count", 2), HaveField("Before", 2), HaveField("After", 2))))
+		Expect(plan.Planned.WithoutDataCentre).To(ContainElement(HaveField("Shortages", HaveLen(1))))
+
+		r = command(ctx, c.Addresses(), "drain", "-reason", "repair", "data-centre", home)
+		Expect(r.Code).To(Equal(0), r.Err)
+		Expect(r.Out).To(ContainSubstring("no task runs on data-centre " + home))
+		for _, run := range site.Ledger.Runs() {
+			Expect(run.DataCentre == home && run.End.IsZero()).To(BeFalse(), "%+v", run)
+		}
+		Eventually(func() int { return site.Ledger.Running("owner-1") }, "10s", "5ms").Should(Equal(2))
+		attempts := map[string]int{}
+		for _, id := range ids {
+			j, err := c.Client().Job(ctx, id)
+			Expect(err).NotTo(HaveOccurred())
+			attempts[id] = j.Attempt
+		}
+		Expect(attempts).To(Equal(map[string]int{"owner-1": 2, "owner-2": 1, "other": 1}))
+		r = command(ctx, c.Addresses(), "undrain", "-reason", "repaired", "data-centre", home)
+		Expect(r.Code).To(Equal(0), r.Err)
+		for _, n := range c.Nodes {
+			st, err := n.Status(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(st.ConfigVersion).To(Equal(uint64(4)), n.Spec.Name)
+		}
+		Eventually(func() int { return site.Ledger.Running("other") }, "10s", "5ms").Should(Equal(2))
+	}, NodeTimeout(60*time.Second))
+})
