--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -24,6 +24,8 @@
 	program       = "turmericroute"
 	envPrefix     = "TURMERICROUTE"
 	defaultServer = "127.0.0.1:7101"
+	// defaultTimeout leaves time for an election of under 2 s and a second try.
+	defaultTimeout = 10 * time.Second
 )
 
 // app is one run of the command line.
@@ -43,6 +45,8 @@
 	minArgs, maxArgs int
 	// local says that the command calls no instance and has no connection flags.
 	local bool
+	// timeout is the default of -timeout; 0 means defaultTimeout.
+	timeout time.Duration
 	// raw says that arguments may begin with a dash.
 	raw   bool
 	flags func(fs *flag.FlagSet)
@@ -95,8 +99,8 @@
 func (a *app) tree() *ffcli.Command {
 	return a.group("", "schedules multi-accelerator jobs with guarantees for each team",
 		a.leaf("", serveCommand()), a.leaf("", tryCommand()),
-		a.group("job", "submits, shows and cancels jobs",
-			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()),
+		a.group("job", "submits, shows, explains and cancels jobs",
+			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()), a.leaf("job", jobExplainCommand()),
 			a.leaf("job", jobListCommand()), a.leaf("job", jobCancelCommand())),
 		a.group("config", "reads, checks and changes the configuration",
 			a.leaf("config", configGetCommand()), a.leaf("config", configApplyCommand()),
@@ -167,7 +171,11 @@
 	fs.StringVar(&s.token, "token", "", "access `token`; better set in the environment than on the command line")
 	fs.StringVar(&s.ca, "ca", "", "`file` of the authorities of the instances; makes calls use TLS")
 	fs.StringVar(&s.team, "as-team", "", "`team` to act for")
-	fs.DurationVar(&s.timeout, "timeout", 10*time.Second, "time limit of the whole command")
+	timeout := defaultTimeout
+	if l.timeout > 0 {
+		timeout = l.timeout
+	}
+	fs.DurationVar(&s.timeout, "timeout", timeout, "time limit of the whole command")
 	fs.BoolVar(&s.json, "json", false, "print JSON for scripts")
 }
 
@@ -230,8 +238,11 @@
 func usageText(c *ffcli.Command) string { return ffcli.DefaultUsageFunc(c) }
 
 // client returns a client of the instances that the flags name.
-func (s *session) client() (*client.Client, error) {
-	cfg := client.Config{Addresses: words(s.addresses), Token: s.token, Team: s.team}
+func (s *session) client() (*client.Client, error) { return s.clientOf(words(s.addresses)) }
+
+// clientOf returns a client of the instances at the addresses.
+func (s *session) clientOf(addresses []string) (*client.Client, error) {
+	cfg := client.Config{Addresses: addresses, Token: s.token, Team: s.team}
 	if s.ca != "" {
 		pool, err := auth.ReadPool(s.ca)
 		if err != nil {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -59,7 +59,7 @@
 
 // queue publishes the number of requests that wait for a service.
 func (c *counters) queue(e *Entry, name string) {
-	c.set.GetOrCreateGauge(fmt.Sprintf("entry_requests_waiting_count{service=%q}", name), func() float64 {
+	c.set.GetOrCreateGauge(fmt.Sprintf("turmericroute_entry_requests_waiting_count{service=%q}", name), func() float64 {
 		e.mu.Lock()
 		s := e.services[name]
 		e.mu.Unlock()
