Tell connections that do not carry messages from ones that are not answered

Change: only answers count for what was asked, and calls in time for calls. New tests: silent partition of the leader, answers to proposers, steps of a membership, a failing disk.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 type cluster struct {
 	dir     string
 	peers   []ctrl.Peer
+	relays  map[string]map[string]*relay // by sender and receiver, nil for direct connections
 	nodes   map[string]*ctrl.Node
 	entries int // between snapshots, 0 for the default
 }
@@ -63,14 +65,25 @@
 	for _, name := range names {
 		for _, p := range c.peers {
 			if p.Name == name {
-				c.startWith(ctrl.Config{Name: name, Address: p.Address, DataDir: c.folder(name), Peers: c.peers, Bootstrap: true})
+				c.startWith(ctrl.Config{Name: name, Address: p.Address, DataDir: c.folder(name), Peers: c.seenBy(name), Bootstrap: true})
 			}
 		}
 	}
 }
 
+// seenBy returns the peers at the addresses that an instance uses for them.
+func (c *cluster) seenBy(name string) []ctrl.Peer {
+	seen := slices.Clone(c.peers)
+	for i, p := range seen {
+		if r, ok := c.relays[name][p.Name]; ok {
+			seen[i].Address = r.Addr().String()
+		}
+	}
+	return seen
+}
+
 func (c *cluster) startWith(cfg ctrl.Config) *ctrl.Node {
-	cfg.Logger = log.With(log.NewLogfmtLogger(GinkgoWriter), "node", cfg.Name)
+	cfg.Logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter)), "at", log.DefaultTimestampUTC, "node", cfg.Name)
 	cfg.SnapshotEntries = c.entries
 	n, err := ctrl.New(cfg)
 	Expect(err).NotTo(HaveOccurred())
@@ -130,86 +143,6 @@
 	return func() int { return len(n.Machine().Workers()) }
 }
 
-// relay passes TCP connections on until it is frozen, as a silent partition does.
-type relay struct {
-	net.Listener
-	to     string
-	mu     sync.Mutex
-	frozen bool
-	conns  []net.Conn
-}
-
-func newRelay(to string) *relay {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	r := &relay{Listener: l, to: to}
-	go r.serve()
-	DeferCleanup(func() {
-		l.Close()
-		r.freeze(true)
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		for _, c := range r.conns {
-			c.Close()
-		}
-	})
-	return r
-}
-
-func (r *relay) freeze(frozen bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.frozen = frozen
-}
-
-func (r *relay) isFrozen() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.frozen
-}
-
-func (r *relay) serve() {
-	for {
-		in, err := r.Accept()
-		if err != nil {
-			return
-		}
-		out, err := net.Dial("tcp", r.to)
-		if err != nil {
-			in.Close()
-			continue
-		}
-		r.mu.Lock()
-		r.conns = append(r.conns, in, out)
-		r.mu.Unlock()
-		go r.pass(in, out)
-		go r.pass(out, in)
-	}
-}
-
-// pass drops what is sent while frozen; the connection stays open but is useless then.
-func (r *relay) pass(from, to net.Conn) {
-	lost := false
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buf)
-		lost = lost || r.isFrozen()
-		if err != nil && !lost {
-			to.Close()
-		}
-		if err != nil {
-			return
-		}
-		if lost {
-			continue
-		}
-		if _, err := to.Write(buf[:n]); err != nil {
-			from.Close()
-			return
-		}
-	}
-}
-
 var _ = Describe("cluster", Ordered, func() {
 	var c *cluster
 	BeforeAll(func() {
@@ -260,7 +193,7 @@
 		for _, r := range relays {
 			r.freeze(true)
 		}
-		register(c.follower(), 50)
+		register(c.nodes[c.leader()], 50)
 		Eventually(d.ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -122,6 +123,9 @@
 	// entries, or a multiple of the last snapshot's size if that is more. 0 means the defaults.
 	SnapshotEntries int
 	SnapshotBytes   int
+
+	// sync replaces (*os.File).Sync in tests of failing disks.
+	sync func(*os.File) error
 }
 
 func (cfg Config) withDefaults() Config {
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -17,8 +17,8 @@
 	Members(m quorum.Membership)
 	// Send queues a message for the member m.To.
 	Send(m quorum.Message)
-	// Heard notes that a member has sent a message.
-	Heard(id string)
+	// Answered notes that a member has answered a message.
+	Answered(id string)
 	// Close ends all streams.
 	Close()
 }
@@ -93,8 +93,8 @@
 	}
 }
 
-// Heard notes a sign of life of a member.
-func (x *exchange) Heard(id string) {
+// Answered notes that messages reach a member.
+func (x *exchange) Answered(id string) {
 	x.mu.Lock()
 	s := x.peers[id]
 	x.mu.Unlock()
@@ -137,7 +137,9 @@
 	for {
 		select {
 		case m := <-s.queue:
-			s.link.asked()
+			if asks(quorum.MessageKind(m.GetKind())) {
+				s.link.asked()
+			}
 			if err := stream.Send(m); err != nil {
 				s.pause(ctx)
 				return
@@ -151,4 +153,25 @@
 	}
 }
 
+// asks reports whether a message is one that a healthy member answers. Whoever
+// only answers learns from its calls to the leader whether it reaches it.
+func asks(kind quorum.MessageKind) bool {
+	switch kind {
+	case quorum.MessageAppend, quorum.MessageHeartbeat, quorum.MessageSnapshot, quorum.MessagePreVote:
+		return true
+	default:
+		return false
+	}
+}
+
+// answers reports whether a message is an answer to one that asks.
+func answers(kind quorum.MessageKind) bool {
+	switch kind {
+	case quorum.MessageAppendReply, quorum.MessageHeartbeatReply, quorum.MessageSnapshotReply, quorum.MessagePreVoteReply:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *sender) pause(ctx context.Context) { sleep(ctx, minBackoff) }
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -199,8 +199,15 @@
 	l.drop()
 }
 
-// answered notes a sign of life from the other side.
+// answered notes that what was sent on this connection has arrived.
 func (l *link) answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silentSince = time.Time{}
+}
+
+// inTime notes a call that was answered in time.
+func (l *link) inTime() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silentSince, l.timeouts = time.Time{}, 0
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -80,7 +80,9 @@
 
 // step hands a received message to the loop, or drops it when the loop is behind.
 func (m *member) step(msg quorum.Message) {
-	m.transport.Heard(msg.From)
+	if answers(msg.Kind) {
+		m.transport.Answered(msg.From)
+	}
 	select {
 	case m.inbox <- msg:
 	default:
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -111,7 +111,7 @@
 // identity given up, so that what it promised to others is never relied on.
 func (n *Node) openStore() error {
 	for {
-		s, rec, err := store.Open(store.Config{Dir: n.cfg.DataDir})
+		s, rec, err := store.Open(store.Config{Dir: n.cfg.DataDir, Sync: n.cfg.sync})
 		if err != nil {
 			return fmt.Errorf("open data folder: %w", err)
 		}
--- /dev/null
+++ b/ctrl/partition_test.go
@@ -0,0 +1,83 @@
+package ctrl_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/ctrl"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+var _ = Describe("silent partition of the leader", func() {
+	// Guards against two leaders that both answer, an accepted command that is
+	// lost, and a command refused as not run that runs later.
+	DescribeTable("ends its leadership and loses nothing",
+		func(both bool) {
+			c := newCluster("a", "b", "c")
+			c.mesh()
+			c.start("a", "b", "c")
+			old := c.leader()
+			register(c.nodes[old], 0)
+			By("isolating " + old)
+			c.isolate(old, true, both)
+			outcomes := tryMany(c.nodes[old], "cut", 20)
+			Eventually(c.nodes[old].ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+			Expect(c.nodes[old].Status().Role).NotTo(Equal("leader"))
+			rest := &cluster{nodes: map[string]*ctrl.Node{}}
+			for name, n := range c.nodes {
+				if name != old {
+					rest.nodes[name] = n
+				}
+			}
+			register(rest.nodes[rest.leader()], 1)
+			By("healing")
+			c.isolate(old, false, both)
+			Eventually(c.nodes[old].ViewAge, patience).Should(BeNumerically("<", time.Second))
+			By("healed")
+			register(c.nodes[old], 2)
+			for _, n := range c.nodes {
+				Expect(n.Barrier(context.Background())).To(Succeed())
+				for i := range 3 {
+					_, ok := n.Machine().Worker(fmt.Sprintf("worker-%04d", i))
+					Expect(ok).To(BeTrue())
+				}
+				for name, outcome := range outcomes {
+					_, ran := n.Machine().Worker(name)
+					Expect(ran && outcome == model.OutcomeNotRun).To(BeFalse(), "%s was refused as not run and ran", name)
+					Expect(ran || outcome != model.OutcomeDone).To(BeTrue(), "%s was accepted and is lost", name)
+				}
+			}
+		},
+		Entry("in both directions", true),
+		Entry("of the connections that it makes", false),
+	)
+})
+
+// tryMany executes commands at once and returns the outcome of each.
+func tryMany(n *ctrl.Node, prefix string, count int) map[string]model.Outcome {
+	outcomes := map[string]model.Outcome{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range count {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(100*(i+1))*time.Millisecond)
+			defer cancel()
+			name := fmt.Sprintf("%s-%d", prefix, i)
+			_, err := n.Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: name}})
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[name] = model.OutcomeDone
+			if err != nil {
+				outcomes[name] = model.AsError(err).Outcome
+			}
+		})
+	}
+	wg.Wait()
+	return outcomes
+}
--- /dev/null
+++ b/ctrl/unit_test.go
@@ -0,0 +1,131 @@
+package ctrl_test
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/ctrl"
+	"turmericroute/model"
+	"turmericroute/quorum"
+	"turmericroute/state"
+)
+
+func command(index, term uint64, c state.Command) quorum.Entry {
+	data, err := state.Encode(c)
+	Expect(err).NotTo(HaveOccurred())
+	return quorum.Entry{Index: index, Term: term, Kind: quorum.EntryCommand, Data: data}
+}
+
+var _ = Describe("answers to proposers", func() {
+	It("gives the result once the entry is applied", func() {
+		a := ctrl.NewApplier()
+		done := a.Wait(1, 2)
+		_, _, ok := ctrl.Answer(done)
+		Expect(ok).To(BeFalse())
+		a.Commit(command(1, 2, patch("p", 0)))
+		res, err, ok := ctrl.Answer(done)
+		Expect(ok).To(BeTrue())
+		Expect(err).To(BeNil())
+		Expect(res.Version).To(Equal(uint64(1)))
+	})
+
+	// Guards against a lost command being reported as unknown, or a committed one as not run.
+	It("tells each of several proposers of one index what became of its entry", func() {
+		a := ctrl.NewApplier()
+		lost, won := a.Wait(1, 2), a.Wait(1, 4)
+		a.Commit(command(1, 4, patch("p", 0)))
+		_, err, _ := ctrl.Answer(lost)
+		Expect(err.Outcome).To(Equal(model.OutcomeNotRun))
+		Expect(err.Code).To(Equal(model.CodeNoLeader))
+		_, err, _ = ctrl.Answer(won)
+		Expect(err).To(BeNil())
+	})
+
+	It("says unknown when a snapshot replaces the log", func() {
+		a := ctrl.NewApplier()
+		before, after := a.Wait(3, 1), a.Wait(9, 1)
+		Expect(a.Install(5)).To(Succeed())
+		_, err, _ := ctrl.Answer(before)
+		Expect(err.Outcome).To(Equal(model.OutcomeUnknown))
+		_, _, ok := ctrl.Answer(after)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("reports an entry that cannot be decoded and goes on", func() {
+		a := ctrl.NewApplier()
+		bad, good := a.Wait(1, 1), a.Wait(2, 1)
+		a.Commit(quorum.Entry{Index: 1, Term: 1, Kind: quorum.EntryCommand, Data: []byte("{")}, command(2, 1, patch("p", 0)))
+		res, _, _ := ctrl.Answer(bad)
+		Expect(res.Failure.Code).To(Equal(model.CodeInternal))
+		res, _, _ = ctrl.Answer(good)
+		Expect(res.Version).To(Equal(uint64(1)))
+	})
+})
+
+var _ = DescribeTable("next membership",
+	func(voters, learners string, caughtUp, pending bool, want string) {
+		s := quorum.Status{ID: "a1", Role: quorum.RoleLeader, Pending: pending, Members: map[string]quorum.MemberStatus{}}
+		for _, list := range []struct {
+			ids string
+			to  *[]quorum.Member
+		}{{voters, &s.Membership.Voters}, {learners, &s.Membership.Learners}} {
+			for i := 0; i+1 < len(list.ids); i += 2 {
+				id := list.ids[i : i+2]
+				*list.to = append(*list.to, quorum.Member{Name: id[:1], ID: id})
+				s.Members[id] = quorum.MemberStatus{CaughtUp: caughtUp}
+			}
+		}
+		next, what := ctrl.NextMembership(s)
+		got := ""
+		for _, v := range next.Voters {
+			got += v.ID
+		}
+		Expect(got).To(Equal(want))
+		Expect(what == "").To(Equal(want == ""))
+	},
+	Entry("nothing to do", "a1b1c1", "", true, false, ""),
+	Entry("a learner that lags stays one", "a1b1c1", "d1", false, false, ""),
+	Entry("a learner that has caught up", "a1b1c1", "d1", true, false, "a1b1c1d1"),
+	Entry("the lost voter of the same name goes first", "a1b1c1", "c2", true, false, "a1b1"),
+	Entry("then the learner takes its place", "a1b1", "c2", true, false, "a1b1c2"),
+	Entry("one change at a time", "a1b1", "c2", true, true, ""),
+	Entry("the leader never removes itself", "a1b1c1", "a2", true, false, "a1b1c1a2"),
+)
+
+var _ = Describe("times of commands", func() {
+	It("are the leader's, and the deadline of a key keeps its distance", func() {
+		c := ctrl.Stamp(state.ClaimKey{Key: model.Key{CreatedMS: 5000, DeadlineMS: 7000}}, 100)
+		Expect(c).To(Equal(state.ClaimKey{Key: model.Key{CreatedMS: 100, DeadlineMS: 2100}}))
+		Expect(ctrl.Stamp(state.CancelJob{ID: "j", AtMS: 5000}, 100)).To(Equal(state.CancelJob{ID: "j", AtMS: 100}))
+	})
+})
+
+var _ = Describe("failing disk", func() {
+	// Guards against acknowledging what the disk has not kept.
+	It("stops the member at the first failed sync", func() {
+		var broken atomic.Bool
+		c := newCluster("a")
+		cfg := ctrl.Config{Name: "a", Address: c.peers[0].Address, DataDir: c.folder("a"), Peers: c.peers, Bootstrap: true}
+		n := c.startWith(cfg.WithSync(func(f *os.File) error {
+			if broken.Load() {
+				return errors.New("input/output error")
+			}
+			return f.Sync()
+		}))
+		register(n, 0)
+		Expect(n.Failed()).NotTo(BeClosed())
+		broken.Store(true)
+		_, err := n.Execute(context.Background(), patch("p", 0))
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
+		Eventually(n.Failed(), patience).Should(BeClosed())
+		broken.Store(false)
+		_, err = n.Execute(context.Background(), patch("q", 0))
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+		Expect(n.Machine().Config().Version).To(BeZero())
+	})
+})
--- a/ctrl/view.go
+++ b/ctrl/view.go
@@ -117,7 +117,7 @@
 		n.forget(p.Name)
 		return 0, false
 	}
-	l.answered()
+	l.inTime()
 	if resp.GetNotLeader() {
 		n.redirect(p.Name, resp.GetLeader())
 		return 0, false
