--- a/cmd/bench/commit.go
+++ b/cmd/bench/commit.go
@@ -51,8 +51,8 @@
 			return err
 		}
 	}
-	f["commit_p50_ms"], f["commit_p99_ms"] = ms(quantile(commits, 0.5)), ms(quantile(commits, 0.99))
-	f["sync_p50_ms"], f["sync_p99_ms"] = ms(quantile(syncs, 0.5)), ms(quantile(syncs, 0.99))
+	f["commit_p50_ms"], f["commit_p99_ms"] = millis(quantile(commits, 0.5)), millis(quantile(commits, 0.99))
+	f["sync_p50_ms"], f["sync_p99_ms"] = millis(quantile(syncs, 0.5)), millis(quantile(syncs, 0.99))
 	f["commit_p50_ratio"] = f["commit_p50_ms"] / f["sync_p50_ms"]
 	f["commit_p99_ratio"] = f["commit_p99_ms"] / f["sync_p99_ms"]
 	one, err := throughput(n, 1)
@@ -134,7 +134,7 @@
 		}
 		delays = append(delays, slowest)
 	}
-	f["in_force_p50_ms"], f["in_force_p99_ms"] = ms(quantile(delays, 0.5)), ms(quantile(delays, 0.99))
+	f["in_force_p50_ms"], f["in_force_p99_ms"] = millis(quantile(delays, 0.5)), millis(quantile(delays, 0.99))
 	return nil
 }
 
