--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -64,8 +64,8 @@
 	// DefaultSnapshotBytes is how many bytes of entries are applied between two snapshots at least.
 	DefaultSnapshotBytes = 256 << 10
 	// snapshotShare times the size of the last snapshot is how many bytes of entries are applied before the
-	// next one, so that snapshots add a quarter to what is written at most and the log stays in proportion.
-	snapshotShare = 4
+	// next one, so that snapshots add half to what is written at most and the log stays in proportion.
+	snapshotShare = 2
 	// keepShare of the entries between two snapshots stays in the log for followers that are a little behind.
 	keepShare = 4
 )
