Decode commands where they are proposed

Cause: decoding was most of the applier's work (1.2 of 1.4 s in a profile of 64 writers), and the applier does one entry after the other. Change: the leader's proposers decode what they encoded, and the applier uses that.

--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -21,7 +21,9 @@
 
 type waiter struct {
 	term uint64
-	done chan outcome
+	// command is what the entry decodes to, nil when the entry must be decoded.
+	command state.Command
+	done    chan outcome
 }
 
 // work is a run of committed entries, or a snapshot that replaces the state.
@@ -88,10 +90,10 @@
 }
 
 // wait registers a proposer before its entry can be committed.
-func (a *applier) wait(index, term uint64, done chan outcome) {
+func (a *applier) wait(index uint64, w waiter) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.waiters[index] = append(a.waiters[index], waiter{term: term, done: done})
+	a.waiters[index] = append(a.waiters[index], w)
 }
 
 func unknownOutcome(why string) outcome {
@@ -175,7 +177,9 @@
 	var members *quorum.Membership
 	switch e.Kind {
 	case quorum.EntryCommand:
-		cmd, decodeErr = state.Decode(e.Data)
+		if cmd = a.proposed(e); cmd == nil {
+			cmd, decodeErr = state.Decode(e.Data)
+		}
 	case quorum.EntryMembership:
 		members = &quorum.Membership{}
 		decodeErr = json.Unmarshal(e.Data, members)
@@ -200,6 +204,18 @@
 	a.answer(e, res)
 }
 
+// proposed returns the command that was proposed here for an entry, already decoded.
+func (a *applier) proposed(e quorum.Entry) state.Command {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.waiters[e.Index] {
+		if w.term == e.Term {
+			return w.command
+		}
+	}
+	return nil
+}
+
 // answer tells the proposers at the entry's index how their commands ended.
 func (a *applier) answer(e quorum.Entry, res state.Result) {
 	a.mu.Lock()
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -68,8 +68,13 @@
 	if err != nil {
 		return outcome{err: model.NotRun(model.CodeInvalid, "%v", err)}
 	}
+	// All members must apply the same value, and decoding here spares the applier, which does one entry at a time.
+	same, err := state.Decode(data)
+	if err != nil {
+		return outcome{err: model.NotRun(model.CodeInvalid, "%v", err)}
+	}
 	start := time.Now()
-	out := n.member.Load().submit(ctx, &proposal{data: data, term: o.term})
+	out := n.member.Load().submit(ctx, &proposal{data: data, command: same, term: o.term})
 	n.metrics.commitSeconds.UpdateDuration(start)
 	return out
 }
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -32,7 +32,7 @@
 // Wait registers a proposer.
 func (t Applier) Wait(index, term uint64) chan outcome {
 	done := make(chan outcome, 1)
-	t.a.wait(index, term, done)
+	t.a.wait(index, waiter{term: term, done: done})
 	return done
 }
 
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -13,6 +13,7 @@
 
 	"turmericroute/model"
 	"turmericroute/quorum"
+	"turmericroute/state"
 	"turmericroute/store"
 )
 
@@ -20,7 +21,9 @@
 
 // proposal is a command or a membership on its way into the log.
 type proposal struct {
-	data       []byte
+	data []byte
+	// command is what data decodes to.
+	command    state.Command
 	membership *quorum.Membership
 	// term is the one in which the command was admitted; in another one it is refused.
 	term uint64
@@ -175,7 +178,7 @@
 	case err != nil:
 		p.done <- outcome{err: model.NotRun(model.CodeUnavailable, "propose: %v", err)}
 	default:
-		m.applier.wait(index, term, p.done)
+		m.applier.wait(index, waiter{term: term, command: p.command, done: p.done})
 	}
 }
 
