Answer proposers before the next batch is synced

Cause: entries that were committed while a batch waited were applied only after that batch was on the disk. Change: committed entries that this disk already holds are handed to the applier before the sync.

--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -194,17 +194,40 @@
 			return nil
 		}
 		m.send(r.Messages, beforeSync)
+		saved, rest := committedBefore(r)
+		m.apply(saved)
 		if err := m.save(r); err != nil {
 			return err
 		}
 		m.send(r.Messages, afterSync)
-		if len(r.Committed) > 0 {
-			m.applier.enqueue(work{entries: r.Committed})
-		}
+		m.apply(rest)
 		m.protocol.Advance(r)
 	}
 }
 
+// committedBefore splits the committed entries into those that this disk holds
+// already and those that are yet to be saved.
+func committedBefore(r quorum.Ready) (saved, rest []quorum.Entry) {
+	if r.Snapshot != nil {
+		return nil, r.Committed
+	}
+	if len(r.Entries) == 0 {
+		return r.Committed, nil
+	}
+	n := 0
+	for n < len(r.Committed) && r.Committed[n].Index < r.Entries[0].Index {
+		n++
+	}
+	return r.Committed[:n], r.Committed[n:]
+}
+
+// apply hands committed entries to the applier.
+func (m *member) apply(committed []quorum.Entry) {
+	if len(committed) > 0 {
+		m.applier.enqueue(work{entries: committed})
+	}
+}
+
 // Messages of the leader promise nothing about its own disk, so that followers
 // can sync at the same time as it does.
 const (
