--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -63,8 +64,8 @@
 	// DefaultSnapshotBytes is how many bytes of entries are applied between two snapshots at least.
 	DefaultSnapshotBytes = 256 << 10
 	// snapshotShare times the size of the last snapshot is how many bytes of entries are applied before the
-	// next one, so that snapshots add a quarter to what is written at most and the log stays in proportion.
-	snapshotShare = 4
+	// next one, so that snapshots add half to what is written at most and the log stays in proportion.
+	snapshotShare = 2
 	// keepShare of the entries between two snapshots stays in the log for followers that are a little behind.
 	keepShare = 4
 )
@@ -124,6 +125,9 @@
 	// entries, or a multiple of the last snapshot's size if that is more. 0 means the defaults.
 	SnapshotEntries int
 	SnapshotBytes   int
+
+	// sync replaces (*os.File).Sync in tests of failing disks.
+	sync func(*os.File) error
 }
 
 func (cfg Config) withDefaults() Config {
