Count on the usual deviation when dropping late requests

Cause: at 150% load about 2% of the requests left the queue so late that their answers missed the deadline, and their slots were wasted.

Change: the expected time of a request is its average plus the average distance from it, where requests are refused or dropped for their deadlines. The bench prints how late the load generator was.

--- a/cmd/bench/route_load.go
+++ b/cmd/bench/route_load.go
@@ -75,6 +75,8 @@
 	Seconds   float64        `json:"seconds"`
 	// Goodput is the good answers a second in the last three quarters of the time.
 	Goodput float64 `json:"goodput"`
+	// LagP99 is how late the generator itself was; a large one spoils the other figures.
+	LagP99 int64 `json:"lag_p99"`
 }
 
 type loader struct {
@@ -94,6 +96,7 @@
 type sample struct {
 	at, work time.Duration
 	latency  time.Duration
+	lag      time.Duration
 	outcome  model.Outcome
 	code     string
 	id       string
@@ -224,6 +227,7 @@
 }
 
 func (l *loader) send(req loadRequest, s *sample, target string, due time.Time) {
+	s.lag = time.Since(due)
 	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout+time.Second)
 	defer cancel()
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, target+"/plan", strings.NewReader(strings.Repeat("x", req.BodyBytes)))
@@ -278,7 +282,9 @@
 	resp := loadResponse{Sent: len(all), Codes: map[string]int{}}
 	latency := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	wait := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+	lag := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	for _, s := range all {
+		record(lag, s.lag)
 		if s.code != "" {
 			resp.Codes[s.code]++
 		}
@@ -296,6 +302,7 @@
 		record(wait, s.latency-s.work)
 	}
 	resp.P50, resp.P99 = latency.ValueAtQuantile(50), latency.ValueAtQuantile(99)
+	resp.LagP99 = lag.ValueAtQuantile(99)
 	resp.WaitP50, resp.WaitP99 = wait.ValueAtQuantile(50), wait.ValueAtQuantile(99)
 	return resp
 }
--- a/cmd/bench/route_phase.go
+++ b/cmd/bench/route_phase.go
@@ -220,9 +220,9 @@
 		}
 		cpu = cpuSeconds() - cpu
 		amp := float64(sent) / float64(ours.Sent)
-		fmt.Printf("%s: %-5s sent %d, success %.4f, goodput %.3f of capacity, p50 %.1f ms, p99 %.1f ms, wait p99 %.1f ms, amplification %.3f, met a full executor %.4f, keys run twice %d, false not_run %d of %d, max connections %d, %.2f cores, codes %v\n",
+		fmt.Printf("%s: %-5s sent %d, success %.4f, goodput %.3f of capacity, p50 %.1f ms, p99 %.1f ms, wait p99 %.1f ms, amplification %.3f, met a full executor %.4f, keys run twice %d, false not_run %d of %d, max connections %d, %.2f cores, generator late by %.1f ms at p99, codes %v\n",
 			name, side.name, ours.Sent, float64(ours.OK)/float64(ours.Sent), ours.Goodput/capacityPerSecond,
-			ms(ours.P50), ms(ours.P99), ms(ours.WaitP99), amp, float64(st.Refused)/float64(ours.Sent), st.DoubleKeys, st.FalseNotRun, len(ours.NotRun), st.MaxConnections, cpu/ours.Seconds, ours.Codes)
+			ms(ours.P50), ms(ours.P99), ms(ours.WaitP99), amp, float64(st.Refused)/float64(ours.Sent), st.DoubleKeys, st.FalseNotRun, len(ours.NotRun), st.MaxConnections, cpu/ours.Seconds, ms(ours.LagP99), ours.Codes)
 		if side.name == "entry" {
 			b.sum.amplify = max(b.sum.amplify, amp)
 		}
--- a/entry/service.go
+++ b/entry/service.go
@@ -154,7 +154,7 @@
 
 func (s *service) pace() route.Pace {
 	lat := max(s.set.Latency(), minServiceTime)
-	return route.Pace{PerSecond: float64(s.set.InFlight()) / lat.Seconds(), Service: s.set.Latency()}
+	return route.Pace{PerSecond: float64(s.set.InFlight()) / lat.Seconds(), Service: s.set.Expected()}
 }
 
 // acquire chooses an executor for the request, waiting in the queue when none has a free slot.
@@ -246,7 +246,7 @@
 	if s.queue.Len() == 0 {
 		return
 	}
-	for _, w := range s.queue.Expire(now, s.set.Latency()) {
+	for _, w := range s.queue.Expire(now, s.set.Expected()) {
 		w.Value.(*waiting).ch <- grant{err: overloaded(s.name)}
 	}
 	for {
--- a/route/result.go
+++ b/route/result.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -115,8 +116,12 @@
 
 func (s *Set) sample(m *member, now time.Time, latency time.Duration) {
 	v := latency.Seconds()
+	if s.latency == 0 {
+		s.latency = v
+	}
 	m.latency = average(m.latency, v, m.samples == 0)
-	s.latency = average(s.latency, v, s.latency == 0)
+	s.deviation = average(s.deviation, math.Abs(v-s.latency), false)
+	s.latency = average(s.latency, v, false)
 	m.samples++
 	m.sampledAt = now
 }
--- a/route/set.go
+++ b/route/set.go
@@ -138,6 +138,7 @@
 	latency    float64 // moving average over all executors, in seconds
 	othersSum  float64
 	totalSum   float64
+	deviation  float64 // moving average of the distance from latency, in seconds
 	caution    float64 // extra margin for old reports, in requests
 	inFlight   int
 	exploredAt time.Time
@@ -192,6 +193,11 @@
 // Latency returns the moving average of the time of a request; 0 when none has ended.
 func (s *Set) Latency() time.Duration { return time.Duration(s.latency * float64(time.Second)) }
 
+// Expected returns the time within which most requests end: the average and the usual distance from it.
+func (s *Set) Expected() time.Duration {
+	return time.Duration((s.latency + s.deviation) * float64(time.Second))
+}
+
 // Query says what a request needs of an executor.
 type Query struct {
 	// Near is the preferred data centre.
