--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -26,6 +26,7 @@
 	sizes := fs.String("workers", "220,440,880", "sizes to measure, in workers")
 	window := fs.Duration("window", 6*time.Second, "how long each size is observed")
 	patches := fs.Int("patches", 10, "configuration changes timed at each size")
+	events := fs.Bool("events", true, "put the last size through the loss of the leader, a rack and a data centre")
 	return &ffcli.Command{
 		Name: "capacity", ShortUsage: "bench capacity [flags]", ShortHelp: "costs of each role at growing sizes",
 		LongHelp: capacityUsage, FlagSet: fs,
@@ -36,7 +37,7 @@
 			}
 			cfg := sizing.Config{
 				Binary: exe, Command: []string{"instance"}, TasksPerWorker: float64(sizing.FullTasks) / sizing.FullWorkers,
-				Window: *window, Patches: *patches,
+				Window: *window, Patches: *patches, Events: *events,
 			}
 			for _, s := range strings.Split(*sizes, ",") {
 				n, err := strconv.Atoi(s)
--- a/sizing/run.go
+++ b/sizing/run.go
@@ -32,6 +32,8 @@
 	Window time.Duration
 	// Patches is how many configuration changes are timed at each size.
 	Patches int
+	// Events puts the last size through the loss of the leader, a rack and a data centre.
+	Events bool
 }
 
 // Letter sizes, from docs/CAPACITY.md.
@@ -62,8 +64,10 @@
 // Run measures all sizes and writes one line for each, then the slopes.
 func Run(ctx context.Context, cfg Config, out io.Writer) error {
 	var samples []sample
-	for _, n := range cfg.Workers {
-		s, err := measure(ctx, cfg, n)
+	for i, n := range cfg.Workers {
+		one := cfg
+		one.Events = cfg.Events && i == len(cfg.Workers)-1
+		s, err := measure(ctx, one, n, out)
 		if err != nil {
 			return fmt.Errorf("measure %d workers: %w", n, err)
 		}
@@ -85,7 +89,7 @@
 }
 
 // measure runs one size from the first start to the end.
-func measure(ctx context.Context, cfg Config, workers int) (sample, error) {
+func measure(ctx context.Context, cfg Config, workers int, out io.Writer) (sample, error) {
 	dir, err := os.MkdirTemp("", "turmericroute-sizing-")
 	if err != nil {
 		return sample{}, fmt.Errorf("make folder: %w", err)
@@ -103,7 +107,7 @@
 		return sample{}, fmt.Errorf("%w\n%s", err, c.Tails(10))
 	}
 	m := &measurement{cfg: cfg, c: c, api: c.Client(), dir: dir}
-	s, err := m.run(ctx, workers)
+	s, err := m.run(ctx, workers, out)
 	if err != nil {
 		return s, fmt.Errorf("%w\n%s", err, c.Tails(10))
 	}
@@ -118,7 +122,7 @@
 	bytes atomic.Int64
 }
 
-func (m *measurement) run(ctx context.Context, workers int) (sample, error) {
+func (m *measurement) run(ctx context.Context, workers int, out io.Writer) (sample, error) {
 	s := sample{workers: workers, tasks: int(float64(workers) * m.cfg.TasksPerWorker)}
 	declared := declare(workers)
 	if _, err := m.api.Patch(ctx, config.Patch{ID: "size", Changes: config.Diff(config.Config{}, declared)}); err != nil {
@@ -141,7 +145,10 @@
 	if err := m.observe(ctx, &s); err != nil {
 		return s, err
 	}
-	return s, m.timePatches(ctx, &s)
+	if err := m.timePatches(ctx, &s); err != nil || !m.cfg.Events {
+		return s, err
+	}
+	return s, m.events(ctx, out, site, declared, s.tasks/gangTasks)
 }
 
 // countingClient returns a client for all workers whose connections count their bytes.
@@ -225,7 +232,7 @@
 			for i := range jobs {
 				if err == nil {
 					_, err = m.api.SubmitJob(ctx, model.JobSpec{
-						ID: fmt.Sprintf("job-%05d", i), Team: fmt.Sprintf("team%d", i%teams+1),
+						ID: fmt.Sprintf("%s%05d", jobPrefix, i), Team: fmt.Sprintf("team%d", i%teams+1),
 						Shape: model.Shape{Tasks: gangTasks, Cores: 1, MemoryMB: 1024}, DeclaredSeconds: 3600, Payload: `{"work_seconds": 100000}`,
 					})
 				}
@@ -269,10 +276,8 @@
 		return err
 	}
 	polled, begin := m.bytes.Load(), time.Now()
-	select {
-	case <-ctx.Done():
-		return fmt.Errorf("observe: %w", ctx.Err())
-	case <-time.After(m.cfg.Window):
+	if err := sleep(ctx, m.cfg.Window); err != nil {
+		return err
 	}
 	after, err := m.read()
 	if err != nil {
