--- a/sizing/event.go
+++ b/sizing/event.go
@@ -117,26 +117,51 @@
 	return fmt.Sprintf("workers=%d tasks_hit=%d all_running_ms=%d", rack.Workers, hit, time.Since(start).Milliseconds()), nil
 }
 
-// dataCentreOut takes a data centre out of service and reports the time until no task runs there.
+// busiest returns the data centre with the most tasks and their number.
+func (m *measurement) busiest(ctx context.Context, declared config.Config) (string, int, error) {
+	list, err := m.api.Jobs(ctx, "", model.JobRunning)
+	if err != nil {
+		return "", 0, fmt.Errorf("list jobs: %w", err)
+	}
+	name, most := "", 0
+	for _, dc := range declared.DataCentres {
+		n := 0
+		for _, j := range list {
+			for _, w := range j.Placement.Workers {
+				if strings.HasPrefix(w, dc.Name+"-") {
+					n++
+				}
+			}
+		}
+		if n > most {
+			name, most = dc.Name, n
+		}
+	}
+	return name, most, nil
+}
+
+// dataCentreOut takes the busiest data centre out of service and reports the time until all its gangs run elsewhere.
 func (m *measurement) dataCentreOut(ctx context.Context, _ *itest.Site, declared config.Config, jobs int) (string, error) {
-	dc := declared.DataCentres[4]
+	dc, tasks, err := m.busiest(ctx, declared)
+	if err != nil {
+		return "", err
+	}
 	cfg, err := m.api.Config(ctx)
 	if err != nil {
 		return "", fmt.Errorf("read configuration: %w", err)
 	}
 	start := time.Now()
 	_, err = m.api.Patch(ctx, config.Patch{ID: "out", BaseVersion: cfg.Version, Changes: []config.Change{
-		{SetDataCentre: &config.DataCentreInService{Name: dc.Name, OutOfService: true, Reason: "measurement"}},
+		{SetDataCentre: &config.DataCentreInService{Name: dc, OutOfService: true, Reason: "measurement"}},
 	}})
 	if err != nil {
 		return "", fmt.Errorf("patch: %w", err)
 	}
-	if err := until(ctx, func() error {
-		return m.movedFrom(ctx, jobs, func(w string) bool { return strings.HasPrefix(w, dc.Name+"-") })
-	}); err != nil {
+	away := func(w string) bool { return strings.HasPrefix(w, dc+"-") }
+	if err := until(ctx, func() error { return m.movedFrom(ctx, jobs, away) }); err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("all_running_elsewhere_ms=%d", time.Since(start).Milliseconds()), nil
+	return fmt.Sprintf("tasks=%d all_running_elsewhere_ms=%d", tasks, time.Since(start).Milliseconds()), nil
 }
 
 // movedFrom returns nil once all filling jobs run and none has a task on the workers named by away.
