Check the lease again before a poll is answered

The watchdog that ends leadership fires up to 250 ms after the loop last saw the lease held, which can be later than the lease. An answer to a poll renews leases that the next leader counts from its election, so the lease is checked once more on the protocol loop before the answer leaves. The partition test holds a poll across the change of leader; without the check it fails.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -30,6 +30,7 @@
 	relays  map[string]map[string]*relay // by sender and receiver, nil for direct connections
 	nodes   map[string]*ctrl.Node
 	entries int // between snapshots, 0 for the default
+	role    *slowRole
 }
 
 func newCluster(controls ...string) *cluster {
@@ -85,6 +86,9 @@
 func (c *cluster) startWith(cfg ctrl.Config) *ctrl.Node {
 	cfg.Logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter)), "at", log.DefaultTimestampUTC, "node", cfg.Name)
 	cfg.SnapshotEntries = c.entries
+	if c.role != nil {
+		cfg.Leader = c.role
+	}
 	n, err := ctrl.New(cfg)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(n.Start(context.Background())).To(Succeed())
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -245,5 +245,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(o.ctx, cancel)()
-	return n.cfg.Leader.Poll(ctx, req) //nolint:wrapcheck // a typed error.
+	resp, err := n.cfg.Leader.Poll(ctx, req)
+	if err != nil {
+		return model.PollResponse{}, err //nolint:wrapcheck // a typed error.
+	}
+	// The answer renews leases of tasks, which a later leader counts from its election: it must not be from
+	// after that, even if this instance has noticed the loss of its lease too late.
+	if _, term, held := n.member.Load().readIndex(ctx); !held || term != o.term {
+		return model.PollResponse{}, notLeader()
+	}
+	return resp, nil
 }
--- a/ctrl/partition_test.go
+++ b/ctrl/partition_test.go
@@ -21,9 +21,16 @@
 		func(both bool) {
 			c := newCluster("a", "b", "c")
 			c.mesh()
+			c.role = &slowRole{started: make(chan bool, 1), release: make(chan bool)}
 			c.start("a", "b", "c")
 			old := c.leader()
 			register(c.nodes[old], 0)
+			polled := make(chan error, 1)
+			go func() {
+				_, err := c.nodes[old].Poll(context.Background(), model.PollRequest{})
+				polled <- err
+			}()
+			Eventually(c.role.started, patience).Should(Receive())
 			By("isolating " + old)
 			c.isolate(old, true, both)
 			outcomes := tryMany(c.nodes[old], "cut", 10)
@@ -36,6 +43,8 @@
 				}
 			}
 			register(rest.nodes[rest.leader()], 1)
+			close(c.role.release)
+			Eventually(polled, patience).Should(Receive(HaveOccurred()), "a poll answered after another leader was elected")
 			By("healing")
 			c.isolate(old, false, both)
 			Eventually(c.nodes[old].ViewAge, patience).Should(BeNumerically("<", time.Second))
@@ -59,6 +68,21 @@
 	)
 })
 
+// slowRole answers polls only when released, whatever happens to their context.
+type slowRole struct{ started, release chan bool }
+
+func (r *slowRole) Lead(ctx context.Context, _ uint64, _ state.Replica) { <-ctx.Done() }
+
+func (r *slowRole) Poll(context.Context, model.PollRequest) (model.PollResponse, error) {
+	r.started <- true
+	<-r.release
+	return model.PollResponse{}, nil
+}
+
+func (r *slowRole) Admit(*state.Machine, state.Command) *model.Error { return nil }
+
+func (r *slowRole) Dump() any { return nil }
+
 // tryMany executes commands at once and returns the outcome of each.
 func tryMany(n *ctrl.Node, prefix string, count int) map[string]model.Outcome {
 	outcomes := map[string]model.Outcome{}
