--- a/cmd/bench/route_load.go
+++ b/cmd/bench/route_load.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"container/heap"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,7 +53,9 @@
 	IdealSlots int `json:"ideal_slots"`
 	// Open opens connections with one request each, which takes WorkUS, and keeps them.
 	Open int `json:"open"`
-	// Release closes the connections of Open.
+	// Idle opens connections one after the other with one request each and keeps them.
+	Idle int `json:"idle"`
+	// Release closes the connections of Open and Idle.
 	Release bool `json:"release"`
 }
 
@@ -70,10 +75,13 @@
 	Seconds   float64        `json:"seconds"`
 	// Goodput is the good answers a second in the last three quarters of the time.
 	Goodput float64 `json:"goodput"`
+	// LagP99 is how late the generator itself was; a large one spoils the other figures.
+	LagP99 int64 `json:"lag_p99"`
 }
 
 type loader struct {
 	client *http.Client
+	held   []net.Conn
 	seed   atomic.Uint64
 }
 
@@ -88,6 +96,7 @@
 type sample struct {
 	at, work time.Duration
 	latency  time.Duration
+	lag      time.Duration
 	outcome  model.Outcome
 	code     string
 	id       string
@@ -99,7 +108,13 @@
 	switch {
 	case req.Release:
 		l.client.CloseIdleConnections()
+		for _, c := range l.held {
+			c.Close()
+		}
+		l.held = nil
 		return loadResponse{}, nil
+	case req.Idle > 0:
+		return l.idle(req)
 	case req.Open > 0:
 		return l.open(req), nil
 	case req.Closed > 0:
@@ -184,7 +199,35 @@
 	return summarise(all)
 }
 
+func (l *loader) idle(req loadRequest) (loadResponse, error) {
+	resp := loadResponse{Sent: req.Idle}
+	for i := range req.Idle {
+		u, err := url.Parse(req.Targets[i%len(req.Targets)])
+		if err != nil {
+			return resp, fmt.Errorf("parse target: %w", err)
+		}
+		c, err := net.Dial("tcp", u.Host)
+		if err != nil {
+			return resp, fmt.Errorf("open idle connection: %w", err)
+		}
+		l.held = append(l.held, c)
+		if _, err := fmt.Fprintf(c, "GET %s/idle HTTP/1.1\r\nHost: x\r\n%s: %s\r\n\r\n", u.Path, entry.HeaderTeam, teamName); err != nil {
+			return resp, fmt.Errorf("send on idle connection: %w", err)
+		}
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return resp, fmt.Errorf("read on idle connection: %w", err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			resp.OK++
+		}
+	}
+	return resp, nil
+}
+
 func (l *loader) send(req loadRequest, s *sample, target string, due time.Time) {
+	s.lag = time.Since(due)
 	ctx, cancel := context.WithTimeout(context.Background(), req.Timeout+time.Second)
 	defer cancel()
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, target+"/plan", strings.NewReader(strings.Repeat("x", req.BodyBytes)))
@@ -239,7 +282,9 @@
 	resp := loadResponse{Sent: len(all), Codes: map[string]int{}}
 	latency := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	wait := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+	lag := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
 	for _, s := range all {
+		record(lag, s.lag)
 		if s.code != "" {
 			resp.Codes[s.code]++
 		}
@@ -257,6 +302,7 @@
 		record(wait, s.latency-s.work)
 	}
 	resp.P50, resp.P99 = latency.ValueAtQuantile(50), latency.ValueAtQuantile(99)
+	resp.LagP99 = lag.ValueAtQuantile(99)
 	resp.WaitP50, resp.WaitP99 = wait.ValueAtQuantile(50), wait.ValueAtQuantile(99)
 	return resp
 }
--- a/cmd/bench/route_phase.go
+++ b/cmd/bench/route_phase.go
@@ -133,22 +133,28 @@
 		return err
 	}
 	base := residentKB()
-	targets := b.entries
+	quiet, err := b.run(loadRequest{Targets: b.entries, Idle: n})
+	if err != nil {
+		return err
+	}
+	debug.FreeOSMemory()
+	idle := residentKB()
+	if err := release(); err != nil {
+		return err
+	}
+	again := residentKB()
 	active := make(chan int64, 1)
 	go func() {
 		time.Sleep(700 * time.Millisecond)
 		debug.FreeOSMemory()
 		active <- residentKB()
 	}()
-	t, err := b.run(loadRequest{Name: "active", Targets: targets, Open: n, WorkUS: 1_000_000, BodyBytes: 512})
+	t, err := b.run(loadRequest{Name: "active", Targets: b.entries, Open: n, WorkUS: 1_000_000, BodyBytes: 512})
 	if err != nil {
 		return err
 	}
-	busy := <-active
-	debug.FreeOSMemory()
-	idle := residentKB()
-	fmt.Printf("memory: %d KB before, %d KB with %d active (%.1f KB each, connection to the executor included), %d KB with them idle (%.1f KB each), ok %d of %d %v\n",
-		base, busy, n, float64(busy-base)/n, idle, float64(idle-base)/n, t.OK, t.Sent, t.Codes)
+	fmt.Printf("memory: %d KB before, %.1f KB for each of %d idle connections (ok %d); %d KB before, %.1f KB for each of %d active ones with the connection to the executor (ok %d)\n",
+		base, float64(idle-base)/n, n, quiet.OK, again, float64(<-active-again)/n, n, t.OK)
 	return release()
 }
 
@@ -201,7 +207,7 @@
 		if _, err = b.ledgers(nil, false); err != nil {
 			return ours, st, err
 		}
-		before := b.attemptsTotal() + b.attempts.Load()
+		before, cpu := b.attemptsTotal()+b.attempts.Load(), cpuSeconds()
 		if event != nil {
 			t := time.AfterFunc(side.long/4, event)
 			defer t.Stop()
@@ -216,10 +222,11 @@
 		if st, err = b.ledgers(ours.NotRun, side.name == "entry"); err != nil {
 			return ours, st, err
 		}
+		cpu = cpuSeconds() - cpu
 		amp := float64(sent) / float64(ours.Sent)
-		fmt.Printf("%s: %-5s sent %d, success %.4f, goodput %.3f of capacity, p50 %.1f ms, p99 %.1f ms, wait p99 %.1f ms, amplification %.3f, met a full executor %.4f, keys run twice %d, false not_run %d of %d, max connections %d, codes %v\n",
+		fmt.Printf("%s: %-5s sent %d, success %.4f, goodput %.3f of capacity, p50 %.1f ms, p99 %.1f ms, wait p99 %.1f ms, amplification %.3f, met a full executor %.4f, keys run twice %d, false not_run %d of %d, max connections %d, %.2f cores, generator late by %.1f ms at p99, codes %v\n",
 			name, side.name, ours.Sent, float64(ours.OK)/float64(ours.Sent), ours.Goodput/capacityPerSecond,
-			ms(ours.P50), ms(ours.P99), ms(ours.WaitP99), amp, float64(st.Refused)/float64(ours.Sent), st.DoubleKeys, st.FalseNotRun, len(ours.NotRun), st.MaxConnections, ours.Codes)
+			ms(ours.P50), ms(ours.P99), ms(ours.WaitP99), amp, float64(st.Refused)/float64(ours.Sent), st.DoubleKeys, st.FalseNotRun, len(ours.NotRun), st.MaxConnections, cpu/ours.Seconds, ms(ours.LagP99), ours.Codes)
 		if side.name == "entry" {
 			b.sum.amplify = max(b.sum.amplify, amp)
 		}
@@ -246,7 +253,10 @@
 
 // overload offers 150% of the capacity.
 func (b *bench) overload() error {
-	r, _, err := b.pair("overload", loadRequest{Rate: 1.5 * capacityPerSecond, Timeout: 500 * time.Millisecond}, nil)
+	if err := b.executors(executorCount, slotCount); err != nil {
+		return err
+	}
+	r, _, err := b.pair("overload", loadRequest{Rate: 1.5 * capacityPerSecond, Timeout: time.Second}, nil)
 	if err != nil {
 		return err
 	}
@@ -263,7 +273,7 @@
 	if err := b.stand.call(standRequest{Op: "set", From: 0, To: executorCount / 10, Slow: 10}, &none); err != nil {
 		return err
 	}
-	_, _, err := b.pair("slow", loadRequest{Rate: 0.6 * capacityPerSecond, Timeout: 3 * time.Second}, nil)
+	_, _, err := b.pair("slow", loadRequest{Rate: 0.6 * capacityPerSecond, Timeout: 2 * time.Second}, nil)
 	return err
 }
 
--- a/cmd/turmericroute/keys_test.go
+++ b/cmd/turmericroute/keys_test.go
@@ -65,7 +65,7 @@
 	It("completes subcommands and flags, and knows three shells", func() {
 		r := &runner{}
 		Expect(r.ok("completion", "words", "--", "con")).To(Equal("config\n"))
-		Expect(strings.Fields(r.ok("completion", "words", "--", "job", ""))).To(Equal([]string{"submit", "get", "list", "cancel"}))
+		Expect(strings.Fields(r.ok("completion", "words", "--", "job", ""))).To(Equal([]string{"submit", "get", "explain", "list", "cancel"}))
 		Expect(r.ok("completion", "words", "--", "job", "submit", "-same")).To(Equal("-same-rack\n"))
 		for _, shell := range []string{"bash", "zsh", "fish"} {
 			Expect(r.ok("completion", shell)).To(ContainSubstring("completion words"))
@@ -91,7 +91,7 @@
 				Expect(string(page)).To(ContainSubstring("`turmericroute " + p))
 			}
 		}
-		for _, code := range []string{"0", "1", "2", "3", "4", "5"} {
+		for _, code := range []string{"0", "1", "2", "3", "4", "5", "6"} {
 			Expect(string(page)).To(ContainSubstring("\n| " + code + " | "))
 		}
 	})
--- a/gang/attempt.go
+++ b/gang/attempt.go
@@ -34,6 +34,8 @@
 	// checkpointSeq is the last checkpoint command completed, wantSeq the one sent for a reclaim.
 	checkpointSeq, wantSeq uint64
 	usage                  model.Resources
+	// message is what the worker said of the task's end.
+	message string
 	// gone reports that the worker itself said that it does not have the task, so no lease is running.
 	gone bool
 }
@@ -212,19 +214,21 @@
 		l.move(a, state.MoveJob{To: model.JobDone}, now)
 		return
 	}
-	if a.reclaim == reclaimStop {
-		l.stop(a, model.JobWaiting, a.reclaimReason, now)
-		return
-	}
 	if !a.sent && !a.recovered {
+		if a.reclaim != reclaimNone {
+			l.stop(a, model.JobWaiting, a.reclaimReason, now)
+			return
+		}
 		a.sent = true
 		l.send(a, model.CommandStart)
 	}
+	if a.reclaim != reclaimNone {
+		l.advanceReclaim(a, now)
+		return
+	}
 	if !a.started {
 		l.awaitStart(a, now)
-		return
 	}
-	l.advanceReclaim(a, now)
 }
 
 func (l *lead) awaitStart(a *attempt, now time.Time) {
--- a/state/snap.go
+++ b/state/snap.go
@@ -15,6 +15,7 @@
 type image struct {
 	Applied   uint64           `json:"applied"`
 	Config    config.Config    `json:"config"`
+	Base      *config.Config   `json:"base,omitempty"`
 	History   []Record         `json:"history,omitempty"`
 	Jobs      []model.Job      `json:"jobs,omitempty"`
 	Finished  []string         `json:"finished,omitempty"`
@@ -29,11 +30,15 @@
 
 // Image copies the state; it must not run together with Apply.
 func (m *Machine) Image() Image {
-	return Image{image{
+	im := image{
 		Applied: m.Applied(), Config: m.Config(), History: m.History(),
 		Jobs: m.copyJobs(), Finished: slices.Clone(m.finished), Keys: m.copyKeys(), Answered: slices.Clone(m.answered),
 		Workers: m.Workers(), Upstreams: m.Upstreams(),
-	}}
+	}
+	if base := m.base(); base.Version > 0 {
+		im.Base = &base
+	}
+	return Image{im}
 }
 
 // Encode returns the snapshot that Restore reads; it may run together with Apply.
@@ -61,6 +66,9 @@
 	m.lockAll()
 	m.clear()
 	m.cfg.current, m.cfg.history = im.Config, im.History
+	if im.Base != nil {
+		m.cfg.base = *im.Base
+	}
 	for _, r := range im.History {
 		m.cfg.byID[r.Patch.ID] = r.Version
 	}
