--- a/ctrl/partition_test.go
+++ b/ctrl/partition_test.go
@@ -81,6 +81,10 @@
 
 func (r *slowRole) Admit(*state.Machine, state.Command) *model.Error { return nil }
 
+func (r *slowRole) Report(context.Context, state.Inquiry) (state.Report, error) {
+	return state.Report{}, nil
+}
+
 func (r *slowRole) Dump() any { return nil }
 
 // tryMany executes commands at once and returns the outcome of each.
