--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -1,4 +1,4 @@
-// Command bench measures parts of turmericroute against baselines in one run.
+// Command bench measures the system; each subcommand prints key=value lines.
 package main
 
 import (
@@ -7,20 +7,28 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func main() {
-	root := &ffcli.Command{
-		Name:        "bench",
-		ShortUsage:  "bench <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{routeCommand()},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
-	}
-	err := root.ParseAndRun(context.Background(), os.Args[1:])
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := root().ParseAndRun(ctx, os.Args[1:])
+	stop()
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "bench:", err)
 		os.Exit(1)
 	}
 }
+
+func root() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "bench", ShortUsage: "bench SUBCOMMAND [flags]",
+		ShortHelp:   "measures the system and prints key=value lines",
+		FlagSet:     flag.NewFlagSet("bench", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{capacityCommand(), instanceCommand(), routeCommand(), stateCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
--- /dev/null
+++ b/ctrl/cluster_test.go
@@ -0,0 +1,295 @@
+package ctrl_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/ctrl"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+const patience = 10 * time.Second
+
+// cluster runs several instances in this process over loopback.
+type cluster struct {
+	dir     string
+	peers   []ctrl.Peer
+	relays  map[string]map[string]*relay // by sender and receiver, nil for direct connections
+	nodes   map[string]*ctrl.Node
+	entries int // between snapshots, 0 for the default
+}
+
+func newCluster(controls ...string) *cluster {
+	c := &cluster{dir: GinkgoT().TempDir(), nodes: map[string]*ctrl.Node{}}
+	for _, name := range controls {
+		c.peers = append(c.peers, ctrl.Peer{Name: name, Address: freeAddress(), Control: true})
+	}
+	DeferCleanup(func() {
+		var wg sync.WaitGroup
+		for _, n := range c.nodes {
+			wg.Go(func() { n.Close(context.Background()) })
+		}
+		wg.Wait()
+	})
+	return c
+}
+
+// freeAddress returns a loopback address below the ports that outgoing
+// connections get, so that it is still free when its instance restarts.
+func freeAddress() string {
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+}
+
+func (c *cluster) folder(name string) string { return filepath.Join(c.dir, name) }
+
+func (c *cluster) start(names ...string) {
+	for _, name := range names {
+		for _, p := range c.peers {
+			if p.Name == name {
+				c.startWith(ctrl.Config{Name: name, Address: p.Address, DataDir: c.folder(name), Peers: c.seenBy(name), Bootstrap: true})
+			}
+		}
+	}
+}
+
+// seenBy returns the peers at the addresses that an instance uses for them.
+func (c *cluster) seenBy(name string) []ctrl.Peer {
+	seen := slices.Clone(c.peers)
+	for i, p := range seen {
+		if r, ok := c.relays[name][p.Name]; ok {
+			seen[i].Address = r.Addr().String()
+		}
+	}
+	return seen
+}
+
+func (c *cluster) startWith(cfg ctrl.Config) *ctrl.Node {
+	cfg.Logger = log.With(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter)), "at", log.DefaultTimestampUTC, "node", cfg.Name)
+	cfg.SnapshotEntries = c.entries
+	n, err := ctrl.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(n.Start(context.Background())).To(Succeed())
+	c.nodes[cfg.Name] = n
+	return n
+}
+
+func (c *cluster) close(name string) {
+	Expect(c.nodes[name].Close(context.Background())).To(Succeed())
+	delete(c.nodes, name)
+}
+
+func (c *cluster) leader() string {
+	var leader string
+	Eventually(func() string {
+		leader = ""
+		for name, n := range c.nodes {
+			if n.Status().Role == "leader" && n.ViewAge() < time.Second {
+				leader = name
+			}
+		}
+		return leader
+	}, patience, 10*time.Millisecond).ShouldNot(BeEmpty())
+	return leader
+}
+
+func (c *cluster) follower() *ctrl.Node {
+	leader := c.leader()
+	for name, n := range c.nodes {
+		if name != leader {
+			return n
+		}
+	}
+	return nil
+}
+
+func execute(n *ctrl.Node, cmd state.Command) state.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	res, err := n.Execute(ctx, cmd)
+	Expect(err).NotTo(HaveOccurred())
+	return res
+}
+
+func register(n *ctrl.Node, i int) {
+	execute(n, state.RegisterWorker{Worker: model.Worker{Name: fmt.Sprintf("worker-%04d", i), Incarnation: "1"}})
+}
+
+func patch(id string, base uint64) state.PatchConfig {
+	return state.PatchConfig{Patch: config.Patch{ID: id, BaseVersion: base, Changes: []config.Change{
+		{PutTeam: &config.Team{Name: id}},
+	}}}
+}
+
+func workers(n *ctrl.Node) func() int {
+	return func() int { return len(n.Machine().Workers()) }
+}
+
+var _ = Describe("cluster", Ordered, func() {
+	var c *cluster
+	BeforeAll(func() {
+		c = newCluster("a", "b", "c")
+		c.entries = 16
+	})
+
+	// Guards against a second cluster beside one whose member is only unreachable.
+	It("forms only when all peers answer that they are fresh", func() {
+		c.start("a", "b")
+		Consistently(func() string { return c.nodes["a"].Status().Role }, 800*time.Millisecond).Should(Equal("follower"))
+		Expect(c.nodes["a"].Status().Members).To(BeEmpty())
+		c.start("c")
+		for i := range 50 {
+			register(c.follower(), i)
+		}
+	})
+
+	It("lets exactly one of several racing patches win", func() {
+		const racers = 24
+		results := make([]state.Result, racers)
+		var wg sync.WaitGroup
+		for i := range racers {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				results[i] = execute(c.nodes[string(rune('a'+i%3))], patch(fmt.Sprintf("patch-%d", i), 0))
+			})
+		}
+		wg.Wait()
+		won := 0
+		for i, r := range results {
+			if r.Failure == nil {
+				won++
+				Expect(execute(c.nodes["a"], patch(fmt.Sprintf("patch-%d", i), 0)).Version).To(Equal(uint64(1)), "a resend gets the first answer")
+				continue
+			}
+			Expect(r.Failure.Code).To(Equal(model.CodeStaleVersion))
+			Expect(r.Failure.Outcome).To(Equal(model.OutcomeNotRun))
+		}
+		Expect(won).To(Equal(1))
+	})
+
+	It("restarts from disk, from a snapshot and the rest", func() {
+		for _, name := range []string{"a", "b", "c"} {
+			c.close(name)
+			Expect(filepath.Glob(filepath.Join(c.folder(name), "snap-*"))).NotTo(BeEmpty())
+		}
+		c.start("a", "b", "c")
+		for _, n := range c.nodes {
+			Expect(n.Barrier(context.Background())).To(Succeed())
+			Expect(n.Machine().Workers()).To(HaveLen(50))
+		}
+	})
+
+	DescribeTable("an instance that lost its log rejoins under another identity, as a voter in the end",
+		func(lose func(dir string)) {
+			lost := c.follower().Status().Name
+			before := memberIDs(c.nodes[c.leader()])
+			c.close(lost)
+			lose(c.folder(lost))
+			for i := range 40 {
+				register(c.nodes[c.leader()], i)
+			}
+			c.start(lost)
+			Eventually(workers(c.nodes[lost]), patience).Should(Equal(50))
+			Eventually(func() map[string]string { return memberIDs(c.nodes[c.leader()]) }, patience).Should(And(
+				HaveLen(3), HaveKeyWithValue(lost, Not(Equal(before[lost])))))
+		},
+		Entry("wiped", func(dir string) { Expect(os.RemoveAll(dir)).To(Succeed()) }),
+		Entry("damaged", func(dir string) {
+			names, err := filepath.Glob(filepath.Join(dir, "log-*"))
+			Expect(err).NotTo(HaveOccurred())
+			b, err := os.ReadFile(names[0])
+			Expect(err).NotTo(HaveOccurred())
+			b[40] ^= 1
+			Expect(os.WriteFile(names[0], b, 0o600)).To(Succeed())
+		}),
+	)
+
+	It("follows without a disk from a snapshot, and notices a silent partition", func() {
+		var relays []*relay
+		var seen []ctrl.Peer
+		for _, p := range c.peers {
+			r := newRelay(p.Address)
+			relays = append(relays, r)
+			seen = append(seen, ctrl.Peer{Name: p.Name, Address: r.Addr().String(), Control: true})
+		}
+		d := c.startWith(ctrl.Config{Name: "d", Address: freeAddress(), Peers: seen})
+		Eventually(workers(d), patience).Should(Equal(50))
+		Eventually(d.ViewAge, patience).Should(BeNumerically("<", time.Second))
+		Expect(d.Status().Members).To(HaveLen(3))
+		for _, r := range relays {
+			r.freeze(true)
+		}
+		register(c.nodes[c.leader()], 50)
+		Eventually(d.ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		Expect(d.Barrier(ctx)).NotTo(Succeed())
+		Expect(workers(d)()).To(Equal(50))
+		for _, r := range relays {
+			r.freeze(false)
+		}
+		Eventually(workers(d), patience).Should(Equal(51))
+		Eventually(d.ViewAge, patience).Should(BeNumerically("<", model.MaxViewAge))
+		c.close("d")
+	})
+
+	// The instances that were repaired count: the loss of another one must not stop the rest.
+	It("keeps what was accepted when the leader closes", func() {
+		old := c.leader()
+		c.close(old)
+		Expect(c.leader()).NotTo(Equal(old))
+		for _, n := range c.nodes {
+			Expect(n.Barrier(context.Background())).To(Succeed())
+			Expect(n.Machine().Workers()).To(HaveLen(51))
+		}
+		for _, n := range c.nodes {
+			register(n, 51)
+		}
+	})
+
+	It("refuses truthfully when no majority is left", func() {
+		leader := c.leader()
+		for name := range c.nodes {
+			if name != leader {
+				c.close(name)
+			}
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_, err := c.nodes[leader].Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: "late"}})
+		Expect(err).To(HaveOccurred())
+		Eventually(c.nodes[leader].ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+		ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		_, err = c.nodes[leader].Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: "later"}})
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+		Expect(model.AsError(err).Code).To(Equal(model.CodeNoLeader))
+	})
+})
+
+// memberIDs returns the identities of the voters by name.
+func memberIDs(n *ctrl.Node) map[string]string {
+	ids := map[string]string{}
+	for _, v := range ctrl.Voters(n) {
+		ids[v.Name] = v.ID
+	}
+	return ids
+}
--- /dev/null
+++ b/serve/settings.go
@@ -0,0 +1,349 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"turmericroute/auth"
+	"turmericroute/config"
+	"turmericroute/webapi"
+)
+
+// Role is a part that a process plays.
+type Role string
+
+// The roles.
+const (
+	RoleControl Role = "control"
+	RoleEntry   Role = "entry"
+)
+
+// Defaults of the settings.
+const (
+	DefaultDrainDelay        = 2 * time.Second
+	DefaultShutdownTimeout   = 30 * time.Second
+	DefaultReadHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout       = 2 * time.Minute
+	DefaultMaxConnections    = 4096
+	DefaultMaxHeaderBytes    = 32 << 10
+	DefaultMaxBodyBytes      = 8 << 20
+)
+
+// Settings describe one process; they are read once, at its start.
+type Settings struct {
+	// Name is unique in the deployment and kept for the life of the instance.
+	Name       string `yaml:"name"`
+	DataCentre string `yaml:"data_centre"`
+	Roles      []Role `yaml:"roles"`
+	// HTTP is the listener for callers, operators, workers and upstreams.
+	HTTP Listener `yaml:"http"`
+	// GRPC is the listener for the other processes of the deployment.
+	GRPC Listener `yaml:"grpc"`
+	// DataFolder holds the replicated log; only control instances have one.
+	DataFolder string `yaml:"data_folder"`
+	// Peers are all instances of the deployment, this one included.
+	Peers []Peer `yaml:"peers"`
+	// Bootstrap forms a new cluster of the control peers when the data folder is empty.
+	Bootstrap bool `yaml:"bootstrap"`
+	// Tokens is the file of access tokens; without one callers are not checked.
+	Tokens string `yaml:"tokens,omitempty"`
+	// DrainDelay is the wait between readiness false and the first refusal, for the load balancer to notice.
+	DrainDelay time.Duration `yaml:"drain_delay"`
+	// ShutdownTimeout bounds the wait for requests in flight.
+	ShutdownTimeout time.Duration `yaml:"shutdown_timeout"`
+	Limits          Limits        `yaml:"limits"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `yaml:"log_level"`
+	// Insecure allows listeners beyond loopback without TLS.
+	Insecure bool `yaml:"insecure"`
+}
+
+// Listener is one listening address.
+type Listener struct {
+	// Address is IP:port.
+	Address string `yaml:"address"`
+	// TLS names certificate and key; the gRPC listener also needs the authority of its peers.
+	TLS *auth.Files `yaml:"tls,omitempty"`
+}
+
+// Peer is one instance of the deployment.
+type Peer struct {
+	Name        string `yaml:"name"`
+	GRPCAddress string `yaml:"grpc_address"`
+	HTTPAddress string `yaml:"http_address"`
+	// Control says that the instance has the control role.
+	Control bool `yaml:"control"`
+}
+
+// Limits bound what callers can use up.
+type Limits struct {
+	MaxConnections    int           `yaml:"max_connections"`
+	MaxHeaderBytes    int           `yaml:"max_header_bytes"`
+	MaxBodyBytes      int           `yaml:"max_body_bytes"`
+	ReadHeaderTimeout time.Duration `yaml:"read_header_timeout"`
+	IdleTimeout       time.Duration `yaml:"idle_timeout"`
+}
+
+// DefaultSettings returns settings with all defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		DrainDelay: DefaultDrainDelay, ShutdownTimeout: DefaultShutdownTimeout, LogLevel: "info",
+		Limits: Limits{
+			MaxConnections: DefaultMaxConnections, MaxHeaderBytes: DefaultMaxHeaderBytes, MaxBodyBytes: DefaultMaxBodyBytes,
+			ReadHeaderTimeout: DefaultReadHeaderTimeout, IdleTimeout: DefaultIdleTimeout,
+		},
+	}
+}
+
+// ReadSettings reads and checks a settings file and the keys and tokens that it
+// names; relative paths count from the folder of the file.
+func ReadSettings(path string) (Settings, []config.Fault, error) {
+	s := DefaultSettings()
+	doc, faults, err := config.ReadYAML(path, &s)
+	if err != nil {
+		return Settings{}, nil, fmt.Errorf("read settings: %w", err)
+	}
+	if len(faults) > 0 {
+		return s, faults, nil
+	}
+	faults = doc.Locate(s.Validate())
+	s = s.resolved(filepath.Dir(path))
+	if len(faults) == 0 {
+		faults = doc.Locate(s.checkFiles())
+	}
+	return s, faults, nil
+}
+
+// resolved returns s with paths that no longer depend on the working folder.
+func (s Settings) resolved(dir string) Settings {
+	abs := func(p *string) {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+	abs(&s.DataFolder)
+	abs(&s.Tokens)
+	for _, l := range []*Listener{&s.HTTP, &s.GRPC} {
+		if l.TLS != nil {
+			files := *l.TLS
+			abs(&files.Cert)
+			abs(&files.Key)
+			abs(&files.CA)
+			l.TLS = &files
+		}
+	}
+	return s
+}
+
+// checkFiles returns the faults of the files of keys and tokens.
+func (s Settings) checkFiles() []config.Fault {
+	var faults config.Faults
+	for _, l := range []struct {
+		key string
+		tls *auth.Files
+	}{{"http.tls", s.HTTP.TLS}, {"grpc.tls", s.GRPC.TLS}} {
+		if l.tls == nil {
+			continue
+		}
+		if _, err := auth.ReadKeys(*l.tls, auth.Watch{}); err != nil {
+			faults.Add(l.key, "%v", err)
+		}
+	}
+	if s.Tokens != "" {
+		_, found, err := auth.ReadTokens(s.Tokens, auth.Watch{})
+		if err != nil {
+			faults.Add("tokens", "%v", err)
+		}
+		faults = append(faults, found...)
+	}
+	return faults
+}
+
+// peers returns the instances of the deployment as the API tells of them.
+func (s Settings) peers() []webapi.Peer {
+	out := make([]webapi.Peer, len(s.Peers))
+	for i, p := range s.Peers {
+		out[i] = webapi.Peer{Name: p.Name, HTTPAddress: p.HTTPAddress, Control: p.Control}
+	}
+	return out
+}
+
+// Has reports whether the process has a role.
+func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// readable returns the settings as they are written in a file, with durations
+// such as 2s instead of counts of nanoseconds.
+func (s Settings) readable() any {
+	var out map[string]any
+	b, err := yaml.Marshal(s)
+	if err == nil {
+		err = yaml.Unmarshal(b, &out)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return out
+}
+
+// Bounds of the settings.
+const (
+	maxPeers           = 64
+	maxVoters          = 9
+	maxDrainDelay      = 2 * time.Minute
+	maxShutdownTimeout = time.Hour
+	maxTimeout         = 10 * time.Minute
+	maxConnections     = 1 << 17
+	maxHeaderBytes     = 1 << 20
+	maxBodyBytes       = 1 << 30
+)
+
+// Validate returns all faults of the settings.
+func (s Settings) Validate() []config.Fault {
+	v := settingsValidator{s: s}
+	v.faults.Name("name", s.Name)
+	v.faults.Name("data_centre", s.DataCentre)
+	v.roles()
+	v.listener("http", s.HTTP, s.HTTP.TLS != nil && s.Tokens != "", "has no TLS and tokens")
+	v.listener("grpc", s.GRPC, s.GRPC.TLS != nil, "has no TLS")
+	v.peers()
+	v.timing()
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		v.faults.Add("log_level", "is %q, must be debug, info, warn or error", s.LogLevel)
+	}
+	return v.faults
+}
+
+type settingsValidator struct {
+	s      Settings
+	faults config.Faults
+}
+
+func (v *settingsValidator) roles() {
+	if len(v.s.Roles) == 0 {
+		v.faults.Add("roles", "is empty, name control, entry or both")
+	}
+	for i, r := range v.s.Roles {
+		key := fmt.Sprintf("roles[%d]", i)
+		if r != RoleControl && r != RoleEntry {
+			v.faults.Add(key, "is %q, must be control or entry", r)
+		}
+		if slices.Contains(v.s.Roles[:i], r) {
+			v.faults.Add(key, "%q occurs twice", r)
+		}
+	}
+	control := v.s.Has(RoleControl)
+	switch {
+	case control && v.s.DataFolder == "":
+		v.faults.Add("data_folder", "is missing, a control instance needs one")
+	case !control && v.s.DataFolder != "":
+		v.faults.Add("data_folder", "is set, but only control instances have one")
+	}
+	if v.s.Bootstrap && !control {
+		v.faults.Add("bootstrap", "is true, but only control instances form a cluster")
+	}
+}
+
+func (v *settingsValidator) listener(key string, l Listener, safe bool, lacks string) {
+	ip, ok := v.address(key+".address", l.Address)
+	if ok && !ip.IsLoopback() && !safe && !v.s.Insecure {
+		v.faults.Add(key+".address", "%s is not loopback and %s; set insecure: true to allow that", l.Address, lacks)
+	}
+	if l.TLS == nil {
+		return
+	}
+	if l.TLS.Cert == "" || l.TLS.Key == "" {
+		v.faults.Add(key+".tls", "needs cert and key")
+	}
+	switch {
+	case key == "grpc" && l.TLS.CA == "":
+		v.faults.Add(key+".tls", "needs ca, the authority of the other instances")
+	case key == "http" && l.TLS.CA != "":
+		v.faults.Add(key+".tls.ca", "is set, but callers prove who they are by tokens")
+	}
+}
+
+// address checks IP:port and returns the IP.
+func (v *settingsValidator) address(key, s string) (net.IP, bool) {
+	if s == "" {
+		v.faults.Add(key, "is missing")
+		return nil, false
+	}
+	host, port, err := net.SplitHostPort(s)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	ip := net.ParseIP(host)
+	if err != nil || perr != nil || n == 0 || ip == nil {
+		v.faults.Add(key, "%q is no IP address and port, such as 127.0.0.1:7101", s)
+		return nil, false
+	}
+	return ip, true
+}
+
+func (v *settingsValidator) peers() {
+	v.faults.Range("peers", len(v.s.Peers), 1, maxPeers)
+	names, addresses := map[string]bool{}, map[string]bool{}
+	voters := 0
+	for i, p := range v.s.Peers {
+		key := fmt.Sprintf("peers[%d]", i)
+		v.faults.Name(key+".name", p.Name)
+		if names[p.Name] {
+			v.faults.Add(key+".name", "%q occurs twice", p.Name)
+		}
+		names[p.Name] = true
+		for _, f := range [][2]string{{".grpc_address", p.GRPCAddress}, {".http_address", p.HTTPAddress}} {
+			if _, ok := v.address(key+f[0], f[1]); ok && addresses[f[1]] {
+				v.faults.Add(key+f[0], "%s is used twice", f[1])
+			}
+			addresses[f[1]] = true
+		}
+		if p.Control {
+			voters++
+		}
+		if p.Name == v.s.Name {
+			v.self(key, p)
+		}
+	}
+	if v.s.Name != "" && !names[v.s.Name] {
+		v.faults.Add("peers", "does not hold this instance, %q", v.s.Name)
+	}
+	v.faults.Range("peers", voters, 1, maxVoters)
+	if v.s.Bootstrap && voters%2 == 0 {
+		v.faults.Add("peers", "has %d control instances; an even number survives no more failures than one less", voters)
+	}
+}
+
+// self checks that this instance's entry among the peers fits its own settings.
+func (v *settingsValidator) self(key string, p Peer) {
+	if p.Control != v.s.Has(RoleControl) {
+		v.faults.Add(key+".control", "is %v, which contradicts roles", p.Control)
+	}
+	for _, f := range [][3]string{{"grpc", p.GRPCAddress, v.s.GRPC.Address}, {"http", p.HTTPAddress, v.s.HTTP.Address}} {
+		_, announced, _ := net.SplitHostPort(f[1])
+		_, listens, _ := net.SplitHostPort(f[2])
+		if announced != "" && listens != "" && announced != listens {
+			v.faults.Add(key+"."+f[0]+"_address", "has port %s, but %s.address listens on port %s", announced, f[0], listens)
+		}
+	}
+}
+
+func (v *settingsValidator) timing() {
+	v.duration("drain_delay", v.s.DrainDelay, 0, maxDrainDelay)
+	v.duration("shutdown_timeout", v.s.ShutdownTimeout, time.Second, maxShutdownTimeout)
+	l := v.s.Limits
+	v.faults.Range("limits.max_connections", l.MaxConnections, 16, maxConnections)
+	v.faults.Range("limits.max_header_bytes", l.MaxHeaderBytes, 4<<10, maxHeaderBytes)
+	v.faults.Range("limits.max_body_bytes", l.MaxBodyBytes, 1<<10, maxBodyBytes)
+	v.duration("limits.read_header_timeout", l.ReadHeaderTimeout, 100*time.Millisecond, maxTimeout)
+	v.duration("limits.idle_timeout", l.IdleTimeout, time.Second, maxTimeout)
+}
+
+func (v *settingsValidator) duration(key string, d, lowest, highest time.Duration) {
+	if d < lowest || d > highest {
+		v.faults.Add(key, "is %v, must be %v to %v", d, lowest, highest)
+	}
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -33,6 +33,8 @@
 type configShard struct {
 	mu      sync.RWMutex
 	current config.Config
+	// base is the configuration before the oldest patch of the history.
+	base    config.Config
 	history []Record
 	byID    map[string]uint64
 }
@@ -64,6 +66,7 @@
 	keys      [shardCount]keyShard
 	workers   workerShard
 	upstreams upstreamShard
+	feed      feed
 
 	// Only Apply and Restore use the fields below; they derive from the shards or order them.
 	finished    []string
@@ -84,7 +87,7 @@
 }
 
 func (m *Machine) clear() {
-	m.cfg.current = config.Config{}
+	m.cfg.current, m.cfg.base = config.Config{}, config.Config{}
 	m.cfg.history = nil
 	m.cfg.byID = map[string]uint64{}
 	for i := range m.jobs {
@@ -106,6 +109,7 @@
 // Apply applies the command committed at index; a nil command only moves the index on.
 func (m *Machine) Apply(index uint64, c Command) Result {
 	res := m.apply(c)
+	m.record(c, res)
 	m.setApplied(index)
 	return res
 }
@@ -196,6 +200,36 @@
 	return slices.Clone(m.cfg.history)
 }
 
+func (m *Machine) base() config.Config {
+	m.cfg.mu.RLock()
+	defer m.cfg.mu.RUnlock()
+	return m.cfg.base
+}
+
+// ConfigAt returns the configuration as it was at a version, if the history goes back to it.
+func (m *Machine) ConfigAt(version uint64) (config.Config, bool) {
+	m.cfg.mu.RLock()
+	cfg, current, history := m.cfg.base, m.cfg.current, slices.Clone(m.cfg.history)
+	m.cfg.mu.RUnlock()
+	if version == current.Version {
+		return current, true
+	}
+	if version > current.Version {
+		return config.Config{}, false
+	}
+	for _, r := range history {
+		if cfg.Version == version {
+			break
+		}
+		next, err := config.Apply(cfg, r.Patch)
+		if err != nil || next.Version != r.Version {
+			return config.Config{}, false
+		}
+		cfg = next
+	}
+	return cfg, cfg.Version == version
+}
+
 // PatchVersion returns the version that a patch with this ID gave, if it is kept.
 func (m *Machine) PatchVersion(id string) (uint64, bool) {
 	m.cfg.mu.RLock()
@@ -215,6 +249,16 @@
 
 // Jobs returns all jobs in the order of their IDs.
 func (m *Machine) Jobs() []model.Job {
+	all := m.copyJobs()
+	sortJobs(all)
+	return all
+}
+
+func sortJobs(all []model.Job) {
+	slices.SortFunc(all, func(a, b model.Job) int { return compare(a.Spec.ID, b.Spec.ID) })
+}
+
+func (m *Machine) copyJobs() []model.Job {
 	var all []model.Job
 	for i := range m.jobs {
 		s := &m.jobs[i]
@@ -224,7 +268,6 @@
 		}
 		s.mu.RUnlock()
 	}
-	slices.SortFunc(all, func(a, b model.Job) int { return compare(a.Spec.ID, b.Spec.ID) })
 	return all
 }
 
--- a/state/snap.go
+++ b/state/snap.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -14,6 +15,7 @@
 type image struct {
 	Applied   uint64           `json:"applied"`
 	Config    config.Config    `json:"config"`
+	Base      *config.Config   `json:"base,omitempty"`
 	History   []Record         `json:"history,omitempty"`
 	Jobs      []model.Job      `json:"jobs,omitempty"`
 	Finished  []string         `json:"finished,omitempty"`
@@ -23,20 +25,38 @@
 	Upstreams []model.Upstream `json:"upstreams,omitempty"`
 }
 
-// Snapshot encodes the state; it must not run together with Apply.
-func (m *Machine) Snapshot() ([]byte, error) {
+// Image is a copy of the state at one index, which later commands do not change.
+type Image struct{ image image }
+
+// Image copies the state; it must not run together with Apply.
+func (m *Machine) Image() Image {
 	im := image{
 		Applied: m.Applied(), Config: m.Config(), History: m.History(),
-		Jobs: m.Jobs(), Finished: m.finished, Keys: m.sortedKeys(), Answered: m.answered,
+		Jobs: m.copyJobs(), Finished: slices.Clone(m.finished), Keys: m.copyKeys(), Answered: slices.Clone(m.answered),
 		Workers: m.Workers(), Upstreams: m.Upstreams(),
 	}
-	b, err := json.Marshal(im)
+	if base := m.base(); base.Version > 0 {
+		im.Base = &base
+	}
+	return Image{im}
+}
+
+// Encode returns the snapshot that Restore reads; it may run together with Apply.
+func (i Image) Encode() ([]byte, error) {
+	sortJobs(i.image.Jobs)
+	slices.SortFunc(i.image.Keys, func(a, b model.Key) int {
+		return cmp.Or(compare(a.ID.Team, b.ID.Team), compare(a.ID.Key, b.ID.Key))
+	})
+	b, err := json.Marshal(i.image)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
 	return b, nil
 }
 
+// Snapshot encodes the state; it must not run together with Apply.
+func (m *Machine) Snapshot() ([]byte, error) { return m.Image().Encode() }
+
 // Restore replaces the state by a snapshot; it must not run together with Apply.
 func (m *Machine) Restore(b []byte) error {
 	var im image
@@ -46,6 +66,9 @@
 	m.lockAll()
 	m.clear()
 	m.cfg.current, m.cfg.history = im.Config, im.History
+	if im.Base != nil {
+		m.cfg.base = *im.Base
+	}
 	for _, r := range im.History {
 		m.cfg.byID[r.Patch.ID] = r.Version
 	}
@@ -68,12 +91,13 @@
 		}
 	}
 	m.unlockAll()
+	m.feed.reset()
 	m.setApplied(im.Applied)
 	return nil
 }
 
-func (m *Machine) sortedKeys() []model.Key {
-	var all []model.Key
+func (m *Machine) copyKeys() []model.Key {
+	all := make([]model.Key, 0, m.keyCount)
 	for i := range m.keys {
 		s := &m.keys[i]
 		s.mu.RLock()
@@ -82,9 +106,6 @@
 		}
 		s.mu.RUnlock()
 	}
-	slices.SortFunc(all, func(a, b model.Key) int {
-		return compare(a.ID.Team+"/"+a.ID.Key, b.ID.Team+"/"+b.ID.Key)
-	})
 	return all
 }
 
--- /dev/null
+++ b/webapi/conf.go
@@ -0,0 +1,152 @@
+package webapi
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/state"
+)
+
+// Patched is the answer to an accepted patch.
+type Patched struct {
+	Version uint64 `json:"version"`
+	// Resent reports that the patch was accepted before, by an earlier sending.
+	Resent bool `json:"resent,omitempty"`
+	// Shortages are the guarantees that cannot hold while what the patch takes out of service is out.
+	Shortages []string `json:"shortages,omitempty"`
+}
+
+// getConfig returns the configuration in force, or a kept version with ?version=.
+func (a *api) getConfig(r *http.Request) (any, error) {
+	version, named, err := versionOf(r, "version")
+	if err != nil {
+		return nil, err
+	}
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, err
+	}
+	if !named {
+		return a.Replica.Machine().Config(), nil
+	}
+	cfg, ok := a.Replica.Machine().ConfigAt(version)
+	if !ok {
+		return nil, model.NotRun(model.CodeNotFound, "the history holds no version %d of the configuration", version)
+	}
+	return cfg, nil
+}
+
+// versionOf returns a version number of the query, if it names one.
+func versionOf(r *http.Request, key string) (uint64, bool, error) {
+	s := r.URL.Query().Get(key)
+	if s == "" {
+		return 0, false, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, false, model.NotRun(model.CodeInvalid, "%s must be a version number", key)
+	}
+	return n, true, nil
+}
+
+// PageHistory bounds the patches of one answer.
+const PageHistory = 256
+
+// getHistory lists accepted patches, oldest first, at most PageHistory after
+// ?since=version. A full page may have a next one.
+func (a *api) getHistory(r *http.Request) (any, error) {
+	since, _, err := versionOf(r, "since")
+	if err != nil {
+		return nil, err
+	}
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, err
+	}
+	out := []state.Record{}
+	for _, rec := range a.Replica.Machine().History() {
+		if rec.Version > since && len(out) < PageHistory {
+			out = append(out, rec)
+		}
+	}
+	return out, nil
+}
+
+// patchConfig answers a resent patch as before, refuses a stale one, and
+// commits one that leaves the configuration valid.
+func (a *api) patchConfig(r *http.Request) (any, error) {
+	b, err := readBody(r, config.MaxPatchBytes)
+	if err != nil {
+		return nil, err
+	}
+	p, err := config.DecodePatch(b)
+	if err != nil {
+		return nil, fmt.Errorf("decode patch: %w", err)
+	}
+	detail(r.Context(), "patch", p.ID)
+	detail(r.Context(), "reason", p.Reason)
+	if a.Tokens != nil {
+		// The history names the holder of the token, whatever the patch says.
+		p.Author = identityOf(r.Context()).Name
+	}
+	if err := a.fresh(r.Context()); err != nil {
+		return nil, unlooked(err)
+	}
+	version, known, failure := a.Replica.Machine().CheckPatch(p)
+	switch {
+	case known:
+		return Patched{Version: version, Resent: true}, nil
+	case failure != nil:
+		return nil, failure
+	}
+	shortages, err := a.checkPatched(p)
+	if err != nil {
+		return nil, err
+	}
+	res, err := a.execute(r.Context(), state.PatchConfig{Patch: p, AtMS: a.Now().UnixMilli()})
+	if err != nil {
+		return nil, err
+	}
+	detail(r.Context(), "version", res.Version)
+	return Patched{Version: res.Version, Shortages: shortages}, nil
+}
+
+// checkPatched validates the configuration that the patch would give. The
+// commit applies to that base version only, so the check holds for it. It
+// refuses guarantees that the declared racks cannot hold; those that only fall
+// short because something is out of service are returned, since operators must
+// be able to take a data centre out at any time.
+func (a *api) checkPatched(p config.Patch) ([]string, error) {
+	next, err := a.patched(p)
+	if err != nil {
+		return nil, err
+	}
+	if a.CheckConfig == nil {
+		return nil, nil
+	}
+	if short := a.CheckConfig(next.AllInService()); len(short) > 0 {
+		e := model.NotRun(model.CodeImpossible, "the guarantees after the patch cannot all hold")
+		e.Faults = short
+		return nil, e
+	}
+	return a.CheckConfig(next), nil
+}
+
+// patched returns the configuration that the patch would give, if that is valid.
+func (a *api) patched(p config.Patch) (config.Config, error) {
+	current := a.Replica.Machine().Config()
+	if current.Version != p.BaseVersion {
+		e := model.NotRun(model.CodeStaleVersion, "patch is for version %d, current is %d", p.BaseVersion, current.Version)
+		e.Version = current.Version
+		return current, e
+	}
+	next, err := config.Apply(current, p)
+	if err != nil {
+		return current, fmt.Errorf("apply patch: %w", err)
+	}
+	if faults := config.Validate(next); len(faults) > 0 {
+		return current, config.Invalid("the configuration after the patch is not valid", faults)
+	}
+	return next, nil
+}
