--- a/gang/dump.go
+++ b/gang/dump.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -77,7 +78,7 @@
 			Name: w.worker.Name, PollAgeMS: now.Sub(w.lastPoll).Milliseconds(), Silent: w.lost, Pending: len(w.pending), Tasks: len(w.tasks),
 		})
 	})
-	slices.SortFunc(out.Workers, func(a, b dumpedWorker) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(out.Workers, func(a, b dumpedWorker) int { return strings.Compare(a.Name, b.Name) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, a := range l.attempts {
@@ -90,19 +91,8 @@
 	for id := range l.waiting {
 		out.Waiting = append(out.Waiting, id)
 	}
-	slices.SortFunc(out.Attempts, func(a, b dumpedAttempt) int { return compare(a.Job, b.Job) })
+	slices.SortFunc(out.Attempts, func(a, b dumpedAttempt) int { return strings.Compare(a.Job, b.Job) })
 	slices.Sort(out.Waiting)
 	out.Policy = l.policy.Dump()
 	return out
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/state/machine.go
+++ b/state/machine.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"sync"
 
 	"turmericroute/config"
@@ -255,7 +256,7 @@
 }
 
 func sortJobs(all []model.Job) {
-	slices.SortFunc(all, func(a, b model.Job) int { return compare(a.Spec.ID, b.Spec.ID) })
+	slices.SortFunc(all, func(a, b model.Job) int { return strings.Compare(a.Spec.ID, b.Spec.ID) })
 }
 
 func (m *Machine) copyJobs() []model.Job {
@@ -296,7 +297,7 @@
 	for _, w := range m.workers.workers {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b model.Worker) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(all, func(a, b model.Worker) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
@@ -308,7 +309,7 @@
 	for _, u := range m.upstreams.upstreams {
 		all = append(all, u)
 	}
-	slices.SortFunc(all, func(a, b model.Upstream) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(all, func(a, b model.Upstream) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
@@ -319,14 +320,3 @@
 	u, ok := m.upstreams.upstreams[name]
 	return u, ok
 }
-
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/state/snap.go
+++ b/state/snap.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 
 	"turmericroute/config"
 	"turmericroute/model"
@@ -45,7 +46,7 @@
 func (i Image) Encode() ([]byte, error) {
 	sortJobs(i.image.Jobs)
 	slices.SortFunc(i.image.Keys, func(a, b model.Key) int {
-		return cmp.Or(compare(a.ID.Team, b.ID.Team), compare(a.ID.Key, b.ID.Key))
+		return cmp.Or(strings.Compare(a.ID.Team, b.ID.Team), strings.Compare(a.ID.Key, b.ID.Key))
 	})
 	b, err := json.Marshal(i.image)
 	if err != nil {
