Expire idempotency keys and end a process whose log has failed

Cause: nothing proposed ExpireKeys, so keys were kept until their bound of 200,000 and then refused; and a process with a failed sync went on without its replica. Both were found in reviewing what ctrl offers against its callers. Change: the leader expires keys older than 24 h every ten minutes; a process shuts down with an error when its log can no longer be kept. Tests for both.

--- a/entry/header.go
+++ b/entry/header.go
@@ -30,7 +30,7 @@
 	// maxNameLength bounds request IDs and keys.
 	maxNameLength = 256
 	// maxKeyAge is an hour less than the time that keys are kept, for differences of clocks.
-	maxKeyAge = 23 * time.Hour
+	maxKeyAge = model.KeyLife - time.Hour
 	// maxKeyAhead is how far a key's time may be in the future; keys are kept an
 	// hour longer than maxKeyAge, so it stays well below that.
 	maxKeyAhead = 10 * time.Minute
--- a/gang/driver.go
+++ b/gang/driver.go
@@ -71,6 +71,8 @@
 	feed    uint64
 	// replan says that resources or jobs changed since the policy last looked.
 	replan bool
+	// expired is when keys were last expired.
+	expired time.Time
 	// placed is when the policy last looked for placements.
 	placed time.Time
 	tried  tries
--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -269,6 +269,19 @@
 		}, "3s").Should(MatchError(ContainSubstring("does not declare")))
 	})
 
+	It("forgets idempotency keys after the time that they are kept, and not before", func() {
+		id := func(n string) model.KeyID { return model.KeyID{Team: "small", Key: n} }
+		for n, age := range map[string]time.Duration{"old": model.KeyLife + time.Minute, "young": model.KeyLife - time.Minute} {
+			k := model.Key{ID: id(n), Claim: n, Hash: n, CreatedMS: time.Now().Add(-age).UnixMilli()}
+			_, err := s.r.Execute(s.ctx, state.ClaimKey{Key: k})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		s.elect()
+		Eventually(func() bool { _, ok := s.r.Machine().Key(id("old")); return ok }, "3s").Should(BeFalse())
+		_, kept := s.r.Machine().Key(id("young"))
+		Expect(kept).To(BeTrue())
+	})
+
 	// A partial report on top of another leader's knowledge must not look like lost tasks.
 	It("asks for a complete report before it builds on a partial one", func() {
 		s.startWorkers(fakes.WorkerConfig{})
--- a/gang/report.go
+++ b/gang/report.go
@@ -16,6 +16,8 @@
 	forgetTimeout = time.Minute
 	// replanInterval is how often the policy looks without a change, for what depends on time only.
 	replanInterval = 250 * time.Millisecond
+	// expireInterval is how often idempotency keys are expired.
+	expireInterval = 10 * time.Minute
 	// progressInterval is how often progress goes to the policy.
 	progressInterval = time.Second
 )
@@ -80,6 +82,7 @@
 		l.advance(a, now)
 	}
 	l.passProgress(now)
+	l.expireKeys(now)
 	if l.replan || now.Sub(l.placed) >= replanInterval {
 		l.decide(now)
 	}
@@ -104,6 +107,15 @@
 	}
 }
 
+// expireKeys forgets idempotency keys that are older than they are kept.
+func (l *lead) expireKeys(now time.Time) {
+	if now.Sub(l.expired) < expireInterval {
+		return
+	}
+	l.expired = now
+	l.execute(state.ExpireKeys{BeforeMS: now.Add(-model.KeyLife).UnixMilli()})
+}
+
 // passProgress hands the lagging progress of running jobs to the policy.
 func (l *lead) passProgress(now time.Time) {
 	for id, a := range l.attempts {
--- a/model/upstream.go
+++ b/model/upstream.go
@@ -1,5 +1,7 @@
 package model
 
+import "time"
+
 // DefaultHealthPath is probed on executors that announce no health path.
 const DefaultHealthPath = "/healthz"
 
@@ -20,6 +22,9 @@
 	Left bool `json:"left,omitempty"`
 }
 
+// KeyLife is how long an idempotency key is kept from its first claim, by the leader's clock.
+const KeyLife = 24 * time.Hour
+
 // KeyState is the state of an idempotency key.
 type KeyState string
 
--- a/serve/process.go
+++ b/serve/process.go
@@ -33,6 +33,8 @@
 	webapi.Replica
 	Start(ctx context.Context) error
 	Close(ctx context.Context) error
+	// Failed returns a channel that is closed when the log can no longer be kept.
+	Failed() <-chan struct{}
 	Dump() any
 }
 
@@ -146,6 +148,8 @@
 	case <-ctx.Done():
 	case serveErr = <-failed:
 		serveErr = fmt.Errorf("serve HTTP: %w", serveErr)
+	case <-p.parts.Node.Failed():
+		serveErr = errors.New("the replicated log can no longer be kept; the log lines above say why")
 	}
 	err := errors.Join(serveErr, p.shutdown(base))
 	stop()
--- a/serve/process_test.go
+++ b/serve/process_test.go
@@ -42,10 +42,12 @@
 	*fakes.Replica
 	j        *journal
 	startErr error
+	failed   chan struct{}
 }
 
 func (n *node) Start(context.Context) error { n.j.note("start"); return n.startErr }
 func (n *node) Close(context.Context) error { n.j.note("close"); return nil }
+func (n *node) Failed() <-chan struct{}     { return n.failed }
 func (n *node) Dump() any                   { return nil }
 
 // services holds each request until it is released.
@@ -167,6 +169,17 @@
 		Expect(r.get("/livez")).To(Equal(0))
 	})
 
+	// A process that cannot sync its log must not go on as if it could.
+	It("happens with an error when the log can no longer be kept", func() {
+		s := serve.DefaultSettings()
+		s.DrainDelay = 0
+		n := &node{failed: make(chan struct{})}
+		r := start(s, n)
+		Eventually(func() int { return r.get("/readyz") }).Should(Equal(http.StatusOK))
+		close(n.failed)
+		Eventually(r.done, 5).Should(Receive(MatchError(ContainSubstring("log can no longer be kept"))))
+	})
+
 	It("is not ready on an old view", func() {
 		r := start(serve.DefaultSettings(), nil)
 		defer r.stop()
