Return the data centre to service before the entries' turn

The baseline's turn had taken the data centre out of service before, so the entries never used it and the time was not measured.

Change: the data centre returns before the entries' turn, and the phase fails unless every executor that leaves had worked. -only prints no summary.

--- a/cmd/bench/route.go
+++ b/cmd/bench/route.go
@@ -117,6 +117,9 @@
 		}
 		fmt.Printf("# %s took %.1f s\n", p.name, time.Since(start).Seconds())
 	}
+	if only != "" {
+		return nil
+	}
 	s := b.sum
 	fmt.Printf("p50_ratio=%.2f p99_ratio=%.2f nonidempotent_p50_ratio=%.2f goodput_share=%.3f retry_amplification=%.3f "+
 		"full_executor_share=%.4f leaving_s=%.3f double_runs=%d false_not_run=%d wrong_answers=%d\n",
--- a/cmd/bench/route_phase.go
+++ b/cmd/bench/route_phase.go
@@ -183,8 +183,9 @@
 	return err
 }
 
-// pair runs the same load through the entries and the baseline and prints both.
-func (b *bench) pair(name string, req loadRequest, event func()) (ours loadResponse, st standResponse, err error) {
+// pair runs the same load through the baseline and the entries and prints both. The event
+// happens after a quarter of the time of each and is told whether the entries have their turn.
+func (b *bench) pair(name string, req loadRequest, event func(entries bool)) (ours loadResponse, st standResponse, err error) {
 	req.WorkUS, req.KeyedShare, req.BodyBytes = workUS, 0.1, 512
 	warm := req
 	warm.Name, warm.For = name+"-warm", warmTime
@@ -208,8 +209,7 @@
 		}
 		before, cpu := b.attemptsTotal()+b.attempts.Load(), cpuSeconds()
 		if event != nil {
-			t := time.AfterFunc(side.long/4, event)
-			defer t.Stop()
+			time.AfterFunc(side.long/4, func() { event(side.name == "entry") })
 		}
 		if ours, err = b.run(req); err != nil {
 			return ours, st, err
@@ -282,22 +282,36 @@
 		return err
 	}
 	var at time.Time
+	out := func(out bool) {
+		b.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: dataCentres[0], OutOfService: out}})
+	}
 	leaver := b.ups[len(b.ups)-1]
-	_, st, err := b.pair("leave", loadRequest{Rate: 0.5 * capacityPerSecond, Timeout: 3 * time.Second}, func() {
+	_, st, err := b.pair("leave", loadRequest{Rate: 0.5 * capacityPerSecond, Timeout: 3 * time.Second}, func(entries bool) {
 		at = time.Now()
-		b.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: dataCentres[0], OutOfService: true}})
-		b.replica.apply(state.LeaveUpstream{Name: leaver.Name, Incarnation: leaver.Incarnation})
+		out(true)
+		if entries {
+			b.replica.apply(state.LeaveUpstream{Name: leaver.Name, Incarnation: leaver.Incarnation})
+			return
+		}
+		time.AfterFunc(baseTime*3/4, func() { out(false) })
 	})
 	if err != nil {
 		return err
 	}
+	started := 0
+	b.sum.leaving = -1
 	for _, u := range b.ups {
-		if u.DataCentre == dataCentres[0] || u.Name == leaver.Name {
-			b.sum.leaving = max(b.sum.leaving, time.Unix(0, st.LastStartNS[u.Name]).Sub(at).Seconds())
+		if u.DataCentre != dataCentres[0] && u.Name != leaver.Name || st.LastStartNS[u.Name] == 0 {
+			continue
 		}
+		started++
+		b.sum.leaving = max(b.sum.leaving, time.Unix(0, st.LastStartNS[u.Name]).Sub(at).Seconds())
+	}
+	fmt.Printf("leave: last start %.3f s after the change was applied, in the %d executors that left after they had worked\n", b.sum.leaving, started)
+	if started != executorCount/len(dataCentres)+1 {
+		return fmt.Errorf("only %d leaving executors had worked, so the time to no new work is not known", started)
 	}
-	fmt.Printf("leave: last start %.3f s after the change was applied\n", b.sum.leaving)
-	b.patch(config.Change{SetDataCentre: &config.DataCentreInService{Name: dataCentres[0]}})
+	out(false)
 	return nil
 }
 
