place: check the policy with random events and fix what they find

The oracle keeps its own books and searches places for all unused guarantees exhaustively after every event. It found that unused cells were restored in the wrong order after a failed move, that the bound on starts was reset when a data centre left twice, and that a job waited without a claim while a lost worker still held its place. Within a team, a job of the guaranteed shape or an urgent one now takes the cell over from another gang.

--- a/place/cell.go
+++ b/place/cell.go
@@ -186,13 +186,7 @@
 
 // worthwhile reports whether the job uses at least half of the shape, so that
 // a small job does not take a large guarantee out of its team's reach.
-func (c *cell) worthwhile(j *job) bool {
-	n, m := j.spec.Shape.Tasks, c.shape.Tasks
-	if c.per.gpus > 0 {
-		return 2*n*j.per.gpus >= m*c.per.gpus
-	}
-	return 2*n*j.per.cores >= m*c.per.cores || 2*n*j.per.mem >= m*c.per.mem
-}
+func (c *cell) worthwhile(j *job) bool { return c.part(j) >= 0.5 }
 
 // within reports whether the job may run wherever the cell may be.
 func (c *cell) within(j *job) bool {
--- a/place/claim.go
+++ b/place/claim.go
@@ -9,6 +9,8 @@
 type claim struct {
 	workers []*worker
 	victims []*job
+	// slow is set when the place is known to wait for the end of a lease.
+	slow bool
 }
 
 // restartSeconds is added to the loss of each victim's task, so that few victims are preferred.
@@ -28,6 +30,7 @@
 func (p *Policy) unhold(j *job) {
 	for _, w := range j.claim.workers {
 		w.held = w.held.minus(j.per)
+		w.rack.freeRound = 0
 	}
 	j.team.claimed -= j.spec.Shape.TotalGPUs()
 	j.claim = nil
@@ -50,34 +53,43 @@
 		case !p.claimAlive(j):
 			p.dropClaim(j)
 		case p.claimFree(j):
-			ws := j.claim.workers
-			p.unhold(j)
-			p.dequeue(j)
-			ds = p.start(ds, j, ws)
+			ds = p.startClaimed(ds, j)
 		}
 	}
 	return ds
 }
 
-// claimAlive reports whether the place can still become free.
+func (p *Policy) startClaimed(ds []Decision, j *job) []Decision {
+	ws := j.claim.workers
+	p.unhold(j)
+	p.dequeue(j)
+	return p.start(ds, j, ws)
+}
+
+// claimAlive reports whether the place can still become free. An urgent job
+// looks for another place when a gang that is to leave is on a lost worker.
 func (p *Policy) claimAlive(j *job) bool {
-	if j.cell == nil || j.team.overQuota(0) > 0 && !slices.ContainsFunc(j.team.running, p.leaving) {
+	stopping := func(o *job) bool { return o.state == jobStopping }
+	unanswered := func(o *job) bool { return stopping(o) && !responsive(o) }
+	if j.cell == nil || j.team.overQuota(0) > 0 && !slices.ContainsFunc(j.team.running, stopping) {
 		return false
 	}
 	for _, w := range j.claim.workers {
-		if !p.usable(w) {
+		switch {
+		case !p.usable(w):
 			return false
-		}
-		if !w.used.plus(w.held).fits(w.cap) && !slices.ContainsFunc(w.gangs, p.leaving) {
+		case w.used.plus(w.held).fits(w.cap):
+		case !slices.ContainsFunc(w.gangs, stopping):
+			return false
+		case j.spec.Urgent && !j.claim.slow && slices.ContainsFunc(w.gangs, unanswered):
+			j.patient = true // look once, or plans that share the worker alternate
 			return false
 		}
 	}
 	return true
 }
 
-// leaving reports whether a gang is being stopped on workers that answer.
-func (p *Policy) leaving(j *job) bool { return j.state == jobStopping && responsive(j) }
-
+// responsive reports whether all workers of a gang answer.
 func responsive(j *job) bool {
 	return !slices.ContainsFunc(j.workers, func(w *worker) bool { return !w.joined })
 }
@@ -118,10 +130,23 @@
 // startGuaranteed starts a job that matches an unused cell, or begins to
 // reclaim a place for it. It reports whether it did either.
 func (p *Policy) startGuaranteed(ds []Decision, j *job) ([]Decision, bool) {
-	c := j.team.unusedCell(j)
+	if c := j.team.unusedCell(j); c != nil {
+		return p.startInCell(ds, j, c)
+	}
+	c := j.team.cellToTakeOver(j)
 	if c == nil {
 		return ds, false
 	}
+	smaller, pos := c.occupant, c.pos
+	p.uncharge(smaller)
+	ds, ok := p.startInCell(ds, j, c)
+	if !ok && smaller.cell == nil && !p.tryCharge(smaller, c, pos) {
+		j.team.promote = true
+	}
+	return ds, ok
+}
+
+func (p *Policy) startInCell(ds []Decision, j *job, c *cell) ([]Decision, bool) {
 	if j.team.overQuota(j.spec.Shape.TotalGPUs()) <= 0 {
 		for _, moveOthers := range []bool{false, true} {
 			pos := p.cellPosition(c, j, moveOthers, nil, nil)
@@ -134,6 +159,48 @@
 	return p.reclaim(ds, j, c)
 }
 
+// before reports whether a job comes before another of its team in a cell: an
+// urgent one, then one of the very shape, then one that takes more of it.
+func (c *cell) before(j, o *job) bool {
+	exact := func(x *job) bool { return x.spec.Shape == c.shape }
+	switch {
+	case j.spec.Urgent != o.spec.Urgent:
+		return j.spec.Urgent
+	case exact(j) != exact(o):
+		return exact(j)
+	default:
+		return c.part(j) > c.part(o)
+	}
+}
+
+// cellToTakeOver returns a cell in use by a gang of the same team that comes
+// after the job. That gang then borrows.
+func (t *team) cellToTakeOver(j *job) *cell {
+	var best *cell
+	for _, c := range t.cells {
+		o := c.occupant
+		if o == nil || c.pos == nil || o.state != jobRunning && o.state != jobStarting || c.perSlot(j) == 0 {
+			continue
+		}
+		if !c.before(j, o) {
+			continue
+		}
+		if best == nil || c.part(o) < best.part(best.occupant) {
+			best = c
+		}
+	}
+	return best
+}
+
+// part returns how much of the shape's leading resource a gang takes.
+func (c *cell) part(j *job) float64 {
+	n := float64(j.spec.Shape.Tasks) / float64(c.shape.Tasks)
+	if c.per.gpus > 0 {
+		return n * float64(j.per.gpus) / float64(c.per.gpus)
+	}
+	return n * j.per.share(c.per)
+}
+
 // unusedCell returns the smallest unused cell with a position that the job matches.
 func (t *team) unusedCell(j *job) *cell {
 	var best *cell
--- a/place/fit.go
+++ b/place/fit.go
@@ -107,7 +107,7 @@
 	p.cands = p.cands[:0]
 	tasks := j.spec.Shape.Tasks
 	for _, r := range p.order {
-		if !j.allowed(r.id.dc) || !p.mayStart(r.dc) {
+		if !j.allowed(r.id.dc) || !p.mayStart(r.dc) || !j.per.fits(p.mostFree(r)) {
 			continue
 		}
 		for _, w := range r.workers {
@@ -136,3 +136,16 @@
 	}
 	return p.choose(tasks, j.spec.Shape.SameRack, false)
 }
+
+// mostFree returns the most of each resource that is free on one worker of the rack.
+func (p *Policy) mostFree(r *rack) amount {
+	if r.freeRound != p.round {
+		r.mostFree, r.freeRound = amount{}, p.round
+		for _, w := range r.workers {
+			if p.usable(w) {
+				r.mostFree = r.mostFree.max(w.free())
+			}
+		}
+	}
+	return r.mostFree
+}
--- a/place/job.go
+++ b/place/job.go
@@ -35,6 +35,7 @@
 	workers  []*worker // of each task; also the place that is being freed while waiting
 	cell     *cell     // the guaranteed cell that it is charged to
 	claim    *claim
+	patient  bool // has looked for another place after its claim met a lost worker
 	shadow   *reservation
 	queued   bool
 	listed   bool // an entry is in the queue, perhaps of a job taken out
@@ -47,6 +48,8 @@
 	cancelled  bool
 	gone       bool
 	failedOn   []*worker // distinct workers where it failed
+	end        time.Time // expected, as of round endRound
+	endRound   int
 	avoid      []*worker // those that it is not placed on again while others have room
 }
 
@@ -116,6 +119,7 @@
 	j.workers = ws
 	for _, w := range ws {
 		w.used = w.used.plus(j.per)
+		w.besideRound, w.rack.freeRound = 0, 0
 		w.extra = w.extra.plus(j.extra)
 		if !slices.Contains(w.gangs, j) {
 			w.gangs = append(w.gangs, j)
--- a/place/learn.go
+++ b/place/learn.go
@@ -35,7 +35,13 @@
 	return min(max(b, 0), ratioBuckets-1)
 }
 
-func ratioOf(bucket int) float64 { return math.Exp2(float64(bucket-ratioBuckets/2) / 2) }
+// bucketRatio holds the ratio in the middle of each bucket.
+var bucketRatio = func() (r [ratioBuckets]float64) {
+	for i := range r {
+		r[i] = math.Exp2(float64(i-ratioBuckets/2) / 2)
+	}
+	return r
+}()
 
 // run counts a finished job.
 func (l *learned) run(declared, actual float64) {
@@ -93,7 +99,7 @@
 	}
 	// The median of the ratios among jobs that ran longer than this one has.
 	from := 0
-	for from < ratioBuckets && ratioOf(from)*declared <= done {
+	for from < ratioBuckets && bucketRatio[from]*declared <= done {
 		from++
 	}
 	left := 0.0
@@ -106,7 +112,7 @@
 	sum := 0.0
 	for i := from; i < ratioBuckets; i++ {
 		if sum += l.ratios[i]; sum >= left/2 {
-			return ratioOf(i) * declared
+			return bucketRatio[i] * declared
 		}
 	}
 	return 2 * done
--- /dev/null
+++ b/place/oracle_test.go
@@ -0,0 +1,363 @@
+package place_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"turmericroute/config"
+	"turmericroute/model"
+	"turmericroute/place"
+)
+
+// searchBound bounds the oracle's packing search; beyond it nothing is concluded.
+const searchBound = 300_000
+
+// packer is an exhaustive search for places of shapes, independent of the policy's.
+type packer struct {
+	names []string
+	room  map[string]model.Resources
+	at    map[string]model.Worker
+	steps int
+}
+
+type demand struct {
+	shape model.Shape
+	dcs   [][]string
+}
+
+func (d demand) allows(dc string) bool {
+	for _, l := range d.dcs {
+		if len(l) > 0 && !slices.Contains(l, dc) {
+			return false
+		}
+	}
+	return true
+}
+
+// pack reports whether all demands fit at once; undecided searches count as fitting.
+func (k *packer) pack(ds []demand) bool {
+	if len(ds) == 0 {
+		return true
+	}
+	return k.tasks(ds, ds[0].shape.Tasks, 0, "")
+}
+
+func (k *packer) tasks(ds []demand, left, from int, rack string) bool {
+	if k.steps++; k.steps > searchBound {
+		return true
+	}
+	if left == 0 {
+		return k.pack(ds[1:])
+	}
+	s := ds[0].shape
+	for i := from; i < len(k.names); i++ {
+		w := k.at[k.names[i]]
+		r, id := k.room[w.Name], w.DataCentre+"/"+w.Rack
+		if !ds[0].allows(w.DataCentre) || s.SameRack && rack != "" && rack != id ||
+			r.GPUs < s.GPUs || r.Cores < s.Cores || r.MemoryMB < s.MemoryMB {
+			continue
+		}
+		k.room[w.Name] = model.Resources{GPUs: r.GPUs - s.GPUs, Cores: r.Cores - s.Cores, MemoryMB: r.MemoryMB - s.MemoryMB}
+		if k.tasks(ds, left-1, i, id) {
+			return true
+		}
+		k.room[w.Name] = r
+	}
+	return false
+}
+
+// gang is the oracle's record of a job.
+type gang struct {
+	spec     model.JobSpec
+	attempt  int
+	workers  []string // empty while it waits
+	stopping bool
+	accepted time.Time
+	started  time.Time
+	progress float64
+}
+
+// world drives a policy with random events and checks every decision on its own books.
+type world struct {
+	t       *rapid.T
+	p       *place.Policy
+	now     time.Time
+	cfg     config.Config
+	workers map[string]model.Worker // joined
+	lost    map[string]model.Worker
+	gangs   map[string]*gang
+	starts  map[string][]time.Time // into returned data centres
+	back    map[string]time.Time
+	n       int
+	view    place.View // before the last decision
+}
+
+const returnStarts = 2
+
+func newWorld(t *rapid.T, cfg config.Config) *world {
+	w := &world{
+		t: t, now: epoch, cfg: cfg, workers: map[string]model.Worker{}, lost: map[string]model.Worker{},
+		gangs: map[string]*gang{}, starts: map[string][]time.Time{}, back: map[string]time.Time{},
+	}
+	for _, dc := range cfg.DataCentres {
+		for _, r := range dc.Racks {
+			for i := range r.Workers {
+				n := fmt.Sprintf("%s-%s-%d", dc.Name, r.Name, i)
+				w.workers[n] = model.Worker{Name: n, DataCentre: dc.Name, Rack: r.Name, Incarnation: "1", Capacity: r.PerWorker}
+			}
+		}
+	}
+	w.elect()
+	return w
+}
+
+// elect starts a new policy from the durable state, as after a change of leader.
+func (w *world) elect() {
+	w.p = place.New(place.Config{Seed: 7, ReturnStarts: returnStarts})
+	w.step(place.ConfigChanged{Config: w.cfg})
+	for _, n := range sortedKeys(w.workers) {
+		w.step(place.WorkerJoined{Worker: w.workers[n]})
+	}
+	for _, id := range sortedKeys(w.gangs) {
+		g := w.gangs[id]
+		j := model.Job{Spec: g.spec, Attempt: g.attempt, Checkpoint: g.progress, Placement: model.Placement{Workers: g.workers}}
+		switch {
+		case g.workers == nil:
+			j.State = model.JobWaiting
+			w.step(place.JobSubmitted{Job: j, At: g.accepted})
+			continue
+		case g.stopping:
+			j.State = model.JobStopping
+		default:
+			j.State, j.Started = model.JobRunning, g.started.UnixMilli()
+		}
+		w.step(place.JobRecovered{Job: j, At: g.accepted})
+	}
+	w.back, w.starts = map[string]time.Time{}, map[string][]time.Time{}
+	w.decide()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	ks := make([]string, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	slices.Sort(ks)
+	return ks
+}
+
+func (w *world) step(e place.Event) { w.p.Step(w.now, e) }
+
+func (w *world) startable(n string) bool {
+	wk, ok := w.workers[n]
+	return ok && w.cfg.InService(wk.DataCentre) && !w.cfg.Drained(n)
+}
+
+// decide lets the policy decide, checks and applies each decision, and checks the state after.
+func (w *world) decide() []place.Decision {
+	w.view = w.p.Dump().(place.View)
+	ds := w.p.Decide(w.now)
+	for _, d := range ds {
+		switch d := d.(type) {
+		case place.Start:
+			w.checkStart(d)
+		case place.Preempt:
+			w.checkPreempt(d)
+		case place.Refuse:
+			g := w.gangs[d.ID]
+			if g == nil || g.workers != nil || place.CheckJob(w.cfg, g.spec) == nil {
+				w.t.Fatalf("wrong refusal %+v", d)
+			}
+			delete(w.gangs, d.ID)
+		}
+	}
+	w.view = w.p.Dump().(place.View)
+	w.checkPlaces()
+	w.checkGuarantees()
+	w.checkNoneWaitsWithinGuarantee()
+	return ds
+}
+
+func (w *world) checkStart(d place.Start) {
+	g := w.gangs[d.ID]
+	if g == nil || g.workers != nil || len(d.Placement.Workers) != g.spec.Shape.Tasks {
+		w.t.Fatalf("start %+v of %+v", d, g)
+	}
+	team, _ := w.cfg.Team(g.spec.Team)
+	dm := demand{g.spec.Shape, [][]string{team.DataCentres, g.spec.DataCentres}}
+	dcs, racks := map[string]bool{}, map[string]bool{}
+	for _, n := range d.Placement.Workers {
+		wk := w.workers[n]
+		if !w.startable(n) || !dm.allows(wk.DataCentre) {
+			w.t.Fatalf("%s started on %s, which may not start it", d.ID, n)
+		}
+		for _, v := range w.view.Workers {
+			if v.Name == n && v.Probation.After(w.now) {
+				w.t.Fatalf("%s started on %s on probation", d.ID, n)
+			}
+		}
+		dcs[wk.DataCentre], racks[wk.DataCentre+wk.Rack] = true, true
+	}
+	if g.spec.Shape.SameRack && len(racks) > 1 {
+		w.t.Fatalf("%s is spread over racks %v", d.ID, racks)
+	}
+	for dc := range dcs {
+		w.checkReturn(dc)
+	}
+	g.workers, g.started = d.Placement.Workers, w.now
+	g.attempt++
+	w.step(place.JobStarted{ID: d.ID, Attempt: g.attempt})
+	if used := w.gpus(g.spec.Team); team.MaxGPUs > 0 && used > team.MaxGPUs && g.spec.Shape.GPUs > 0 {
+		w.t.Fatalf("team %s uses %d accelerators of its quota of %d", team.Name, used, team.MaxGPUs)
+	}
+}
+
+func (w *world) checkReturn(dc string) {
+	if at, ok := w.back[dc]; !ok || w.now.Sub(at) >= place.DefaultReturnPeriod {
+		return
+	}
+	w.starts[dc] = slices.DeleteFunc(append(w.starts[dc], w.now), func(t time.Time) bool { return w.now.Sub(t) >= time.Second })
+	if n := len(w.starts[dc]); n > returnStarts {
+		w.t.Fatalf("%d starts within a second in returned data centre %s", n, dc)
+	}
+}
+
+func (w *world) gpus(team string) int {
+	n := 0
+	for _, g := range w.gangs {
+		if g.workers != nil && g.spec.Team == team {
+			n += g.spec.Shape.TotalGPUs()
+		}
+	}
+	return n
+}
+
+func (w *world) checkPreempt(d place.Preempt) {
+	g := w.gangs[d.ID]
+	if g == nil || g.workers == nil || g.stopping {
+		w.t.Fatalf("preemption %+v of %+v", d, g)
+	}
+	g.stopping = true
+	if d.For == "" {
+		if !slices.ContainsFunc(g.workers, func(n string) bool { _, ok := w.workers[n]; return !ok || !w.cfg.InService(w.workers[n].DataCentre) }) {
+			w.t.Fatalf("%s preempted for no worker that left", d.ID)
+		}
+		return
+	}
+	for _, j := range w.view.Jobs {
+		// Within a team an urgent or larger gang takes the guarantee over.
+		if f := w.gangs[d.For]; j.ID == d.ID && j.Guarantee >= 0 && (f == nil || f.spec.Team != j.Team) {
+			w.t.Fatalf("%s preempted for %s within its guarantee", d.ID, d.For)
+		}
+	}
+}
+
+// checkPlaces checks capacity and that no gang keeps running where a worker or data centre has left.
+func (w *world) checkPlaces() {
+	used := map[string]model.Resources{}
+	for id, g := range w.gangs {
+		for _, n := range g.workers {
+			wk, ok := w.workers[n]
+			if !g.stopping && (!ok || !w.cfg.InService(wk.DataCentre)) {
+				w.t.Fatalf("%s still runs on %s", id, n)
+			}
+			u := used[n]
+			used[n] = model.Resources{GPUs: u.GPUs + g.spec.Shape.GPUs, Cores: u.Cores + g.spec.Shape.Cores, MemoryMB: u.MemoryMB + g.spec.Shape.MemoryMB}
+		}
+	}
+	for n, u := range used {
+		if wk, ok := w.workers[n]; ok && (u.GPUs > wk.Capacity.GPUs || u.Cores > wk.Capacity.Cores || u.MemoryMB > wk.Capacity.MemoryMB) {
+			w.t.Fatalf("worker %s is overcommitted: %+v", n, u)
+		}
+	}
+}
+
+// checkGuarantees searches places for all unused guarantees beside the charged gangs.
+func (w *world) checkGuarantees() {
+	k := &packer{room: map[string]model.Resources{}, at: w.workers}
+	for _, n := range sortedKeys(w.workers) {
+		if w.startable(n) && !slices.ContainsFunc(w.view.Workers, func(v place.WorkerView) bool { return v.Name == n && v.Probation.After(w.now) }) {
+			k.names = append(k.names, n)
+			k.room[n] = w.workers[n].Capacity
+		}
+	}
+	unused := map[string]int{}
+	for _, j := range w.view.Jobs {
+		if j.Guarantee < 0 {
+			continue
+		}
+		g := w.gangs[j.ID]
+		unused[fmt.Sprint(j.Team, j.Guarantee)]--
+		team, _ := w.cfg.Team(j.Team)
+		if j.Guarantee >= len(team.Guarantees) || !inside(g.spec.Shape, team.Guarantees[j.Guarantee].Shape) {
+			w.t.Fatalf("%s is charged to guarantee %d that it does not match", j.ID, j.Guarantee)
+		}
+		if g.workers == nil {
+			unused[fmt.Sprint(j.Team, j.Guarantee)]++ // its place is being freed: it still needs one
+		}
+		for _, n := range g.workers {
+			r := k.room[n]
+			s := g.spec.Shape
+			k.room[n] = model.Resources{GPUs: r.GPUs - s.GPUs, Cores: r.Cores - s.Cores, MemoryMB: r.MemoryMB - s.MemoryMB}
+		}
+	}
+	for _, s := range w.view.Shortages {
+		unused[fmt.Sprint(s.Team, s.Guarantee)] -= s.Missing
+	}
+	var ds []demand
+	for _, t := range w.cfg.Teams {
+		for i, gr := range t.Guarantees {
+			n := max(1, gr.Count) + unused[fmt.Sprint(t.Name, i)]
+			for range n {
+				ds = append(ds, demand{gr.Shape, [][]string{t.DataCentres, gr.DataCentres}})
+			}
+		}
+	}
+	slices.SortStableFunc(ds, func(a, b demand) int { return b.shape.TotalGPUs() - a.shape.TotalGPUs() })
+	if !k.pack(ds) {
+		w.t.Fatalf("unused guarantees %+v do not fit: room %+v, policy %+v", ds, k.room, w.view)
+	}
+}
+
+func inside(s, g model.Shape) bool {
+	per := 1 << 20
+	for _, q := range [][2]int{{s.GPUs, g.GPUs}, {s.Cores, g.Cores}, {s.MemoryMB, g.MemoryMB}} {
+		if q[0] > 0 {
+			per = min(per, q[1]/q[0])
+		}
+	}
+	return per > 0 && (s.Tasks+per-1)/per <= g.Tasks && (!s.SameRack || g.SameRack || g.Tasks == 1)
+}
+
+// checkNoneWaitsWithinGuarantee finds waiting jobs of an unused guaranteed shape for which nothing is reclaimed.
+func (w *world) checkNoneWaitsWithinGuarantee() {
+	if len(w.view.Shortages) > 0 {
+		return
+	}
+	for _, at := range w.back {
+		if w.now.Sub(at) < place.DefaultReturnPeriod {
+			return // starts are bounded
+		}
+	}
+	used := map[string]int{}
+	for _, j := range w.view.Jobs {
+		if j.Guarantee >= 0 {
+			used[fmt.Sprint(j.Team, j.Guarantee)]++
+		}
+	}
+	for _, j := range w.view.Jobs {
+		g := w.gangs[j.ID]
+		team, ok := w.cfg.Team(j.Team)
+		if g.workers != nil || j.Reclaiming || !ok || len(g.spec.DataCentres) > 0 {
+			continue
+		}
+		for i, gr := range team.Guarantees {
+			if gr.Shape == g.spec.Shape && used[fmt.Sprint(j.Team, i)] < max(1, gr.Count) {
+				w.t.Fatalf("%s waits within unused guarantee %d: %s", j.ID, i, w.p.Explain(j.ID))
+			}
+		}
+	}
+}
--- a/place/pack.go
+++ b/place/pack.go
@@ -108,12 +108,8 @@
 
 // repackAll places extra and all unused cells anew; on failure everything stays as it was.
 func (p *Policy) repackAll(extra ...*cell) bool {
-	cells := p.movable()
-	old := make([][]*worker, len(cells))
-	for i, c := range cells {
-		old[i] = c.pos
-	}
-	all := slices.Clone(cells)
+	all := p.movable()
+	old := positionsOf(all)
 	for _, c := range extra {
 		if !slices.Contains(all, c) {
 			all = append(all, c)
@@ -131,10 +127,29 @@
 	for _, c := range extra {
 		p.setCell(c, nil, c.occupant)
 	}
+	p.restore(old)
+	return false
+}
+
+// position is where a cell was.
+type position struct {
+	c   *cell
+	pos []*worker
+}
+
+func positionsOf(cells []*cell) []position {
+	ps := make([]position, len(cells))
 	for i, c := range cells {
-		p.setCell(c, old[i], nil)
+		ps[i] = position{c, c.pos}
+	}
+	return ps
+}
+
+// restore puts unused cells back.
+func (p *Policy) restore(ps []position) {
+	for _, o := range ps {
+		p.setCell(o.c, o.pos, nil)
 	}
-	return false
 }
 
 // placeInOrder places cells greedily; one that fails goes to the front in the next trial.
@@ -215,9 +230,8 @@
 	if len(moved) == 0 && !p.overloaded(c) {
 		return true
 	}
-	old := make([][]*worker, len(moved))
-	for i, o := range moved {
-		old[i] = o.pos
+	old := positionsOf(moved)
+	for _, o := range moved {
 		p.setCell(o, nil, nil)
 	}
 	slices.SortStableFunc(moved, harder)
@@ -228,9 +242,7 @@
 		p.setCell(o, nil, nil)
 	}
 	p.setCell(c, oldPos, oldOccupant)
-	for i, o := range moved {
-		p.setCell(o, old[i], nil)
-	}
+	p.restore(old)
 	return false
 }
 
--- a/place/policy.go
+++ b/place/policy.go
@@ -35,6 +35,13 @@
 	DefaultProbation = 5 * time.Minute
 )
 
+const (
+	// idleLook is how often waiting jobs are looked at without an event.
+	idleLook = 15 * time.Second
+	// returnLook is the same while starts into a returned data centre are bounded.
+	returnLook = 200 * time.Millisecond
+)
+
 // Config is what a policy is made with; zero fields take the defaults.
 type Config struct {
 	// Seed makes the order of packing trials reproducible.
@@ -93,6 +100,10 @@
 	stopped []*job
 	shadows []*reservation
 	stamp   int
+	round   int // of decisions
+
+	changed  bool // an event may have made a decision possible
+	nextLook time.Time
 
 	probation []*worker
 	cands     []cand
@@ -116,6 +127,9 @@
 // Step takes in an event; it never decides, so a wave of events costs little.
 func (p *Policy) Step(now time.Time, e Event) {
 	p.now = now
+	if _, ok := e.(JobProgress); !ok {
+		p.changed = true
+	}
 	switch e := e.(type) {
 	case ConfigChanged:
 		p.configChanged(e.Config)
@@ -142,6 +156,12 @@
 func (p *Policy) Decide(now time.Time) []Decision {
 	p.now = now
 	p.endProbations()
+	if !p.changed && !p.repack && now.Before(p.nextLook) {
+		return nil
+	}
+	p.changed = false
+	p.round++
+	p.nextLook = now.Add(p.lookAfter())
 	p.displaceOutOfService()
 	p.settle()
 	var ds []Decision
@@ -152,6 +172,17 @@
 	return ds
 }
 
+// lookAfter returns when to look again without an event: for a job that may
+// get a reservation, or soon while starts into a returned data centre are bounded.
+func (p *Policy) lookAfter() time.Duration {
+	for _, dc := range p.dcs {
+		if p.returning(dc) {
+			return returnLook
+		}
+	}
+	return idleLook
+}
+
 // preempt stops a running gang; its resources stay in use until JobReleased.
 func (p *Policy) preempt(ds []Decision, j *job, forJob, reason string) []Decision {
 	p.uncharge(j)
--- a/place/queue.go
+++ b/place/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"turmericroute/model"
 )
 
 // queue holds the waiting jobs of a team; removal marks a job and costs constant time.
@@ -89,23 +91,23 @@
 }
 
 func (p *Policy) placeGuaranteed(ds []Decision, t *team, urgent bool) []Decision {
-	if !t.hasUnusedCell() {
+	if len(t.cells) == 0 {
 		return ds
 	}
-	for _, j := range slices.Clone(t.waiting()) {
-		if j.spec.Urgent != urgent || j.claim != nil || !j.queued {
-			continue
-		}
-		var ok bool
-		if ds, ok = p.startGuaranteed(ds, j); ok && !t.hasUnusedCell() {
-			return ds
+	jobs := slices.Clone(t.waiting())
+	for _, exact := range []bool{true, false} {
+		for _, j := range jobs {
+			if j.spec.Urgent == urgent && j.claim == nil && j.queued && t.guarantees(j.spec.Shape) == exact {
+				ds, _ = p.startGuaranteed(ds, j)
+			}
 		}
 	}
 	return ds
 }
 
-func (t *team) hasUnusedCell() bool {
-	return slices.ContainsFunc(t.cells, func(c *cell) bool { return c.occupant == nil && c.pos != nil })
+// guarantees reports whether one of the team's guarantees is of this very shape.
+func (t *team) guarantees(s model.Shape) bool {
+	return slices.ContainsFunc(t.cells, func(c *cell) bool { return c.shape == s })
 }
 
 // borrowQueue is a team's part in one round of fair placement.
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -105,12 +105,15 @@
 	return at.Add(24 * time.Hour)
 }
 
-// endOf returns when a placed gang is expected to end.
+// endOf returns when a placed gang is expected to end, computed once for each decision.
 func (p *Policy) endOf(j *job) time.Time {
-	if j.state == jobStopping {
-		return p.now.Add(p.cfg.ReclaimDeadline)
+	if j.endRound != p.round {
+		j.endRound = p.round
+		if j.end = p.now.Add(p.remaining(j)); j.state == jobStopping {
+			j.end = p.now.Add(p.cfg.ReclaimDeadline)
+		}
 	}
-	return p.now.Add(p.remaining(j))
+	return j.end
 }
 
 // earliestPlace returns the place whose workers are expected to be free first, leaving out reserved ones.
@@ -156,11 +159,15 @@
 	if !p.now.Add(p.estimate(j)).After(r.at) {
 		return w.cap
 	}
+	if w.besideRound == p.round {
+		return w.beside
+	}
 	room := w.cap.minus(w.held).minus(r.job.per.times(r.tasksOn(w)))
 	for _, g := range w.gangs {
 		if p.endOf(g).After(r.at) {
 			room = room.minus(g.per.times(g.tasksOn(w)))
 		}
 	}
+	w.beside, w.besideRound = room, p.round
 	return room
 }
--- a/place/site.go
+++ b/place/site.go
@@ -15,6 +15,9 @@
 	id      rackID
 	dc      *dataCentre
 	workers []*worker // by name
+	// mostFree is the most of each resource free on one worker, in the round freeRound.
+	mostFree  amount
+	freeRound int
 }
 
 type dataCentre struct {
@@ -49,6 +52,9 @@
 	gangs  []*job
 	health health
 	shadow *reservation // the reservation of a large job that this worker is part of
+	// beside is what others may take beyond the shadow's start, in the round besideRound.
+	beside      amount
+	besideRound int
 
 	stamp, slot int // scratch of setCell
 }
@@ -112,7 +118,7 @@
 		was := dc.inService
 		dc.inService = cfg.InService(dc.name)
 		if dc.inService && !was && dc.declared {
-			dc.returned, dc.starts = p.now, nil
+			dc.returned = p.now
 		}
 		_, dc.declared = cfg.DataCentre(dc.name)
 	}
@@ -188,9 +194,14 @@
 	return ds
 }
 
+// returning reports whether starts into a data centre are bounded because it has just returned.
+func (p *Policy) returning(dc *dataCentre) bool {
+	return !dc.returned.IsZero() && p.now.Sub(dc.returned) < p.cfg.ReturnPeriod
+}
+
 // mayStart reports whether the bound on starts into a returned data centre allows one more.
 func (p *Policy) mayStart(dc *dataCentre) bool {
-	if dc.returned.IsZero() || p.now.Sub(dc.returned) >= p.cfg.ReturnPeriod {
+	if !p.returning(dc) {
 		return true
 	}
 	for len(dc.starts) > 0 && p.now.Sub(dc.starts[0]) >= time.Second {
@@ -204,7 +215,7 @@
 	var seen []*dataCentre
 	for _, w := range placement {
 		dc := w.rack.dc
-		if slices.Contains(seen, dc) || dc.returned.IsZero() || p.now.Sub(dc.returned) >= p.cfg.ReturnPeriod {
+		if slices.Contains(seen, dc) || !p.returning(dc) {
 			continue
 		}
 		seen = append(seen, dc)
--- a/place/victim.go
+++ b/place/victim.go
@@ -19,32 +19,54 @@
 		j.why = "the team's quota of accelerators is in use by its guaranteed jobs"
 		return ds, false
 	}
+	// Gangs that stop on workers that do not answer leave only when their lease ends.
+	for _, slow := range []bool{false, true} {
+		for _, pl := range p.plans(j, c, own, slow) {
+			if !p.tryCharge(j, c, pl.pos) {
+				continue
+			}
+			p.hold(j, c.inside(j), pl.victims)
+			j.claim.slow = slow || j.patient
+			for _, v := range pl.victims {
+				ds = p.preempt(ds, v, j.id(), "reclaimed for the guarantee of team "+j.team.name)
+			}
+			j.why = "its place is being freed"
+			if p.claimFree(j) {
+				ds = p.startClaimed(ds, j)
+			}
+			return ds, true
+		}
+	}
+	j.why = "the guaranteed shape finds no place to reclaim"
+	return ds, false
+}
+
+// plans returns the ways to free a place for the cell, cheapest first.
+func (p *Policy) plans(j *job, c *cell, own []*job, slow bool) []plan {
 	var plans []plan
 	for _, moveOthers := range []bool{false, true} {
+		o := planOptions{moveOthers: moveOthers, slow: slow, own: own}
 		if !c.shape.SameRack {
-			plans = p.addPlan(plans, c, j, moveOthers, nil, own)
+			plans = p.addPlan(plans, c, j, o)
 			continue
 		}
 		for _, r := range p.order {
 			if allows(c.dcs, r.id.dc) {
-				plans = p.addPlan(plans, c, j, moveOthers, r, own)
+				o.only = r
+				plans = p.addPlan(plans, c, j, o)
 			}
 		}
 	}
 	slices.SortStableFunc(plans, func(a, b plan) int { return cmp.Compare(a.cost, b.cost) })
-	for _, pl := range plans {
-		if !p.tryCharge(j, c, pl.pos) {
-			continue
-		}
-		p.hold(j, c.inside(j), pl.victims)
-		for _, v := range pl.victims {
-			ds = p.preempt(ds, v, j.id(), "reclaimed for the guarantee of team "+j.team.name)
-		}
-		j.why = "its place is being freed"
-		return ds, true
-	}
-	j.why = "the guaranteed shape finds no place to reclaim"
-	return ds, false
+	return plans
+}
+
+// planOptions bound the search for a plan.
+type planOptions struct {
+	moveOthers bool  // other unused cells may move
+	slow       bool  // gangs that leave only when their lease ends count as leaving
+	only       *rack // nil means anywhere
+	own        []*job
 }
 
 // ownVictims returns borrowers of the job's own team that must stop for its quota.
@@ -53,7 +75,7 @@
 	var own []*job
 	for _, v := range j.team.running {
 		switch {
-		case p.leaving(v):
+		case v.state == jobStopping:
 			over -= v.spec.Shape.TotalGPUs()
 		case p.borrows(v) && v.per.gpus > 0:
 			own = append(own, v)
@@ -82,17 +104,17 @@
 	slots   int
 }
 
-// addPlan appends the cheapest plan found within one rack, or anywhere when only is nil.
-func (p *Policy) addPlan(plans []plan, c *cell, j *job, moveOthers bool, only *rack, own []*job) []plan {
-	s := p.newScope(c, j, moveOthers, only)
+// addPlan appends the cheapest plan found.
+func (p *Policy) addPlan(plans []plan, c *cell, j *job, o planOptions) []plan {
+	s := p.newScope(c, j, o)
 	if s == nil {
 		return plans
 	}
-	chosen := slices.Clone(own)
-	for _, v := range own {
+	chosen := slices.Clone(o.own)
+	for _, v := range o.own {
 		s.free(v, 1)
 	}
-	for _, v := range s.candidates(own) {
+	for _, v := range s.candidates(o.own) {
 		if s.enough() {
 			break
 		}
@@ -102,8 +124,8 @@
 	if !s.enough() {
 		return plans
 	}
-	chosen = s.prune(chosen, len(own))
-	pos := p.cellPosition(c, j, moveOthers, only, s.freed)
+	chosen = s.prune(chosen, len(o.own))
+	pos := p.cellPosition(c, j, o.moveOthers, o.only, s.freed)
 	if pos == nil {
 		return plans
 	}
@@ -115,7 +137,7 @@
 }
 
 // newScope returns the workers that may take slots of the cell; nil when too few.
-func (p *Policy) newScope(c *cell, j *job, moveOthers bool, only *rack) *scope {
+func (p *Policy) newScope(c *cell, j *job, o planOptions) *scope {
 	k := c.perSlot(j)
 	n := j.spec.Shape.Tasks
 	s := &scope{
@@ -124,14 +146,14 @@
 	}
 	total := 0
 	for _, r := range p.order {
-		if !allows(c.dcs, r.id.dc) || only != nil && r != only {
+		if !allows(c.dcs, r.id.dc) || o.only != nil && r != o.only {
 			continue
 		}
 		for _, w := range r.workers {
 			if !p.usable(w) {
 				continue
 			}
-			if n := c.per.into(p.cellRoom(c, w, moveOthers), c.shape.Tasks); n > 0 {
+			if n := c.per.into(p.cellRoom(c, w, o.moveOthers), c.shape.Tasks); n > 0 {
 				s.room[w.index] = n
 				s.workers = append(s.workers, w)
 				total += n
@@ -143,7 +165,7 @@
 	}
 	for _, w := range s.workers {
 		for _, g := range w.gangs {
-			if p.leaving(g) {
+			if g.state == jobStopping && (o.slow || responsive(g)) {
 				s.freed[w.index] = s.freed[w.index].plus(g.per.times(g.tasksOn(w)))
 			}
 		}
