--- /dev/null
+++ b/cmd/bench/decide.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"turmericroute/place"
+	"turmericroute/replay"
+)
+
+const decideHelp = `Replays seeded job traces through the placement policy and two baselines in
+virtual time, and measures the cost of a decision at the large size. The last
+lines give, for each size, the ratios of the policy to the better baseline.`
+
+func decideCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("decide", flag.ContinueOnError)
+	cfg := replay.Config{}
+	fs.Int64Var(&cfg.Seed, "seed", 1, "seed of the first trace")
+	fs.IntVar(&cfg.Seeds, "seeds", 1, "number of traces for each size")
+	fs.StringVar(&cfg.Faults, "faults", "both", "traces with faults: both, on or off")
+	fs.StringVar(&cfg.Plot, "plot", "", "SVG file for the comparison")
+	fs.BoolVar(&cfg.SkipCost, "skip-cost", false, "leave out the cost of a decision")
+	sizes := fs.String("sizes", strings.Join(replay.SizeNames, ","), "sizes to replay")
+	strategy := fs.String("strategy", string(place.StrategyPacked), "reservation of guaranteed shapes: packed or cells")
+	return &ffcli.Command{
+		Name:       "decide",
+		ShortUsage: "bench decide [flags]",
+		ShortHelp:  "measure placement decisions",
+		LongHelp:   decideHelp,
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			cfg.Sizes = strings.Split(*sizes, ",")
+			cfg.Strategy = place.Strategy(*strategy)
+			return replay.Run(ctx, cfg, os.Stdout)
+		},
+	}
+}
--- /dev/null
+++ b/replay/plot.go
@@ -0,0 +1,97 @@
+package replay
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 16 * vg.Centimeter
+	barWidth   = 14 * vg.Millimeter / 2
+)
+
+var barColours = []color.Color{
+	color.RGBA{R: 0x2a, G: 0x7f, B: 0x62, A: 0xff}, color.RGBA{R: 0xc8, G: 0x8a, B: 0x2b, A: 0xff}, color.RGBA{R: 0x5b, G: 0x6c, B: 0x9d, A: 0xff},
+}
+
+// plotComparison writes four bar charts, one for each target, as one SVG file.
+func plotComparison(all []comparison, file string) error {
+	charts := []struct {
+		title string
+		of    func(Result) float64
+	}{
+		{"mean completion, hours", func(r Result) float64 { return r.MeanCompletion / hour }},
+		{"fragmentation", func(r Result) float64 { return r.Fragmentation }},
+		{"work while a data centre is away, share of possible", func(r Result) float64 { return r.DepartureWork }},
+		{"wait of large gangs p99, hours", func(r Result) float64 { return r.LargeWaitP99 / hour }},
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{Rows: 2, Cols: 2, PadX: vg.Centimeter, PadY: vg.Centimeter}
+	dc := draw.New(canvas)
+	for i, ch := range charts {
+		p, err := barChart(all, ch.title, ch.of)
+		if err != nil {
+			return fmt.Errorf("chart %s: %w", ch.title, err)
+		}
+		p.Draw(tiles.At(dc, i%2, i/2))
+	}
+	return writeFile(file, canvas)
+}
+
+func barChart(all []comparison, title string, of func(Result) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Min = 0
+	p.Legend.Top = true
+	var names []string
+	for _, c := range all {
+		names = append(names, c.size)
+	}
+	for i, name := range schedulerNames {
+		var vs plotter.Values
+		for _, c := range all {
+			var xs []float64
+			for _, rs := range c.results {
+				if v := of(rs[i]); v > 0 {
+					xs = append(xs, v)
+				}
+			}
+			vs = append(vs, mean(xs))
+		}
+		bars, err := plotter.NewBarChart(vs, barWidth)
+		if err != nil {
+			return nil, fmt.Errorf("bars of %s: %w", name, err)
+		}
+		bars.Offset = vg.Length(i-1) * barWidth
+		bars.Color = barColours[i]
+		bars.LineStyle.Width = 0
+		p.Add(bars)
+		p.Legend.Add(name, bars)
+	}
+	p.NominalX(names...)
+	return p, nil
+}
+
+func writeFile(file string, canvas *vgsvg.Canvas) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("create: %w", err)
+	}
+	defer func() {
+		if e := f.Close(); e != nil && err == nil {
+			err = fmt.Errorf("close: %w", e)
+		}
+	}()
+	if _, err := canvas.WriteTo(f); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/run.go
@@ -0,0 +1,220 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericroute/place"
+)
+
+// parallelReplays is the number of replays that run at a time.
+const parallelReplays = 4
+
+// Config is what a replay runs.
+type Config struct {
+	// Seed is that of the first trace; further seeds follow it.
+	Seed int64
+	// Seeds is the number of traces for each size; 0 means 1.
+	Seeds int
+	// Sizes names the sizes; empty means all.
+	Sizes []string
+	// Faults is "both", "on" or "off"; empty means "both".
+	Faults string
+	// Plot names an SVG file for the main comparison; empty means none.
+	Plot string
+	// Strategy is that of the policy.
+	Strategy place.Strategy
+	// SkipCost leaves out the measurement of decision cost and memory.
+	SkipCost bool
+}
+
+func (c Config) withDefaults() Config {
+	if c.Seeds <= 0 {
+		c.Seeds = 1
+	}
+	if len(c.Sizes) == 0 {
+		c.Sizes = SizeNames
+	}
+	if c.Faults == "" {
+		c.Faults = "both"
+	}
+	return c
+}
+
+// faults returns whether to replay with faults, without, or both.
+func (c Config) faults() ([]bool, error) {
+	switch c.Faults {
+	case "both":
+		return []bool{false, true}, nil
+	case "on":
+		return []bool{true}, nil
+	case "off":
+		return []bool{false}, nil
+	default:
+		return nil, fmt.Errorf("faults are both, on or off, not %q", c.Faults)
+	}
+}
+
+// schedulerNames are the compared schedulers, the policy first.
+var schedulerNames = []string{"policy", "fcfs", "backfill"}
+
+func newScheduler(name string, cfg Config) Scheduler {
+	switch name {
+	case "fcfs":
+		return newBaseline(false)
+	case "backfill":
+		return newBaseline(true)
+	default:
+		return place.New(place.Config{Seed: cfg.Seed, Strategy: cfg.Strategy})
+	}
+}
+
+// Run replays every size through the policy and the baselines and writes the comparison.
+func Run(ctx context.Context, cfg Config, w io.Writer) error {
+	cfg = cfg.withDefaults()
+	modes, err := cfg.faults()
+	if err != nil {
+		return err
+	}
+	var cost Cost
+	if !cfg.SkipCost {
+		if cost, err = MeasureCost(ctx, cfg); err != nil {
+			return fmt.Errorf("measure decision cost: %w", err)
+		}
+		fmt.Fprintf(w, "cost %s\n", cost)
+	}
+	all, err := replaySizes(ctx, cfg, modes, w)
+	if err != nil {
+		return err
+	}
+	for _, c := range all {
+		fmt.Fprintln(w, c.summary(cost))
+	}
+	if cfg.Plot != "" {
+		if err := plotComparison(all, cfg.Plot); err != nil {
+			return fmt.Errorf("plot to %s: %w", cfg.Plot, err)
+		}
+	}
+	return nil
+}
+
+// replayJob is one trace through one scheduler.
+type replayJob struct {
+	size      Size
+	sizeIndex int
+	seed      int64
+	faults    bool
+	scheduler string
+	took      time.Duration
+	result    Result
+}
+
+// replaySizes replays all traces, a few at a time, and writes a line for each in a fixed order.
+func replaySizes(ctx context.Context, cfg Config, modes []bool, w io.Writer) ([]comparison, error) {
+	var jobs []*replayJob
+	all := make([]comparison, len(cfg.Sizes))
+	for i, name := range cfg.Sizes {
+		sz, err := SizeOf(name)
+		if err != nil {
+			return nil, err
+		}
+		all[i].size = name
+		for _, faults := range modes {
+			for seed := range cfg.Seeds {
+				for _, sched := range schedulerNames {
+					jobs = append(jobs, &replayJob{size: sz, sizeIndex: i, seed: cfg.Seed + int64(seed), faults: faults, scheduler: sched})
+				}
+			}
+		}
+	}
+	// The longest replays begin first.
+	next := make(chan *replayJob, len(jobs))
+	for _, j := range slices.Backward(jobs) {
+		next <- j
+	}
+	close(next)
+	var wg sync.WaitGroup
+	for range parallelReplays {
+		wg.Go(func() {
+			for j := range next {
+				if ctx.Err() == nil {
+					j.replay(cfg)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("replay: %w", err)
+	}
+	for i := 0; i < len(jobs); i += len(schedulerNames) {
+		var rs []Result
+		for _, j := range jobs[i : i+len(schedulerNames)] {
+			fmt.Fprintf(w, "replay size=%s seed=%d faults=%v scheduler=%s %s took_s=%.1f\n",
+				j.size.Name, j.seed, j.faults, j.scheduler, j.result, j.took.Seconds())
+			rs = append(rs, j.result)
+		}
+		all[jobs[i].sizeIndex].add(rs)
+	}
+	return all, nil
+}
+
+func (j *replayJob) replay(cfg Config) {
+	from := time.Now()
+	j.result = newSim(newTrace(j.size, j.seed, j.faults), newScheduler(j.scheduler, cfg)).run().res
+	j.result.Scheduler = j.scheduler
+	j.took = time.Since(from)
+}
+
+// String formats the figures of a result.
+func (r Result) String() string {
+	return fmt.Sprintf("mean_completion_s=%.0f p50_s=%.0f p99_s=%.0f slowdown=%.2f fragmentation=%.3f departure_work=%.3f utilisation=%.3f "+
+		"large_wait_p99_s=%.0f broken_guarantees=%d short_s=%.0f partial_gangs=%d reclaim_p99_s=%.1f preemptions=%d work_lost=%.4f unfinished=%d decide_p99_ms=%.2f",
+		r.MeanCompletion, r.P50Completion, r.P99Completion, r.MeanSlowdown, r.Fragmentation, r.DepartureWork, r.Utilisation,
+		r.LargeWaitP99, r.BrokenGuarantees, r.ShortSeconds, r.PartialGangs, r.ReclaimP99, r.Preemptions, r.PreemptionLoss, r.Unfinished, r.DecisionP99)
+}
+
+// comparison pools the ratios of the policy to the better baseline of one size.
+type comparison struct {
+	size                      string
+	completion, fragmentation []float64
+	departure, wait           []float64
+	broken, partial           int
+	results                   [][]Result
+}
+
+func (c *comparison) add(rs []Result) {
+	c.results = append(c.results, rs)
+	p := rs[0]
+	c.broken += p.BrokenGuarantees
+	c.partial += p.PartialGangs
+	best := func(of func(Result) float64, better func(a, b float64) float64) float64 {
+		v := of(rs[1])
+		for _, r := range rs[2:] {
+			v = better(v, of(r))
+		}
+		return v
+	}
+	ratio := func(list *[]float64, of func(Result) float64, better func(a, b float64) float64) {
+		if b := best(of, better); b > 0 {
+			*list = append(*list, of(p)/b)
+		}
+	}
+	ratio(&c.completion, func(r Result) float64 { return r.MeanCompletion }, math.Min)
+	ratio(&c.fragmentation, func(r Result) float64 { return r.Fragmentation }, math.Min)
+	ratio(&c.departure, func(r Result) float64 { return r.DepartureWork }, math.Max)
+	ratio(&c.wait, func(r Result) float64 { return r.LargeWaitP99 }, math.Min)
+}
+
+// summary is the line of a size; ratios are means over its traces.
+func (c *comparison) summary(cost Cost) string {
+	return fmt.Sprintf("size=%s mean_completion_ratio=%.3f fragmentation_ratio=%.3f departure_work_ratio=%.3f large_wait_p99_ratio=%.3f "+
+		"broken_guarantees=%d partial_gangs=%d decision_p99_ms=%.2f growth_ratio=%.2f policy_state_mb=%.1f",
+		c.size, mean(c.completion), mean(c.fragmentation), mean(c.departure), mean(c.wait),
+		c.broken, c.partial, cost.DecisionP99MS, cost.Growth, cost.StateMB)
+}
--- /dev/null
+++ b/replay/site.go
@@ -0,0 +1,160 @@
+package replay
+
+import (
+	"fmt"
+
+	"turmericroute/config"
+	"turmericroute/model"
+)
+
+// Size is a site with its teams and load.
+type Size struct {
+	Name   string
+	Config config.Config
+	// Hours is the time in which jobs are submitted.
+	Hours float64
+	// Jobs is the number of submissions in that time.
+	Jobs int
+	mix  mix
+}
+
+// SizeNames lists the sizes of the comparison.
+var SizeNames = []string{"cobreria", "asahikawa", "large"}
+
+// SizeOf returns the named size.
+func SizeOf(name string) (Size, error) {
+	switch name {
+	case "cobreria":
+		return cobreria(), nil
+	case "asahikawa":
+		return asahikawa(), nil
+	case "large":
+		return large(880), nil
+	default:
+		return Size{}, fmt.Errorf("no size %q, the sizes are %v", name, SizeNames)
+	}
+}
+
+func dataCentres(n int, racks func(dc int) []config.Rack) []config.DataCentre {
+	var dcs []config.DataCentre
+	for d := range n {
+		dcs = append(dcs, config.DataCentre{Name: fmt.Sprintf("dc%d", d+1), Region: "home", Racks: racks(d)})
+	}
+	return dcs
+}
+
+func uniformRacks(n, workers int, per model.Resources) func(int) []config.Rack {
+	return func(int) []config.Rack {
+		var rs []config.Rack
+		for r := range n {
+			rs = append(rs, config.Rack{Name: fmt.Sprintf("rack%02d", r+1), Workers: workers, PerWorker: per})
+		}
+		return rs
+	}
+}
+
+// gpuShape is a shape of GPU tasks with cores and memory in proportion.
+func gpuShape(tasks, gpus, coresPerGPU, mbPerGPU int, sameRack bool) model.Shape {
+	return model.Shape{Tasks: tasks, GPUs: gpus, Cores: gpus * coresPerGPU, MemoryMB: gpus * mbPerGPU, SameRack: sameRack}
+}
+
+// cobreria is Cobrería Andina Software: 48 workers, six to a rack, in 4 data centres.
+func cobreria() Size {
+	sh := func(tasks, gpus int, same bool) model.Shape { return gpuShape(tasks, gpus, 3, 6<<10, same) }
+	return Size{
+		Name: "cobreria", Hours: 24, Jobs: 1700,
+		Config: config.Config{
+			DataCentres: dataCentres(4, uniformRacks(2, 6, model.Resources{GPUs: 8, Cores: 32, MemoryMB: 64 << 10})),
+			Teams: []config.Team{
+				{Name: "seams", Weight: 3, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(6, 8, true)}, {Shape: sh(2, 8, true), Count: 2}}},
+				{Name: "patina", Weight: 3, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(4, 8, true)}, {Shape: sh(1, 8, false), Count: 4}}},
+				{Name: "bends", Weight: 1, MaxGPUs: 128, Guarantees: []config.Guarantee{{Shape: sh(2, 8, true), Count: 2}}},
+				{Name: "previews", Weight: 1, MaxGPUs: 128, Guarantees: []config.Guarantee{{Shape: sh(1, 2, false), Count: 8}}},
+			},
+		},
+		mix: mix{wholeGPUs: 8, coresPerGPU: 3, mbPerGPU: 6 << 10, largest: 6, shares: [2]float64{0.6, 0.28}, cpuShare: 0.15, load: 0.95},
+	}
+}
+
+// asahikawa is Asahikawa Municipal Topiary Works: 48 workers, eight to a rack, in 3 data centres.
+func asahikawa() Size {
+	sh := func(tasks, gpus int, same bool) model.Shape { return gpuShape(tasks, gpus, 14, 56<<10, same) }
+	return Size{
+		Name: "asahikawa", Hours: 24, Jobs: 1400,
+		Config: config.Config{
+			DataCentres: dataCentres(3, uniformRacks(2, 8, model.Resources{GPUs: 8, Cores: 128, MemoryMB: 512 << 10})),
+			Teams: []config.Team{
+				{Name: "hedges", Weight: 3, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(8, 8, true)}, {Shape: sh(2, 8, true), Count: 2}}},
+				{Name: "snow", Weight: 2, MaxGPUs: 192, Guarantees: []config.Guarantee{{Shape: sh(4, 8, true)}, {Shape: sh(1, 8, false), Count: 2}}},
+				{Name: "wires", Weight: 1, MaxGPUs: 128, Guarantees: []config.Guarantee{{Shape: sh(2, 8, true)}}},
+				{Name: "plans", Weight: 1, MaxGPUs: 96, Guarantees: []config.Guarantee{{Shape: sh(1, 4, false), Count: 4}}},
+			},
+		},
+		mix: mix{wholeGPUs: 8, coresPerGPU: 14, mbPerGPU: 56 << 10, largest: 8, shares: [2]float64{0.6, 0.28}, cpuShare: 0.15, load: 0.95},
+	}
+}
+
+// large is the size to design for: 880 workers with 950 accelerators among them
+// in 5 data centres; another number of workers scales it.
+func large(workers int) Size {
+	scale := func(n int) int { return max(1, n*workers/880) }
+	gpu := func(gpus int) model.Resources { return model.Resources{GPUs: gpus, Cores: 64, MemoryMB: 256 << 10} }
+	plain := model.Resources{Cores: 48, MemoryMB: 192 << 10}
+	racks := func(int) []config.Rack {
+		rs := []config.Rack{
+			{Name: "gpu8", Workers: scale(16), PerWorker: gpu(8)},
+			{Name: "gpu4", Workers: scale(15), PerWorker: gpu(4)},
+			{Name: "gpu1", Workers: scale(2), PerWorker: gpu(1)},
+		}
+		left := workers/5 - rs[0].Workers - rs[1].Workers - rs[2].Workers
+		for r := 1; left > 0; r++ {
+			n := min(left, 16)
+			rs = append(rs, config.Rack{Name: fmt.Sprintf("cpu%02d", r), Workers: n, PerWorker: plain})
+			left -= n
+		}
+		return rs
+	}
+	sz := Size{
+		Name: "large", Hours: 24, Jobs: 3200 * workers / 880,
+		Config: config.Config{DataCentres: dataCentres(5, racks)},
+		mix:    mix{wholeGPUs: 8, coresPerGPU: 6, mbPerGPU: 24 << 10, largest: max(2, scale(8)), shares: [2]float64{0.5, 0.42}, cpuShare: 0.8, load: 0.8, cpuLoad: 0.6},
+	}
+	for i := range 22 {
+		t := config.Team{Name: fmt.Sprintf("team%02d", i+1), Weight: float64(1 + i%3)}
+		switch {
+		case i < 4:
+			t.MaxGPUs = max(64, scale(400))
+			t.Guarantees = []config.Guarantee{
+				{Shape: gpuShape(scale(8), 8, 6, 24<<10, true)},
+				{Shape: model.Shape{Tasks: scale(64), Cores: 3, MemoryMB: 10 << 10}},
+			}
+		case i < 12:
+			t.MaxGPUs = max(32, scale(200))
+			t.Guarantees = []config.Guarantee{
+				{Shape: gpuShape(scale(4), 4, 6, 24<<10, true)},
+				{Shape: model.Shape{Tasks: scale(32), Cores: 3, MemoryMB: 10 << 10}, Count: 2},
+			}
+		default:
+			t.MaxGPUs = max(16, scale(100))
+			t.Guarantees = []config.Guarantee{{Shape: model.Shape{Tasks: scale(16), Cores: 3, MemoryMB: 10 << 10}, Count: 3}}
+		}
+		sz.Config.Teams = append(sz.Config.Teams, t)
+	}
+	return sz
+}
+
+// workersOf returns the declared workers of a configuration.
+func workersOf(cfg config.Config) []model.Worker {
+	var ws []model.Worker
+	for _, dc := range cfg.DataCentres {
+		for _, r := range dc.Racks {
+			for i := range r.Workers {
+				ws = append(ws, model.Worker{
+					Name:       fmt.Sprintf("%s-%s-%02d", dc.Name, r.Name, i+1),
+					DataCentre: dc.Name, Rack: r.Name, Incarnation: "1", Capacity: r.PerWorker,
+				})
+			}
+		}
+	}
+	return ws
+}
