--- a/replay/meter.go
+++ b/replay/meter.go
@@ -56,7 +56,6 @@
 	capTime    float64
 	frag       []float64
 	departing  bool
-	depFrom    float64
 	depWork    float64
 	depPoss    float64
 	lastWork   float64
--- a/replay/plot.go
+++ b/replay/plot.go
@@ -1,3 +1,4 @@
+//nolint:misspell // The plot library spells its names the American way.
 package replay
 
 import (
