place: keep cores and memory for free accelerators

Cause: tasks without accelerators took the cores of accelerator workers, so whole-worker gangs found free accelerators that they could not use. Change: such a task leaves the learned cores and memory for each free accelerator, unless it has waited for the reservation bound.

--- a/place/fit.go
+++ b/place/fit.go
@@ -115,6 +115,9 @@
 				continue
 			}
 			room := w.free()
+			if j.per.gpus == 0 && w.cap.gpus > 0 && !p.starving(j) {
+				room = room.min(p.besideGPUs(w))
+			}
 			if w.shadow != nil && w.shadow.job != j {
 				room = room.min(p.besideShadow(w, j))
 			}
@@ -137,6 +140,17 @@
 	return p.choose(tasks, j.spec.Shape.SameRack, false)
 }
 
+// besideGPUs returns the cores and memory of a worker that its free
+// accelerators do not need, so that tasks without accelerators do not make
+// accelerators unusable.
+func (p *Policy) besideGPUs(w *worker) amount {
+	free := w.free()
+	return free.minus(amount{0, p.perGPU.cores, p.perGPU.mem}.times(max(0, free.gpus)))
+}
+
+// starving reports whether a job has waited longer than the bound after which it gets a reservation.
+func (p *Policy) starving(j *job) bool { return p.now.Sub(j.waitFrom) >= p.cfg.ReserveAfter }
+
 // mostFree returns the most of each resource that is free on one worker of the rack.
 func (p *Policy) mostFree(r *rack) amount {
 	if r.freeRound != p.round {
--- a/place/job.go
+++ b/place/job.go
@@ -81,6 +81,7 @@
 		progress: m.Checkpoint, checkpoint: m.Checkpoint, base: m.Checkpoint,
 	}
 	p.jobs[j.id()] = j
+	p.learnPerGPU(j.per)
 	return j
 }
 
--- a/place/learn.go
+++ b/place/learn.go
@@ -134,3 +134,20 @@
 func seconds(s float64) time.Duration {
 	return time.Duration(math.Min(s, 1e8) * float64(time.Second))
 }
+
+// perGPUWeight is the weight of one job in the cores and memory that go with an accelerator.
+const perGPUWeight = 0.02
+
+// learnPerGPU follows the cores and memory that jobs ask for with each accelerator.
+func (p *Policy) learnPerGPU(per amount) {
+	if per.gpus == 0 {
+		return
+	}
+	cores, mem := float64(per.cores)/float64(per.gpus), float64(per.mem)/float64(per.gpus)
+	if p.perGPUCores == 0 && p.perGPUMem == 0 {
+		p.perGPUCores, p.perGPUMem = cores, mem
+	}
+	p.perGPUCores += perGPUWeight * (cores - p.perGPUCores)
+	p.perGPUMem += perGPUWeight * (mem - p.perGPUMem)
+	p.perGPU = amount{0, int(math.Ceil(p.perGPUCores - 0.01)), int(math.Ceil(p.perGPUMem - 1))}
+}
--- a/place/policy.go
+++ b/place/policy.go
@@ -100,7 +100,10 @@
 	stopped []*job
 	shadows []*reservation
 	stamp   int
-	round   int // of decisions
+	// perGPU is what goes with an accelerator, rounded up from the means below.
+	perGPU                 amount
+	perGPUCores, perGPUMem float64
+	round                  int // of decisions
 
 	changed  bool // an event may have made a decision possible
 	nextLook time.Time
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -15,7 +15,7 @@
 
 // considerReservation reserves the place that frees first for a job that has waited for too long.
 func (p *Policy) considerReservation(j *job) {
-	if j.shadow != nil || len(p.shadows) >= p.cfg.Reservations || p.now.Sub(j.waitFrom) < p.cfg.ReserveAfter {
+	if j.shadow != nil || len(p.shadows) >= p.cfg.Reservations || !p.starving(j) {
 		return
 	}
 	p.reserve(j)
