Place a job again where it failed when nowhere else has room

The list of workers to avoid was cleared, but the decision that cleared it placed nothing, and later decisions skip a policy without changes. Change: the search is repeated at once without the list.

--- a/place/queue.go
+++ b/place/queue.go
@@ -175,12 +175,14 @@
 		return ds
 	}
 	place := p.findFree(j)
+	if place == nil && len(j.avoid) > 0 {
+		// A place where it failed is better than none.
+		j.avoid = nil
+		place = p.findFree(j)
+	}
 	if place == nil {
 		j.why = "no place is free"
-		if len(j.avoid) > 0 {
-			// A place where it failed is better than none.
-			j.avoid = nil
-		} else if j.shadow == nil {
+		if j.shadow == nil {
 			failed[key] = true
 		}
 		p.considerReservation(j)
