--- /dev/null
+++ b/itest/apply_test.go
@@ -0,0 +1,184 @@
+package itest_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/itest"
+	"turmericroute/state"
+)
+
+// limits matches the request limit of a team in written declarations.
+var limits = regexp.MustCompile(`\n    max_requests: \d+`)
+
+// changedLimit writes the declarations in force with another request limit of one team.
+func changedLimit(ctx context.Context, c *itest.Cluster, team string, limit int) string {
+	GinkgoHelper()
+	r := command(ctx, c.Addresses(), "config", "get")
+	Expect(r.Code).To(Equal(0), r.Err)
+	before, after, ok := strings.Cut(r.Out, "  - name: "+team+"\n")
+	Expect(ok).To(BeTrue())
+	entry, rest, _ := strings.Cut(after, "\n  - ")
+	entry = fmt.Sprintf("    max_requests: %d\n", limit) + strings.TrimPrefix(limits.ReplaceAllString("\n"+entry, ""), "\n")
+	path := filepath.Join(tempDir(), "config.yaml")
+	text := before + "  - name: " + team + "\n" + entry
+	if rest != "" {
+		text += "\n  - " + rest
+	}
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+func history(ctx context.Context, c *itest.Cluster, since uint64) []state.Record {
+	GinkgoHelper()
+	records, err := c.Client().History(ctx, since)
+	Expect(err).NotTo(HaveOccurred())
+	return records
+}
+
+var _ = Describe("operators change the configuration", func() {
+	var c *itest.Cluster
+
+	BeforeEach(func(ctx SpecContext) { c = start(ctx, five) })
+
+	It("two at a time with plans made from one version: one wins and the other learns what changed", func(ctx SpecContext) {
+		teams := []string{"owner", "borrower"}
+		for round := range 5 {
+			version := uint64(round + 1)
+			plans := make([]string, 2)
+			for i, team := range teams {
+				plans[i] = filepath.Join(tempDir(), "plan.json")
+				file := changedLimit(ctx, c, team, 100+round)
+				r := command(ctx, c.Addresses(), "config", "plan", "-f", file, "-author", "operator-of-"+team, "-reason", "raise "+team, "-o", plans[i])
+				Expect(r.Code).To(Equal(0), r.Err)
+			}
+			results := make([]result, 2)
+			var wg sync.WaitGroup
+			for i := range plans {
+				wg.Go(func() {
+					defer GinkgoRecover()
+					results[i] = command(ctx, []string{c.Nodes[(round+i)%len(c.Nodes)].HTTP}, "config", "apply", "-plan", plans[i])
+				})
+			}
+			wg.Wait()
+			won, lost := 0, 1
+			if results[0].Code != 0 {
+				won, lost = 1, 0
+			}
+			Expect(results[won].Code).To(Equal(0), results[won].Err)
+			Expect(results[won].Out).To(ContainSubstring(fmt.Sprintf("is version %d\n", version+1)))
+			Expect(results[lost].Code).To(Equal(3), results[lost].Err)
+			Expect(results[lost].Err).To(MatchRegexp(`changed meanwhile: version %d at \S+ by operator-of-%s, raise %s: put team %s\n`,
+				version+1, teams[won], teams[won], teams[won]))
+			records := history(ctx, c, version)
+			Expect(records).To(HaveLen(1))
+			Expect(records[0].Patch.Author).To(Equal("operator-of-" + teams[won]))
+		}
+	}, NodeTimeout(90*time.Second))
+
+	It("by an apply that is killed at each step and repeated: the change is made once", func(ctx SpecContext) {
+		steps := []struct {
+			name, path string
+			answered   bool
+			committed  bool
+		}{
+			{"before it reads the configuration", "/v1/config", false, false},
+			{"when it has not got the configuration", "/v1/config", true, false},
+			{"before it sends the patch", "/v1/config/patches", false, false},
+			{"when the patch is accepted and the answer lost", "/v1/config/patches", true, true},
+		}
+		for i, step := range steps {
+			before := uint64(i + 1)
+			file := changedLimit(ctx, c, "owner", 500+i)
+			args := []string{"config", "apply", "-f", file, "-reason", "step " + fmt.Sprint(i)}
+			gate := newGate(c.Nodes[i].HTTP, step.path, step.answered)
+			cmd := exec.CommandContext(ctx, binary, args...)
+			cmd.Env = []string{"TURMERICROUTE_ADDRESSES=" + gate.server.URL, "USER=ana"}
+			Expect(cmd.Start()).To(Succeed())
+			Eventually(gate.reached, "10s").Should(BeClosed(), step.name)
+			Expect(cmd.Process.Kill()).To(Succeed())
+			Expect(cmd.Wait()).NotTo(Succeed())
+			gate.server.CloseClientConnections()
+			Expect(len(history(ctx, c, before)) == 1).To(Equal(step.committed), step.name)
+
+			for range 2 {
+				r := command(ctx, c.Addresses(), args...)
+				Expect(r.Code).To(Equal(0), step.name+": "+r.Err)
+			}
+			records := history(ctx, c, before)
+			Expect(records).To(HaveLen(1), step.name)
+			Expect(records[0].Patch.Reason).To(Equal("step " + fmt.Sprint(i)))
+			cfg, err := c.Client().Config(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			team, _ := cfg.Team("owner")
+			Expect(team.MaxRequests).To(Equal(500 + i))
+		}
+	}, NodeTimeout(90*time.Second))
+})
+
+// gate forwards requests to an instance and holds the first one for a path:
+// before it is forwarded, or between its answer and the caller.
+type gate struct {
+	server  *httptest.Server
+	reached chan struct{}
+	once    sync.Once
+}
+
+func newGate(address, path string, answered bool) *gate {
+	g := &gate{reached: make(chan struct{})}
+	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := r.URL.Path == path
+		if held && !answered {
+			g.hold(r)
+			return
+		}
+		resp, err := forward(r, address)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer resp.Body.Close()
+		if held {
+			g.hold(r)
+			return
+		}
+		w.WriteHeader(resp.StatusCode)
+		io.Copy(w, resp.Body)
+	}))
+	DeferCleanup(g.server.Close)
+	return g
+}
+
+// hold says that the step is reached and waits until the caller is gone.
+func (g *gate) hold(r *http.Request) {
+	// The server notices that a caller is gone only after the body has been read.
+	io.Copy(io.Discard, r.Body)
+	g.once.Do(func() { close(g.reached) })
+	<-r.Context().Done()
+}
+
+// forward sends a request on, also when its caller goes away meanwhile.
+func forward(r *http.Request, address string) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	next, err := http.NewRequestWithContext(context.WithoutCancel(r.Context()), r.Method, "http://"+address+r.URL.RequestURI(), strings.NewReader(string(body)))
+	if err != nil {
+		return nil, err
+	}
+	next.Header = r.Header.Clone()
+	return http.DefaultClient.Do(next)
+}
