--- a/client/client.go
+++ b/client/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/zeebo/errs"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 )
 
@@ -134,7 +135,7 @@
 	unknown, reached := false, false
 	first := int(c.next.Load())
 	for i := range retryRounds * len(c.bases) {
-		if i > 0 && i%len(c.bases) == 0 && !pause(ctx, retryPause) {
+		if i > 0 && i%len(c.bases) == 0 && !clock.Sleep(ctx, retryPause) {
 			break
 		}
 		n := (first + i) % len(c.bases)
@@ -178,17 +179,6 @@
 	return &e
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // transient reports whether another instance or a later time may give another answer.
 func transient(code model.Code) bool {
 	switch code {
--- /dev/null
+++ b/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock holds waits that end with a context.
+package clock
--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/quorum"
 	"turmericroute/store"
@@ -64,7 +65,7 @@
 			n.cfg.Logger.Log("event", "bootstrap_waits", "err", err)
 		}
 		if _, _, m := n.boot.get(); m == nil {
-			sleep(n.ctx, bootInterval)
+			clock.Sleep(n.ctx, bootInterval)
 		}
 	}
 }
--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
 
+	"turmericroute/clock"
 	"turmericroute/quorum"
 	"turmericroute/wire"
 )
@@ -178,4 +179,4 @@
 	}
 }
 
-func (s *sender) pause(ctx context.Context) { sleep(ctx, minBackoff) }
+func (s *sender) pause(ctx context.Context) { clock.Sleep(ctx, minBackoff) }
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/state"
 	"turmericroute/wire"
@@ -36,7 +37,7 @@
 		if out.err == nil || out.err.Outcome != model.OutcomeNotRun || out.err.Code != model.CodeNoLeader {
 			return out.result, errorOf(out.err)
 		}
-		if time.Now().After(searched) || !sleep(ctx, retryDelay) {
+		if time.Now().After(searched) || !clock.Sleep(ctx, retryDelay) {
 			return state.Result{}, out.err
 		}
 	}
--- a/ctrl/inquire.go
+++ b/ctrl/inquire.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/state"
 	"turmericroute/wire"
@@ -23,7 +24,7 @@
 		switch {
 		case fail == nil:
 			return report, nil
-		case fail.Code != model.CodeNoLeader, time.Now().After(searched), !sleep(ctx, retryDelay):
+		case fail.Code != model.CodeNoLeader, time.Now().After(searched), !clock.Sleep(ctx, retryDelay):
 			return state.Report{}, fail
 		}
 	}
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"turmericroute/clock"
 	"turmericroute/quorum"
 )
 
@@ -107,7 +108,7 @@
 
 // keepMembers makes learners that have caught up voters, one change at a time.
 func (n *Node) keepMembers(ctx context.Context, term uint64) {
-	for sleep(ctx, memberInterval) {
+	for clock.Sleep(ctx, memberInterval) {
 		m := n.member.Load()
 		var next quorum.Membership
 		var what string
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/grpc"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/quorum"
 	"turmericroute/state"
@@ -252,7 +253,7 @@
 		return
 	}
 	for s := m.status.Load(); s.Role == quorum.RoleLeader || s.Leader == ""; s = m.status.Load() {
-		if !sleep(ctx, tick/10) {
+		if !clock.Sleep(ctx, tick/10) {
 			return
 		}
 	}
@@ -269,18 +270,6 @@
 	return best
 }
 
-// sleep pauses and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // errorOf turns a typed nil into an untyped one.
 func errorOf(e *model.Error) error {
 	if e == nil {
--- a/ctrl/view.go
+++ b/ctrl/view.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/wire"
 )
@@ -90,7 +91,7 @@
 		if ok {
 			return index, nil
 		}
-		if !sleep(ctx, retryDelay) {
+		if !clock.Sleep(ctx, retryDelay) {
 			return 0, model.NotRun(model.CodeNoLeader, "no leader has answered in time")
 		}
 	}
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/grpc"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/quorum"
 	"turmericroute/wire"
@@ -22,7 +23,7 @@
 		if n.ctx.Err() == nil {
 			n.cfg.Logger.Log("event", "watch_ended", "peer", peers[at].Name, "applied", n.machine.Applied(), "err", err)
 		}
-		sleep(n.ctx, minBackoff)
+		clock.Sleep(n.ctx, minBackoff)
 	}
 }
 
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/state"
 )
@@ -143,7 +144,7 @@
 		if ctx.Err() != nil || me.Code == model.CodeInvalid || me.Code == model.CodeTooLarge {
 			return state.Result{}, me
 		}
-		if !sleep(ctx, time.Duration((0.5+e.cfg.Rand())*float64(executeRetryDelay))) {
+		if !clock.Sleep(ctx, time.Duration((0.5+e.cfg.Rand())*float64(executeRetryDelay))) {
 			return state.Result{}, me
 		}
 	}
--- a/entry/send.go
+++ b/entry/send.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"time"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/route"
 )
@@ -248,7 +249,7 @@
 		return false
 	}
 	s.e.metrics.retries.Inc()
-	return sleep(ctx, delay)
+	return clock.Sleep(ctx, delay)
 }
 
 // again waits before a refused request goes back to the queue; false when there is no time for
@@ -262,7 +263,7 @@
 	s.mu.Lock()
 	inTime := s.inTime(q, delay)
 	s.mu.Unlock()
-	return inTime && sleep(ctx, delay)
+	return inTime && clock.Sleep(ctx, delay)
 }
 
 // inTime reports whether a request sent after the delay would probably end before its deadline.
@@ -270,21 +271,6 @@
 	return s.e.cfg.Clock.Now().Add(delay + s.set.Latency()).Before(q.deadline)
 }
 
-// sleep waits for d; false when ctx ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // explain returns the error for the caller: err is why no executor was chosen, cause why the last attempt failed.
 func explain(ctx context.Context, err *model.Error, cause *failure, ran bool) *model.Error {
 	var out *model.Error
--- a/fakes/worker.go
+++ b/fakes/worker.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 )
 
@@ -123,7 +124,7 @@
 	for ctx.Err() == nil {
 		if err := w.poll(ctx, pollWait); err != nil {
 			w.nextAddress()
-			pause(ctx, 50*time.Millisecond)
+			clock.Sleep(ctx, 50*time.Millisecond)
 		}
 	}
 }
@@ -137,7 +138,7 @@
 		case <-w.report:
 		}
 		if err := w.poll(ctx, 0); err != nil {
-			pause(ctx, 20*time.Millisecond)
+			clock.Sleep(ctx, 20*time.Millisecond)
 			w.notify()
 		}
 	}
@@ -158,15 +159,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (w *Worker) notify() {
 	select {
 	case w.report <- struct{}{}:
--- a/serve/process.go
+++ b/serve/process.go
@@ -18,6 +18,7 @@
 	"golang.org/x/net/netutil"
 
 	"turmericroute/auth"
+	"turmericroute/clock"
 	"turmericroute/config"
 	"turmericroute/entry"
 	"turmericroute/model"
@@ -169,7 +170,7 @@
 	info := level.Info(p.parts.Logger)
 	p.unready.Store(true)
 	info.Log("event", "shutdown_started", "drain_delay", p.settings.DrainDelay)
-	wait(ctx, p.settings.DrainDelay)
+	clock.Sleep(ctx, p.settings.DrainDelay)
 	p.closing.Store(true)
 	p.server.SetKeepAlivesEnabled(false)
 	info.Log("event", "shutdown_refusing", "shutdown_timeout", p.settings.ShutdownTimeout)
@@ -192,15 +193,6 @@
 	return err
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // dumped is the process state of GET /dump; it holds no secrets.
 type dumped struct {
 	Settings      any                 `json:"settings"`
--- a/sizing/event.go
+++ b/sizing/event.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"turmericroute/clock"
 	"turmericroute/config"
 	"turmericroute/itest"
 	"turmericroute/model"
@@ -90,8 +91,8 @@
 		return "", err
 	}
 	// The silence timeout has passed by then if workers had not found the new leader.
-	if err := sleep(ctx, 6*time.Second); err != nil {
-		return "", err
+	if !clock.Sleep(ctx, 6*time.Second) {
+		return "", fmt.Errorf("wait for workers: %w", ctx.Err())
 	}
 	return fmt.Sprintf("accepted_again_ms=%d reruns=%d", accepted.Milliseconds(), len(site.Ledger.Runs())-before), m.running(ctx, jobs)
 }
@@ -185,14 +186,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return fmt.Errorf("wait: %w", ctx.Err())
-	case <-t.C:
-		return nil
-	}
-}
--- a/sizing/run.go
+++ b/sizing/run.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"turmericroute/client"
+	"turmericroute/clock"
 	"turmericroute/config"
 	"turmericroute/fakes"
 	"turmericroute/itest"
@@ -276,8 +277,8 @@
 		return err
 	}
 	polled, begin := m.bytes.Load(), time.Now()
-	if err := sleep(ctx, m.cfg.Window); err != nil {
-		return err
+	if !clock.Sleep(ctx, m.cfg.Window) {
+		return fmt.Errorf("observe: %w", ctx.Err())
 	}
 	after, err := m.read()
 	if err != nil {
@@ -371,17 +372,5 @@
 func until(ctx context.Context, look func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, untilTimeout)
 	defer cancel()
-	t := time.NewTicker(20 * time.Millisecond)
-	defer t.Stop()
-	for {
-		err := look()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("gave up waiting: %w", err)
-		case <-t.C:
-		}
-	}
+	return clock.Until(ctx, 20*time.Millisecond, look)
 }
--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"turmericroute/client"
+	"turmericroute/clock"
 	"turmericroute/fakes"
 	"turmericroute/model"
 	"turmericroute/serve"
@@ -217,18 +218,4 @@
 const waitStep = 10 * time.Millisecond
 
 // wait calls look until it succeeds or ctx ends, and then returns its last error.
-func wait(ctx context.Context, look func() error) error {
-	t := time.NewTicker(waitStep)
-	defer t.Stop()
-	for {
-		err := look()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("gave up waiting: %w", err)
-		case <-t.C:
-		}
-	}
-}
+func wait(ctx context.Context, look func() error) error { return clock.Until(ctx, waitStep, look) }
