--- a/quorum/append.go
+++ b/quorum/append.go
@@ -174,6 +174,7 @@
 		return fmt.Errorf("heartbeat commits %d after last entry %d: %w", m.Commit, n.log.last(), ErrLostEntries)
 	}
 	n.log.commit = max(n.log.commit, m.Commit)
+	n.adoptMembership()
 	n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Round: m.Round})
 	return nil
 }
--- a/quorum/change.go
+++ b/quorum/change.go
@@ -9,6 +9,8 @@
 // ProposeMembership appends a membership to the log of the leader. It is in
 // force once appended. One voter may be added or removed at a time, since the
 // majorities of two such memberships always share a voter; learners may change freely.
+// A dead voter is best removed before its replacement is promoted, since four
+// voters survive no more losses than three.
 func (n *Node) ProposeMembership(m Membership) (index, term uint64, err error) {
 	if err := n.mayChange(m); err != nil {
 		return 0, 0, fmt.Errorf("propose membership: %w", err)
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -24,13 +24,19 @@
 	n.countVotes()
 }
 
-// requestVotes asks the voters that have not answered.
+// requestVotes asks the voters that have not answered. The requests carry the
+// membership in force, without state, for a voter that was promoted and has
+// not received that entry; without its vote there might be no majority left.
 func (n *Node) requestVotes() {
 	m := Message{Kind: MessageVote, Term: n.term, Index: n.log.last(), LogTerm: n.log.lastTerm(), HintTerm: n.handover}
 	if n.role == RolePreCandidate {
 		m.Kind, m.Term = MessagePreVote, n.term+1
 	}
-	for _, v := range n.log.membership().membership.Voters {
+	config := n.log.membership()
+	if config.index > 0 {
+		m.Snapshot = &Snapshot{Index: config.index, Membership: config.membership}
+	}
+	for _, v := range config.membership.Voters {
 		if granted, answered := n.votes[v.ID]; v.ID == n.id || granted || answered && n.role == RoleCandidate {
 			continue
 		}
@@ -39,6 +45,13 @@
 	}
 }
 
+// mayVote reports whether this member is a voter by its own log or by the
+// newer membership of a candidate.
+func (n *Node) mayVote(m Message) bool {
+	newer := m.Snapshot != nil && m.Snapshot.Index > n.log.membership().index
+	return n.log.eligible(n.id) || newer && m.Snapshot.Membership.IsVoter(n.id)
+}
+
 // countVotes moves a candidate on once a majority of the voters has answered alike.
 func (n *Node) countVotes() {
 	granted, refused := 0, 0
@@ -63,7 +76,7 @@
 
 // handlePreVote says whether this member would vote, and changes nothing.
 func (n *Node) handlePreVote(m Message) {
-	if !n.isVoter() {
+	if !n.mayVote(m) {
 		return
 	}
 	if m.Term > n.term && !n.promised() && n.log.upToDate(m.Index, m.LogTerm) {
@@ -78,7 +91,7 @@
 // but for a candidate that the same leader asked to take over, since that
 // leader has given up its lease for the rest of its term.
 func (n *Node) handleVote(m Message) {
-	if !n.isVoter() {
+	if !n.mayVote(m) {
 		return
 	}
 	repeated := m.Term == n.term && n.vote == m.From
--- a/quorum/log.go
+++ b/quorum/log.go
@@ -133,6 +133,20 @@
 	return l.configs[len(l.configs)-1]
 }
 
+// eligible reports whether id is a voter in the membership in force or, while
+// that is uncommitted, in one from which the change may still be undone.
+func (l *raftLog) eligible(id string) bool {
+	for i := len(l.configs) - 1; i >= 0; i-- {
+		if l.configs[i].membership.IsVoter(id) {
+			return true
+		}
+		if l.configs[i].index <= l.commit {
+			break
+		}
+	}
+	return false
+}
+
 // membershipAt returns the membership in force at index, false when it is not known.
 func (l *raftLog) membershipAt(index uint64) (Membership, bool) {
 	i := sort.Search(len(l.configs), func(i int) bool { return l.configs[i].index > index })
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -156,13 +156,14 @@
 	n.adoptMembership()
 }
 
-// adoptMembership follows the membership in force after the log has changed.
+// adoptMembership follows the membership in force after the log or the commit
+// index has changed. A member whose removal is uncommitted goes on voting and
+// campaigning: its vote may be needed to commit or to undo the removal.
 func (n *Node) adoptMembership() {
-	voter := n.isVoter()
 	switch {
 	case n.role == RoleLeader:
 		n.trackMembers()
-	case !voter:
+	case !n.log.eligible(n.id):
 		n.role = RoleLearner
 	case n.role == RoleLearner:
 		n.role = RoleFollower
--- a/quorum/snap.go
+++ b/quorum/snap.go
@@ -23,9 +23,9 @@
 		n.log.reset(*s)
 		n.snapshot = s
 		n.installed = s
-		n.adoptMembership()
 		reply.Index = s.Index
 	}
+	n.adoptMembership()
 	n.send(reply)
 	return nil
 }
