Keep access tokens from upstreams, and let try wait for probed executors

Cause: the Authorization header of a caller was passed on to executors. Change: the header is removed; the trial waits until each instance answers.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -51,12 +51,13 @@
 		s.usable(1)
 		got := s.do(call{key: "k1", header: map[string]string{
 			"Connection": "X-Hop, close", "X-Hop": "1", "Te": "trailers", "Keep-Alive": "3", "X-End": "2", "Turmericroute-Key": "forged",
+			"Authorization": "Bearer secret",
 		}})
 		Expect(got.header).NotTo(HaveKey("Turmericroute-Load"))
 		h := u.Ledger()["k1"].Header
 		Expect(h.Get("X-End")).To(Equal("2"))
 		Expect(h.Values("Turmericroute-Key")).To(Equal([]string{"k1"}))
-		for _, name := range []string{"X-Hop", "Te", "Keep-Alive", "Idempotency-Key", "Turmericroute-Key-Time"} {
+		for _, name := range []string{"X-Hop", "Te", "Keep-Alive", "Idempotency-Key", "Turmericroute-Key-Time", "Authorization"} {
 			Expect(h).NotTo(HaveKey(name))
 		}
 	})
--- a/entry/header.go
+++ b/entry/header.go
@@ -45,6 +45,8 @@
 // ownHeaders of a request are for the entry, or set by it anew.
 var ownHeaders = []string{
 	HeaderIdempotencyKey, "X-Idempotency-Key", HeaderKeyTime, HeaderKey, HeaderLoad, HeaderOutcome, "Expect", "Content-Length",
+	// The caller's token for this system must not reach upstreams.
+	"Authorization",
 }
 
 // removeHopHeaders removes the hop-by-hop headers and those that Connection names.
--- a/trial/deploy.go
+++ b/trial/deploy.go
@@ -141,6 +141,24 @@
 			return err
 		}
 	}
+	if err := d.registered(ctx); err != nil {
+		return err
+	}
+	// Each entry probes an executor before it uses it.
+	for _, a := range d.addresses {
+		err := wait(ctx, func() error {
+			_, err := d.answered(ctx, a, "", "first plan")
+			return err
+		})
+		if err != nil {
+			return fmt.Errorf("instance %s: %w", a, err)
+		}
+	}
+	return nil
+}
+
+// registered waits until all workers and executors are known.
+func (d *deployment) registered(ctx context.Context) error {
 	return wait(ctx, func() error {
 		ws, err := d.api.Workers(ctx)
 		if err != nil {
