Rewrite docs/operations.md as a rehearsal and run its commands in a test

Cause: the page described commands in words, so that page and program could drift apart, and a new operator had to put the steps together. Change: the page goes from an empty machine to the seven instances with TLS and tokens and through changes, a drain, a replaced voter, a lost majority, reclaim, overload, slow upstreams, rolling restarts and a restore. A test runs its 80 marked commands in one shell against real processes and checks the exit codes. For the page: status -wait, keys token -file, an instance that gives up 250 ms before its caller so that its own answer arrives, reads that never end in an unknown outcome, and a readable reason before the first view.

--- a/client/client.go
+++ b/client/client.go
@@ -33,6 +33,9 @@
 	retryRounds = 3
 	// retryPause is the wait between rounds; an election takes up to 800 ms.
 	retryPause = 400 * time.Millisecond
+	// answerMargin is how much earlier than the caller the instance gives up, so that
+	// its own answer, which names the reason and the outcome, still arrives.
+	answerMargin = 250 * time.Millisecond
 	// dialTimeout bounds the connection to one instance, so that others are tried in time.
 	dialTimeout = 2 * time.Second
 )
@@ -150,6 +153,10 @@
 			break
 		}
 	}
+	if q.method == http.MethodGet {
+		// A read changes nothing, however its sendings ended.
+		last.Outcome, unknown = model.OutcomeNotRun, false
+	}
 	return conclude(last, unknown, reached)
 }
 
@@ -256,7 +263,8 @@
 		req.Header.Set("Turmericroute-Team", c.team)
 	}
 	if d, ok := ctx.Deadline(); ok {
-		ms := max(1, time.Until(d).Milliseconds())
+		left := time.Until(d)
+		ms := max(1, (left - min(answerMargin, left/4)).Milliseconds())
 		req.Header.Set("Turmericroute-Timeout-Ms", fmt.Sprint(min(ms, 300_000)))
 	}
 	return req, nil
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -139,6 +139,13 @@
 		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
 	})
 
+	It("that only read are not run, however their sendings end", func() {
+		a := serve(abort)
+		c, ctx := call(a.URL)
+		_, err := c.Config(ctx)
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+	})
+
 	It("treat an answer that is not ours as of unknown outcome", func() {
 		a := serve(func(w http.ResponseWriter) { w.WriteHeader(502); w.Write([]byte("<html>")) })
 		c, ctx := call(a.URL)
--- a/cmd/turmericroute/drain_wait.go
+++ b/cmd/turmericroute/drain_wait.go
@@ -29,14 +29,16 @@
 }
 
 // unfinished is the error of a wait that ended too early.
-type unfinished struct {
-	version uint64
-	left    string
-}
+type unfinished struct{ message, hint string }
 
 // Error says what was still missing.
-func (e *unfinished) Error() string {
-	return fmt.Sprintf("version %d is accepted, but not all of it was done in time: %s", e.version, e.left)
+func (e *unfinished) Error() string { return e.message }
+
+func serviceUnfinished(version uint64, left string) error {
+	return &unfinished{
+		message: fmt.Sprintf("version %d is accepted, but not all of it was done in time: %s", version, left),
+		hint:    "the change is in force; run the same command again to go on waiting, or look at 'status' and 'job explain'",
+	}
 }
 
 // finishService waits for the target, if that is asked for, and prints the result.
@@ -69,9 +71,9 @@
 		left, err := s.serviceLeft(ctx, c, t, version, &placed)
 		switch {
 		case ctx.Err() != nil && last == "":
-			return placed, &unfinished{version: version, left: "nothing is known of its progress"}
+			return placed, serviceUnfinished(version, "nothing is known of its progress")
 		case ctx.Err() != nil:
-			return placed, &unfinished{version: version, left: last}
+			return placed, serviceUnfinished(version, last)
 		case err != nil && final(err):
 			return placed, err
 		case err != nil:
--- a/cmd/turmericroute/exit.go
+++ b/cmd/turmericroute/exit.go
@@ -87,7 +87,7 @@
 	case errors.As(err, &u):
 		return exitUsage, u.message, u.hint
 	case errors.As(err, &w):
-		return exitUnfinished, w.Error(), "the change is in force; run the same command again to go on waiting, or look at 'status' and 'job explain'"
+		return exitUnfinished, w.message, w.hint
 	case errors.As(err, &m):
 		code, next := classify(err, m)
 		if hint == "" {
--- a/cmd/turmericroute/keys_test.go
+++ b/cmd/turmericroute/keys_test.go
@@ -59,6 +59,26 @@
 		res := (&runner{}).run("keys", "token", "-name", "ci", "-role", "root")
 		Expect(res.code).To(Equal(2))
 	})
+
+	It("are added to a tokens file, which stays as it was when that would make it faulty", func() {
+		path := tempFile("tokens.yaml", "tokens:\n  - {name: ana, role: operator, sha256: "+auth.HashOf("x")+"}\n")
+		out := (&runner{}).ok("keys", "token", "-name", "ci", "-role", "team", "-subject", "tejados", "-file", path)
+		secret := secretPattern.FindString(out)
+		tokens, faults, err := auth.ReadTokens(path, auth.Watch{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(faults).To(BeEmpty())
+		id, ok := tokens.Identify(secret)
+		Expect(ok).To(BeTrue())
+		Expect(id.Subject).To(Equal("tejados"))
+		_, ok = tokens.Identify("x")
+		Expect(ok).To(BeTrue())
+		before, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		res := (&runner{}).run("keys", "token", "-name", "ci", "-role", "operator", "-file", path)
+		Expect(res.code).To(Equal(2))
+		Expect(res.err).To(ContainSubstring(`"ci" occurs twice`))
+		Expect(os.ReadFile(path)).To(Equal(before))
+	})
 })
 
 var _ = Describe("completion", func() {
--- a/cmd/turmericroute/keys_token.go
+++ b/cmd/turmericroute/keys_token.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 
@@ -17,23 +18,31 @@
 Roles: operator (everything), team (jobs and requests of one team), worker and
 upstream (what one worker or upstream says of itself).
 
-EXAMPLE
-  turmericroute keys token -name tejados-ci -role team -subject tejados`
+With -file the entry is added to a tokens file, which is replaced whole; comments
+in it are not kept.
+
+EXAMPLES
+  turmericroute keys token -name tejados-ci -role team -subject tejados
+  turmericroute keys token -name ana -role operator -file keys/tokens.yaml`
 
 func keysTokenCommand() leaf {
 	var e auth.Entry
-	var role string
+	var role, path string
 	return leaf{
 		name: "token", short: "make an access token", long: keysTokenUsage, local: true,
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&e.Name, "name", "", "`name` of the token in the audit log")
 			fs.StringVar(&role, "role", "", "operator, team, worker or upstream")
 			fs.StringVar(&e.Subject, "subject", "", "`name` of the team, worker or upstream")
+			fs.StringVar(&path, "file", "", "tokens `file` to add the entry to")
 		},
 		run: func(_ context.Context, s *session, _ []string) error {
 			secret, hash := auth.NewSecret()
 			e.Role, e.SHA256 = auth.Role(role), hash
 			file := auth.File{Tokens: []auth.Entry{e}}
+			if path != "" {
+				return s.addToken(path, secret, e)
+			}
 			if faults := file.Validate(); len(faults) > 0 {
 				return &usageError{message: "the token cannot be made", hint: "correct the flags named above", faults: config.Strings(faults)}
 			}
@@ -46,3 +55,16 @@
 		},
 	}
 }
+
+// addToken adds an entry to a tokens file and prints the secret.
+func (s *session) addToken(path, secret string, e auth.Entry) error {
+	if err := auth.AddToken(path, e); err != nil {
+		var f *auth.FaultsError
+		if errors.As(err, &f) {
+			return &usageError{message: "the token cannot be added", hint: "correct the flags or the file; nothing was changed", faults: config.Strings(f.Faults)}
+		}
+		return usagef("check the path after -file", "%v", err)
+	}
+	fmt.Fprintf(s.out, "secret, shown once: %s\nadded to %s\n", secret, path)
+	return nil
+}
--- a/cmd/turmericroute/ops_test.go
+++ b/cmd/turmericroute/ops_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -146,3 +148,26 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(info.Mode().Perm()).To(Equal(os.FileMode(0o600)))
 })
+
+var _ = It("status waits for learners and for a leader", func() {
+	r := newRunner()
+	var o atomic.Pointer[state.Overview]
+	r.replica.InquireFunc = func(context.Context, state.Inquiry) (state.Report, error) {
+		if o.Load() == nil {
+			return state.Report{}, model.NotRun(model.CodeNoLeader, "no leader")
+		}
+		return state.Report{Overview: o.Load()}, nil
+	}
+	members := func(voter bool) *state.Overview {
+		return &state.Overview{Leader: state.ReplicaStatus{Name: "fake", Members: []state.MemberStatus{{Name: "fake", Voter: voter}}}}
+	}
+	res := r.run("status", "-wait", "-timeout", "1s")
+	Expect(res.code).To(Equal(6))
+	Expect(res.err).To(ContainSubstring("waiting: no leader answers"))
+	o.Store(members(false))
+	res = r.run("status", "-wait", "-timeout", "2s")
+	Expect(res.code).To(Equal(6))
+	Expect(res.err).To(ContainSubstring("fake is a learner"))
+	time.AfterFunc(time.Second, func() { o.Store(members(true)) })
+	Expect(r.ok("status", "-wait")).To(ContainSubstring("leader fake"))
+})
--- a/cmd/turmericroute/status.go
+++ b/cmd/turmericroute/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 
@@ -25,10 +26,18 @@
   RECLAIMABLE  the part of GUARANTEED that the team can have by asking
   SHORT        guaranteed shapes that fit nowhere now
 
+With -wait it waits until all instances answer and are ready, all members of the
+log are voters that have caught up, and there is a leader; when -timeout passes
+first, it exits with 6.
+
 Without a leader it shows what the instances say of themselves and exits with 3.
 
-EXAMPLE
-  turmericroute status -addresses 127.0.0.1:7101`
+EXAMPLES
+  turmericroute status -addresses 127.0.0.1:7101
+  turmericroute status -wait -timeout 1m`
+
+// caughtUp is how many entries a voter may be behind while commits go on.
+const caughtUp = 256
 
 // deployment is what status shows.
 type deployment struct {
@@ -41,9 +50,14 @@
 }
 
 func statusCommand() leaf {
+	var wait bool
 	return leaf{
 		name: "status", short: "show the whole deployment", long: statusUsage,
+		flags: func(fs *flag.FlagSet) { fs.BoolVar(&wait, "wait", false, "wait until all of it works") },
 		run: call(func(ctx context.Context, s *session, _ *client.Client, _ []string) error {
+			if wait {
+				return s.awaitDeployment(ctx)
+			}
 			d, err := s.deployment(ctx)
 			if err != nil {
 				return err
@@ -56,6 +70,53 @@
 	}
 }
 
+// awaitDeployment waits until all of the deployment works, and then shows it.
+func (s *session) awaitDeployment(ctx context.Context) error {
+	last := ""
+	for {
+		d, err := s.deployment(ctx)
+		if err != nil && final(err) {
+			return err
+		}
+		missing := d.missing()
+		if missing == "" {
+			return s.print(d, func(w io.Writer) error { return printStatus(w, d) })
+		}
+		if ctx.Err() != nil {
+			return &unfinished{message: "not all of the deployment works in time: " + orElse(last, missing), hint: "look at 'status' and at the log of the instance"}
+		}
+		if missing != last {
+			fmt.Fprintln(s.err, "waiting: "+missing)
+			last = missing
+		}
+		pause(ctx, progressInterval)
+	}
+}
+
+// missing says what does not work, and nothing when all does.
+func (d deployment) missing() string {
+	for _, i := range d.Instances {
+		switch {
+		case i.Status == nil:
+			return fmt.Sprintf("%s does not answer", orElse(i.Name, i.Address))
+		case !i.Status.Ready:
+			return fmt.Sprintf("%s is not ready: %s", i.Name, i.Status.NotReady)
+		}
+	}
+	if d.Overview == nil {
+		return "no leader answers"
+	}
+	for _, m := range d.Overview.Leader.Members {
+		switch {
+		case !m.Voter:
+			return fmt.Sprintf("%s is a learner", m.Name)
+		case m.Match+caughtUp < d.Overview.Leader.Commit:
+			return fmt.Sprintf("%s is %d entries behind", m.Name, d.Overview.Leader.Commit-m.Match)
+		}
+	}
+	return ""
+}
+
 // deployment asks all instances, and the leader through one of them.
 func (s *session) deployment(ctx context.Context) (deployment, error) {
 	list, err := s.instances(ctx)
--- a/cmd/turmericroute/status_text.go
+++ b/cmd/turmericroute/status_text.go
@@ -90,11 +90,7 @@
 
 func instanceRow(i instance, member string, o *state.Overview) []string {
 	if i.Status == nil {
-		name := i.Name
-		if name == "" {
-			name = i.Address
-		}
-		return []string{name, "-", "-", member, "-", "-", "-", "no answer: " + i.Error}
+		return []string{orElse(i.Name, i.Address), "-", "-", member, "-", "-", "-", "no answer: " + i.Error}
 	}
 	r := i.Status.Replica
 	ready := "yes"
--- a/cmd/turmericroute/table.go
+++ b/cmd/turmericroute/table.go
@@ -36,6 +36,14 @@
 	return s
 }
 
+// orElse returns the first text that is not empty.
+func orElse(first, second string) string {
+	if first == "" {
+		return second
+	}
+	return first
+}
+
 func words(s string) []string {
 	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
 }
--- /dev/null
+++ b/itest/page_test.go
@@ -0,0 +1,238 @@
+package itest_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/auth"
+	"turmericroute/client"
+	"turmericroute/config"
+	"turmericroute/fakes"
+	"turmericroute/itest"
+	"turmericroute/model"
+)
+
+// line is one command of a page, or a mark at which the test does something itself.
+type line struct {
+	number int
+	text   string
+	mark   string
+	exits  int
+}
+
+var (
+	exitComment = regexp.MustCompile(`\s+# exits (\d+)$`)
+	testMark    = regexp.MustCompile(`^<!-- test: (.+) -->$`)
+	exampleAddr = regexp.MustCompile(`127\.0\.0\.1:7[12]0[1-7]`)
+)
+
+// commandsOf returns the commands of the blocks marked "sh run" and the marks, in their order.
+func commandsOf(page string) []line {
+	var out []line
+	inside := false
+	for i, text := range strings.Split(page, "\n") {
+		text = strings.TrimSpace(text)
+		if m := testMark.FindStringSubmatch(text); m != nil {
+			out = append(out, line{number: i + 1, mark: m[1]})
+		}
+		if strings.HasPrefix(text, "```") {
+			inside = text == "```sh run"
+			continue
+		}
+		if !inside || text == "" {
+			continue
+		}
+		l := line{number: i + 1, text: text}
+		if m := exitComment.FindStringSubmatch(text); m != nil {
+			l.exits, _ = strconv.Atoi(m[1])
+			l.text = strings.TrimSuffix(text, m[0])
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// shell is one bash in which all commands of a page run.
+type shell struct {
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out *bufio.Reader
+}
+
+// marker ends the output of each command, followed by its exit code.
+const marker = "@@ended@@"
+
+func newShell(dir, path string) *shell {
+	GinkgoHelper()
+	s := &shell{cmd: exec.Command("bash", "--noprofile", "--norc")}
+	s.cmd.Dir = dir
+	s.cmd.Env = []string{"PATH=" + path, "HOME=" + dir, "USER=ana"}
+	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	read, write, err := os.Pipe()
+	Expect(err).NotTo(HaveOccurred())
+	s.cmd.Stdout, s.cmd.Stderr = write, write
+	s.in, err = s.cmd.StdinPipe()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.cmd.Start()).To(Succeed())
+	write.Close()
+	s.out = bufio.NewReader(read)
+	DeferCleanup(func() {
+		s.in.Close()
+		s.cmd.Process.Kill()
+		s.cmd.Wait()
+		read.Close()
+	})
+	return s
+}
+
+// run runs one command and returns its output and exit code.
+func (s *shell) run(ctx context.Context, command string) (string, int) {
+	GinkgoHelper()
+	type ended struct {
+		out  string
+		code int
+	}
+	done := make(chan ended, 1)
+	_, err := fmt.Fprintf(s.in, "%s\nprintf '\\n%s %%d\\n' $?\n", command, marker)
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		var out strings.Builder
+		for {
+			text, err := s.out.ReadString('\n')
+			if rest, ok := strings.CutPrefix(text, marker+" "); ok || err != nil {
+				code, convErr := strconv.Atoi(strings.TrimSpace(rest))
+				if convErr != nil {
+					code = -1
+				}
+				done <- ended{out.String(), code}
+				return
+			}
+			out.WriteString(text)
+		}
+	}()
+	select {
+	case e := <-done:
+		return strings.TrimSpace(e.out), e.code
+	case <-time.After(2 * time.Minute):
+		return "no end within 2 min", -1
+	case <-ctx.Done():
+		return "the test ended first", -1
+	}
+}
+
+// pageFolder copies the examples with addresses that are free here, and returns
+// the folder and the replacement for the commands of the page.
+func pageFolder() (string, func(string) string) {
+	GinkgoHelper()
+	free, err := fakes.FreeAddresses(14)
+	Expect(err).NotTo(HaveOccurred())
+	own := func(text string) string {
+		return exampleAddr.ReplaceAllStringFunc(text, func(a string) string {
+			kind, n := a[len(a)-3], a[len(a)-1]
+			return free[7*int(kind-'1')+int(n-'1')]
+		})
+	}
+	dir := tempDir()
+	Expect(os.CopyFS(filepath.Join(dir, "examples"), os.DirFS(filepath.Join("..", "examples")))).To(Succeed())
+	files, err := filepath.Glob(filepath.Join(dir, "examples", "cobreria", "c?.yaml"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(files).To(HaveLen(7))
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(f, []byte(own(string(b))), 0o600)).To(Succeed())
+	}
+	return dir, own
+}
+
+// wrapper makes a folder for PATH in which the program ends with the shell that
+// started it, also when the test is killed.
+func wrapper() string {
+	GinkgoHelper()
+	dir := tempDir()
+	script := fmt.Sprintf("#!/bin/sh\nexec setpriv --pdeathsig KILL %s \"$@\"\n", binary)
+	Expect(os.WriteFile(filepath.Join(dir, "turmericroute"), []byte(script), 0o700)).To(Succeed())
+	return dir
+}
+
+// surround starts the workers and executors that the page expects.
+func surround(ctx context.Context, sh *shell, dir string) {
+	GinkgoHelper()
+	cfg, faults, err := config.ReadFile(filepath.Join(dir, "config.yaml"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(faults).To(BeEmpty())
+	pool, err := auth.ReadPool(filepath.Join(dir, "keys", "ca.crt"))
+	Expect(err).NotTo(HaveOccurred())
+	token, _ := sh.run(ctx, `echo "$TURMERICROUTE_TOKEN"`)
+	list, _ := sh.run(ctx, `echo "$TURMERICROUTE_ADDRESSES"`)
+	addresses := strings.Split(list, ",")
+	settings := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	site := itest.NewSite(addresses)
+	DeferCleanup(site.Close)
+	site.AddWorkers(cfg, fakes.WorkerConfig{
+		Token: token, Scheme: "https", HTTP: &http.Client{Transport: &http.Transport{TLSClientConfig: settings, MaxIdleConnsPerHost: 64}},
+	})
+	c := client.New(client.Config{Addresses: addresses, Token: token, TLS: settings})
+	for i := range 8 {
+		u, err := fakes.StartUpstream(fakes.UpstreamConfig{Upstream: model.Upstream{
+			Name: fmt.Sprint("executor-", i), Incarnation: 1, Service: cfg.Services[0].Name,
+			DataCentre: cfg.DataCentres[i%len(cfg.DataCentres)].Name, Slots: 8, Connections: 64,
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(u.Close)
+		Expect(c.Announce(ctx, u.Upstream())).To(Succeed())
+	}
+	Eventually(func() (int, error) {
+		ws, err := c.Workers(ctx)
+		return len(ws), err
+	}, "20s").Should(Equal(48))
+}
+
+// An operator follows the page with a broken deployment; a command on it that
+// does not work, or an exit code that is not as written, must not be possible.
+var _ = It("docs/operations.md works as it is written", func(ctx SpecContext) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+	Expect(err).NotTo(HaveOccurred())
+	lines := commandsOf(string(page))
+	Expect(len(lines)).To(BeNumerically(">", 60))
+	dir, own := pageFolder()
+	sh := newShell(dir, wrapper()+":"+os.Getenv("PATH"))
+	rehearsal := filepath.Join(dir, "rehearsal")
+	DeferCleanup(func() {
+		if !CurrentSpecReport().Failed() {
+			return
+		}
+		logs, _ := filepath.Glob(filepath.Join(rehearsal, "*.log"))
+		for _, f := range logs {
+			b, _ := os.ReadFile(f)
+			tail := strings.Split(strings.TrimSpace(string(b)), "\n")
+			GinkgoWriter.Printf("== %s\n%s\n", filepath.Base(f), strings.Join(tail[max(0, len(tail)-15):], "\n"))
+		}
+	})
+	for _, l := range lines {
+		if l.mark == "workers and upstreams" {
+			surround(ctx, sh, rehearsal)
+			continue
+		}
+		Expect(l.mark).To(BeEmpty(), "line %d has an unknown mark", l.number)
+		began := time.Now()
+		out, code := sh.run(ctx, own(l.text))
+		GinkgoWriter.Printf("%s line %d (%s, exit %d): %s\n%s\n", time.Now().Format(time.TimeOnly), l.number, time.Since(began).Round(time.Millisecond), code, l.text, out)
+		Expect(code).To(Equal(l.exits), "line %d: %s\n%s", l.number, l.text, out)
+	}
+}, NodeTimeout(6*time.Minute))
--- a/serve/process.go
+++ b/serve/process.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -91,7 +92,10 @@
 	if p.unready.Load() {
 		return errors.New("shutting down")
 	}
-	if age := p.parts.Node.ViewAge(); age > model.MaxViewAge {
+	switch age := p.parts.Node.ViewAge(); {
+	case age == math.MaxInt64:
+		return errors.New("no leader has been heard of since the start")
+	case age > model.MaxViewAge:
 		return fmt.Errorf("view of the state is %d ms old, at most %d are allowed", age.Milliseconds(), model.MaxViewAge.Milliseconds())
 	}
 	return nil
