--- a/gang/attempt.go
+++ b/gang/attempt.go
@@ -234,6 +234,7 @@
 	case a.all(model.TaskRunning, model.TaskDone):
 		a.started = true
 		l.policy.Step(now, place.JobStarted{ID: a.job.Spec.ID, Attempt: a.job.Attempt})
+		l.reclaimed(a.job.Spec.ID, now)
 		if !a.recovered {
 			l.metrics.started(a.job, now)
 			l.cfg.Logger.Log("event", "job_started", "job", a.job.Spec.ID, "attempt", a.job.Attempt, "tasks", len(a.tasks))
--- a/gang/claim.go
+++ b/gang/claim.go
@@ -13,6 +13,7 @@
 	if a == nil || a.reclaim != reclaimNone {
 		return
 	}
+	l.preempted(dec, now)
 	a.reclaimReason = dec.Reason
 	if dec.For != "" {
 		a.reclaimReason = "preempted for job " + dec.For + ": " + dec.Reason
--- a/gang/driver.go
+++ b/gang/driver.go
@@ -48,7 +48,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Driver{cfg: cfg, metrics: newDriverMetrics(cfg.Metrics)}
+	d := &Driver{cfg: cfg, metrics: newDriverMetrics(cfg.Metrics)}
+	d.watchLeases(cfg.Metrics)
+	return d
 }
 
 // lead is the state of one term of leadership.
@@ -74,6 +76,9 @@
 	// placed is when the policy last looked for placements.
 	placed time.Time
 	tried  tries
+	// reclaiming holds the time of the first preemption for a job that has not started yet.
+	reclaiming map[string]time.Time
+	gaugesAt   time.Time
 
 	overviews overviews
 	forecasts chan struct{} // holds a token while one is being made
@@ -86,7 +91,7 @@
 		events: make(chan event, 4096), workers: newSessions(),
 		policy:   place.New(d.cfg.Place),
 		attempts: map[string]*attempt{}, waiting: map[string]bool{},
-		tried: newTries(), forecasts: make(chan struct{}, 1),
+		tried: newTries(), reclaiming: map[string]time.Time{}, forecasts: make(chan struct{}, 1),
 	}
 	if err := r.Barrier(ctx); err != nil {
 		d.cfg.Logger.Log("event", "lead_aborted", "term", term, "err", err)
@@ -97,6 +102,7 @@
 	defer d.lead.CompareAndSwap(l, nil)
 	d.cfg.Logger.Log("event", "lead_started", "term", term, "attempts", len(l.attempts), "waiting", len(l.waiting))
 	l.run(d.ticks(ctx))
+	d.metrics.setWaiting(nil)
 	d.cfg.Logger.Log("event", "lead_ended", "term", term)
 }
 
--- a/gang/dump.go
+++ b/gang/dump.go
@@ -3,41 +3,8 @@
 import (
 	"fmt"
 	"slices"
-	"time"
-
-	"github.com/VictoriaMetrics/metrics"
-
-	"turmericroute/model"
 )
 
-type driverMetrics struct {
-	polls       *metrics.Counter
-	workersLost *metrics.Counter
-	startTime   *metrics.Histogram
-	urgentStart *metrics.Histogram
-}
-
-func newDriverMetrics(set *metrics.Set) driverMetrics {
-	return driverMetrics{
-		polls:       set.GetOrCreateCounter("turmericroute_worker_polls_total"),
-		workersLost: set.GetOrCreateCounter("turmericroute_workers_silent_total"),
-		startTime:   set.GetOrCreateHistogram("turmericroute_job_start_seconds"),
-		urgentStart: set.GetOrCreateHistogram("turmericroute_urgent_job_start_seconds"),
-	}
-}
-
-// started records the time from acceptance to the first start of a job.
-func (m driverMetrics) started(j model.Job, now time.Time) {
-	if j.Attempt != 1 {
-		return
-	}
-	took := now.Sub(time.UnixMilli(j.Accepted)).Seconds()
-	m.startTime.Update(took)
-	if j.Spec.Urgent {
-		m.urgentStart.Update(took)
-	}
-}
-
 type dump struct {
 	Term     uint64          `json:"term"`
 	Attempts []dumpedAttempt `json:"attempts"`
--- /dev/null
+++ b/gang/metrics.go
@@ -0,0 +1,119 @@
+package gang
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"turmericroute/model"
+	"turmericroute/place"
+)
+
+// gaugeInterval is how often the gauges of waiting jobs are set.
+const gaugeInterval = time.Second
+
+type driverMetrics struct {
+	set         *metrics.Set
+	polls       *metrics.Counter
+	workersLost *metrics.Counter
+	startTime   *metrics.Histogram
+	urgentStart *metrics.Histogram
+	reclaimTime *metrics.Histogram
+	reclaims    *metrics.Counter
+	displaced   *metrics.Counter
+	teams       *teamGauges
+}
+
+// teamGauges holds the teams that have a gauge of waiting jobs.
+type teamGauges struct {
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+func newDriverMetrics(set *metrics.Set) driverMetrics {
+	return driverMetrics{
+		set:         set,
+		polls:       set.GetOrCreateCounter("turmericroute_worker_polls_total"),
+		workersLost: set.GetOrCreateCounter("turmericroute_workers_silent_total"),
+		startTime:   set.GetOrCreateHistogram("turmericroute_job_start_seconds"),
+		urgentStart: set.GetOrCreateHistogram("turmericroute_urgent_job_start_seconds"),
+		reclaimTime: set.GetOrCreateHistogram("turmericroute_reclaim_seconds"),
+		reclaims:    set.GetOrCreateCounter(`turmericroute_preemptions_total{cause="reclaim"}`),
+		displaced:   set.GetOrCreateCounter(`turmericroute_preemptions_total{cause="displaced"}`),
+		teams:       &teamGauges{seen: map[string]bool{}},
+	}
+}
+
+// started records the time from acceptance to the first start of a job.
+func (m driverMetrics) started(j model.Job, now time.Time) {
+	if j.Attempt != 1 {
+		return
+	}
+	took := now.Sub(time.UnixMilli(j.Accepted)).Seconds()
+	m.startTime.Update(took)
+	if j.Spec.Urgent {
+		m.urgentStart.Update(took)
+	}
+}
+
+// preempted counts a preemption and notes when the first one for a job was decided.
+func (l *lead) preempted(dec place.Preempt, now time.Time) {
+	if dec.For == "" {
+		l.metrics.displaced.Inc()
+		return
+	}
+	l.metrics.reclaims.Inc()
+	if _, ok := l.reclaiming[dec.For]; !ok {
+		l.reclaiming[dec.For] = now
+	}
+}
+
+// reclaimed records the time from the first preemption for a job to the start of all its tasks.
+func (l *lead) reclaimed(id string, now time.Time) {
+	if at, ok := l.reclaiming[id]; ok {
+		delete(l.reclaiming, id)
+		l.metrics.reclaimTime.Update(now.Sub(at).Seconds())
+	}
+}
+
+// setGauges brings the gauges of waiting jobs up to date.
+func (l *lead) setGauges(now time.Time) {
+	if now.Sub(l.gaugesAt) < gaugeInterval {
+		return
+	}
+	l.gaugesAt = now
+	l.metrics.setWaiting(l.policy.Waiting())
+}
+
+// setWaiting sets the gauge of each team, and to 0 for teams without waiting jobs.
+func (m driverMetrics) setWaiting(waiting map[string]int) {
+	m.teams.mu.Lock()
+	defer m.teams.mu.Unlock()
+	for team := range waiting {
+		m.teams.seen[team] = true
+	}
+	for team := range m.teams.seen {
+		m.set.GetOrCreateGauge(fmt.Sprintf("turmericroute_jobs_waiting_count{team=%q}", team), nil).Set(float64(waiting[team]))
+	}
+}
+
+// watchLeases makes the gauge of the oldest lease among workers that are not silent.
+func (d *Driver) watchLeases(set *metrics.Set) {
+	set.GetOrCreateGauge("turmericroute_worker_lease_age_seconds", func() float64 {
+		l := d.lead.Load()
+		if l == nil {
+			return 0
+		}
+		now, oldest := l.cfg.Now(), time.Duration(0)
+		l.workers.each(func(w *session) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if !w.lost && !w.lastPoll.IsZero() {
+				oldest = max(oldest, now.Sub(w.lastPoll))
+			}
+		})
+		return oldest.Seconds()
+	})
+}
--- a/gang/report.go
+++ b/gang/report.go
@@ -80,6 +80,7 @@
 		l.advance(a, now)
 	}
 	l.passProgress(now)
+	l.setGauges(now)
 	if l.replan || now.Sub(l.placed) >= replanInterval {
 		l.decide(now)
 	}
--- a/gang/sync.go
+++ b/gang/sync.go
@@ -108,6 +108,9 @@
 	if !ok {
 		return
 	}
+	if j.State.Final() {
+		delete(l.reclaiming, id)
+	}
 	a := l.attempts[id]
 	placing, known := l.waiting[id]
 	switch {
--- a/place/inspect.go
+++ b/place/inspect.go
@@ -54,6 +54,15 @@
 	return s
 }
 
+// Waiting returns the number of waiting jobs by team.
+func (p *Policy) Waiting() map[string]int {
+	out := map[string]int{}
+	for _, t := range p.allTeams() {
+		out[t.name] = len(t.waiting())
+	}
+	return out
+}
+
 func (t *team) use() TeamUse {
 	var guaranteed, used, borrowed, reclaimable amount
 	u := TeamUse{Team: t.name}
--- /dev/null
+++ b/serve/config_metrics_test.go
@@ -0,0 +1,61 @@
+package serve_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/config"
+	"turmericroute/entry"
+	"turmericroute/serve"
+	"turmericroute/state"
+)
+
+// measured returns the metrics as the process serves them.
+func (r *running) measured() string {
+	res, err := http.Get(r.base + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return string(b)
+}
+
+var _ = Describe("metrics of a process", func() {
+	It("tell how soon configuration versions are in force, and leave out those of a stale view", func() {
+		r := start(serve.DefaultSettings(), nil)
+		defer r.stop()
+		patch := func(version uint64) {
+			GinkgoHelper()
+			p := config.Patch{ID: fmt.Sprint(version), BaseVersion: version, Changes: []config.Change{{PutTeam: &config.Team{Name: "t"}}}}
+			at := time.Now().Add(-300 * time.Millisecond).UnixMilli()
+			res, err := r.n.Execute(context.Background(), state.PatchConfig{Patch: p, AtMS: at})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Failure).To(BeNil())
+		}
+		Eventually(r.measured).Should(ContainSubstring("turmericroute_config_version_number 0\n"))
+		patch(0)
+		Eventually(r.measured).Should(And(
+			ContainSubstring("turmericroute_config_version_number 1\n"), ContainSubstring("turmericroute_config_delay_seconds_count 1\n"),
+			MatchRegexp(`turmericroute_config_version_age_seconds 0\.[3-9]`)))
+		r.n.SetViewAge(2 * time.Second)
+		patch(1)
+		Eventually(r.measured).Should(ContainSubstring("turmericroute_config_version_number 2\n"))
+		Consistently(r.measured, "200ms").Should(ContainSubstring("turmericroute_config_delay_seconds_count 1\n"))
+	})
+
+	It("count queued requests by team, and teams whose queue is empty again as 0", func() {
+		r := start(serve.DefaultSettings(), nil)
+		defer r.stop()
+		r.s.states.Store(&[]entry.ServiceState{{Service: "a", Queued: map[string]int{"t": 2}}, {Service: "b", Queued: map[string]int{"t": 1}}})
+		Eventually(r.measured).Should(ContainSubstring(`turmericroute_entry_queued_requests_count{team="t"} 3`))
+		r.s.states.Store(&[]entry.ServiceState{})
+		Expect(r.measured()).To(ContainSubstring(`turmericroute_entry_queued_requests_count{team="t"} 0`))
+	})
+})
--- a/serve/process.go
+++ b/serve/process.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,17 +68,25 @@
 	parts    Parts
 	server   *http.Server
 	started  time.Time
+	config   *configMetrics
+	// queues holds the teams that have a gauge of queued requests.
+	queuesMu sync.Mutex
+	queues   map[string]bool
 	// unready is set first in a shutdown, closing after the drain delay.
 	unready, closing atomic.Bool
 }
 
 // NewProcess returns a process that is not running yet.
 func NewProcess(s Settings, p Parts) *Process {
-	proc := &Process{settings: s, parts: p, started: time.Now()}
+	if p.Metrics == nil {
+		p.Metrics = metrics.NewSet()
+	}
+	proc := &Process{settings: s, parts: p, started: time.Now(), queues: map[string]bool{}}
+	proc.config = newConfigMetrics(p.Metrics, p.Node)
 	api := webapi.New(webapi.Config{
 		Replica: p.Node, Entry: p.Services, Logger: p.Logger, Metrics: p.Metrics, Dump: proc.dump, Ready: proc.ready,
 		Closing: proc.closing.Load, Tokens: p.Tokens, CheckConfig: p.CheckConfig, CheckJob: p.CheckJob,
-		Peers: s.peers(), Executors: proc.executors,
+		Peers: s.peers(), Executors: proc.executors, Refresh: proc.refreshQueues,
 	})
 	proc.server = &http.Server{
 		Handler: api, ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
@@ -132,11 +141,9 @@
 		l.Close()
 		return fmt.Errorf("start replica: %w", err)
 	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		p.parts.Services.Run(base)
-	}()
+	var background sync.WaitGroup
+	background.Go(func() { p.parts.Services.Run(base) })
+	background.Go(func() { p.config.watch(base, p.parts.Node) })
 	limited := netutil.LimitListener(l, p.settings.Limits.MaxConnections)
 	if p.parts.Keys != nil {
 		limited = tls.NewListener(limited, p.parts.Keys.Server())
@@ -152,7 +159,7 @@
 	}
 	err := errors.Join(serveErr, p.shutdown(base))
 	stop()
-	<-done
+	background.Wait()
 	return err
 }
 
--- a/webapi/api_test.go
+++ b/webapi/api_test.go
@@ -382,5 +382,8 @@
 		Expect(a.outcome).To(Equal(model.OutcomeNotRun))
 		Expect(f.post("/v1/jobs", job).outcome).To(Equal(model.OutcomeUnknown), "an earlier sending may have run")
 		Expect(f.get("/livez").status).To(Equal(http.StatusOK))
+		Expect(f.get("/metrics").body).To(And(
+			ContainSubstring(`turmericroute_http_refusals_total{route="/v1/jobs/{id}",outcome="not_run",code="shutting_down"} 1`),
+			ContainSubstring(`turmericroute_http_refusals_total{route="/v1/jobs",outcome="unknown",code="shutting_down"} 1`)))
 	})
 })
--- a/webapi/log.go
+++ b/webapi/log.go
@@ -103,6 +103,10 @@
 	}
 	a.Metrics.GetOrCreateCounter(fmt.Sprintf("turmericroute_http_requests_total{method=%q,route=%q,status=%q}",
 		knownMethod(r.Method), route, strconv.Itoa(rec.status))).Inc()
+	if rec.err != nil {
+		a.Metrics.GetOrCreateCounter(fmt.Sprintf("turmericroute_http_refusals_total{route=%q,outcome=%q,code=%q}",
+			route, rec.err.Outcome, rec.err.Code)).Inc()
+	}
 	a.Metrics.GetOrCreateHistogram(fmt.Sprintf("turmericroute_http_request_seconds{route=%q}", route)).Update(took.Seconds())
 	a.logRequest(rec, r, id, who, took)
 }
