--- a/gang/report.go
+++ b/gang/report.go
@@ -83,6 +83,7 @@
 	}
 	l.passProgress(now)
 	l.expireKeys(now)
+	l.setGauges(now)
 	if l.replan || now.Sub(l.placed) >= replanInterval {
 		l.decide(now)
 	}
