State when ticks are due and what votes carry

The lease is safe only if ticks are delivered after a message or a read request was taken and before it is handled; the page only said "before". The fields of Message that votes use for another purpose say so now.

--- a/quorum/doc.go
+++ b/quorum/doc.go
@@ -11,8 +11,9 @@
 //		n.Advance(r)
 //	}
 //
-// The leader lease rests on counts of ticks. All ticks due by the monotonic
-// clock must be delivered before each Step and ReadIndex: a process that was
-// stopped for a while and handles a message or a read first would count a
-// lease, or a promise behind one, from a tick that is long past.
+// The leader lease rests on counts of ticks. Take a message or a read request
+// first, then deliver all ticks due by the monotonic clock, and only then call
+// Step or ReadIndex. In a process that was stopped for a while, or whose sync
+// took long, the other order would count a lease, or the promise behind one,
+// from a tick that is long past.
 package quorum
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -112,8 +112,8 @@
 }
 
 // Tick advances this member's clock by one tick. All ticks that are due by the
-// caller's monotonic clock must be delivered before Step and ReadIndex are
-// called, since the leader lease compares counts of ticks on different members.
+// caller's monotonic clock must be delivered before each Step and ReadIndex,
+// since the leader lease compares counts of ticks on different members.
 func (n *Node) Tick() {
 	n.now++
 	n.elapsed++
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -78,15 +78,18 @@
 	To   string
 	Term uint64
 	// Index and LogTerm name the entry before Entries, or the last log entry in votes.
-	Index    uint64
-	LogTerm  uint64
-	Commit   uint64
-	Reject   bool
+	Index   uint64
+	LogTerm uint64
+	Commit  uint64
+	Reject  bool
+	// Hint and HintTerm name, in a rejected append, the entry to go back to. In
+	// votes HintTerm is the term of the leader that handed over, zero for none.
 	Hint     uint64
 	HintTerm uint64
 	// Round numbers heartbeats and appends and is echoed in replies; the leader lease is counted by it.
-	Round    uint64
-	Entries  []Entry
+	Round   uint64
+	Entries []Entry
+	// Snapshot holds, in votes, only the candidate's membership and its index.
 	Snapshot *Snapshot
 }
 
