--- a/cmd/bench/decide.go
+++ b/cmd/bench/decide.go
@@ -8,7 +8,6 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"turmericroute/place"
 	"turmericroute/replay"
 )
 
@@ -25,7 +24,6 @@
 	fs.StringVar(&cfg.Plot, "plot", "", "SVG file for the comparison")
 	fs.BoolVar(&cfg.SkipCost, "skip-cost", false, "leave out the cost of a decision")
 	sizes := fs.String("sizes", strings.Join(replay.SizeNames, ","), "sizes to replay")
-	strategy := fs.String("strategy", string(place.StrategyPacked), "reservation of guaranteed shapes: packed or cells")
 	return &ffcli.Command{
 		Name:       "decide",
 		ShortUsage: "bench decide [flags]",
@@ -34,7 +32,6 @@
 		FlagSet:    fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			cfg.Sizes = strings.Split(*sizes, ",")
-			cfg.Strategy = place.Strategy(*strategy)
 			return replay.Run(ctx, cfg, os.Stdout)
 		},
 	}
--- a/place/policy.go
+++ b/place/policy.go
@@ -8,17 +8,6 @@
 	"turmericroute/model"
 )
 
-// Strategy says which positions guaranteed shapes may be reserved at.
-type Strategy string
-
-// The strategies of reservation; docs/policy.md compares them.
-const (
-	// StrategyPacked reserves a shape wherever its tasks fit exactly.
-	StrategyPacked Strategy = "packed"
-	// StrategyCells reserves buddy cells: sizes rounded up to powers of two, as in HiveD (OSDI 2020).
-	StrategyCells Strategy = "cells"
-)
-
 // Defaults of Config.
 const (
 	// DefaultReserveAfter is the wait after which a job that finds no place gets a reservation.
@@ -46,7 +35,6 @@
 type Config struct {
 	// Seed makes the order of packing trials reproducible.
 	Seed            int64
-	Strategy        Strategy
 	ReserveAfter    time.Duration
 	Reservations    int
 	ReturnStarts    int
@@ -56,9 +44,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Strategy == "" {
-		c.Strategy = StrategyPacked
-	}
 	setDefault(&c.ReserveAfter, DefaultReserveAfter)
 	setDefault(&c.Reservations, DefaultReservations)
 	setDefault(&c.ReturnStarts, DefaultReturnStarts)
--- a/replay/cost.go
+++ b/replay/cost.go
@@ -59,7 +59,7 @@
 // filled returns a policy with a site of some workers that runs its share of the tasks.
 func filled(workers int, cfg Config) (*place.Policy, int) {
 	sz := large(workers)
-	p := place.New(place.Config{Seed: cfg.Seed, Strategy: cfg.Strategy})
+	p := place.New(place.Config{Seed: cfg.Seed})
 	p.Step(epoch, place.ConfigChanged{Config: sz.Config})
 	for _, w := range workersOf(sz.Config) {
 		p.Step(epoch, place.WorkerJoined{Worker: w})
--- a/replay/run.go
+++ b/replay/run.go
@@ -27,8 +27,6 @@
 	Faults string
 	// Plot names an SVG file for the main comparison; empty means none.
 	Plot string
-	// Strategy is that of the policy.
-	Strategy place.Strategy
 	// SkipCost leaves out the measurement of decision cost and memory.
 	SkipCost bool
 }
@@ -70,7 +68,7 @@
 	case "backfill":
 		return newBaseline(true)
 	default:
-		return place.New(place.Config{Seed: cfg.Seed, Strategy: cfg.Strategy})
+		return place.New(place.Config{Seed: cfg.Seed})
 	}
 }
 
