Wait for the new identity to vote in the test of a lost disk

The log shows that it killed two instances while the membership had four voters and the learner: its check for five voters was already true before the old identity was removed. With two of four voters no majority lives, so the refusal was right; ruled out: a fault in the membership change. Change: five voters, no learner and the wiped instance a follower, which is stricter.

--- a/itest/state_test.go
+++ b/itest/state_test.go
@@ -126,16 +126,23 @@
 		Expect(lost.Wipe()).To(Succeed())
 		v := patches(ctx, c, "b", 5)
 		Expect(lost.Start()).To(Succeed())
-		// Repaired means that the new identity is a voter again.
+		// Repaired means that the new identity votes: while the old one is still
+		// counted, there are five voters as well, and a learner beside them.
 		Eventually(func() (bool, error) {
 			st, err := leader(ctx, c).Status(ctx)
-			voters := 0
+			if err != nil {
+				return false, err
+			}
+			own, err := lost.Status(ctx)
+			voters, learners := 0, 0
 			for _, m := range st.Replica.Members {
 				if m.Voter {
 					voters++
+				} else {
+					learners++
 				}
 			}
-			return voters == 5, err
+			return voters == 5 && learners == 0 && own.Replica.Role == "follower", err
 		}, "20s", "50ms").Should(BeTrue())
 		Eventually(lost.Fresh, "10s", "20ms").WithContext(ctx).Should(Succeed())
 		leader(ctx, c).Kill()
