Set the leader's answers in command tests without a race

Cause: go test -race ./cmd/turmericroute reported that tests replaced the function that answers inquiries while the server of the fixture could read it. Change: the fixture sets the function once and tests replace the answer atomically. After: no report of the race detector in the unit tests of the packages changed, nor in the operations cases of itest with programs and tests built with it (279 s).

--- a/cmd/turmericroute/ops_test.go
+++ b/cmd/turmericroute/ops_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -48,7 +47,9 @@
 	})
 
 	It("name the jobs that would be stopped and the guarantees that would be short", func() {
-		r.preempted = []state.PreemptedJob{{ID: "bend-1", Team: "patina", Tasks: 4, Reason: "data centre norte is out of service", Restarts: true}}
+		r.answer(state.Report{Plan: &state.Forecast{Preempted: []state.PreemptedJob{
+			{ID: "bend-1", Team: "patina", Tasks: 4, Reason: "data centre norte is out of service", Restarts: true},
+		}}})
 		plan := r.ok("drain", "-plan", "-reason", "cooling", "data-centre", "norte")
 		Expect(plan).To(MatchRegexp(`bend-1 +patina +4 +restarts elsewhere +data centre norte is out of service`))
 		Expect(r.ok("config", "plan", "-f", change("max_requests: 200", "max_requests: 201"))).NotTo(ContainSubstring("without norte: SHORT"))
@@ -56,7 +57,7 @@
 	})
 
 	It("are refused without a leader, and nothing is written", func() {
-		r.replica.InquireFunc = nil
+		r.report.Store(nil)
 		file := filepath.Join(GinkgoT().TempDir(), "plan.json")
 		Expect(r.run("config", "plan", "-f", change("max_requests: 200", "max_requests: 201"), "-o", file).code).To(Equal(3))
 		Expect(file).NotTo(BeAnExistingFile())
@@ -151,23 +152,17 @@
 
 var _ = It("status waits for learners and for a leader", func() {
 	r := newRunner()
-	var o atomic.Pointer[state.Overview]
-	r.replica.InquireFunc = func(context.Context, state.Inquiry) (state.Report, error) {
-		if o.Load() == nil {
-			return state.Report{}, model.NotRun(model.CodeNoLeader, "no leader")
-		}
-		return state.Report{Overview: o.Load()}, nil
-	}
-	members := func(voter bool) *state.Overview {
-		return &state.Overview{Leader: state.ReplicaStatus{Name: "fake", Members: []state.MemberStatus{{Name: "fake", Voter: voter}}}}
+	r.report.Store(nil)
+	members := func(voter bool) state.Report {
+		return state.Report{Overview: &state.Overview{Leader: state.ReplicaStatus{Name: "fake", Members: []state.MemberStatus{{Name: "fake", Voter: voter}}}}}
 	}
 	res := r.run("status", "-wait", "-timeout", "1s")
 	Expect(res.code).To(Equal(6))
 	Expect(res.err).To(ContainSubstring("waiting: no leader answers"))
-	o.Store(members(false))
+	r.answer(members(false))
 	res = r.run("status", "-wait", "-timeout", "2s")
 	Expect(res.code).To(Equal(6))
 	Expect(res.err).To(ContainSubstring("fake is a learner"))
-	time.AfterFunc(time.Second, func() { o.Store(members(true)) })
+	time.AfterFunc(time.Second, func() { r.answer(members(true)) })
 	Expect(r.ok("status", "-wait")).To(ContainSubstring("leader fake"))
 })
--- a/cmd/turmericroute/suite_test.go
+++ b/cmd/turmericroute/suite_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/onsi/gomega/gexec"
 
 	"turmericroute/fakes"
+	"turmericroute/model"
 	"turmericroute/state"
 	"turmericroute/webapi"
 )
@@ -45,15 +47,21 @@
 	server  *httptest.Server
 	env     []string
 	in      string
-	// preempted are the jobs that every plan would stop.
-	preempted []state.PreemptedJob
+	// report answers inquiries; nil means that there is no leader.
+	report atomic.Pointer[state.Report]
 }
 
+func (r *runner) answer(report state.Report) { r.report.Store(&report) }
+
 // newRunner serves the API on an in-memory replica for the program to call.
 func newRunner() *runner {
 	r := &runner{replica: fakes.NewReplica()}
-	r.replica.InquireFunc = func(_ context.Context, q state.Inquiry) (state.Report, error) {
-		return state.Report{Plan: &state.Forecast{Preempted: r.preempted}}, nil
+	r.answer(state.Report{Plan: &state.Forecast{}})
+	r.replica.InquireFunc = func(context.Context, state.Inquiry) (state.Report, error) {
+		if report := r.report.Load(); report != nil {
+			return *report, nil
+		}
+		return state.Report{}, model.NotRun(model.CodeNoLeader, "no leader")
 	}
 	r.server = httptest.NewServer(webapi.New(webapi.Config{Replica: r.replica}))
 	r.env = []string{"TURMERICROUTE_ADDRESSES=" + r.server.URL, "USER=ana"}
