--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -21,7 +21,7 @@
 	"turmericroute/state"
 )
 
-const patience = 10 * time.Second
+const waitTimeout = 10 * time.Second
 
 // cluster runs several instances in this process over loopback.
 type cluster struct {
@@ -111,7 +111,7 @@
 			}
 		}
 		return leader
-	}, patience, 10*time.Millisecond).ShouldNot(BeEmpty())
+	}, waitTimeout, 10*time.Millisecond).ShouldNot(BeEmpty())
 	return leader
 }
 
@@ -126,7 +126,7 @@
 }
 
 func execute(n *ctrl.Node, cmd state.Command) state.Result {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
 	res, err := n.Execute(ctx, cmd)
 	Expect(err).NotTo(HaveOccurred())
@@ -211,8 +211,8 @@
 				register(c.nodes[c.leader()], i)
 			}
 			c.start(lost)
-			Eventually(workers(c.nodes[lost]), patience).Should(Equal(50))
-			Eventually(func() map[string]string { return memberIDs(c.nodes[c.leader()]) }, patience).Should(And(
+			Eventually(workers(c.nodes[lost]), waitTimeout).Should(Equal(50))
+			Eventually(func() map[string]string { return memberIDs(c.nodes[c.leader()]) }, waitTimeout).Should(And(
 				HaveLen(3), HaveKeyWithValue(lost, Not(Equal(before[lost])))))
 		},
 		Entry("wiped", func(dir string) { Expect(os.RemoveAll(dir)).To(Succeed()) }),
@@ -235,14 +235,14 @@
 			seen = append(seen, ctrl.Peer{Name: p.Name, Address: r.Addr().String(), Control: true})
 		}
 		d := c.startWith(ctrl.Config{Name: "d", Address: freeAddress(), Peers: seen})
-		Eventually(workers(d), patience).Should(Equal(50))
-		Eventually(d.ViewAge, patience).Should(BeNumerically("<", time.Second))
+		Eventually(workers(d), waitTimeout).Should(Equal(50))
+		Eventually(d.ViewAge, waitTimeout).Should(BeNumerically("<", time.Second))
 		Expect(d.Status().Members).To(HaveLen(3))
 		for _, r := range relays {
 			r.freeze(true)
 		}
 		register(c.nodes[c.leader()], 50)
-		Eventually(d.ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+		Eventually(d.ViewAge, waitTimeout).Should(BeNumerically(">", model.MaxViewAge))
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		Expect(d.Barrier(ctx)).NotTo(Succeed())
@@ -250,8 +250,8 @@
 		for _, r := range relays {
 			r.freeze(false)
 		}
-		Eventually(workers(d), patience).Should(Equal(51))
-		Eventually(d.ViewAge, patience).Should(BeNumerically("<", model.MaxViewAge))
+		Eventually(workers(d), waitTimeout).Should(Equal(51))
+		Eventually(d.ViewAge, waitTimeout).Should(BeNumerically("<", model.MaxViewAge))
 		c.close("d")
 	})
 
@@ -280,7 +280,7 @@
 		defer cancel()
 		_, err := c.nodes[leader].Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: "late"}})
 		Expect(err).To(HaveOccurred())
-		Eventually(c.nodes[leader].ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+		Eventually(c.nodes[leader].ViewAge, waitTimeout).Should(BeNumerically(">", model.MaxViewAge))
 		ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		_, err = c.nodes[leader].Execute(ctx, state.RegisterWorker{Worker: model.Worker{Name: "later"}})
--- a/ctrl/partition_test.go
+++ b/ctrl/partition_test.go
@@ -30,11 +30,11 @@
 				_, err := c.nodes[old].Poll(context.Background(), model.PollRequest{})
 				polled <- err
 			}()
-			Eventually(c.role.started, patience).Should(Receive())
+			Eventually(c.role.started, waitTimeout).Should(Receive())
 			By("isolating " + old)
 			c.isolate(old, true, both)
 			outcomes := tryMany(c.nodes[old], "cut", 10)
-			Eventually(c.nodes[old].ViewAge, patience).Should(BeNumerically(">", model.MaxViewAge))
+			Eventually(c.nodes[old].ViewAge, waitTimeout).Should(BeNumerically(">", model.MaxViewAge))
 			Expect(c.nodes[old].Status().Role).NotTo(Equal("leader"))
 			rest := &cluster{nodes: map[string]*ctrl.Node{}}
 			for name, n := range c.nodes {
@@ -44,10 +44,10 @@
 			}
 			register(rest.nodes[rest.leader()], 1)
 			close(c.role.release)
-			Eventually(polled, patience).Should(Receive(HaveOccurred()), "a poll answered after another leader was elected")
+			Eventually(polled, waitTimeout).Should(Receive(HaveOccurred()), "a poll answered after another leader was elected")
 			By("healing")
 			c.isolate(old, false, both)
-			Eventually(c.nodes[old].ViewAge, patience).Should(BeNumerically("<", time.Second))
+			Eventually(c.nodes[old].ViewAge, waitTimeout).Should(BeNumerically("<", time.Second))
 			By("healed")
 			register(c.nodes[old], 2)
 			for _, n := range c.nodes {
--- a/ctrl/unit_test.go
+++ b/ctrl/unit_test.go
@@ -123,7 +123,7 @@
 		broken.Store(true)
 		_, err := n.Execute(context.Background(), patch("p", 0))
 		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeUnknown))
-		Eventually(n.Failed(), patience).Should(BeClosed())
+		Eventually(n.Failed(), waitTimeout).Should(BeClosed())
 		broken.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,7 +187,7 @@
 	}
 	n := e.inFlight
 	e.mu.Unlock()
-	e.cfg.Logger.Log("msg", "draining", "in_flight", n)
+	e.cfg.Logger.Log("event", "draining", "in_flight", n)
 	select {
 	case <-e.idle:
 		return nil
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -161,7 +161,7 @@
 		defer cancel()
 		defer close(committed)
 		if _, err := e.execute(ctx, c); err != nil {
-			e.cfg.Logger.Log("msg", "end of key not recorded", "team", c.ID.Team, "claim", c.Claim, "state", c.State, "err", err)
+			e.cfg.Logger.Log("event", "key_end_not_recorded", "team", c.ID.Team, "claim", c.Claim, "state", c.State, "err", err)
 		}
 	}()
 	t := time.NewTimer(max(time.Second, deadline.Sub(e.cfg.Clock.Now())))
@@ -184,7 +184,7 @@
 			return
 		}
 		if _, err := e.execute(ctx, state.FinishKey{ID: k.ID, Claim: k.Claim, State: model.KeyNotRun}); err != nil {
-			e.cfg.Logger.Log("msg", "unused claim not released", "team", k.ID.Team, "claim", k.Claim, "err", err)
+			e.cfg.Logger.Log("event", "unused_claim_not_released", "team", k.ID.Team, "claim", k.Claim, "err", err)
 		}
 	}()
 }
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -171,7 +171,7 @@
 			ctx, cancel := context.WithTimeout(ctx, e.cfg.ProbeInterval)
 			defer cancel()
 			_, err := e.cfg.Replica.Execute(ctx, state.LeaveUpstream{Name: id.Name, Incarnation: id.Incarnation})
-			e.cfg.Logger.Log("msg", "removed unreachable upstream", "upstream", id.Name, "incarnation", id.Incarnation, "err", err)
+			e.cfg.Logger.Log("event", "unreachable_upstream_removed", "upstream", id.Name, "incarnation", id.Incarnation, "err", err)
 		}()
 	}
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -79,7 +79,7 @@
 	d := e.cfg.Clock.Now().Sub(start)
 	e.metrics.request(q, err, d)
 	kv := []any{
-		"msg", "request", "request_id", q.id, "team", q.team, "service", q.service, "method", q.method,
+		"event", "request", "request_id", q.id, "team", q.team, "service", q.service, "method", q.method,
 		"status", status, "outcome", err.Outcome, "code", err.Code, "executor", q.executor,
 		"attempts", q.attempts, "keyed", q.key != "", "duration_ms", float64(d.Microseconds()) / 1000,
 	}
