Count all due ticks before a message is handled and a lease is read

Cause: found in a review of quorum's contract: a batch of messages was handled with the ticks counted before the first of them, and the leader lease was read after a sync without the ticks of that sync. A pause between could shorten a follower's promise or lengthen a leader's lease by the pause. Change: ticks are delivered in handle and before the lease is published. The tests of ctrl pass; a test that pauses the loop there is still missing.

--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -106,7 +106,6 @@
 		case <-ticker.C:
 			m.ticks()
 		case msg := <-m.inbox:
-			m.ticks()
 			m.handle(msg)
 		case p := <-m.proposals:
 			m.ticks()
@@ -136,7 +135,10 @@
 	m.lastTick = m.lastTick.Add(time.Duration(due) * tick)
 }
 
+// handle steps a message after all ticks that are due: the promise that an
+// answer makes to a leader counts from the tick at which the message was taken.
 func (m *member) handle(msg quorum.Message) {
+	m.ticks()
 	if err := m.protocol.Step(msg); err != nil {
 		m.logger.Log("event", "message_refused", "from", msg.From, "kind", msg.Kind, "err", err)
 	}
@@ -273,6 +275,8 @@
 
 // publish makes the state of the protocol known to the rest of the process.
 func (m *member) publish() {
+	// A sync can take long; without these ticks a lease that ran out meanwhile would look held.
+	m.ticks()
 	s := m.protocol.Status()
 	old := m.status.Load()
 	m.status.Store(&s)
