replay: make gangs frequent and run times heavy-tailed

The first traces were saturated by a few very large gangs, so that waiting was decided by capacity alone. Half of the jobs with accelerators are now small, a fifth medium and three tenths gangs of whole workers in one rack; run times are lognormal with heavy tails, and load is 0.8. At the large size gangs are rarer and most jobs use no accelerator.

--- a/replay/meter.go
+++ b/replay/meter.go
@@ -36,7 +36,7 @@
 	// scheduler reported that one does not fit while no data centre was away.
 	ShortSeconds float64
 	PartialGangs int
-	// ReclaimP99 is the 99th percentile in seconds from a submission within the guarantee to its start, where something was stopped for it.
+	// ReclaimP99 is the 99th percentile in seconds from the decision to stop gangs for a job to its start.
 	ReclaimP99 float64
 	// PreemptionLoss is the accelerator work lost to stops as a share of the work done.
 	PreemptionLoss float64
@@ -61,7 +61,7 @@
 	lastWork   float64
 	res        Result
 	decisions  []float64
-	reclaims   map[string]bool
+	reclaims   map[string]float64
 	reclaimed  []float64
 	guarantees *guarantees
 	rackCap    int
@@ -69,7 +69,7 @@
 }
 
 func newMeter(s *sim) *meter {
-	m := &meter{s: s, reclaims: map[string]bool{}}
+	m := &meter{s: s, reclaims: map[string]float64{}}
 	for _, f := range s.tr.faults {
 		if f.dc != "" {
 			m.departures = append(m.departures, [2]float64{f.at, f.until + returnSeconds})
@@ -170,15 +170,15 @@
 	if len(names) != r.spec.Shape.Tasks || r.state != runWaiting {
 		m.res.PartialGangs++
 	}
-	if m.reclaims[r.spec.ID] {
-		m.reclaimed = append(m.reclaimed, m.s.now-r.waitSince)
+	if from, ok := m.reclaims[r.spec.ID]; ok {
+		m.reclaimed = append(m.reclaimed, m.s.now-from)
 		delete(m.reclaims, r.spec.ID)
 	}
 }
 
 func (m *meter) preempted(_ *run, d place.Preempt) {
 	if d.For != "" {
-		m.reclaims[d.For] = true
+		m.reclaims[d.For] = m.s.now
 		m.res.Preemptions++
 	}
 }
--- a/replay/site.go
+++ b/replay/site.go
@@ -66,13 +66,13 @@
 		Config: config.Config{
 			DataCentres: dataCentres(4, uniformRacks(2, 6, model.Resources{GPUs: 8, Cores: 32, MemoryMB: 64 << 10})),
 			Teams: []config.Team{
-				{Name: "seams", Weight: 3, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(6, 8, true)}, {Shape: sh(2, 8, true), Count: 2}}},
-				{Name: "patina", Weight: 3, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(4, 8, true)}, {Shape: sh(1, 8, false), Count: 4}}},
-				{Name: "bends", Weight: 1, MaxGPUs: 128, Guarantees: []config.Guarantee{{Shape: sh(2, 8, true), Count: 2}}},
-				{Name: "previews", Weight: 1, MaxGPUs: 128, Guarantees: []config.Guarantee{{Shape: sh(1, 2, false), Count: 8}}},
+				{Name: "seams", Weight: 3, MaxGPUs: 288, Guarantees: []config.Guarantee{{Shape: sh(6, 8, true)}, {Shape: sh(2, 8, true), Count: 2}}},
+				{Name: "patina", Weight: 3, MaxGPUs: 288, Guarantees: []config.Guarantee{{Shape: sh(4, 8, true)}, {Shape: sh(1, 8, false), Count: 4}}},
+				{Name: "bends", Weight: 1, MaxGPUs: 192, Guarantees: []config.Guarantee{{Shape: sh(2, 8, true), Count: 2}}},
+				{Name: "previews", Weight: 1, MaxGPUs: 192, Guarantees: []config.Guarantee{{Shape: sh(1, 2, false), Count: 8}}},
 			},
 		},
-		mix: mix{wholeGPUs: 8, coresPerGPU: 3, mbPerGPU: 6 << 10, largest: 6, shares: [2]float64{0.6, 0.28}, cpuShare: 0.15, load: 0.95},
+		mix: mix{wholeGPUs: 8, coresPerGPU: 3, mbPerGPU: 6 << 10, largest: 6, shares: [2]float64{0.5, 0.2}, cpuShare: 0.15, load: 0.8},
 	}
 }
 
@@ -84,13 +84,13 @@
 		Config: config.Config{
 			DataCentres: dataCentres(3, uniformRacks(2, 8, model.Resources{GPUs: 8, Cores: 128, MemoryMB: 512 << 10})),
 			Teams: []config.Team{
-				{Name: "hedges", Weight: 3, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(8, 8, true)}, {Shape: sh(2, 8, true), Count: 2}}},
-				{Name: "snow", Weight: 2, MaxGPUs: 192, Guarantees: []config.Guarantee{{Shape: sh(4, 8, true)}, {Shape: sh(1, 8, false), Count: 2}}},
-				{Name: "wires", Weight: 1, MaxGPUs: 128, Guarantees: []config.Guarantee{{Shape: sh(2, 8, true)}}},
-				{Name: "plans", Weight: 1, MaxGPUs: 96, Guarantees: []config.Guarantee{{Shape: sh(1, 4, false), Count: 4}}},
+				{Name: "hedges", Weight: 3, MaxGPUs: 288, Guarantees: []config.Guarantee{{Shape: sh(8, 8, true)}, {Shape: sh(2, 8, true), Count: 2}}},
+				{Name: "snow", Weight: 2, MaxGPUs: 256, Guarantees: []config.Guarantee{{Shape: sh(4, 8, true)}, {Shape: sh(1, 8, false), Count: 2}}},
+				{Name: "wires", Weight: 1, MaxGPUs: 192, Guarantees: []config.Guarantee{{Shape: sh(2, 8, true)}}},
+				{Name: "plans", Weight: 1, MaxGPUs: 192, Guarantees: []config.Guarantee{{Shape: sh(1, 4, false), Count: 4}}},
 			},
 		},
-		mix: mix{wholeGPUs: 8, coresPerGPU: 14, mbPerGPU: 56 << 10, largest: 8, shares: [2]float64{0.6, 0.28}, cpuShare: 0.15, load: 0.95},
+		mix: mix{wholeGPUs: 8, coresPerGPU: 14, mbPerGPU: 56 << 10, largest: 8, shares: [2]float64{0.5, 0.2}, cpuShare: 0.15, load: 0.8},
 	}
 }
 
@@ -117,7 +117,7 @@
 	sz := Size{
 		Name: "large", Hours: 24, Jobs: 3200 * workers / 880,
 		Config: config.Config{DataCentres: dataCentres(5, racks)},
-		mix:    mix{wholeGPUs: 8, coresPerGPU: 6, mbPerGPU: 24 << 10, largest: max(2, scale(8)), shares: [2]float64{0.5, 0.42}, cpuShare: 0.8, load: 0.8, cpuLoad: 0.6},
+		mix:    mix{wholeGPUs: 8, coresPerGPU: 6, mbPerGPU: 24 << 10, largest: max(2, scale(8)), shares: [2]float64{0.62, 0.34}, cpuShare: 0.8, load: 0.8, cpuLoad: 0.6},
 	}
 	for i := range 22 {
 		t := config.Team{Name: fmt.Sprintf("team%02d", i+1), Weight: float64(1 + i%3)}
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -67,11 +67,20 @@
 	// brokenShare is the share of jobs that fail on every worker, in traces with faults.
 	brokenShare = 0.01
 	// wrongSizeShare is the share of jobs that use more than they declare, in traces with faults.
-	wrongSizeShare = 0.15
+	wrongSizeShare = 0.1
+	// dayShare of the jobs are submitted in the dayHours from dayFrom on, the others at any hour.
+	dayShare = 0.2
+	dayFrom  = 7
+	dayHours = 11
+	// longestRun bounds run times before they are fitted to the load.
+	longestRun = 20 * hour
 	// startupSeconds passes after each start before work advances.
 	startupSeconds = 15
 )
 
+// largeTasks are the numbers of whole workers that large gangs take; few take a whole rack.
+var largeTasks = []int{2, 2, 2, 2, 3, 3, 4, 6}
+
 // newTrace returns the workload of a seed; faults adds failures, departures, bursts, wrong sizes and cancellations.
 func newTrace(sz Size, seed int64, faults bool) trace {
 	g := &generator{r: rand.New(rand.NewSource(seed)), sz: sz, faults: faults, bias: map[string]float64{}}
@@ -127,14 +136,12 @@
 	jobs   []traceJob
 }
 
-// arrival draws a time with a daily swing.
+// arrival draws a time; most jobs are submitted in the working day.
 func (g *generator) arrival() float64 {
-	for {
-		h := g.r.Float64() * g.sz.Hours
-		if g.r.Float64()*1.5 < 1+0.5*math.Sin(2*math.Pi*h/24) {
-			return h * hour
-		}
+	if g.r.Float64() < dayShare {
+		return (dayFrom + g.r.Float64()*dayHours) * hour
 	}
+	return g.r.Float64() * g.sz.Hours * hour
 }
 
 func (g *generator) class() class {
@@ -190,17 +197,18 @@
 			sh.Tasks = min(MaxTasks, int(g.lognormal(7, 1))+1)
 			sh.Cores, sh.MemoryMB = 3, 10<<10
 		}
-		j.work = g.lognormal(15*minute, 1)
+		j.work = g.lognormal(15*minute, 1.2)
 	case classSmall:
 		sh = gpu(1, 1+g.r.Intn(2), false)
-		j.work = g.lognormal(12*minute, 1)
+		j.work = g.lognormal(10*minute, 1.5)
 	case classMedium:
 		sh = gpu(1+g.r.Intn(3), 2<<g.r.Intn(2), false)
-		j.work = g.lognormal(45*minute, 0.8)
+		j.work = g.lognormal(40*minute, 1.2)
 	default:
-		sh = gpu(2+g.r.Intn(m.largest-1), m.wholeGPUs, true)
-		j.work = g.lognormal(100*minute, 0.7)
+		sh = gpu(min(m.largest, largeTasks[g.r.Intn(len(largeTasks))]), m.wholeGPUs, true)
+		j.work = g.lognormal(40*minute, 0.7)
 	}
+	j.work = min(j.work, longestRun)
 	team := g.team(sh.TotalGPUs())
 	// Half of the jobs that could be of a guaranteed shape are.
 	if same := guaranteedOf(team, c, m); len(same) > 0 && g.r.Intn(2) == 0 {
@@ -274,7 +282,7 @@
 	s := j.spec.Shape
 	part := 0.3 + 0.7*g.r.Float64()
 	if g.faults && g.r.Float64() < wrongSizeShare {
-		part = 1 + 4*g.r.Float64()
+		part = 1 + 2*g.r.Float64()
 	}
 	j.usage = model.Resources{GPUs: s.GPUs, Cores: int(math.Ceil(part * float64(s.Cores))), MemoryMB: s.MemoryMB}
 	if !g.faults {
