place: move borrowers to make room, and let old gangs overtake

Change: a waiting gang may have borrowers moved to places that are free and held for them; borrowers are charged to a cell that became unused only when they would be stopped; cells in use share racks; queues are ordered by expected work, by age after 45 min; a job that has waited 45 min may stop borrowers that have run for 45 min; stopping gangs that need a rack costs more; a stopped gang keeps its age.

--- a/place/cell.go
+++ b/place/cell.go
@@ -162,7 +162,6 @@
 	if j.placed() {
 		j.team.beyond = j.team.beyond.plus(j.per.times(j.spec.Shape.Tasks))
 	}
-	j.team.promote = true
 	if !p.sound(c) || p.short {
 		p.repack = true
 	}
--- a/place/claim.go
+++ b/place/claim.go
@@ -11,19 +11,30 @@
 	victims []*job
 	// slow is set when the place is known to wait for the end of a lease.
 	slow bool
+	// guaranteed is false for a gang that moves or that others make room for.
+	guaranteed bool
+	// moving is set for a gang that leaves for this place.
+	moving bool
 }
 
 // restartSeconds is added to the loss of each victim's task, so that few victims are preferred.
 const restartSeconds = 10
 
+// rackWaitSeconds is added for a gang that needs a whole rack, and less for a
+// smaller one: such a gang waits long for another rack.
+const rackWaitSeconds = 1200
+
 // hold keeps the place of a claim free.
 func (p *Policy) hold(j *job, ws []*worker, victims []*job) {
-	j.claim = &claim{workers: ws, victims: victims}
+	j.claim = &claim{workers: ws, victims: victims, guaranteed: j.cell != nil}
 	for _, w := range ws {
 		w.held = w.held.plus(j.per)
 	}
 	j.team.claimed += j.spec.Shape.TotalGPUs()
 	p.claims = append(p.claims, j)
+	if j.claim.moving = j.placed(); j.claim.moving {
+		p.moving++
+	}
 }
 
 // unhold gives up the place; the cell of the job stays charged.
@@ -33,6 +44,9 @@
 		w.rack.freeRound = 0
 	}
 	j.team.claimed -= j.spec.Shape.TotalGPUs()
+	if j.claim.moving {
+		p.moving--
+	}
 	j.claim = nil
 	p.claims = slices.DeleteFunc(p.claims, func(o *job) bool { return o == j })
 }
@@ -50,6 +64,8 @@
 func (p *Policy) advanceClaims(ds []Decision) []Decision {
 	for _, j := range slices.Clone(p.claims) {
 		switch {
+		case j.placed():
+			// A gang that moves is still stopping.
 		case !p.claimAlive(j):
 			p.dropClaim(j)
 		case p.claimFree(j):
@@ -71,7 +87,7 @@
 func (p *Policy) claimAlive(j *job) bool {
 	stopping := func(o *job) bool { return o.state == jobStopping }
 	unanswered := func(o *job) bool { return stopping(o) && !responsive(o) }
-	if j.cell == nil || j.team.overQuota(0) > 0 && !slices.ContainsFunc(j.team.running, stopping) {
+	if j.claim.guaranteed && j.cell == nil || j.team.overQuota(0) > 0 && !slices.ContainsFunc(j.team.running, stopping) {
 		return false
 	}
 	for _, w := range j.claim.workers {
@@ -140,8 +156,8 @@
 	smaller, pos := c.occupant, c.pos
 	p.uncharge(smaller)
 	ds, ok := p.startInCell(ds, j, c)
-	if !ok && smaller.cell == nil && !p.tryCharge(smaller, c, pos) {
-		j.team.promote = true
+	if !ok && smaller.cell == nil && c.occupant == nil {
+		p.tryCharge(smaller, c, pos)
 	}
 	return ds, ok
 }
@@ -251,7 +267,7 @@
 				free = free.plus(freed[w.index])
 			}
 			if n = min(n, use.into(free, slots)); n > 0 {
-				p.cands = append(p.cands, cand{w: w, n: n, rank: rankOf(c.per, w.free(), w)})
+				p.cands = append(p.cands, cand{w: w, n: n, rank: rankOf(c.per, w.cap.minus(w.pinned), w)})
 			}
 		}
 	}
--- a/place/fit.go
+++ b/place/fit.go
@@ -107,7 +107,7 @@
 	p.cands = p.cands[:0]
 	tasks := j.spec.Shape.Tasks
 	for _, r := range p.order {
-		if !j.allowed(r.id.dc) || !p.mayStart(r.dc) || !j.per.fits(p.mostFree(r)) {
+		if !j.allowed(r.id.dc) || !p.mayStart(r.dc) || r == p.avoidRack || !j.per.fits(p.mostFree(r)) {
 			continue
 		}
 		for _, w := range r.workers {
--- a/place/job.go
+++ b/place/job.go
@@ -40,6 +40,13 @@
 	queued   bool
 	listed   bool // an entry is in the queue, perhaps of a job taken out
 	placedAt time.Time
+	// served is the run time of earlier attempts since the job was last promoted.
+	served        time.Duration
+	aged          time.Duration // wait before the current attempt
+	overtakeRetry time.Time
+	movedAt       time.Time
+	// moveRetry is when moves for the job are next looked for.
+	moveRetry time.Time
 
 	progress   float64
 	checkpoint float64
@@ -179,6 +186,7 @@
 	}
 	p.recordOutcome(j, e)
 	ran := j.workers
+	j.served = p.servedOf(j)
 	p.uncharge(j)
 	p.vacate(j)
 	j.checkpoint = max(j.checkpoint, e.Checkpoint)
@@ -189,12 +197,14 @@
 		}
 	}
 	if !e.Requeue || j.cancelled {
+		p.dropClaim(j)
 		delete(p.jobs, j.id())
 		j.gone = true
 		return
 	}
 	j.state, j.why = jobWaiting, ""
-	j.waitFrom = p.now
+	// A gang that was stopped keeps the age that it had.
+	j.waitFrom = p.now.Add(-j.aged)
 	p.enqueue(j)
 }
 
@@ -215,18 +225,18 @@
 
 // team is the policy's view of a customer.
 type team struct {
-	name    string
-	rank    int
-	cfg     config.Team
-	known   bool
-	cells   []*cell
-	queue   queue
-	running []*job // placed gangs, oldest first
-	promote bool   // running borrowers may match cells that became unused
-	gpus    int    // accelerators in use
-	claimed int    // accelerators of places that are being freed
-	beyond  amount // use of gangs that are not charged to the guarantee
-	learned learned
+	name       string
+	rank       int
+	cfg        config.Team
+	known      bool
+	cells      []*cell
+	queue      queue
+	running    []*job // placed gangs, oldest first
+	gpus       int    // accelerators in use
+	claimed    int    // accelerators of places that are being freed
+	quotaRound int    // round in which an older job waits for the quota
+	beyond     amount // use of gangs that are not charged to the guarantee
+	learned    learned
 }
 
 func (t *team) weight() float64 {
--- a/place/pack.go
+++ b/place/pack.go
@@ -11,20 +11,11 @@
 // sound reports whether the reservations of a worker are within its capacity.
 func (w *worker) sound() bool { return w.reserved.fits(w.cap) }
 
-// settle gives every cell a sound position again and charges gangs to cells that became unused.
+// settle gives every cell a sound position again.
 func (p *Policy) settle() {
 	if p.repack {
 		p.repack = false
 		p.repair()
-		for _, t := range p.ranked {
-			t.promote = true
-		}
-	}
-	for _, t := range p.ranked {
-		if t.promote {
-			t.promote = false
-			p.promote(t)
-		}
 	}
 }
 
@@ -253,21 +244,22 @@
 	return p.repackAll(moved...)
 }
 
-// promote charges running borrowers of a team to its unused cells where they run.
-func (p *Policy) promote(t *team) {
-	for _, j := range t.running {
-		if j.cell != nil || j.state == jobStopping {
+// protect charges a running borrower to an unused cell of its team, other than
+// except, where it runs. Gangs are charged so late because a charged gang can
+// no longer move.
+func (p *Policy) protect(j *job, except *cell) bool {
+	if j.cell != nil || j.state == jobStopping {
+		return false
+	}
+	for _, c := range j.team.cells {
+		if c == except || c.occupant != nil || c.pos == nil || c.perSlot(j) == 0 {
 			continue
 		}
-		for _, c := range t.cells {
-			if c.occupant != nil || c.perSlot(j) == 0 {
-				continue
-			}
-			if pos := p.positionAround(c, j); pos != nil && p.tryCharge(j, c, pos) {
-				break
-			}
+		if pos := p.positionAround(c, j); pos != nil && p.tryCharge(j, c, pos) {
+			return true
 		}
 	}
+	return false
 }
 
 // positionAround returns a position of the cell that contains a placed gang, or nil.
--- a/place/policy.go
+++ b/place/policy.go
@@ -22,7 +22,7 @@
 // Defaults of Config.
 const (
 	// DefaultReserveAfter is the wait after which a job that finds no place gets a reservation.
-	DefaultReserveAfter = 5 * time.Minute
+	DefaultReserveAfter = 60 * time.Minute
 	// DefaultReservations bounds the reservations at one time, so that they cannot idle the whole site.
 	DefaultReservations = 4
 	// DefaultReturnStarts bounds the starts a second into a data centre that has returned.
@@ -93,6 +93,13 @@
 	cells   []*cell
 	claims  []*job // jobs whose place is being freed, oldest first
 	total   amount
+	// largestRack is the most accelerators of a rack.
+	largestRack int
+
+	moving    int   // gangs that leave for another place
+	overtakes int   // searches for borrowers to stop in this decision
+	moveTries int   // searches for moves in this decision
+	avoidRack *rack // left out by findRoom
 
 	repack  bool // cell positions or charges need a check
 	short   bool // a cell has no position
@@ -201,6 +208,9 @@
 	j.attempt++
 	j.placedAt = p.now
 	j.why = ""
+	if j.aged = p.now.Sub(j.waitFrom); j.aged >= promoteAfter {
+		j.served = 0
+	}
 	names := make([]string, len(placement))
 	for i, w := range placement {
 		names[i] = w.name
--- a/place/queue.go
+++ b/place/queue.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +9,9 @@
 
 // queue holds the waiting jobs of a team; removal marks a job and costs constant time.
 type queue struct {
-	jobs   []*job
-	sorted bool
+	jobs     []*job
+	sorted   bool
+	sortedAt time.Time
 }
 
 func (p *Policy) enqueue(j *job) {
@@ -28,8 +28,8 @@
 // dequeue takes a job out; its entry is dropped at the next look at the queue.
 func (p *Policy) dequeue(j *job) { j.queued = false }
 
-// waiting returns the queued jobs of a team, urgent ones first, then the oldest.
-func (t *team) waiting() []*job {
+// waiting returns the queued jobs of a team in the order in which they are tried.
+func (p *Policy) waiting(t *team) []*job {
 	q := &t.queue
 	live := q.jobs[:0]
 	for _, j := range q.jobs {
@@ -41,14 +41,7 @@
 	}
 	clear(q.jobs[len(live):])
 	q.jobs = live
-	if !q.sorted {
-		q.sorted = true
-		slices.SortStableFunc(q.jobs, func(a, b *job) int {
-			return cmp.Or(
-				cmp.Compare(btoi(b.spec.Urgent), btoi(a.spec.Urgent)),
-				a.submitted.Compare(b.submitted), cmp.Compare(a.id(), b.id()))
-		})
-	}
+	p.sortQueue(q)
 	return q.jobs
 }
 
@@ -66,7 +59,7 @@
 	}
 	p.recheck = false
 	for _, t := range p.allTeams() {
-		for _, j := range slices.Clone(t.waiting()) {
+		for _, j := range slices.Clone(p.waiting(t)) {
 			err := CheckJob(p.ops, j.spec)
 			if err == nil {
 				continue
@@ -94,7 +87,7 @@
 	if len(t.cells) == 0 {
 		return ds
 	}
-	jobs := slices.Clone(t.waiting())
+	jobs := slices.Clone(p.waiting(t))
 	for _, exact := range []bool{true, false} {
 		for _, j := range jobs {
 			if j.spec.Urgent == urgent && j.claim == nil && j.queued && t.guarantees(j.spec.Shape) == exact {
@@ -120,9 +113,10 @@
 // weight, job by job; a job that finds no place is passed over.
 func (p *Policy) placeBorrowers(ds []Decision) []Decision {
 	p.renewReservations()
+	p.moveTries, p.overtakes = 0, 0
 	var queues []*borrowQueue
 	for _, t := range p.allTeams() {
-		if jobs := t.waiting(); len(jobs) > 0 {
+		if jobs := p.waiting(t); len(jobs) > 0 {
 			queues = append(queues, &borrowQueue{t, slices.Clone(jobs)})
 		}
 	}
@@ -147,7 +141,7 @@
 func (p *Policy) neediest(queues []*borrowQueue) int {
 	best, bestUse := 0, 0.0
 	for i, q := range queues {
-		use := q.t.beyond.share(p.total) / q.t.weight()
+		use := p.ratio(q.t)
 		if i == 0 || use < bestUse {
 			best, bestUse = i, use
 		}
@@ -165,8 +159,11 @@
 }
 
 func (p *Policy) tryBorrow(ds []Decision, j *job, failed map[fitKey]bool) []Decision {
-	if j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0 {
-		j.why = "the team's quota of accelerators is in use"
+	if j.per.gpus > 0 && (j.team.quotaRound == p.round || j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0) {
+		j.why = "the team's quota of accelerators is in use or kept for an older job"
+		if p.starving(j) {
+			j.team.quotaRound = 0
+		}
 		return ds
 	}
 	key := p.fitKeyOf(j)
@@ -184,6 +181,9 @@
 			failed[key] = true
 		}
 		p.considerReservation(j)
+		if ds = p.makeRoom(ds, j); j.claim == nil {
+			ds = p.overtake(ds, j)
+		}
 		return ds
 	}
 	p.dropReservation(j)
--- a/place/site.go
+++ b/place/site.go
@@ -148,6 +148,11 @@
 	w.drained = p.ops.Drained(w.name)
 	p.total = p.total.plus(w.cap)
 	p.repack = true
+	gpus := 0
+	for _, o := range w.rack.workers {
+		gpus += o.cap.gpus
+	}
+	p.largestRack = max(p.largestRack, gpus)
 }
 
 func (p *Policy) workerLost(name string) {
--- a/place/victim.go
+++ b/place/victim.go
@@ -14,14 +14,21 @@
 
 // reclaim preempts the borrowers that lose the least work so that j can start in cell c.
 func (p *Policy) reclaim(ds []Decision, j *job, c *cell) ([]Decision, bool) {
-	own, ok := p.ownVictims(j)
-	if !ok {
-		j.why = "the team's quota of accelerators is in use by its guaranteed jobs"
-		return ds, false
-	}
 	// Gangs that stop on workers that do not answer leave only when their lease ends.
 	for _, slow := range []bool{false, true} {
-		for _, pl := range p.plans(j, c, own, slow) {
+		own, ok := p.ownVictims(j)
+		if !ok {
+			j.why = "the team's quota of accelerators is in use by its guaranteed jobs"
+			return ds, false
+		}
+		plans := p.plans(j, c, own, slow)
+		for len(plans) > 0 && p.protectAny(plans[0].victims, c) {
+			if own, ok = p.ownVictims(j); !ok {
+				break
+			}
+			plans = p.plans(j, c, own, slow)
+		}
+		for _, pl := range plans {
 			if !p.tryCharge(j, c, pl.pos) {
 				continue
 			}
@@ -41,6 +48,15 @@
 	return ds, false
 }
 
+// protectAny charges those of some borrowers whose team has an unused cell for them.
+func (p *Policy) protectAny(victims []*job, except *cell) bool {
+	found := false
+	for _, v := range victims {
+		found = p.protect(v, except) || found
+	}
+	return found
+}
+
 // plans returns the ways to free a place for the cell, cheapest first.
 func (p *Policy) plans(j *job, c *cell, own []*job, slow bool) []plan {
 	var plans []plan
@@ -102,6 +118,8 @@
 	freed   []amount // by worker index
 	use     amount   // of the job in one slot
 	slots   int
+	// eligible says which gangs may be stopped.
+	eligible func(*job) bool
 }
 
 // addPlan appends the cheapest plan found.
@@ -110,21 +128,10 @@
 	if s == nil {
 		return plans
 	}
-	chosen := slices.Clone(o.own)
-	for _, v := range o.own {
-		s.free(v, 1)
-	}
-	for _, v := range s.candidates(o.own) {
-		if s.enough() {
-			break
-		}
-		s.free(v, 1)
-		chosen = append(chosen, v)
-	}
-	if !s.enough() {
+	chosen, ok := s.choose(o.own)
+	if !ok {
 		return plans
 	}
-	chosen = s.prune(chosen, len(o.own))
 	pos := p.cellPosition(c, j, o.moveOthers, o.only, s.freed)
 	if pos == nil {
 		return plans
@@ -142,7 +149,7 @@
 	n := j.spec.Shape.Tasks
 	s := &scope{
 		p: p, slots: (n + k - 1) / k, use: j.per.times(min(k, n)),
-		room: make([]int, len(p.list)), freed: make([]amount, len(p.list)),
+		room: make([]int, len(p.list)), freed: make([]amount, len(p.list)), eligible: p.borrows,
 	}
 	total := 0
 	for _, r := range p.order {
@@ -184,6 +191,25 @@
 	return n
 }
 
+// choose returns the gangs to stop, the given ones first; false when all together do not free enough.
+func (s *scope) choose(own []*job) ([]*job, bool) {
+	chosen := slices.Clone(own)
+	for _, v := range own {
+		s.free(v, 1)
+	}
+	for _, v := range s.candidates(own) {
+		if s.enough() {
+			break
+		}
+		s.free(v, 1)
+		chosen = append(chosen, v)
+	}
+	if !s.enough() {
+		return nil, false
+	}
+	return s.prune(chosen, len(own)), true
+}
+
 func (s *scope) free(v *job, sign int) {
 	for _, w := range v.workers {
 		s.freed[w.index] = s.freed[w.index].plus(v.per.times(sign))
@@ -217,7 +243,7 @@
 	}
 	for _, w := range s.workers {
 		for _, v := range w.gangs {
-			if seen[v] || !s.p.borrows(v) {
+			if seen[v] || !s.eligible(v) {
 				continue
 			}
 			seen[v] = true
@@ -260,7 +286,12 @@
 	return chosen
 }
 
-// lossOf returns the work lost by stopping a gang, with a small charge for its restart.
+// lossOf returns the work lost by stopping a gang, with a charge for its
+// restart, which is high for gangs that need much of one rack.
 func (p *Policy) lossOf(v *job) float64 {
-	return v.lost(p.total) + float64(v.spec.Shape.Tasks)*restartSeconds*v.per.share(p.total)
+	seconds := float64(restartSeconds)
+	if s := v.spec.Shape; s.SameRack && s.Tasks > 1 {
+		seconds += rackWaitSeconds * min(1, float64(s.TotalGPUs())/float64(max(1, p.largestRack)))
+	}
+	return v.lost(p.total) + float64(v.spec.Shape.Tasks)*seconds*v.per.share(p.total)
 }
