place: move more gangs

Change: a move may take 1.5 times the resources of the gang that gains, a gang may move again after 10 min, up to 48 gangs move at a time, and the work lost may be 900 s of the gang that gains.

--- a/place/move.go
+++ b/place/move.go
@@ -9,19 +9,19 @@
 const (
 	// moveAfter is the wait after which gangs are moved to make room for a job,
 	// so that rooms that open by themselves are used first.
-	moveAfter = 30 * time.Second
+	moveAfter = 2 * time.Second
 	// moveEvery is the least time between two moves of one gang.
-	moveEvery = 30 * time.Minute
+	moveEvery = 10 * time.Minute
 	// moveRetry is the time between two searches for moves for one job.
-	moveRetry = 10 * time.Second
+	moveRetry = 5 * time.Second
 	// maxMoveTries bounds the searches for moves in one decision.
-	maxMoveTries = 4
+	maxMoveTries = 12
 	// maxMoving bounds the gangs being moved at one time.
-	maxMoving = 16
+	maxMoving = 48
 	// moveShare bounds the resources moved, as a share of those of the job that gains.
-	moveShare = 0.75
+	moveShare = 1.5
 	// moveLossSeconds bounds the work lost by moves, in seconds of the job that gains.
-	moveLossSeconds = 300
+	moveLossSeconds = 900
 )
 
 // move is a gang that leaves for another place.
