place: compact racks by moving small gangs

Cause: free accelerators were scattered over workers even when nothing waited, so the next gang of whole workers had to wait for moves. Change: every 30 s, when no gang moves, a few borrowers move to free places if one rack then holds a larger gang of whole-worker tasks than any does now. The part of the work since a checkpoint that a stop loses is learned.

--- a/place/event.go
+++ b/place/event.go
@@ -82,7 +82,8 @@
 // Preempt stops a whole running gang, which then waits again.
 type Preempt struct {
 	ID string
-	// For names the job that the resources are reclaimed for; empty when a data centre or worker leaves service.
+	// For names the job that the resources are reclaimed for; empty when a data
+	// centre or worker leaves service, or when the gang only moves to another place, which is held for it.
 	For    string
 	Reason string
 	// Deadline bounds checkpoint, throttle and stop together.
--- a/place/job.go
+++ b/place/job.go
@@ -185,6 +185,7 @@
 		return
 	}
 	p.recordOutcome(j, e)
+	p.learnLoss(j, e)
 	ran := j.workers
 	j.served = p.servedOf(j)
 	p.uncharge(j)
--- a/place/learn.go
+++ b/place/learn.go
@@ -135,6 +135,19 @@
 	return time.Duration(math.Min(s, 1e8) * float64(time.Second))
 }
 
+// lossWeight is the weight of one stop in the learned part of work that a stop loses.
+const lossWeight = 0.05
+
+// learnLoss compares the checkpoint after a stop with the one before it.
+func (p *Policy) learnLoss(j *job, e JobReleased) {
+	before := j.progress - max(j.checkpoint, j.base)
+	if j.state != jobStopping || !responsive(j) || before < 1 {
+		return
+	}
+	part := min(max((j.progress-e.Checkpoint)/before, 0), 1)
+	p.lossFactor += lossWeight * (part - p.lossFactor)
+}
+
 // perGPUWeight is the weight of one job in the cores and memory that go with an accelerator.
 const perGPUWeight = 0.02
 
--- a/place/move.go
+++ b/place/move.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"turmericroute/model"
 )
 
 const (
@@ -14,6 +16,10 @@
 	moveEvery = 10 * time.Minute
 	// moveRetry is the time between two searches for moves for one job.
 	moveRetry = 5 * time.Second
+	// compactEvery is the time between two searches for moves that keep racks whole.
+	compactEvery = 30 * time.Second
+	// compactLossSeconds bounds the work lost by them, in seconds of one whole worker.
+	compactLossSeconds = 240
 	// maxMoveTries bounds the searches for moves in one decision.
 	maxMoveTries = 12
 	// maxMoving bounds the gangs being moved at one time.
@@ -40,33 +46,85 @@
 	}
 	j.moveRetry = p.now.Add(moveRetry)
 	p.moveTries++
+	moves, r := p.bestMoves(j, moveLossSeconds)
+	if moves == nil {
+		return ds
+	}
+	place := p.roomAfter(j, r, moves)
+	if place == nil {
+		return ds
+	}
+	p.dropReservation(j)
+	p.hold(j, place, nil)
+	j.why = "gangs are moved to make room"
+	return p.carryOut(ds, moves, j.id(), "moved to make room for a gang")
+}
+
+// bestMoves returns the moves that lose the least work, at most some seconds of
+// the job's own, and the rack that they make room in.
+func (p *Policy) bestMoves(j *job, lossSeconds float64) ([]move, *rack) {
 	var best []move
-	var bestRack *rack
-	bestCost := moveLossSeconds * float64(s.Tasks) * j.per.share(p.total)
+	var in *rack
+	cost := lossSeconds * float64(j.spec.Shape.Tasks) * j.per.share(p.total)
 	for _, r := range p.order {
 		if !j.allowed(r.id.dc) || !p.mayStart(r.dc) {
 			continue
 		}
-		if moves, cost := p.planMoves(j, r); moves != nil && cost < bestCost {
-			best, bestRack, bestCost = moves, r, cost
+		if moves, c := p.planMoves(j, r); moves != nil && c < cost {
+			best, in, cost = moves, r, c
 		}
 	}
-	if best == nil {
+	return best, in
+}
+
+// carryOut stops gangs and holds their new places.
+func (p *Policy) carryOut(ds []Decision, moves []move, forJob, reason string) []Decision {
+	for _, m := range moves {
+		ds = p.preempt(ds, m.j, forJob, reason)
+		m.j.movedAt = p.now
+		p.hold(m.j, m.to, nil)
+	}
+	return ds
+}
+
+// compact moves a few small gangs so that one rack holds a larger gang of
+// whole-worker tasks than any does now.
+func (p *Policy) compact(ds []Decision) []Decision {
+	if p.moving > 0 || len(p.claims) > 0 || p.now.Before(p.nextCompact) {
 		return ds
 	}
-	place := p.roomAfter(j, bestRack, best)
-	if place == nil {
+	p.nextCompact = p.now.Add(compactEvery)
+	per, free, largest := p.wholeWorkers()
+	if per.gpus < 2 || free < (largest+1)*per.gpus {
 		return ds
 	}
-	p.dropReservation(j)
-	p.hold(j, place, nil)
-	for _, m := range best {
-		ds = p.preempt(ds, m.j, j.id(), "moved to make room for a gang")
-		m.j.movedAt = p.now
-		p.hold(m.j, m.to, nil)
+	probe := &job{team: &team{}, per: per, spec: model.JobSpec{Shape: model.Shape{
+		Tasks: largest + 1, GPUs: per.gpus, Cores: per.cores, MemoryMB: per.mem, SameRack: true,
+	}}}
+	moves, _ := p.bestMoves(probe, compactLossSeconds/float64(largest+1))
+	return p.carryOut(ds, moves, "", "moved to keep a rack whole")
+}
+
+// wholeWorkers returns the use of a task that takes all accelerators of the
+// largest worker, the free accelerators, and how many such tasks the emptiest rack holds.
+func (p *Policy) wholeWorkers() (per amount, free, largest int) {
+	for _, w := range p.list {
+		if p.usable(w) {
+			per.gpus = max(per.gpus, w.cap.gpus)
+			free += max(0, w.free().gpus)
+		}
 	}
-	j.why = "gangs are moved to make room"
-	return ds
+	per = amount{per.gpus, p.perGPU.cores * per.gpus, p.perGPU.mem * per.gpus}
+	for _, r := range p.order {
+		n := 0
+		for _, w := range r.workers {
+			if p.usable(w) {
+				n += per.into(w.free(), 1)
+			}
+		}
+		largest = max(largest, n)
+	}
+	return per, free, largest
 }
 
 // planMoves returns moves out of a rack that make room for a gang, with the work that they lose.
--- a/place/policy.go
+++ b/place/policy.go
@@ -96,10 +96,13 @@
 	// largestRack is the most accelerators of a rack.
 	largestRack int
 
-	moving    int   // gangs that leave for another place
-	overtakes int   // searches for borrowers to stop in this decision
-	moveTries int   // searches for moves in this decision
-	avoidRack *rack // left out by findRoom
+	moving      int // gangs that leave for another place
+	nextCompact time.Time
+	// lossFactor is the learned part of the work since a checkpoint that a stop loses.
+	lossFactor float64
+	overtakes  int   // searches for borrowers to stop in this decision
+	moveTries  int   // searches for moves in this decision
+	avoidRack  *rack // left out by findRoom
 
 	repack  bool // cell positions or charges need a check
 	short   bool // a cell has no position
@@ -124,13 +127,14 @@
 func New(cfg Config) *Policy {
 	cfg = cfg.withDefaults()
 	return &Policy{
-		cfg:     cfg,
-		rand:    rand.New(rand.NewSource(cfg.Seed)),
-		dcs:     map[string]*dataCentre{},
-		racks:   map[rackID]*rack{},
-		workers: map[string]*worker{},
-		teams:   map[string]*team{},
-		jobs:    map[string]*job{},
+		cfg:        cfg,
+		lossFactor: 0.5,
+		rand:       rand.New(rand.NewSource(cfg.Seed)),
+		dcs:        map[string]*dataCentre{},
+		racks:      map[rackID]*rack{},
+		workers:    map[string]*worker{},
+		teams:      map[string]*team{},
+		jobs:       map[string]*job{},
 	}
 }
 
--- a/place/queue.go
+++ b/place/queue.go
@@ -80,7 +80,7 @@
 			ds = p.placeGuaranteed(ds, t, urgent)
 		}
 	}
-	return p.placeBorrowers(ds)
+	return p.compact(p.placeBorrowers(ds))
 }
 
 func (p *Policy) placeGuaranteed(ds []Decision, t *team, urgent bool) []Decision {
--- a/place/victim.go
+++ b/place/victim.go
@@ -293,5 +293,5 @@
 	if s := v.spec.Shape; s.SameRack && s.Tasks > 1 {
 		seconds += rackWaitSeconds * min(1, float64(s.TotalGPUs())/float64(max(1, p.largestRack)))
 	}
-	return v.lost(p.total) + float64(v.spec.Shape.Tasks)*seconds*v.per.share(p.total)
+	return p.lossFactor*v.lost(p.total) + float64(v.spec.Shape.Tasks)*seconds*v.per.share(p.total)
 }
