--- a/place/move.go
+++ b/place/move.go
@@ -13,13 +13,13 @@
 	// so that rooms that open by themselves are used first.
 	moveAfter = 2 * time.Second
 	// moveEvery is the least time between two moves of one gang.
-	moveEvery = 10 * time.Minute
+	moveEvery = 3 * time.Minute
 	// moveRetry is the time between two searches for moves for one job.
 	moveRetry = 5 * time.Second
 	// compactEvery is the time between two searches for moves that keep racks whole.
-	compactEvery = 30 * time.Second
+	compactEvery = 10 * time.Second
 	// compactLossSeconds bounds the work lost by them, in seconds of one whole worker.
-	compactLossSeconds = 240
+	compactLossSeconds = 300
 	// maxMoveTries bounds the searches for moves in one decision.
 	maxMoveTries = 12
 	// maxMoving bounds the gangs being moved at one time.
--- a/place/queue.go
+++ b/place/queue.go
@@ -159,8 +159,11 @@
 }
 
 func (p *Policy) tryBorrow(ds []Decision, j *job, failed map[fitKey]bool) []Decision {
-	if j.per.gpus > 0 && j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0 {
-		j.why = "the team's quota of accelerators is in use"
+	if j.per.gpus > 0 && (j.team.quotaRound == p.round || j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0) {
+		j.why = "the team's quota of accelerators is in use or kept for an older job"
+		if p.starving(j) {
+			j.team.quotaRound = 0
+		}
 		return ds
 	}
 	key := p.fitKeyOf(j)
