place: reserve places for the oldest jobs first

Cause: reservations went to whichever job came first in the fair order, so gangs of a whole rack waited behind smaller ones for hours. Change: reservations go to the jobs that have waited longest, look for an earlier place every 2 min, and cells avoid reserved workers when there is a choice.

--- a/place/claim.go
+++ b/place/claim.go
@@ -267,7 +267,7 @@
 				free = free.plus(freed[w.index])
 			}
 			if n = min(n, use.into(free, slots)); n > 0 {
-				p.cands = append(p.cands, cand{w: w, n: n, rank: rankOf(c.per, w.cap.minus(w.pinned), w)})
+				p.cands = append(p.cands, cand{w: w, n: n, rank: p.cellRank(c, w)})
 			}
 		}
 	}
@@ -278,6 +278,19 @@
 	return p.completePosition(c, pos, moveOthers)
 }
 
+// cellRank prefers workers whose rack other cells in use share, so that few racks
+// hold gangs that cannot be stopped, and avoids reserved ones.
+func (p *Policy) cellRank(c *cell, w *worker) int {
+	rank := rankOf(c.per, w.cap.minus(w.pinned), w)
+	if w.shadow != nil {
+		rank += reservedRank
+	}
+	return rank
+}
+
+// reservedRank ranks a reserved worker behind those that are not.
+const reservedRank = 1 << 30
+
 // cellRoom returns what a cell may take of a worker beside other cells.
 func (p *Policy) cellRoom(c *cell, w *worker, moveOthers bool) amount {
 	if moveOthers {
--- a/place/policy.go
+++ b/place/policy.go
@@ -109,6 +109,7 @@
 	recheck bool // waiting jobs may have become impossible
 	stopped []*job
 	shadows []*reservation
+	starved []*job // jobs that found no place in this decision and have waited beyond the bound
 	stamp   int
 	// perGPU is what goes with an accelerator, rounded up from the means below.
 	perGPU                 amount
--- a/place/queue.go
+++ b/place/queue.go
@@ -80,7 +80,9 @@
 			ds = p.placeGuaranteed(ds, t, urgent)
 		}
 	}
-	return p.compact(p.placeBorrowers(ds))
+	ds = p.placeBorrowers(ds)
+	p.giveReservations()
+	return p.compact(ds)
 }
 
 func (p *Policy) placeGuaranteed(ds []Decision, t *team, urgent bool) []Decision {
@@ -180,7 +182,9 @@
 		} else if j.shadow == nil {
 			failed[key] = true
 		}
-		p.considerReservation(j)
+		if j.shadow == nil && p.starving(j) {
+			p.starved = append(p.starved, j)
+		}
 		if ds = p.makeRoom(ds, j); j.claim == nil {
 			ds = p.overtake(ds, j)
 		}
--- a/place/reserve.go
+++ b/place/reserve.go
@@ -11,14 +11,25 @@
 	job     *job
 	workers []*worker
 	at      time.Time // when the place is expected to be free
+	made    time.Time
 }
 
-// considerReservation reserves the place that frees first for a job that has waited for too long.
-func (p *Policy) considerReservation(j *job) {
-	if j.shadow != nil || len(p.shadows) >= p.cfg.Reservations || !p.starving(j) {
-		return
+// reserveAgain is how often a reservation looks for an earlier place.
+const reserveAgain = 2 * time.Minute
+
+// giveReservations reserves places for the jobs that have waited longest beyond the bound.
+func (p *Policy) giveReservations() {
+	slices.SortStableFunc(p.starved, func(a, b *job) int { return a.waitFrom.Compare(b.waitFrom) })
+	for _, j := range p.starved {
+		if len(p.shadows) >= p.cfg.Reservations {
+			break
+		}
+		if j.queued && j.claim == nil && j.shadow == nil {
+			p.reserve(j)
+		}
 	}
-	p.reserve(j)
+	clear(p.starved)
+	p.starved = p.starved[:0]
 }
 
 func (p *Policy) reserve(j *job) {
@@ -26,10 +37,15 @@
 	if place == nil {
 		return
 	}
-	r := &reservation{job: j, workers: place, at: at}
-	j.shadow = r
-	for _, w := range place {
+	p.keep(&reservation{job: j, workers: place, at: at, made: p.now})
+}
+
+// keep puts a reservation in force.
+func (p *Policy) keep(r *reservation) {
+	r.job.shadow = r
+	for _, w := range r.workers {
 		w.shadow = r
+		w.besideRound = 0
 	}
 	p.shadows = append(p.shadows, r)
 }
@@ -61,7 +77,23 @@
 				r.at = t
 			}
 		}
+		if p.now.Sub(r.made) >= reserveAgain {
+			p.reserveAgain(r)
+		}
+	}
+}
+
+// reserveAgain looks for a place that is free much earlier.
+func (p *Policy) reserveAgain(r *reservation) {
+	j, old := r.job, *r
+	p.dropReservation(j)
+	p.reserve(j)
+	if j.shadow != nil && j.shadow.at.Sub(p.now) < old.at.Sub(p.now)*3/4 {
+		return
 	}
+	p.dropReservation(j)
+	old.made = p.now
+	p.keep(&old)
 }
 
 func (r *reservation) tasksOn(w *worker) int {
@@ -125,7 +157,7 @@
 			continue
 		}
 		for _, w := range r.workers {
-			if !p.usable(w) || w.shadow != nil {
+			if !p.usable(w) || w.shadow != nil && w.shadow.job != j {
 				continue
 			}
 			if n := j.per.into(w.cap.minus(w.pinnedHere()), tasks); n > 0 {
