--- a/place/job.go
+++ b/place/job.go
@@ -226,18 +226,17 @@
 
 // team is the policy's view of a customer.
 type team struct {
-	name       string
-	rank       int
-	cfg        config.Team
-	known      bool
-	cells      []*cell
-	queue      queue
-	running    []*job // placed gangs, oldest first
-	gpus       int    // accelerators in use
-	claimed    int    // accelerators of places that are being freed
-	quotaRound int    // round in which an older job waits for the quota
-	beyond     amount // use of gangs that are not charged to the guarantee
-	learned    learned
+	name    string
+	rank    int
+	cfg     config.Team
+	known   bool
+	cells   []*cell
+	queue   queue
+	running []*job // placed gangs, oldest first
+	gpus    int    // accelerators in use
+	claimed int    // accelerators of places that are being freed
+	beyond  amount // use of gangs that are not charged to the guarantee
+	learned learned
 }
 
 func (t *team) weight() float64 {
--- a/place/queue.go
+++ b/place/queue.go
@@ -161,11 +161,8 @@
 }
 
 func (p *Policy) tryBorrow(ds []Decision, j *job, failed map[fitKey]bool) []Decision {
-	if j.per.gpus > 0 && (j.team.quotaRound == p.round || j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0) {
-		j.why = "the team's quota of accelerators is in use or kept for an older job"
-		if p.starving(j) {
-			j.team.quotaRound = 0
-		}
+	if j.per.gpus > 0 && j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0 {
+		j.why = "the team's quota of accelerators is in use"
 		return ds
 	}
 	key := p.fitKeyOf(j)
--- a/place/suite_test.go
+++ b/place/suite_test.go
@@ -8,13 +8,16 @@
 	. "github.com/onsi/gomega"
 )
 
-// TestPlace runs the property tests with a fixed seed unless -rapid.seed is
-// given; -rapid.checks and -rapid.steps make longer runs.
+// TestPlace runs the property tests with a fixed seed; the flags -rapid.seed,
+// -rapid.checks and -rapid.steps make other and longer runs.
 func TestPlace(t *testing.T) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "20260101"); err != nil {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.checks": "1000", "rapid.steps": "50", "rapid.nofailfile": "true"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
 	}
