--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -220,9 +220,9 @@
 	It("cancels a waiting, a running and a finished job", func() {
 		s.startWorkers(fakes.WorkerConfig{})
 		s.submit("a", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(4))
 		s.submit("b", "small", model.Shape{Tasks: 4, GPUs: 8}, 0.1, nil)
 		s.submit("c", "small", model.Shape{Tasks: 4, GPUs: 8}, 0.1, nil)
-		Eventually(s.running("a"), "3s", "5ms").Should(Equal(4))
 		for _, id := range []string{"b", "a"} {
 			_, err := s.r.Execute(s.ctx, state.CancelJob{ID: id})
 			Expect(err).NotTo(HaveOccurred())
--- a/place/inspect.go
+++ b/place/inspect.go
@@ -40,7 +40,7 @@
 func (p *Policy) Survey() Survey {
 	s := Survey{Shortages: p.Shortages(), Usable: map[string]int{}}
 	for _, t := range p.allTeams() {
-		s.Teams = append(s.Teams, t.use())
+		s.Teams = append(s.Teams, t.use(len(p.waiting(t))))
 	}
 	for _, w := range p.list {
 		if p.usable(w) {
@@ -58,12 +58,13 @@
 func (p *Policy) Waiting() map[string]int {
 	out := map[string]int{}
 	for _, t := range p.allTeams() {
-		out[t.name] = len(t.waiting())
+		out[t.name] = len(p.waiting(t))
 	}
 	return out
 }
 
-func (t *team) use() TeamUse {
+// use describes the team's resources; waiting is the number of its waiting jobs.
+func (t *team) use(waiting int) TeamUse {
 	var guaranteed, used, borrowed, reclaimable amount
 	u := TeamUse{Team: t.name}
 	for _, c := range t.cells {
@@ -85,7 +86,7 @@
 	}
 	u.Guaranteed, u.Used = guaranteed.resources(), used.resources()
 	u.Borrowed, u.Reclaimable = borrowed.resources(), reclaimable.resources()
-	u.Waiting = len(t.waiting())
+	u.Waiting = waiting
 	return u
 }
 
--- a/place/policy.go
+++ b/place/policy.go
@@ -11,7 +11,7 @@
 // Defaults of Config.
 const (
 	// DefaultReserveAfter is the wait after which a job that finds no place gets a reservation.
-	DefaultReserveAfter = 5 * time.Minute
+	DefaultReserveAfter = 60 * time.Minute
 	// DefaultReservations bounds the reservations at one time, so that they cannot idle the whole site.
 	DefaultReservations = 4
 	// DefaultReturnStarts bounds the starts a second into a data centre that has returned.
@@ -78,12 +78,23 @@
 	cells   []*cell
 	claims  []*job // jobs whose place is being freed, oldest first
 	total   amount
+	// largestRack is the most accelerators of a rack.
+	largestRack int
+
+	moving      int // gangs that leave for another place
+	nextCompact time.Time
+	// lossFactor is the learned part of the work since a checkpoint that a stop loses.
+	lossFactor float64
+	overtakes  int   // searches for borrowers to stop in this decision
+	moveTries  int   // searches for moves in this decision
+	avoidRack  *rack // left out by findRoom
 
 	repack  bool // cell positions or charges need a check
 	short   bool // a cell has no position
 	recheck bool // waiting jobs may have become impossible
 	stopped []*job
 	shadows []*reservation
+	starved []*job // jobs that found no place in this decision and have waited beyond the bound
 	stamp   int
 	// perGPU is what goes with an accelerator, rounded up from the means below.
 	perGPU                 amount
@@ -102,13 +113,14 @@
 func New(cfg Config) *Policy {
 	cfg = cfg.withDefaults()
 	return &Policy{
-		cfg:     cfg,
-		rand:    rand.New(rand.NewSource(cfg.Seed)),
-		dcs:     map[string]*dataCentre{},
-		racks:   map[rackID]*rack{},
-		workers: map[string]*worker{},
-		teams:   map[string]*team{},
-		jobs:    map[string]*job{},
+		cfg:        cfg,
+		lossFactor: 0.5,
+		rand:       rand.New(rand.NewSource(cfg.Seed)),
+		dcs:        map[string]*dataCentre{},
+		racks:      map[rackID]*rack{},
+		workers:    map[string]*worker{},
+		teams:      map[string]*team{},
+		jobs:       map[string]*job{},
 	}
 }
 
@@ -186,6 +198,9 @@
 	j.attempt++
 	j.placedAt = p.now
 	j.why = ""
+	if j.aged = p.now.Sub(j.waitFrom); j.aged >= promoteAfter {
+		j.served = 0
+	}
 	names := make([]string, len(placement))
 	for i, w := range placement {
 		names[i] = w.name
