place: search exhaustively where greedy packing fails, and reclaim held places

Longer runs of the property tests found three faults: a shortage was reported where places existed (greedy packing only), a gang that moves counted twice in its team's quota, and a place held for a borrower could not be reclaimed.

--- a/place/check.go
+++ b/place/check.go
@@ -33,6 +33,7 @@
 // declared racks in service, without drained workers.
 func CheckGuarantees(cfg config.Config) []Shortage {
 	p := New(Config{})
+	p.searchSteps = checkSteps
 	p.Step(time.Time{}, ConfigChanged{Config: cfg})
 	for _, dc := range cfg.DataCentres {
 		for _, r := range dc.Racks {
--- a/place/claim.go
+++ b/place/claim.go
@@ -13,7 +13,7 @@
 	slow bool
 	// guaranteed is false for a gang that moves or that others make room for.
 	guaranteed bool
-	// moving is set for a gang that leaves for this place.
+	// moving is set for a gang that has not left its old place yet.
 	moving bool
 }
 
@@ -30,10 +30,11 @@
 	for _, w := range ws {
 		w.held = w.held.plus(j.per)
 	}
-	j.team.claimed += j.spec.Shape.TotalGPUs()
 	p.claims = append(p.claims, j)
 	if j.claim.moving = j.placed(); j.claim.moving {
 		p.moving++
+	} else {
+		j.team.claimed += j.spec.Shape.TotalGPUs()
 	}
 }
 
@@ -43,14 +44,36 @@
 		w.held = w.held.minus(j.per)
 		w.rack.freeRound = 0
 	}
-	j.team.claimed -= j.spec.Shape.TotalGPUs()
 	if j.claim.moving {
 		p.moving--
+	} else {
+		j.team.claimed -= j.spec.Shape.TotalGPUs()
 	}
 	j.claim = nil
 	p.claims = slices.DeleteFunc(p.claims, func(o *job) bool { return o == j })
 }
 
+// arrived counts a gang that moves as waiting for its new place, once it has left the old one.
+func (p *Policy) arrived(j *job) {
+	if j.claim != nil && j.claim.moving {
+		j.claim.moving = false
+		p.moving--
+		j.team.claimed += j.spec.Shape.TotalGPUs()
+	}
+}
+
+// dropBorrowerClaims gives up the places held for jobs beyond their guarantees
+// and reports whether there were any.
+func (p *Policy) dropBorrowerClaims() bool {
+	n := len(p.claims)
+	for _, j := range slices.Clone(p.claims) {
+		if !j.claim.guaranteed {
+			p.dropClaim(j)
+		}
+	}
+	return len(p.claims) < n
+}
+
 // dropClaim returns a job to the waiting ones without a place.
 func (p *Policy) dropClaim(j *job) {
 	if j.claim == nil {
--- a/place/job.go
+++ b/place/job.go
@@ -190,6 +190,7 @@
 	j.served = p.servedOf(j)
 	p.uncharge(j)
 	p.vacate(j)
+	p.arrived(j)
 	j.checkpoint = max(j.checkpoint, e.Checkpoint)
 	j.progress, j.base = j.checkpoint, j.checkpoint
 	for _, w := range ran {
--- a/place/pack.go
+++ b/place/pack.go
@@ -23,6 +23,7 @@
 // configuration; those that do not fit stay without a position and are
 // reported as shortages.
 func (p *Policy) repair() {
+	p.searchLeft = p.searchSteps
 	var broken []*cell
 	for _, c := range p.cells {
 		if !p.sound(c) || p.overloaded(c) {
@@ -115,6 +116,9 @@
 			return true
 		}
 	}
+	if p.searchAll(all) {
+		return true
+	}
 	for _, c := range extra {
 		p.setCell(c, nil, c.occupant)
 	}
@@ -122,6 +126,95 @@
 	return false
 }
 
+const (
+	// searchSteps bounds the exhaustive search for positions after one change,
+	// which decides small sites exactly and costs a few milliseconds on others.
+	searchSteps = 20000
+	// decisionSteps is the bound within one decision.
+	decisionSteps = 5000
+	// checkSteps is the bound where a configuration is checked before it is accepted.
+	checkSteps = 2000000
+)
+
+// searchAll places cells by exhaustive search, the hardest first.
+func (p *Policy) searchAll(cells []*cell) bool {
+	for _, c := range cells {
+		p.setCell(c, nil, c.occupant)
+	}
+	var need, room amount
+	for _, c := range cells {
+		need = need.plus(c.per.times(c.shape.Tasks))
+	}
+	s := &search{p: p}
+	for _, r := range p.order {
+		for _, w := range r.workers {
+			if p.usable(w) {
+				s.workers = append(s.workers, w)
+				room = room.plus(w.cap.minus(w.reserved))
+			}
+		}
+	}
+	if !need.fits(room) {
+		return false
+	}
+	cells = slices.Clone(cells)
+	slices.SortStableFunc(cells, harder)
+	return s.place(cells)
+}
+
+type search struct {
+	p       *Policy
+	workers []*worker // in rack order
+}
+
+func (s *search) place(cells []*cell) bool {
+	if len(cells) == 0 {
+		return true
+	}
+	return s.tasks(cells, nil, 0)
+}
+
+// tasks extends the position of the first cell by workers from an index on.
+func (s *search) tasks(cells []*cell, pos []*worker, from int) bool {
+	if s.p.searchLeft--; s.p.searchLeft < 0 {
+		return false
+	}
+	c := cells[0]
+	if len(pos) == c.shape.Tasks {
+		s.p.setCell(c, slices.Clone(pos), c.occupant)
+		if s.place(cells[1:]) {
+			return true
+		}
+		s.p.setCell(c, nil, c.occupant)
+		return false
+	}
+	for i := from; i < len(s.workers); i++ {
+		w := s.workers[i]
+		if c.shape.SameRack && len(pos) > 0 && w.rack != pos[0].rack {
+			return false
+		}
+		room := s.room(c, w, pos)
+		if !allows(c.dcs, w.rack.id.dc) || !c.per.fits(room) ||
+			i > from && s.workers[i-1].rack == w.rack && s.room(c, s.workers[i-1], pos) == room {
+			continue // like the worker before it, which was tried
+		}
+		if s.tasks(cells, append(pos, w), i) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *search) room(c *cell, w *worker, pos []*worker) amount {
+	room := w.cap.minus(w.reserved).plus(c.footOn(w))
+	for _, o := range pos {
+		if o == w {
+			room = room.minus(c.per)
+		}
+	}
+	return room
+}
+
 // position is where a cell was.
 type position struct {
 	c   *cell
--- a/place/policy.go
+++ b/place/policy.go
@@ -104,7 +104,9 @@
 	moveTries  int   // searches for moves in this decision
 	avoidRack  *rack // left out by findRoom
 
-	repack  bool // cell positions or charges need a check
+	repack                  bool // cell positions or charges need a check
+	searchSteps, searchLeft int  // bound of exhaustive searches in one repair, and what is left
+
 	short   bool // a cell has no position
 	recheck bool // waiting jobs may have become impossible
 	stopped []*job
@@ -129,13 +131,13 @@
 	cfg = cfg.withDefaults()
 	return &Policy{
 		cfg:        cfg,
-		lossFactor: 0.5,
-		rand:       rand.New(rand.NewSource(cfg.Seed)),
-		dcs:        map[string]*dataCentre{},
-		racks:      map[rackID]*rack{},
-		workers:    map[string]*worker{},
-		teams:      map[string]*team{},
-		jobs:       map[string]*job{},
+		lossFactor: 0.5, searchSteps: searchSteps,
+		rand:    rand.New(rand.NewSource(cfg.Seed)),
+		dcs:     map[string]*dataCentre{},
+		racks:   map[rackID]*rack{},
+		workers: map[string]*worker{},
+		teams:   map[string]*team{},
+		jobs:    map[string]*job{},
 	}
 }
 
@@ -176,6 +178,7 @@
 	}
 	p.changed = false
 	p.round++
+	p.searchLeft = decisionSteps
 	p.nextLook = now.Add(p.lookAfter())
 	p.displaceOutOfService()
 	p.settle()
--- a/place/victim.go
+++ b/place/victim.go
@@ -14,6 +14,14 @@
 
 // reclaim preempts the borrowers that lose the least work so that j can start in cell c.
 func (p *Policy) reclaim(ds []Decision, j *job, c *cell) ([]Decision, bool) {
+	ds, ok := p.tryReclaim(ds, j, c)
+	if !ok && p.dropBorrowerClaims() {
+		ds, ok = p.tryReclaim(ds, j, c)
+	}
+	return ds, ok
+}
+
+func (p *Policy) tryReclaim(ds []Decision, j *job, c *cell) ([]Decision, bool) {
 	// Gangs that stop on workers that do not answer leave only when their lease ends.
 	for _, slow := range []bool{false, true} {
 		own, ok := p.ownVictims(j)
@@ -88,16 +96,25 @@
 // ownVictims returns borrowers of the job's own team that must stop for its quota.
 func (p *Policy) ownVictims(j *job) ([]*job, bool) {
 	over := j.team.overQuota(j.spec.Shape.TotalGPUs())
-	var own []*job
+	var own, moving []*job
 	for _, v := range j.team.running {
 		switch {
 		case v.state == jobStopping:
 			over -= v.spec.Shape.TotalGPUs()
+			if v.claim != nil {
+				moving = append(moving, v)
+			}
 		case p.borrows(v) && v.per.gpus > 0:
 			own = append(own, v)
 		}
 	}
 	slices.SortStableFunc(own, func(a, b *job) int { return cmp.Compare(a.lost(p.total), b.lost(p.total)) })
+	// A gang that moves would take up the quota again.
+	for _, v := range moving {
+		if over+v.spec.Shape.TotalGPUs() > 0 {
+			p.dropClaim(v)
+		}
+	}
 	n := 0
 	for ; over > 0 && n < len(own); n++ {
 		over -= own[n].spec.Shape.TotalGPUs()
