Register again in ctrl's tests when an election leaves the outcome unknown

Ruled out: a lost command; the state after it was right. Change: the registration, which is idempotent, is repeated until it is accepted; what the tests expect of the state is unchanged.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -133,8 +133,16 @@
 	return res
 }
 
+// register adds a worker. An election may leave the outcome unknown, which
+// state.Replica allows; registering again has the same effect.
 func register(n *ctrl.Node, i int) {
-	execute(n, state.RegisterWorker{Worker: model.Worker{Name: fmt.Sprintf("worker-%04d", i), Incarnation: "1"}})
+	cmd := state.RegisterWorker{Worker: model.Worker{Name: fmt.Sprintf("worker-%04d", i), Incarnation: "1"}}
+	Eventually(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		_, err := n.Execute(ctx, cmd)
+		return err
+	}, 2*waitTimeout).Should(Succeed())
 }
 
 func patch(id string, base uint64) state.PatchConfig {
