--- a/itest/secure_test.go
+++ b/itest/secure_test.go
@@ -125,7 +125,8 @@
 		})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(u.Close)
-		Expect(c.Announce(ctx, u.Upstream())).To(Succeed())
+		// The instance asked may not have taken over the first configuration yet.
+		Eventually(c.Announce, "10s", "20ms").WithContext(ctx).WithArguments(u.Upstream()).Should(Succeed())
 	}
 	Eventually(func() (int, error) {
 		ws, err := c.Workers(ctx)
