--- /dev/null
+++ b/batch/change.go
@@ -0,0 +1,87 @@
+package batch
+
+import "turmericroute/model"
+
+// How says how a run ended.
+type How string
+
+// How runs end. The last two are decided by the leader.
+const (
+	EndDone    How = "done"
+	EndFailed  How = "failed"
+	EndStopped How = "stopped"
+	EndLapsed  How = "lapsed"  // its lease expired
+	EndBroken  How = "broken"  // another member of its gang ended
+	EndAlone   How = "alone"   // the other members of its gang did not come
+	EndRefused How = "refused" // it was not started
+	EndLost    How = "lost"    // its worker is gone, or its lease has expired on any clock
+	EndUnsent  How = "unsent"  // its worker certainly never started it
+)
+
+// Start gives a task a new run on a worker.
+type Start struct {
+	Task   TaskID `json:"task"`
+	Run    int    `json:"run"`
+	Worker string `json:"worker"`
+	Life   int64  `json:"life"`
+}
+
+// End ends a run.
+type End struct {
+	Task       TaskID `json:"task"`
+	Run        int    `json:"run"`
+	How        How    `json:"how"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// Change is a change of the ledger; exactly one field is set.
+type Change struct {
+	Accept  *Accept  `json:"accept,omitempty"`
+	Cancel  *Cancel  `json:"cancel,omitempty"`
+	Starts  []Start  `json:"starts,omitempty"`
+	Ends    []End    `json:"ends,omitempty"`
+	Catalog *Catalog `json:"catalog,omitempty"`
+	Service *Outage  `json:"service,omitempty"`
+	Wave    *Wave    `json:"wave,omitempty"`
+	Upkeep  *Upkeep  `json:"upkeep,omitempty"`
+	Forget  []string `json:"forget,omitempty"`
+	AtMS    int64    `json:"at_ms,omitempty"`
+}
+
+// Accept stores a job.
+type Accept struct {
+	ID          string `json:"id"`
+	Queue       string `json:"queue"`
+	Service     string `json:"service"`
+	Priority    int    `json:"priority"`
+	MaxFailures int    `json:"max_failures"`
+	Team        string `json:"team"`
+	Spec        Spec   `json:"spec"`
+}
+
+// Cancel ends a job.
+type Cancel struct {
+	ID string `json:"id"`
+}
+
+// Outage takes a data centre out of service or back.
+type Outage struct {
+	DataCentre string `json:"data_centre"`
+	Out        bool   `json:"out"`
+}
+
+// Upkeep records progress of a wave: a machine whose maintenance has begun, or its end.
+type Upkeep struct {
+	Wave    int64  `json:"wave"`
+	Machine string `json:"machine,omitempty"`
+	Done    bool   `json:"done,omitempty"`
+}
+
+// Result is what a change gave.
+type Result struct {
+	Failure *model.Error `json:"failure,omitempty"`
+	// State is the job's state after Accept or Cancel.
+	State JobState `json:"state,omitempty"`
+	// Known reports that an accepted job was there before.
+	Known bool `json:"known,omitempty"`
+}
--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -98,7 +98,7 @@
 
 func (a *app) tree() *ffcli.Command {
 	return a.group("", "schedules multi-accelerator jobs with guarantees for each team",
-		a.leaf("", serveCommand()), a.leaf("", tryCommand()),
+		a.leaf("", serveCommand()), a.leaf("", platformCommand()), a.leaf("", tryCommand()),
 		a.group("job", "submits, shows, explains and cancels jobs",
 			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()), a.leaf("job", jobExplainCommand()),
 			a.leaf("job", jobListCommand()), a.leaf("job", jobCancelCommand())),
--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -72,7 +72,7 @@
 
 func (n *Node) seekMembership(ctx context.Context) error {
 	id, tainted, _ := n.boot.get()
-	peers := n.cfg.controls()
+	peers := n.seedPeers()
 	answers := n.identify(ctx, peers)
 	for _, a := range answers {
 		if a == nil || a.GetMembership() == nil {
@@ -93,7 +93,7 @@
 			fresh++
 		}
 	}
-	if !n.cfg.Bootstrap || tainted {
+	if !n.cfg.Bootstrap || tainted || !n.seeded() {
 		return fmt.Errorf("no control peer has a membership")
 	}
 	if fresh < len(peers) {
@@ -160,10 +160,8 @@
 func (n *Node) join(ctx context.Context, id, leader string, p Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	for _, other := range n.cfg.controls() {
-		if other.Name == leader {
-			p = other
-		}
+	if known, ok := n.peerNamed(leader); ok {
+		p = known
 	}
 	conn := n.links.get(p.Address).ready(ctx)
 	if conn == nil {
@@ -187,7 +185,7 @@
 // admitMember adds a fresh control instance as a learner, on the leader. A
 // learner of the same name with another identity gives way.
 func (n *Node) admitMember(ctx context.Context, one quorum.Member) (quorum.Membership, *model.Error) {
-	if !slices.ContainsFunc(n.cfg.Peers, func(p Peer) bool { return p.Name == one.Name && p.Control }) || one.ID == "" {
+	if !n.mayJoin(one) {
 		return quorum.Membership{}, model.NotRun(model.CodeInvalid, "%q is not a control instance of this deployment", one.Name)
 	}
 	o, ok := n.leading.current()
--- /dev/null
+++ b/ctrl/call.go
@@ -0,0 +1,163 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"turmericroute/clock"
+	"turmericroute/model"
+	"turmericroute/wire"
+)
+
+// callTimeout bounds one attempt of Call; callers of the platform wait a second or more.
+const callTimeout = 800 * time.Millisecond
+
+// Call hands an encoded request to the leader and returns its encoded answer.
+// All requests are idempotent: an attempt that fails is repeated until ctx
+// ends. The error is a *model.Error; its outcome is unknown once an attempt
+// may have reached the leader.
+func (n *Node) Call(ctx context.Context, request []byte) ([]byte, error) {
+	unclear := false
+	avoid := "" // the leader could not be reached directly
+	for {
+		resp, asked, fail := n.callOnce(ctx, request, avoid)
+		if fail == nil {
+			return resp, nil
+		}
+		if fail.Outcome == model.OutcomeUnknown {
+			unclear = true
+		} else if fail.Code != model.CodeNoLeader {
+			return nil, fail
+		}
+		avoid = asked
+		if !clock.Sleep(ctx, retryDelay) {
+			if unclear {
+				return nil, model.Unknown(fail.Code, "%s", fail.Message)
+			}
+			return nil, model.NotRun(model.CodeNoLeader, "%s", fail.Message)
+		}
+	}
+}
+
+// callOnce makes one attempt; asked names the leader that could not be reached.
+func (n *Node) callOnce(ctx context.Context, request []byte, avoid string) (response []byte, asked string, _ *model.Error) {
+	if _, ok := n.leading.current(); ok {
+		resp, fail := n.respondHere(ctx, request)
+		return resp, "", fail
+	}
+	if avoid != "" {
+		n.forget(avoid)
+	}
+	p, conn := n.leaderConn(ctx)
+	if conn == nil {
+		return nil, p.Name, noLeader(p.Name)
+	}
+	try, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l := n.links.get(p.Address)
+	resp, err := wire.NewControlClient(conn).Call(try, &wire.CallRequest{Request: request, Relay: avoid != "" && p.Name != avoid})
+	if err != nil {
+		if status.Code(err) == codes.DeadlineExceeded {
+			l.timedOut()
+		}
+		n.forget(p.Name)
+		return nil, p.Name, callFailed(ctx, p.Name, err)
+	}
+	l.inTime()
+	n.learnMembers(resp.GetMembers())
+	switch {
+	case resp.GetNotLeader():
+		n.redirect(p.Name, resp.GetLeader())
+		return nil, "", noLeader(p.Name)
+	case resp.GetFailure() != nil:
+		return nil, "", failureFromWire(resp.GetFailure())
+	}
+	if resp.GetLeader() != "" {
+		n.learn(resp.GetLeader())
+	}
+	return resp.GetResponse(), "", nil
+}
+
+// respondHere answers on the leader, and confirms afterwards that it still
+// leads: the answer may renew leases that a later leader counts from its election.
+func (n *Node) respondHere(ctx context.Context, request []byte) ([]byte, *model.Error) {
+	if n.cfg.Responder == nil {
+		return nil, model.NotRun(model.CodeUnavailable, "this deployment answers no calls")
+	}
+	var resp []byte
+	err := n.WhileLeading(ctx, func(ctx context.Context) error {
+		var err error
+		resp, err = n.cfg.Responder.Respond(ctx, request)
+		return err //nolint:wrapcheck // a typed error.
+	})
+	if err != nil {
+		return nil, model.AsError(err)
+	}
+	return resp, nil
+}
+
+// WhileLeading runs f, whose context ends with the leadership, with all that
+// earlier leaders committed applied. Afterwards it confirms that this instance
+// still leads; otherwise the error's outcome is unknown.
+func (n *Node) WhileLeading(ctx context.Context, f func(ctx context.Context) error) error {
+	o, ok := n.leading.current()
+	if !ok {
+		return notLeader()
+	}
+	if err := n.machine.Wait(ctx, o.index); err != nil {
+		return err //nolint:wrapcheck // a typed error.
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(o.ctx, cancel)()
+	if err := f(ctx); err != nil {
+		return err
+	}
+	if _, term, held := n.member.Load().readIndex(ctx); !held || term != o.term {
+		return model.Unknown(model.CodeNoLeader, "leadership was lost before the answer")
+	}
+	return nil
+}
+
+// HandOver makes another voter the leader if this instance leads, and waits for it a little.
+func (n *Node) HandOver(ctx context.Context) {
+	if m := n.member.Load(); m != nil {
+		n.handOver(ctx, m)
+	}
+}
+
+// Leader returns the address of the leader's process, empty when none is known.
+func (n *Node) Leader() string {
+	if _, ok := n.leading.current(); ok {
+		return n.cfg.Address
+	}
+	if p, ok := n.peerNamed(n.leaderName()); ok {
+		return p.Address
+	}
+	return ""
+}
+
+// Call answers a request that another instance hands on.
+func (s *server) Call(ctx context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+	out := &wire.CallResponse{Leader: s.n.leaderName()}
+	for _, p := range memberPeers(s.n.applier.membership()) {
+		out.Members = append(out.Members, &wire.Member{Name: p.Name, Address: p.Address})
+	}
+	resp, fail := s.n.respondHere(ctx, req.GetRequest())
+	if fail != nil && fail.Code == model.CodeNoLeader && fail.Outcome == model.OutcomeNotRun && req.GetRelay() {
+		resp, _, fail = s.n.callOnce(ctx, req.GetRequest(), "")
+		out.Leader = ""
+	}
+	switch {
+	case fail != nil && fail.Code == model.CodeNoLeader && fail.Outcome == model.OutcomeNotRun:
+		out.NotLeader = true
+	case fail != nil:
+		out.Failure = failureToWire(fail)
+	default:
+		out.Response = resp
+	}
+	return out, nil
+}
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -92,6 +92,12 @@
 	Dump() any
 }
 
+// Responder answers requests that any instance may receive and only the leader can answer.
+type Responder interface {
+	// Respond answers an encoded request while leading; the error is a *model.Error.
+	Respond(ctx context.Context, request []byte) ([]byte, error)
+}
+
 // Storage keeps a member's log durably; package store implements it.
 type Storage interface {
 	Save(hs *quorum.HardState, entries []quorum.Entry) error
@@ -113,10 +119,17 @@
 	Peers []Peer
 	// Bootstrap forms a new cluster of the control peers when all their data folders are empty.
 	Bootstrap bool
+	// Open means that Peers are only seeds: any control instance may join, members
+	// are named by their addresses, and voters that are gone are replaced.
+	Open bool
+	// Caller means that the instance keeps no copy of the state and does not listen: it only calls the leader.
+	Caller bool
 	// Leader runs while this instance leads; nil when there is nothing to run.
-	Leader  LeaderRole
-	Logger  log.Logger
-	Metrics *metrics.Set
+	Leader LeaderRole
+	// Responder answers what Call hands to the leader; nil when there is nothing to answer.
+	Responder Responder
+	Logger    log.Logger
+	Metrics   *metrics.Set
 	// Credentials authenticate connections between instances in both directions; nil means plain TCP.
 	Credentials credentials.TransportCredentials
 	// Listen replaces net.Listen.
@@ -152,17 +165,6 @@
 	return cfg
 }
 
-// controls returns the control peers except this instance.
-func (cfg Config) controls() []Peer {
-	var list []Peer
-	for _, p := range cfg.Peers {
-		if p.Control && p.Name != cfg.Name {
-			list = append(list, p)
-		}
-	}
-	return list
-}
-
 // addressOf returns the address of a member: that of the settings, else the one it joined with.
 func (cfg Config) addressOf(m quorum.Member) string {
 	for _, p := range cfg.Peers {
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -96,6 +96,9 @@
 	case state.MoveJob:
 		c.AtMS = nowMS
 		return c
+	case state.ChangeBatch:
+		c.Change.AtMS = nowMS
+		return c
 	case state.ClaimKey:
 		c.Key.DeadlineMS += nowMS - c.Key.CreatedMS
 		c.Key.CreatedMS = nowMS
@@ -164,19 +167,12 @@
 
 // target returns the leader if known, else the control peers in turn.
 func (n *Node) target() (Peer, bool) {
-	peers := n.cfg.controls()
-	if name := n.leaderName(); name != "" && name != n.cfg.Name {
-		for _, p := range peers {
-			if p.Name == name {
-				return p, true
-			}
-		}
-		for _, v := range n.applier.membership().Voters {
-			if v.Name == name {
-				return Peer{Name: name, Address: v.Address, Control: true}, true
-			}
+	if name := n.leaderName(); name != n.cfg.Name {
+		if p, ok := n.peerNamed(name); ok {
+			return p, true
 		}
 	}
+	peers := n.controls()
 	if len(peers) == 0 {
 		return Peer{}, false
 	}
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -20,6 +20,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	watchdog *time.Timer
+	until    time.Duration // by the boot clock; the watchdog does not run while the machine is suspended
 	ended    chan struct{} // closed when the last run has returned
 }
 
@@ -43,6 +44,7 @@
 		l.begin(term, index)
 	default:
 		l.watchdog.Reset(leadWatchdog)
+		l.until = clock.Boot() + leadWatchdog
 	}
 }
 
@@ -50,6 +52,7 @@
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.term, l.index = term, index
 	l.watchdog = time.AfterFunc(leadWatchdog, l.cancel)
+	l.until = clock.Boot() + leadWatchdog
 	before, ended, ctx := l.ended, make(chan struct{}), l.ctx
 	l.ended = ended
 	go func() {
@@ -71,7 +74,7 @@
 func (l *leading) current() (office, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cancel == nil || l.ctx.Err() != nil {
+	if l.cancel == nil || l.ctx.Err() != nil || clock.Boot() > l.until {
 		return office{}, false
 	}
 	return office{ctx: l.ctx, term: l.term, index: l.index}, true
@@ -108,11 +111,20 @@
 
 // keepMembers makes learners that have caught up voters, one change at a time.
 func (n *Node) keepMembers(ctx context.Context, term uint64) {
+	silent := map[string]time.Duration{}
 	for clock.Sleep(ctx, memberInterval) {
 		m := n.member.Load()
 		var next quorum.Membership
 		var what string
-		if err := m.call(ctx, func(q *quorum.Node) { next, what = nextMembership(q.Status()) }); err != nil {
+		err := m.call(ctx, func(q *quorum.Node) {
+			s := q.Status()
+			if n.cfg.Open {
+				next, what = nextOpenMembership(s, goneVoters(s, silent, clock.Boot()))
+			} else {
+				next, what = nextMembership(s)
+			}
+		})
+		if err != nil {
 			return
 		}
 		if what == "" {
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/quorum"
 	"turmericroute/state"
@@ -51,8 +52,9 @@
 	done      chan struct{}
 	err       error // why the loop ended; valid once done is closed
 
-	status   atomic.Pointer[quorum.Status]
-	lastTick time.Time
+	status atomic.Pointer[quorum.Status]
+	// lastTick is read on the boot clock, so that ticks are due for a time of suspension.
+	lastTick time.Duration
 
 	syncSeconds *metrics.Summary
 	batch       *metrics.Summary
@@ -97,7 +99,7 @@
 	defer close(m.done)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	m.lastTick = time.Now()
+	m.lastTick = clock.Boot()
 	for {
 		select {
 		case <-m.stop:
@@ -128,11 +130,11 @@
 // a tick and the leader lease is counted in ticks.
 func (m *member) ticks() {
 	const most = 64 // beyond several election timeouts more ticks change nothing
-	due := int(time.Since(m.lastTick) / tick)
+	due := int((clock.Boot() - m.lastTick) / tick)
 	for range min(due, most) {
 		m.protocol.Tick()
 	}
-	m.lastTick = m.lastTick.Add(time.Duration(due) * tick)
+	m.lastTick += time.Duration(due) * tick
 }
 
 // handle steps a message after all ticks that are due: the promise that an
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"google.golang.org/grpc"
 
@@ -43,10 +42,11 @@
 	member atomic.Pointer[member]
 	boot   boot
 
-	hint     atomic.Pointer[string] // name of the leader, nil or empty when unknown
-	turn     atomic.Uint32          // counts the peers asked for the leader
-	view     atomic.Int64           // time of the view, since started
-	started  time.Time
+	seeds    atomic.Pointer[[]Peer]
+	known    atomic.Pointer[[]Peer]             // members that other instances told of
+	hint     atomic.Pointer[string]             // name of the leader, nil or empty when unknown
+	turn     atomic.Uint32                      // counts the peers asked for the leader
+	view     atomic.Int64                       // time of the view on the boot clock
 	refollow atomic.Pointer[context.CancelFunc] // ends the stream that a diskless instance follows
 
 	failure chan struct{} // closed when the member has failed
@@ -58,10 +58,11 @@
 	if cfg.Name == "" || cfg.Address == "" {
 		return nil, errors.New("control node needs a name and an address")
 	}
-	if cfg.DataDir == "" && len(cfg.controls()) == 0 {
+	n := &Node{cfg: cfg, machine: state.New(), failure: make(chan struct{})}
+	n.seeds.Store(&cfg.Peers)
+	if cfg.DataDir == "" && len(n.seedPeers()) == 0 {
 		return nil, errors.New("an instance without a data folder needs a control peer")
 	}
-	n := &Node{cfg: cfg, machine: state.New(), started: time.Now(), failure: make(chan struct{})}
 	n.metrics = newNodeMetrics(cfg.Metrics, n)
 	n.applier = newApplier(cfg, n.machine)
 	n.links = newLinks(cfg)
@@ -82,6 +83,10 @@
 			return err
 		}
 	}
+	if n.cfg.Caller {
+		n.cfg.Logger.Log("event", "caller_started", "name", n.cfg.Name, "seeds", len(n.seedPeers()))
+		return nil
+	}
 	lis, err := n.cfg.Listen("tcp", n.cfg.Address)
 	if err != nil {
 		if n.store != nil {
@@ -104,6 +109,9 @@
 		n.booting.Go(n.bootstrap)
 	}
 	n.wg.Go(n.keepView)
+	if n.cfg.Open {
+		n.wg.Go(n.keepPlace)
+	}
 	n.cfg.Logger.Log("event", "node_started", "name", n.cfg.Name, "address", n.cfg.Address, "id", n.recovered.ID, "applied", n.machine.Applied())
 	return nil
 }
--- /dev/null
+++ b/ctrl/peers.go
@@ -0,0 +1,93 @@
+package ctrl
+
+import (
+	"slices"
+
+	"turmericroute/quorum"
+	"turmericroute/wire"
+)
+
+// SetSeeds replaces the peers of the settings; members that are known otherwise stay known.
+func (n *Node) SetSeeds(peers []Peer) { n.seeds.Store(&peers) }
+
+// seedPeers returns the control peers of the settings except this instance.
+func (n *Node) seedPeers() []Peer {
+	var list []Peer
+	for _, p := range *n.seeds.Load() {
+		if p.Control && p.Name != n.cfg.Name {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// seeded reports whether the settings name this instance; only such a one may form a cluster.
+func (n *Node) seeded() bool {
+	return slices.ContainsFunc(*n.seeds.Load(), func(p Peer) bool { return p.Name == n.cfg.Name })
+}
+
+// controls returns all control instances that are known, except this one.
+func (n *Node) controls() []Peer {
+	list := n.seedPeers()
+	if !n.cfg.Open {
+		return list
+	}
+	add := func(p Peer) {
+		if p.Name != n.cfg.Name && !slices.ContainsFunc(list, func(o Peer) bool { return o.Name == p.Name }) {
+			list = append(list, p)
+		}
+	}
+	for _, p := range memberPeers(n.applier.membership()) {
+		add(p)
+	}
+	if known := n.known.Load(); known != nil {
+		for _, p := range *known {
+			add(p)
+		}
+	}
+	return list
+}
+
+// peerNamed returns the control instance with the name. In an open deployment a name is an address.
+func (n *Node) peerNamed(name string) (Peer, bool) {
+	if name == "" {
+		return Peer{}, false
+	}
+	if n.cfg.Open {
+		return Peer{Name: name, Address: name, Control: true}, true
+	}
+	for _, p := range append(n.controls(), memberPeers(n.applier.membership())...) {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// mayJoin reports whether a control instance belongs to this deployment.
+func (n *Node) mayJoin(one quorum.Member) bool {
+	if one.ID == "" || one.Name == "" {
+		return false
+	}
+	return n.cfg.Open || slices.ContainsFunc(*n.seeds.Load(), func(p Peer) bool { return p.Name == one.Name && p.Control })
+}
+
+// learnMembers notes the members that another instance knows.
+func (n *Node) learnMembers(members []*wire.Member) {
+	if len(members) == 0 {
+		return
+	}
+	list := make([]Peer, len(members))
+	for i, m := range members {
+		list[i] = Peer{Name: m.GetName(), Address: m.GetAddress(), Control: true}
+	}
+	n.known.Store(&list)
+}
+
+func memberPeers(m quorum.Membership) []Peer {
+	var list []Peer
+	for _, v := range slices.Concat(m.Voters, m.Learners) {
+		list = append(list, Peer{Name: v.Name, Address: v.Address, Control: true})
+	}
+	return list
+}
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -137,7 +137,8 @@
 func (s *server) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
 	id, tainted, m := s.n.boot.get()
 	resp := &wire.IdentifyResponse{Name: s.n.cfg.Name, Id: id, Leader: s.n.leaderName()}
-	resp.Fresh = id != "" && !tainted && m == nil
+	// A disk of an open deployment that is empty after the first start was lost.
+	resp.Fresh = id != "" && !tainted && m == nil && (s.n.cfg.Bootstrap || !s.n.cfg.Open)
 	switch {
 	case s.n.member.Load() != nil:
 		resp.Membership = membershipToWire(s.n.applier.membership())
--- a/ctrl/view.go
+++ b/ctrl/view.go
@@ -20,12 +20,12 @@
 	if at == math.MinInt64 {
 		return math.MaxInt64
 	}
-	return time.Since(n.started) - time.Duration(at)
+	return clock.Boot() - time.Duration(at)
 }
 
 // seen notes that the local copy held all that was committed before start.
-func (n *Node) seen(start time.Time) {
-	at := int64(start.Sub(n.started))
+func (n *Node) seen(start time.Duration) {
+	at := int64(start)
 	for {
 		old := n.view.Load()
 		if old >= at || n.view.CompareAndSwap(old, at) {
@@ -51,7 +51,7 @@
 func (n *Node) refreshView(ctx context.Context) {
 	ask, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	start := time.Now()
+	start := clock.Boot()
 	index, err := n.readIndex(ask)
 	if err != nil {
 		return
@@ -70,7 +70,7 @@
 
 // Barrier waits until the local state holds all that was committed before the call.
 func (n *Node) Barrier(ctx context.Context) error {
-	start := time.Now()
+	start := clock.Boot()
 	index, err := n.readIndex(ctx)
 	if err != nil {
 		return err
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -17,7 +17,7 @@
 // follow keeps the state of an instance without a disk up to date from any
 // control instance, and tries the next one when the stream breaks or stalls.
 func (n *Node) follow() {
-	peers := n.cfg.controls()
+	peers := n.seedPeers()
 	for at := rand.IntN(len(peers)); n.ctx.Err() == nil; at = (at + 1) % len(peers) {
 		err := n.followOne(peers[at])
 		if n.ctx.Err() == nil {
--- /dev/null
+++ b/sched/beat.go
@@ -0,0 +1,349 @@
+package sched
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"turmericroute/batch"
+	"turmericroute/model"
+)
+
+// beat takes in a worker's heartbeat and answers it with orders.
+func (s *Scheduler) beat(ctx context.Context, o *office, b Beat) (Answer, error) {
+	s.metrics.beats.Inc()
+	ends, taken := s.takeBeat(o, b)
+	if !taken {
+		return Answer{Orders: &Orders{}}, nil
+	}
+	committed := true
+	if len(ends) > 0 {
+		wait, cancel := context.WithTimeout(o.ctx, commitWait)
+		_, err := o.change(wait, batch.Change{Ends: ends})
+		cancel()
+		s.logEnds(o, b.Worker, ends, err)
+		committed = err == nil
+		if committed {
+			s.awaitPass(ctx, o)
+		}
+	}
+	return Answer{Orders: s.orders(o, b, committed)}, nil
+}
+
+// awaitPass runs a placement pass and waits a little for it, so that the room of
+// the runs that have just ended is used in the answer to the same heartbeat.
+func (s *Scheduler) awaitPass(ctx context.Context, o *office) {
+	s.mu.Lock()
+	planned := o.planned
+	s.mu.Unlock()
+	o.kick()
+	t := time.NewTimer(planWait)
+	defer t.Stop()
+	select {
+	case <-planned:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// takeBeat notes a heartbeat and returns the ends to commit; it returns false
+// for one that is out of date.
+func (s *Scheduler) takeBeat(o *office, b Beat) ([]batch.End, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Boot()
+	w := o.workers[b.Worker]
+	switch {
+	case w != nil && b.Life < w.beat.Life:
+		return nil, false
+	case w != nil && b.Life == w.beat.Life && (b.Seq <= w.beat.Seq || w.gone):
+		return nil, false
+	case w != nil && b.Life > w.beat.Life:
+		s.cfg.Logger.Log("event", "worker_reborn", "worker", b.Worker, "life", b.Life, "before", w.beat.Life)
+		w = nil
+	}
+	for id, other := range o.workers {
+		if id == b.Worker || other.gone {
+			continue
+		}
+		if other.beat.supersedes(&b) {
+			return nil, false
+		}
+		if b.supersedes(&other.beat) {
+			other.gone = true
+			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "by", b.Worker, "address", b.Address, "machine", b.Machine)
+		}
+	}
+	if w == nil {
+		w = newWorker()
+		w.leased = o.since + s.expiry()
+		o.workers[b.Worker] = w
+		s.cfg.Logger.Log("event", "worker_seen", "worker", b.Worker, "dc", b.DataCentre, "rack", b.Rack, "machine", b.Machine, "life", b.Life, "gpus", b.Capacity.GPUs)
+	}
+	if b.Draining != w.beat.Draining {
+		s.cfg.Logger.Log("event", "worker_draining", "worker", b.Worker, "draining", b.Draining, "left_ms", b.DrainLeftMS)
+	}
+	w.beat, w.heard = b, now
+	w.leased = max(w.leased, now+s.expiry())
+	w.running = make(map[batch.TaskID]RunState, len(b.Running))
+	w.strange = 0
+	for _, r := range b.Running {
+		w.running[r.Task] = r
+		o.begun[r.Task.Job] = true
+	}
+	var ends []batch.End
+	o.ledger.View(func(book *batch.Book) { ends = o.reconcile(book, w, now) })
+	w.beat.Ended = nil
+	return ends, true
+}
+
+// reconcile compares what a worker reports with the ledger and returns the ends to commit.
+func (o *office) reconcile(b *batch.Book, w *worker, now time.Duration) []batch.End {
+	var ends []batch.End
+	listed := map[RunRef]bool{}
+	for _, e := range w.beat.Ended {
+		ref := RunRef{Task: e.Task, Run: e.Run}
+		listed[ref] = true
+		if e.How != batch.EndRefused {
+			o.begun[e.Task.Job] = true
+		}
+		if wanted(b, e) {
+			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
+			if e.How == batch.EndFailed {
+				w.failedAt = append(w.failedAt, now)
+			}
+		}
+		delete(w.seen, ref)
+		delete(w.stopped, ref)
+	}
+	for id, run := range b.Runs[w.beat.Worker] {
+		ref := RunRef{Task: id, Run: run}
+		t := b.Jobs[id.Job].Task(id)
+		if r, ok := w.running[id]; ok && r.Run == run {
+			w.seen[ref] = 0
+			continue
+		}
+		if listed[ref] {
+			continue
+		}
+		switch misses, seen := w.seen[ref]; {
+		case t.Life != w.beat.Life:
+			ends = append(ends, batch.End{Task: id, Run: run, How: batch.EndLost})
+		case seen && misses+1 >= vanishedAfter:
+			ends = append(ends, batch.End{Task: id, Run: run, How: batch.EndLost})
+			delete(w.seen, ref)
+		case seen:
+			w.seen[ref] = misses + 1
+		case w.stopped[ref] != 0 && w.stopped[ref] < w.beat.Seq:
+			// The worker has taken the stop and lists the run neither as running nor as ended: it never started.
+			ends = append(ends, batch.End{Task: id, Run: run, How: batch.EndUnsent})
+			delete(w.stopped, ref)
+		}
+	}
+	return ends
+}
+
+// vanishedAfter is how many heartbeats in a row must omit a run that was
+// running; a long list of ends is sent in parts.
+const vanishedAfter = 4
+
+// wanted reports whether an end changes the ledger.
+func wanted(b *batch.Book, e RunEnd) bool {
+	j := b.Jobs[e.Task.Job]
+	if j == nil {
+		return false
+	}
+	t := j.Task(e.Task)
+	if t == nil || t.Run != e.Run {
+		return false
+	}
+	return t.Active || e.How == batch.EndDone && !t.Done && !j.State.Final()
+}
+
+// orders makes the answer to a heartbeat whose ends are committed or not.
+func (s *Scheduler) orders(o *office, b Beat, committed bool) *Orders {
+	out := &Orders{HoldMS: int(s.hold().Milliseconds()), Fence: o.term, RetryAfterMS: int(beatInterval.Milliseconds())}
+	if n := len(b.Ended); n > 0 && committed {
+		out.AckedThrough = b.Ended[n-1].N
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := o.workers[b.Worker]
+	if w == nil || w.gone || w.beat.Life != b.Life || w.beat.Seq != b.Seq {
+		return &Orders{}
+	}
+	now := s.cfg.Boot()
+	o.ledger.View(func(book *batch.Book) {
+		for id, run := range book.Runs[b.Worker] {
+			j := book.Jobs[id.Job]
+			t := j.Task(id)
+			r, running := w.running[id]
+			_, seen := w.seen[RunRef{Task: id, Run: run}]
+			if t.Life != b.Life || running && r.Run == run || seen {
+				continue
+			}
+			if why := o.unstartable(book, w, j, id, run, now); why != "" {
+				s.stop(o, w, out, RunRef{Task: id, Run: run}, why)
+				continue
+			}
+			out.Starts = append(out.Starts, StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: o.checkpoint(j, id), Ticket: o.ticket(id, b.Worker, now)})
+			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", b.Worker, "seq", b.Seq, "age_ms", (now - w.heard).Milliseconds())
+		}
+		for id, r := range w.running {
+			if why := o.unwanted(book, id, r.Run); why != "" {
+				s.stop(o, w, out, RunRef{Task: id, Run: r.Run}, why)
+			}
+		}
+		s.pace(o, book, w, out, now)
+	})
+	slices.SortFunc(out.Starts, func(a, c StartOrder) int { return compareTasks(a.Task, c.Task) })
+	return out
+}
+
+// stop orders a stop and notes the heartbeat in whose answer it went out first.
+func (s *Scheduler) stop(o *office, w *worker, out *Orders, ref RunRef, why string) {
+	out.Stops = append(out.Stops, ref)
+	if w.stopped[ref] == 0 {
+		w.stopped[ref] = w.beat.Seq
+		s.cfg.Logger.Log("event", "stop_ordered", "task", ref.Task, "run", ref.Run, "worker", w.beat.Worker, "seq", w.beat.Seq, "why", why, "for", o.stopping[ref])
+	}
+}
+
+// unstartable says why a committed run must not be started now; empty means that it may.
+func (o *office) unstartable(b *batch.Book, w *worker, j *batch.Job, id batch.TaskID, run int, now time.Duration) string {
+	ref := RunRef{Task: id, Run: run}
+	switch {
+	case w.stopped[ref] != 0:
+		return "withdrawn"
+	case j.State.Final():
+		return "job is " + string(j.State)
+	case j.Task(id).Done:
+		return "task is done"
+	case w.beat.Draining:
+		return "worker is draining"
+	case b.Out[w.beat.DataCentre]:
+		return "data centre is out of service"
+	case o.stopping[ref] != "":
+		return "preempted"
+	case j.Spec.Steps[id.Step].Gang && !o.whole(j, id, run):
+		return "gang is not whole"
+	case needsTicket(b, j) && o.ticket(id, w.beat.Worker, now) == "":
+		return "ticket has expired"
+	}
+	return ""
+}
+
+// whole reports whether all members of a gang still have the run.
+func (o *office) whole(j *batch.Job, id batch.TaskID, run int) bool {
+	for _, t := range j.Rounds[id.Round][id.Step].Tasks {
+		if !t.Active || t.Run != run {
+			return false
+		}
+	}
+	return true
+}
+
+// unwanted says why a run that is alive on a worker must be stopped; empty means that it must not.
+func (o *office) unwanted(b *batch.Book, id batch.TaskID, run int) string {
+	j := b.Jobs[id.Job]
+	if j == nil {
+		return "job is not known"
+	}
+	t := j.Task(id)
+	switch {
+	case t == nil:
+		return "task is not known"
+	case j.State == batch.JobSucceeded || t.Done && j.Spec.Steps[id.Step].Gang:
+		return "" // it ends by itself; stopping it could lose an end that stands for the gang
+	case j.State.Final():
+		return "job is " + string(j.State)
+	case t.Run != run || !t.Active:
+		return "run is out of date"
+	case o.stopping[RunRef{Task: id, Run: run}] != "":
+		return "preempted"
+	case j.Spec.Steps[id.Step].Gang && !o.whole(j, id, run):
+		return "gang is not whole"
+	}
+	return ""
+}
+
+// checkpoint returns the progress from which a task resumes; a gang resumes from one that any member has.
+func (o *office) checkpoint(j *batch.Job, id batch.TaskID) string {
+	if !j.Spec.Steps[id.Step].Gang {
+		return j.Task(id).Checkpoint
+	}
+	best := ""
+	for _, t := range j.Rounds[id.Round][id.Step].Tasks {
+		if t.Checkpoint > best {
+			best = t.Checkpoint
+		}
+	}
+	return best
+}
+
+func compareTasks(a, b batch.TaskID) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Round != b.Round:
+		return a.Round - b.Round
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	default:
+		return a.Index - b.Index
+	}
+}
+
+func (s *Scheduler) logEnds(o *office, worker string, ends []batch.End, err error) {
+	for _, e := range ends {
+		s.metrics.ended(e.How).Inc()
+		s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.How, "worker", worker, "term", o.term, "err", err)
+	}
+	o.kick()
+}
+
+// leave notes the orderly end of a worker's life, with which all its runs end.
+func (s *Scheduler) leave(ctx context.Context, o *office, id string) (Answer, error) {
+	s.mu.Lock()
+	w := o.workers[id]
+	if w != nil {
+		w.gone = true
+	}
+	s.mu.Unlock()
+	if w == nil {
+		return Answer{}, nil
+	}
+	s.cfg.Logger.Log("event", "worker_left", "worker", id)
+	if err := s.lose(ctx, o, id); err != nil {
+		return Answer{}, model.AsError(err)
+	}
+	return Answer{}, nil
+}
+
+// lose commits the end of all runs of a worker that is gone.
+func (s *Scheduler) lose(ctx context.Context, o *office, id string) error {
+	var ends []batch.End
+	o.ledger.View(func(b *batch.Book) {
+		for t, run := range b.Runs[id] {
+			ends = append(ends, batch.End{Task: t, Run: run, How: batch.EndLost, Checkpoint: ""})
+		}
+	})
+	if len(ends) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	if w := o.workers[id]; w != nil {
+		for i, e := range ends {
+			if r, ok := w.running[e.Task]; ok && r.Run == e.Run {
+				ends[i].Checkpoint = r.Checkpoint
+			}
+		}
+	}
+	s.mu.Unlock()
+	_, err := o.change(ctx, batch.Change{Ends: ends})
+	s.logEnds(o, id, ends, err)
+	return err
+}
--- /dev/null
+++ b/sched/client.go
@@ -0,0 +1,56 @@
+package sched
+
+import (
+	"context"
+	"encoding/json"
+
+	"turmericroute/model"
+)
+
+// Leader reaches the leader; package ctrl implements it.
+type Leader interface {
+	// WhileLeading runs f if this instance leads, and confirms afterwards that it still does.
+	WhileLeading(ctx context.Context, f func(ctx context.Context) error) error
+	// Call hands an encoded call to the leader until ctx ends.
+	Call(ctx context.Context, request []byte) ([]byte, error)
+}
+
+// Client makes calls from any instance.
+type Client struct {
+	leader Leader
+	// local answers calls on an instance that leads itself; nil on instances that never do.
+	local *Scheduler
+}
+
+// NewClient returns a client; local is nil on instances without the control role.
+func NewClient(l Leader, local *Scheduler) *Client { return &Client{leader: l, local: local} }
+
+// Do makes a call; the error is a *model.Error, whose outcome is unknown when the call may have had an effect.
+func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	var a Answer
+	if c.local != nil {
+		err := c.leader.WhileLeading(ctx, func(ctx context.Context) error {
+			var err error
+			a, err = c.local.Answer(ctx, call)
+			return err
+		})
+		if err == nil {
+			return a, nil
+		}
+		if e := model.AsError(err); e.Code != model.CodeNoLeader {
+			return Answer{}, e
+		}
+	}
+	request, err := json.Marshal(call)
+	if err != nil {
+		return Answer{}, model.NotRun(model.CodeInvalid, "encode call: %v", err)
+	}
+	response, err := c.leader.Call(ctx, request)
+	if err != nil {
+		return Answer{}, model.AsError(err)
+	}
+	if err := json.Unmarshal(response, &a); err != nil {
+		return Answer{}, model.Unknown(model.CodeInternal, "decode answer: %v", err)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/sched/config.go
@@ -0,0 +1,84 @@
+package sched
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"turmericroute/batch"
+)
+
+// Limits are the times that a deployment promises or demands; package platform reads them from the settings.
+type Limits struct {
+	// MaxHold bounds a lease that a worker accepts.
+	MaxHold time.Duration
+	// StopGrace is how long a worker may take to stop a run.
+	StopGrace time.Duration
+	// Reclaim is how soon a guaranteed job must have begun after its acceptance.
+	Reclaim time.Duration
+	// RemotePenalty is how many times longer a task takes away from its data or its gang.
+	RemotePenalty float64
+	// KeepFinished is how long a finished job can be asked for.
+	KeepFinished time.Duration
+	// HandOver is the least time between orders of two leaders for one machine.
+	HandOver time.Duration
+	// MaintenanceTime is how long a machine is away for maintenance.
+	MaintenanceTime time.Duration
+	// NoticeTime is how long a lasting task may be away before it counts as missed.
+	NoticeTime time.Duration
+}
+
+// Adviser asks the policy service which workers may run a step.
+type Adviser interface {
+	// Advise returns a ticket for each worker that may run the step, and how long the tickets are valid.
+	Advise(ctx context.Context, step string, workers []string) (tickets map[string]string, validity time.Duration, _ error)
+}
+
+// Machine is a host of the deployment as its provider sees it.
+type Machine struct {
+	Name, Pool, DataCentre, Worker string
+	// Up reports that the host takes orders now.
+	Up bool
+}
+
+// Refusal says why the provider refuses an order; empty means that it carried it out.
+type Refusal string
+
+// The provider's refusals.
+const (
+	RefusedFence Refusal = "fence"
+	RefusedBusy  Refusal = "busy"
+	RefusedWave  Refusal = "wave"
+	RefusedOther Refusal = "other"
+)
+
+// Provider orders maintenance of hosts.
+type Provider interface {
+	// Maintain takes a host down for maintenance at once. An error means that the outcome is not known.
+	Maintain(ctx context.Context, machine string, wave int64, holder string, fence uint64) (Refusal, error)
+	// Machines lists all hosts.
+	Machines(ctx context.Context) ([]Machine, error)
+}
+
+// Config describes a scheduler.
+type Config struct {
+	// Name identifies this process to the provider.
+	Name    string
+	Limits  Limits
+	Logger  log.Logger
+	Metrics *metrics.Set
+	// Adviser and Provider are nil where the deployment has none.
+	Adviser  Adviser
+	Provider Provider
+	// Boot and Wall replace the boot clock and the time of day in tests.
+	Boot func() time.Duration
+	Wall func() time.Time
+}
+
+// task is a task with what placing it needs.
+type task struct {
+	id  batch.TaskID
+	run int
+}
--- /dev/null
+++ b/sched/jobs.go
@@ -0,0 +1,192 @@
+package sched
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"turmericroute/batch"
+	"turmericroute/model"
+)
+
+// resolve finds the queue and team of a call in the catalog in force.
+func resolve(b *batch.Book, ref JobRef) (q batch.Queue, team, id string, fail *model.Error) {
+	if b.Catalog.Version == 0 {
+		return q, "", "", model.NotRun(model.CodeUnavailable, "no configuration yet")
+	}
+	q, ok := b.Catalog.QueueAt(ref.Host, ref.Path)
+	if !ok {
+		return q, "", "", model.NotRun(model.CodeNotFound, "no queue at %s%s in version %d", ref.Host, ref.Path, b.Catalog.Version)
+	}
+	t, known := b.Catalog.TeamOf(ref.Key)
+	if !known && !q.Public {
+		return q, "", "", model.NotRun(model.CodeUnauthorised, "unknown key in version %d", b.Catalog.Version)
+	}
+	id = strings.TrimPrefix(ref.Path, q.Prefix)
+	if id != "" && !validID(id) {
+		return q, "", "", model.NotRun(model.CodeInvalid, "%q is no job ID", id)
+	}
+	return q, t.Name, id, nil
+}
+
+// validID reports whether s can be the job part of a task's name.
+func validID(s string) bool { return len(s) <= 64 && !strings.ContainsAny(s, "./ ") }
+
+func (s *Scheduler) submit(ctx context.Context, o *office, c Submit) (Answer, error) {
+	var a batch.Accept
+	var fail *model.Error
+	var known *batch.Job
+	o.ledger.View(func(b *batch.Book) {
+		var q batch.Queue
+		var id string
+		q, a.Team, id, fail = resolve(b, c.JobRef)
+		if fail != nil {
+			return
+		}
+		known = b.Jobs[id]
+		a.ID, a.Queue, a.Service, a.Priority, a.MaxFailures, a.Spec = id, q.Name, q.Service, q.Priority, max(1, q.MaxFailures), c.Spec
+		switch {
+		case known != nil:
+		case id == "":
+			fail = model.NotRun(model.CodeInvalid, "no job ID")
+		case c.Invalid != "":
+			fail = model.NotRun(model.CodeInvalid, "%s", c.Invalid)
+		case len(b.Open) >= maxOpenJobs:
+			fail = model.NotRun(model.CodeOverloaded, "%d jobs are open", len(b.Open))
+		}
+	})
+	if fail == nil && known == nil {
+		if err := c.Spec.Validate(); err != nil {
+			fail = model.AsError(err)
+		}
+	}
+	if fail != nil {
+		s.cfg.Logger.Log("event", "job_refused", "path", c.Path, "code", fail.Code, "reason", fail.Message)
+		s.metrics.refused(fail.Code).Inc()
+		return Answer{}, fail
+	}
+	if known == nil {
+		res, err := o.change(ctx, batch.Change{Accept: &a})
+		s.cfg.Logger.Log("event", "job_accepted", "job", a.ID, "queue", a.Queue, "team", a.Team, "priority", a.Priority, "steps", len(a.Spec.Steps), "known", res.Known, "term", o.term, "err", err)
+		if err != nil {
+			return Answer{}, err
+		}
+		s.metrics.accepted.Inc()
+		o.kick()
+	}
+	return Answer{State: StatePending}, nil
+}
+
+func (s *Scheduler) cancel(ctx context.Context, o *office, ref JobRef) (Answer, error) {
+	var id string
+	var fail *model.Error
+	o.ledger.View(func(b *batch.Book) {
+		_, _, id, fail = resolve(b, ref)
+		if fail == nil && b.Jobs[id] == nil {
+			fail = model.NotRun(model.CodeNotFound, "no job %s", id)
+			fail.Code = CodeGone
+		}
+	})
+	if fail != nil {
+		return Answer{}, fail
+	}
+	res, err := o.change(ctx, batch.Change{Cancel: &batch.Cancel{ID: id}})
+	s.cfg.Logger.Log("event", "job_cancelled", "job", id, "state", res.State, "term", o.term, "err", err)
+	if err != nil {
+		return Answer{}, err
+	}
+	o.kick()
+	return Answer{State: callerState(res.State, false)}, nil
+}
+
+// CodeGone is the code of calls for a job that does not exist in a queue that does.
+const CodeGone model.Code = "no_such_job"
+
+func (o *office) show(ref JobRef, mu *sync.Mutex) (Answer, error) {
+	var a Answer
+	var fail *model.Error
+	mu.Lock()
+	defer mu.Unlock()
+	o.ledger.View(func(b *batch.Book) {
+		var q batch.Queue
+		var id string
+		if q, _, id, fail = resolve(b, ref); fail != nil {
+			return
+		}
+		if id == "" {
+			a.Queue, a.Waiting = true, o.waiting(b, q.Name)
+			return
+		}
+		j := b.Jobs[id]
+		if j == nil {
+			fail = &model.Error{Code: CodeGone, Outcome: model.OutcomeNotRun, Message: "no job " + id}
+			return
+		}
+		a.State = callerState(j.State, o.begun[id])
+	})
+	if fail != nil {
+		return Answer{}, fail
+	}
+	return a, nil
+}
+
+// waiting returns how many open jobs of a queue have not begun.
+func (o *office) waiting(b *batch.Book, queue string) int {
+	n := 0
+	for id, j := range b.Open {
+		if j.Queue == queue && !o.begun[id] {
+			n++
+		}
+	}
+	return n
+}
+
+func callerState(s batch.JobState, begun bool) JobState {
+	switch {
+	case s == batch.JobSucceeded:
+		return StateSucceeded
+	case s == batch.JobFailed:
+		return StateFailed
+	case s == batch.JobCancelled:
+		return StateCancelled
+	case begun:
+		return StateRunning
+	default:
+		return StatePending
+	}
+}
+
+func (s *Scheduler) declare(ctx context.Context, o *office, c batch.Catalog) (Answer, error) {
+	if err := c.Validate(); err != nil {
+		s.cfg.Logger.Log("event", "config_refused", "version", c.Version, "err", err)
+		return Answer{}, err //nolint:wrapcheck // a typed error.
+	}
+	var held uint64
+	o.ledger.View(func(b *batch.Book) { held = b.Catalog.Version })
+	if c.Version > held {
+		if _, err := o.change(ctx, batch.Change{Catalog: &c}); err != nil {
+			s.cfg.Logger.Log("event", "config_unanswered", "version", c.Version, "err", err)
+			return Answer{}, err
+		}
+	}
+	s.cfg.Logger.Log("event", "config_acknowledged", "version", c.Version, "before", held, "queues", len(c.Queues), "teams", len(c.Teams), "term", o.term)
+	o.kick()
+	return Answer{}, nil
+}
+
+func (o *office) wave(number int64) (Answer, error) {
+	var a Answer
+	var fail *model.Error
+	o.ledger.View(func(b *batch.Book) {
+		w, ok := b.Waves[number]
+		if !ok {
+			fail = model.NotRun(model.CodeNotFound, "no wave %d", number)
+			return
+		}
+		a.WaveDone = w.Done
+	})
+	if fail != nil {
+		return Answer{}, fail
+	}
+	return a, nil
+}
--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,355 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericroute/batch"
+)
+
+// place runs placement passes until the time in office ends.
+func (s *Scheduler) place(o *office) {
+	t := time.NewTicker(passInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.wake:
+		case <-t.C:
+		}
+		starts := s.plan(o)
+		if len(starts) > 0 {
+			_, err := o.change(o.ctx, batch.Change{Starts: starts})
+			s.metrics.starts.Add(len(starts))
+			for _, st := range starts {
+				s.cfg.Logger.Log("event", "run_placed", "task", st.Task, "run", st.Run, "worker", st.Worker, "term", o.term, "err", err)
+			}
+		}
+		s.mu.Lock()
+		for _, st := range starts {
+			delete(o.pending, st.Task)
+		}
+		close(o.planned)
+		o.planned = make(chan struct{})
+		s.mu.Unlock()
+	}
+}
+
+// site is a worker during a placement pass.
+type site struct {
+	*worker
+	id   string
+	free batch.Need
+	// held is room that is kept for a more urgent gang.
+	held  batch.Need
+	flaky bool
+	// serves and fills count tasks that share the processor.
+	serves, fills int
+}
+
+// pass is one placement pass over a fixed state.
+type pass struct {
+	s     *Scheduler
+	o     *office
+	book  *batch.Book
+	now   time.Duration
+	nowMS int64
+	sites []*site
+	by    map[string]*site
+	out   []batch.Start
+	// used counts the accelerators that each team holds by jobs of priority 0.
+	demand map[string]int
+	// holding counts the gangs for which room is held in this pass.
+	holding int
+}
+
+// plan decides on new runs and on what to stop for them, without committing anything.
+func (s *Scheduler) plan(o *office) []batch.Start {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	start := time.Now()
+	defer s.metrics.passSeconds.UpdateDuration(start)
+	p := &pass{s: s, o: o, now: s.cfg.Boot(), nowMS: s.cfg.Wall().UnixMilli(), by: map[string]*site{}, demand: map[string]int{}}
+	o.ledger.View(func(b *batch.Book) {
+		p.book = b
+		p.survey()
+		jobs := p.order()
+		for _, j := range jobs {
+			p.job(j)
+		}
+	})
+	for _, st := range p.out {
+		o.pending[st.Task] = st
+	}
+	for ref := range o.stopping {
+		if j := p.jobOf(ref); j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run {
+			delete(o.stopping, ref)
+		}
+	}
+	return p.out
+}
+
+func (p *pass) jobOf(ref RunRef) *batch.Job { return p.book.Jobs[ref.Task.Job] }
+
+// survey finds the room on each usable worker.
+func (p *pass) survey() {
+	for id, w := range p.o.workers {
+		if !w.usable(p.book, p.now) {
+			continue
+		}
+		st := &site{worker: w, id: id, free: w.beat.Capacity, flaky: w.flaky(p.now)}
+		for t := range p.book.Runs[id] {
+			p.take(st, t)
+		}
+		for t, r := range w.running {
+			if p.book.Runs[id][t] == 0 {
+				// A run that the ledger has ended or does not know holds its room until it is gone.
+				p.take(st, t)
+				_ = r
+			}
+		}
+		p.by[id] = st
+		p.sites = append(p.sites, st)
+	}
+	for t, start := range p.o.pending {
+		if st := p.by[start.Worker]; st != nil && p.book.Runs[start.Worker][t] == 0 {
+			p.take(st, t)
+		}
+	}
+	slices.SortFunc(p.sites, func(a, b *site) int { return cmp.Compare(a.id, b.id) })
+}
+
+// take removes a task's room from a worker; an unknown task takes all of it.
+func (p *pass) take(st *site, id batch.TaskID) {
+	j := p.book.Jobs[id.Job]
+	if j == nil || id.Step >= len(j.Spec.Steps) {
+		st.free = batch.Need{}
+		return
+	}
+	step := j.Spec.Steps[id.Step]
+	st.free = st.free.Minus(step.Charge())
+	if step.Filler {
+		st.fills++
+	}
+	if step.TargetMS > 0 {
+		st.serves++
+	}
+}
+
+// order returns the open jobs, the most urgent first.
+func (p *pass) order() []*batch.Job {
+	jobs := make([]*batch.Job, 0, len(p.book.Open))
+	for _, j := range p.book.Open {
+		jobs = append(jobs, j)
+		if p.priority(j) == 0 {
+			p.demand[j.Team] += gpusOf(j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *batch.Job) int {
+		return cmp.Or(
+			cmp.Compare(p.priority(a), p.priority(b)),
+			cmp.Compare(a.AcceptedMS, b.AcceptedMS),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return jobs
+}
+
+// gpusOf returns the accelerators that a job needs when all steps of a round run at once.
+func gpusOf(j *batch.Job) int {
+	n := 0
+	for _, st := range j.Spec.Steps {
+		n += st.Count * st.Need.GPUs
+	}
+	return n
+}
+
+func (p *pass) priority(j *batch.Job) int {
+	if q, ok := p.book.Catalog.Queue(j.Queue); ok {
+		return q.Priority
+	}
+	return j.Priority
+}
+
+// service returns the service that a job's queue sends to now; a queue that was removed keeps its last one.
+func (p *pass) service(j *batch.Job) string {
+	if q, ok := p.book.Catalog.Queue(j.Queue); ok {
+		return q.Service
+	}
+	return j.Service
+}
+
+// job places what can be placed of a job.
+func (p *pass) job(j *batch.Job) {
+	for round := range j.Rounds {
+		if due := j.Spec.DueMS(round); due > p.nowMS {
+			continue
+		}
+		for step := range j.Rounds[round] {
+			st := &j.Rounds[round][step]
+			if st.Complete() || !j.Ready(round, step) {
+				continue
+			}
+			first := batch.TaskID{Job: j.ID, Round: round, Step: step}
+			if j.Spec.Steps[step].Gang {
+				p.gang(j, first)
+			} else {
+				p.tasks(j, first)
+			}
+		}
+	}
+}
+
+// idle reports whether a task waits for a run.
+func (p *pass) idle(j *batch.Job, id batch.TaskID) bool {
+	t := j.Task(id)
+	_, pending := p.o.pending[id]
+	return !t.Active && !t.Done && !pending
+}
+
+// request is what a step wants of the workers.
+type request struct {
+	job     *batch.Job
+	first   batch.TaskID
+	step    batch.Step
+	service string
+	need    batch.Need
+	ticket  map[string]string // nil when no ticket is needed
+}
+
+func (p *pass) request(j *batch.Job, first batch.TaskID) (request, bool) {
+	r := request{job: j, first: first, step: j.Spec.Steps[first.Step], service: p.service(j)}
+	r.need = r.step.Charge()
+	if needsTicket(p.book, j) {
+		t := p.o.tickets[stepName(first)]
+		if t == nil || p.now >= t.until {
+			return r, false
+		}
+		r.ticket = t.by
+	}
+	return r, true
+}
+
+// allowed reports whether a worker may run a step at all.
+func (r *request) allowed(st *site) bool {
+	if st.beat.Service != r.service || !st.has(r.step.Label) {
+		return false
+	}
+	if r.ticket != nil && r.ticket[st.id] == "" {
+		return false
+	}
+	if r.step.Filler && st.serves > 0 || r.step.TargetMS > 0 && st.fills > 0 {
+		return false
+	}
+	return true
+}
+
+// room returns how many tasks of a step fit on a worker, beyond those that it has.
+func (p *pass) room(r *request, st *site, free batch.Need) int {
+	if !r.allowed(st) {
+		return 0
+	}
+	n := r.step.Count
+	for _, dim := range [][2]int{{free.GPUs, r.need.GPUs}, {free.CPUMilli, r.need.CPUMilli}, {free.MemoryMB, r.need.MemoryMB}} {
+		if dim[1] > 0 {
+			n = min(n, max(0, dim[0])/dim[1])
+		}
+	}
+	if r.step.PerWorker > 0 {
+		n = min(n, r.step.PerWorker-p.present(r, st))
+	}
+	return max(0, n)
+}
+
+// present counts the tasks of a step and round that a worker has.
+func (p *pass) present(r *request, st *site) int {
+	n := 0
+	same := func(t batch.TaskID) bool {
+		return t.Job == r.first.Job && t.Round == r.first.Round && t.Step == r.first.Step
+	}
+	for t := range p.book.Runs[st.id] {
+		if same(t) {
+			n++
+		}
+	}
+	for t := range st.running {
+		if same(t) && p.book.Runs[st.id][t] == 0 {
+			n++
+		}
+	}
+	for t, start := range p.o.pending {
+		if same(t) && start.Worker == st.id {
+			n++
+		}
+	}
+	for _, start := range p.out {
+		if same(start.Task) && start.Worker == st.id {
+			n++
+		}
+	}
+	return n
+}
+
+// tasks places the waiting tasks of a step one by one.
+func (p *pass) tasks(j *batch.Job, first batch.TaskID) {
+	r, ok := p.request(j, first)
+	if !ok {
+		return
+	}
+	for i := range j.Rounds[first.Round][first.Step].Tasks {
+		id := first
+		id.Index = i
+		if !p.idle(j, id) {
+			continue
+		}
+		best := p.bestSite(&r)
+		if best == nil {
+			return
+		}
+		p.start(best, id, j.Task(id).Run+1, r.need)
+	}
+}
+
+// bestSite returns the worker for one task: near its data, reliable, and with the least room left over.
+func (p *pass) bestSite(r *request) *site {
+	var best *site
+	var bestCost [3]int
+	for _, st := range p.sites {
+		if p.room(r, st, st.free.Minus(st.held)) < 1 {
+			continue
+		}
+		cost := [3]int{flag(st.flaky), flag(r.step.DataRack != "" && st.beat.Rack != r.step.DataRack), leftover(st, r.need)}
+		if best == nil || slices.Compare(cost[:], bestCost[:]) < 0 {
+			best, bestCost = st, cost
+		}
+	}
+	return best
+}
+
+// leftover ranks workers for best fit: accelerators that stay free count before processors.
+func leftover(st *site, need batch.Need) int {
+	left := st.free.Minus(need)
+	return left.GPUs*1000 + left.CPUMilli*999/max(1, st.beat.Capacity.CPUMilli)
+}
+
+func flag(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (p *pass) start(st *site, id batch.TaskID, run int, need batch.Need) {
+	st.free = st.free.Minus(need)
+	step := p.book.Jobs[id.Job].Spec.Steps[id.Step]
+	if step.Filler {
+		st.fills++
+	}
+	if step.TargetMS > 0 {
+		st.serves++
+	}
+	p.out = append(p.out, batch.Start{Task: id, Run: run, Worker: st.id, Life: st.beat.Life})
+	delete(p.o.blocked, batch.TaskID{Job: id.Job, Round: id.Round, Step: id.Step})
+}
--- a/state/command.go
+++ b/state/command.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"turmericroute/batch"
 	"turmericroute/config"
 	"turmericroute/model"
 )
@@ -91,6 +92,11 @@
 	BeforeMS int64 `json:"before_ms"`
 }
 
+// ChangeBatch changes the ledger of stepped jobs.
+type ChangeBatch struct {
+	Change batch.Change `json:"change"`
+}
+
 func (PatchConfig) commandType() string      { return "patch_config" }
 func (SubmitJob) commandType() string        { return "submit_job" }
 func (CancelJob) commandType() string        { return "cancel_job" }
@@ -103,6 +109,7 @@
 func (ClaimKey) commandType() string         { return "claim_key" }
 func (FinishKey) commandType() string        { return "finish_key" }
 func (ExpireKeys) commandType() string       { return "expire_keys" }
+func (ChangeBatch) commandType() string      { return "change_batch" }
 
 type envelope struct {
 	Type string          `json:"type"`
@@ -153,6 +160,8 @@
 		return decodeAs[FinishKey](e)
 	case "expire_keys":
 		return decodeAs[ExpireKeys](e)
+	case "change_batch":
+		return decodeAs[ChangeBatch](e)
 	default:
 		return nil, fmt.Errorf("decode command: unknown type %q", e.Type)
 	}
@@ -178,4 +187,6 @@
 	Key *model.Key `json:"key,omitempty"`
 	// Claimed reports that this claim holds the key and its request may be sent.
 	Claimed bool `json:"claimed,omitempty"`
+	// Batch is what a change of the ledger of stepped jobs gave.
+	Batch *batch.Result `json:"batch,omitempty"`
 }
--- a/state/machine.go
+++ b/state/machine.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 
+	"turmericroute/batch"
 	"turmericroute/config"
 	"turmericroute/model"
 )
@@ -68,6 +69,7 @@
 	workers   workerShard
 	upstreams upstreamShard
 	feed      feed
+	batch     *batch.Ledger
 
 	// Only Apply and Restore use the fields below; they derive from the shards or order them.
 	finished    []string
@@ -82,7 +84,7 @@
 
 // New returns an empty machine at index 0.
 func New() *Machine {
-	m := &Machine{changed: make(chan struct{})}
+	m := &Machine{changed: make(chan struct{}), batch: batch.NewLedger()}
 	m.clear()
 	return m
 }
@@ -143,6 +145,9 @@
 		return m.finishKey(c)
 	case ExpireKeys:
 		return m.expireKeys(c)
+	case ChangeBatch:
+		res := m.batch.Apply(c.Change)
+		return Result{Failure: res.Failure, Batch: &res}
 	default:
 		return Result{Failure: model.NotRun(model.CodeInvalid, "unknown command %T", c)}
 	}
@@ -187,6 +192,9 @@
 	}
 }
 
+// Batch returns the ledger of stepped jobs.
+func (m *Machine) Batch() *batch.Ledger { return m.batch }
+
 // Config returns the current configuration, which must not be modified.
 func (m *Machine) Config() config.Config {
 	m.cfg.mu.RLock()
--- a/state/snap.go
+++ b/state/snap.go
@@ -24,10 +24,14 @@
 	Answered  []model.KeyID    `json:"answered,omitempty"`
 	Workers   []model.Worker   `json:"workers,omitempty"`
 	Upstreams []model.Upstream `json:"upstreams,omitempty"`
+	Batch     json.RawMessage  `json:"batch,omitempty"`
 }
 
 // Image is a copy of the state at one index, which later commands do not change.
-type Image struct{ image image }
+type Image struct {
+	image image
+	err   error
+}
 
 // Image copies the state; it must not run together with Apply.
 func (m *Machine) Image() Image {
@@ -39,11 +43,16 @@
 	if base := m.base(); base.Version > 0 {
 		im.Base = &base
 	}
-	return Image{im}
+	var err error
+	im.Batch, err = m.batch.Image()
+	return Image{im, err}
 }
 
 // Encode returns the snapshot that Restore reads; it may run together with Apply.
 func (i Image) Encode() ([]byte, error) {
+	if i.err != nil {
+		return nil, i.err
+	}
 	sortJobs(i.image.Jobs)
 	slices.SortFunc(i.image.Keys, func(a, b model.Key) int {
 		return cmp.Or(strings.Compare(a.ID.Team, b.ID.Team), strings.Compare(a.ID.Key, b.ID.Key))
@@ -64,6 +73,9 @@
 	if err := json.Unmarshal(b, &im); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
+	if err := m.batch.Restore(im.Batch); err != nil {
+		return err //nolint:wrapcheck // says what it is.
+	}
 	m.lockAll()
 	m.clear()
 	m.cfg.current, m.cfg.history = im.Config, im.History
