Hold room for blocked gangs only where it comes free soonest

Change: room is held on the workers that come free first within at most 8 s, by the progress of their runs, and not while under 0.6 of the accelerators are in use.

--- a/sched/beat.go
+++ b/sched/beat.go
@@ -87,10 +87,18 @@
 	w.leased = max(w.leased, now+s.expiry())
 	w.running = make(map[batch.TaskID]RunState, len(b.Running))
 	w.strange = 0
+	first := make(map[RunRef]progress, len(b.Running))
 	for _, r := range b.Running {
 		w.running[r.Task] = r
 		o.begun[r.Task.Job] = true
+		ref := RunRef{Task: r.Task, Run: r.Run}
+		if old, ok := w.first[ref]; ok {
+			first[ref] = old
+		} else {
+			first[ref] = progress{at: now, percent: r.Percent}
+		}
 	}
+	w.first = first
 	var ends []batch.End
 	o.ledger.View(func(book *batch.Book) { ends = o.reconcile(book, w, now) })
 	w.beat.Ended = nil
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -17,6 +17,9 @@
 	reclaimShare = 0.35
 	// maxHolding bounds the gangs for which room is held at once; more would idle the workers.
 	maxHolding = 3
+	// idleShare is the share of accelerators in use below which no room is held: waiting work must not
+	// stand beside workers that are mostly free.
+	idleShare = 0.6
 )
 
 // gang places all tasks of a gang together or none.
@@ -156,17 +159,67 @@
 		p.reclaim(r)
 		return
 	}
-	if !guaranteed && p.holding >= maxHolding {
+	if !guaranteed && (p.holding >= maxHolding || p.busy() < idleShare) {
 		return
 	}
-	// Room that is being freed by stops and runs that end soon counts as free.
-	soon := func(st *site) batch.Need { return st.beat.Capacity.Minus(st.held) }
-	chosen := p.fit(r, soon, true)
-	if chosen == nil {
-		return
+	for _, horizon := range horizons {
+		soon := func(st *site) batch.Need { return p.freeWithin(st, horizon).Minus(st.held) }
+		if chosen := p.fit(r, soon, p.mayspread(r, waited+horizon)); chosen != nil {
+			p.holding++
+			p.keep(r, chosen)
+			return
+		}
+	}
+}
+
+// horizons are the times within which a blocked gang may expect its place, for
+// which the room is held that makes up the earliest such place.
+var horizons = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
+
+// freeWithin returns the room on a worker once the runs that should end within d have ended.
+func (p *pass) freeWithin(st *site, d time.Duration) batch.Need {
+	free := st.free
+	for id, r := range st.running {
+		j := p.book.Jobs[id.Job]
+		if j == nil || id.Step >= len(j.Spec.Steps) || j.Spec.Steps[id.Step].Lasting {
+			continue
+		}
+		if p.remaining(st.worker, j, r) <= d {
+			free = free.Plus(j.Spec.Steps[id.Step].Charge())
+		}
+	}
+	return free
+}
+
+// remaining estimates how long a run goes on, by its progress so far or else by the caller's estimate.
+func (p *pass) remaining(w *worker, j *batch.Job, r RunState) time.Duration {
+	ref := RunRef{Task: r.Task, Run: r.Run}
+	if w.stopped[ref] != 0 {
+		return p.s.cfg.Limits.StopGrace
+	}
+	estimate := time.Duration(j.Spec.Steps[r.Task.Step].EstimateMS) * time.Millisecond
+	first, ok := w.first[ref]
+	if !ok || r.Percent <= first.percent || r.Percent < minProgress {
+		return estimate
+	}
+	elapsed := p.now - first.at
+	return time.Duration(float64(elapsed) * float64(100-r.Percent) / float64(r.Percent-first.percent))
+}
+
+// minProgress is the progress in percent from which a run's speed can be told.
+const minProgress = 10
+
+// busy returns the share of the usable workers' accelerators that is in use.
+func (p *pass) busy() float64 {
+	free, all := 0, 0
+	for _, st := range p.sites {
+		free += max(0, st.free.GPUs)
+		all += st.beat.Capacity.GPUs
+	}
+	if all == 0 {
+		return 0
 	}
-	p.holding++
-	p.keep(r, chosen)
+	return 1 - float64(free)/float64(all)
 }
 
 // keep holds the room of a choice of workers.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -18,6 +18,8 @@
 	strange int
 	// seen holds the runs that were listed as running once, with the count of heartbeats in a row without them.
 	seen map[RunRef]int
+	// first holds when and at which progress a run was listed first.
+	first map[RunRef]progress
 	// stopped holds the heartbeat in whose answer a stop was first ordered.
 	stopped map[RunRef]int64
 	// failedAt holds when runs failed here of late.
@@ -27,6 +29,11 @@
 	over map[batch.TaskID]time.Duration
 }
 
+type progress struct {
+	at      time.Duration
+	percent int
+}
+
 type rate struct {
 	percent int
 	changed time.Duration
@@ -34,7 +41,7 @@
 
 func newWorker() *worker {
 	return &worker{
-		running: map[batch.TaskID]RunState{}, seen: map[RunRef]int{}, stopped: map[RunRef]int64{},
+		running: map[batch.TaskID]RunState{}, seen: map[RunRef]int{}, first: map[RunRef]progress{}, stopped: map[RunRef]int64{},
 		rates: map[batch.TaskID]rate{}, over: map[batch.TaskID]time.Duration{},
 	}
 }
