Wait for a leaving worker's last heartbeat before its runs are lost

Change: a farewell ends new starts at once, the ends of late heartbeats of the same life are still taken, and what is left is lost 1.2 s later.

--- a/sched/beat.go
+++ b/sched/beat.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"turmericroute/batch"
-	"turmericroute/model"
 )
 
 // beat takes in a worker's heartbeat and answers it with orders.
@@ -56,7 +55,7 @@
 	switch {
 	case w != nil && b.Life < w.beat.Life:
 		return nil, false
-	case w != nil && b.Life == w.beat.Life && (b.Seq <= w.beat.Seq || w.gone):
+	case w != nil && b.Life == w.beat.Life && (b.Seq <= w.beat.Seq || w.gone && w.left == 0):
 		return nil, false
 	case w != nil && b.Life > w.beat.Life:
 		s.cfg.Logger.Log("event", "worker_reborn", "worker", b.Worker, "life", b.Life, "before", w.beat.Life)
@@ -177,9 +176,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := o.workers[b.Worker]
-	if w == nil || w.gone || w.beat.Life != b.Life || w.beat.Seq != b.Seq {
+	if w == nil || w.beat.Life != b.Life || w.beat.Seq != b.Seq {
 		return &Orders{}
 	}
+	if w.gone {
+		return &Orders{AckedThrough: out.AckedThrough, Fence: out.Fence}
+	}
 	now := s.cfg.Boot()
 	o.ledger.View(func(book *batch.Book) {
 		for id, run := range book.Runs[b.Worker] {
@@ -314,21 +316,16 @@
 }
 
 // leave notes the orderly end of a worker's life, with which all its runs end.
-func (s *Scheduler) leave(ctx context.Context, o *office, id string) (Answer, error) {
+// They are not recorded as lost at once: the last heartbeat, which may list a
+// run as done, can arrive after the farewell.
+func (s *Scheduler) leave(o *office, id string) Answer {
 	s.mu.Lock()
-	w := o.workers[id]
-	if w != nil {
-		w.gone = true
-	}
-	s.mu.Unlock()
-	if w == nil {
-		return Answer{}, nil
-	}
-	s.cfg.Logger.Log("event", "worker_left", "worker", id)
-	if err := s.lose(ctx, o, id); err != nil {
-		return Answer{}, model.AsError(err)
+	defer s.mu.Unlock()
+	if w := o.workers[id]; w != nil && !w.gone {
+		w.gone, w.left = true, s.cfg.Boot()
+		s.cfg.Logger.Log("event", "worker_left", "worker", id, "running", len(w.running))
 	}
-	return Answer{}, nil
+	return Answer{}
 }
 
 // lose commits the end of all runs of a worker that is gone.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -212,7 +212,7 @@
 	case c.WaveRef != nil:
 		return o.wave(*c.WaveRef)
 	case c.Leave != nil:
-		return s.leave(ctx, o, c.Leave.Worker)
+		return s.leave(o, c.Leave.Worker), nil
 	case c.Ping:
 		return Answer{}, nil
 	default:
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -13,6 +13,9 @@
 const (
 	// sweepInterval is how often silent workers are looked for.
 	sweepInterval = 200 * time.Millisecond
+	// farewellDelay is how long after a worker's farewell its last heartbeat may arrive; workers repeat one
+	// that is not answered within a second.
+	farewellDelay = 1200 * time.Millisecond
 	// forgetBatch bounds the jobs forgotten in one change.
 	forgetBatch = 200
 )
@@ -45,6 +48,7 @@
 			leased = w.leased
 		}
 		switch {
+		case w != nil && w.left != 0 && now-w.left < farewellDelay:
 		case w != nil && w.gone:
 			out = append(out, id)
 		case now > leased:
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -12,7 +12,9 @@
 	beat Beat
 	// heard is when the last heartbeat arrived, leased when the last lease given out has expired on any clock.
 	heard, leased time.Duration
-	gone          bool
+	// gone means that this life has ended; left is when it said so itself, 0 when it did not.
+	gone bool
+	left time.Duration
 	// running holds the runs of the last heartbeat; strange counts those of unknown tasks.
 	running map[batch.TaskID]RunState
 	strange int
