Commit a leader's decisions in its own term or not at all

Change: ExecuteIn commits in the term of the decision; the scheduler and the gang driver use it. A test covers the hand-over.

--- a/cmd/bench/route_base.go
+++ b/cmd/bench/route_base.go
@@ -42,6 +42,10 @@
 	return res, nil
 }
 
+func (r *memoryReplica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
+	return r.Execute(ctx, c)
+}
+
 func (r *memoryReplica) Barrier(context.Context) error { return nil }
 func (r *memoryReplica) Machine() *state.Machine       { return r.m }
 func (r *memoryReplica) ViewAge() time.Duration        { return 0 }
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -50,12 +50,27 @@
 	return n.executeThere(ctx, data)
 }
 
+// ExecuteIn commits c while this instance leads in term.
+func (n *Node) ExecuteIn(ctx context.Context, term uint64, c state.Command) (state.Result, error) {
+	o, ok := n.leading.current()
+	if !ok || o.term != term {
+		return state.Result{}, notLeader()
+	}
+	out := n.propose(ctx, o, c)
+	return out.result, errorOf(out.err)
+}
+
 // executeHere commits a command on the leader.
 func (n *Node) executeHere(ctx context.Context, c state.Command) outcome {
 	o, ok := n.leading.current()
 	if !ok {
 		return outcome{err: notLeader()}
 	}
+	return n.propose(ctx, o, c)
+}
+
+// propose commits a command in a time in office.
+func (n *Node) propose(ctx context.Context, o office, c state.Command) outcome {
 	// Admission needs all that earlier leaders committed: a resent patch must find its first answer.
 	if err := n.machine.Wait(ctx, o.index); err != nil {
 		return outcome{err: model.AsError(err)}
--- a/ctrl/open_test.go
+++ b/ctrl/open_test.go
@@ -12,6 +12,7 @@
 
 	"turmericroute/ctrl"
 	"turmericroute/quorum"
+	"turmericroute/state"
 )
 
 // echo answers calls with the name of the instance that leads.
@@ -151,3 +152,24 @@
 	Entry("a silent voter goes from an even number", 4, 0, 1, "remove silent voter v1"),
 	Entry("five are enough", 5, 3, 0, ""),
 )
+
+var _ = Describe("decisions of a leader", func() {
+	// In an incident at Canaleta a suspended leader woke, took all workers for lost and handed that to the
+	// other instances; its successor would have committed it.
+	It("are not handed to its successor", func() {
+		c := newCluster("a", "b", "c")
+		c.start("a", "b", "c")
+		leader := c.leader()
+		term := c.nodes[leader].Status().Term
+		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+		defer cancel()
+		_, err := c.nodes[leader].ExecuteIn(ctx, term, state.RegisterWorker{})
+		Expect(err).NotTo(HaveOccurred())
+		c.nodes[leader].HandOver(ctx)
+		Eventually(func() string { return c.nodes[leader].Status().Role }, waitTimeout).Should(Equal("follower"))
+		_, err = c.nodes[leader].ExecuteIn(ctx, term, state.RegisterWorker{})
+		Expect(err).To(MatchError(ContainSubstring("no_leader")))
+		_, err = c.nodes[c.leader()].ExecuteIn(ctx, term, state.RegisterWorker{})
+		Expect(err).To(MatchError(ContainSubstring("no_leader")), "another term")
+	})
+})
--- a/entry/suite_test.go
+++ b/entry/suite_test.go
@@ -67,6 +67,9 @@
 	r.before, r.after = before, after
 }
 
+func (r *replica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
+	return r.Execute(ctx, c)
+}
 func (r *replica) Barrier(context.Context) error { return nil }
 func (r *replica) Machine() *state.Machine       { return r.m }
 func (r *replica) ViewAge() time.Duration        { return time.Duration(r.age.Load()) }
--- a/fakes/replica.go
+++ b/fakes/replica.go
@@ -41,6 +41,11 @@
 	return r.machine.Apply(r.machine.Applied()+1, c), nil
 }
 
+// ExecuteIn is Execute: the fake leads in every term.
+func (r *Replica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
+	return r.Execute(ctx, c)
+}
+
 // Barrier returns at once, since there is one copy.
 func (r *Replica) Barrier(context.Context) error { return nil }
 
--- a/gang/event.go
+++ b/gang/event.go
@@ -53,7 +53,7 @@
 // execute commits a command without blocking the loop.
 func (l *lead) execute(c state.Command) {
 	go func() {
-		res, err := l.r.Execute(l.ctx, c)
+		res, err := l.r.ExecuteIn(l.ctx, l.term, c)
 		select {
 		case l.events <- executed{command: c, result: res, err: err}:
 		case <-l.ctx.Done():
--- a/gang/poll.go
+++ b/gang/poll.go
@@ -61,7 +61,7 @@
 	if known, ok := m.Worker(req.Worker.Name); ok && known == req.Worker {
 		return nil
 	}
-	res, err := l.r.Execute(ctx, state.RegisterWorker{Worker: req.Worker})
+	res, err := l.r.ExecuteIn(ctx, l.term, state.RegisterWorker{Worker: req.Worker})
 	if err != nil {
 		return err
 	}
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -35,6 +35,9 @@
 	b.Change.AtMS = r.wall().UnixMilli()
 	return r.machine.Apply(r.index, b), nil
 }
+func (r *replica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
+	return r.Execute(ctx, c)
+}
 func (r *replica) Barrier(context.Context) error { return nil }
 func (r *replica) Machine() *state.Machine       { return r.machine }
 func (r *replica) ViewAge() time.Duration        { return 0 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -142,7 +142,7 @@
 
 // change commits a change; the result's failure is returned as the error.
 func (o *office) change(ctx context.Context, c batch.Change) (batch.Result, error) {
-	res, err := o.replica.Execute(ctx, state.ChangeBatch{Change: c})
+	res, err := o.replica.ExecuteIn(ctx, o.term, state.ChangeBatch{Change: c})
 	switch {
 	case err != nil:
 		return batch.Result{}, fmt.Errorf("commit change: %w", err)
--- a/state/port.go
+++ b/state/port.go
@@ -12,6 +12,9 @@
 	// Execute commits c through the leader. The error is a *model.Error; its
 	// outcome is unknown when the command may still commit.
 	Execute(ctx context.Context, c Command) (Result, error)
+	// ExecuteIn commits a decision of the leader of a term in that term or not at all: a leader that was
+	// suspended must not hand what it decided to its successor.
+	ExecuteIn(ctx context.Context, term uint64, c Command) (Result, error)
 	// Barrier waits until the local state holds all that was committed before the call.
 	Barrier(ctx context.Context) error
 	// Machine returns the local copy of the state.
