Decide the loss of runs by number, and end broken gangs before a lease expires

Change: the ends name the runs of the moment of the decision. Cause 2: gangs waited up to 4.9 s for the lease of a crashed member although the others reported at once that the gang had broken. Change: silent members of a broken gang count as ended; workers silent for 0.9 s get no new runs.

--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -124,6 +124,18 @@
 		Expect(state(l, "j")).To(Equal(batch.JobSucceeded))
 	})
 
+	// At Canaleta, trouble-3 seed 13, the loss of a worker's runs was decided before it reported again and
+	// recorded after it had got a new run of the same task.
+	It("ignores the end of a run that has been replaced", func() {
+		l := batch.NewLedger()
+		accept(l, "j", batch.Step{Count: 1})
+		start(l, "w", 1, task("j", 0, 0))
+		end(l, batch.EndLost, 1, task("j", 0, 0))
+		start(l, "w", 2, task("j", 0, 0))
+		end(l, batch.EndLost, 1, task("j", 0, 0))
+		Expect(active(l, "w")).To(Equal(1))
+	})
+
 	It("restarts lasting tasks however they end and never completes them", func() {
 		l := batch.NewLedger()
 		accept(l, "j", batch.Step{Count: 1, Lasting: true})
--- a/sched/beat.go
+++ b/sched/beat.go
@@ -116,6 +116,11 @@
 		}
 		if wanted(b, e) {
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
+			if e.How == batch.EndBroken {
+				first := ref
+				first.Task.Index = 0
+				o.broken[first] = true
+			}
 			if e.How == batch.EndFailed {
 				w.failedAt = append(w.failedAt, now)
 			}
@@ -327,28 +332,3 @@
 	}
 	return Answer{}
 }
-
-// lose commits the end of all runs of a worker that is gone.
-func (s *Scheduler) lose(ctx context.Context, o *office, id string) error {
-	var ends []batch.End
-	o.ledger.View(func(b *batch.Book) {
-		for t, run := range b.Runs[id] {
-			ends = append(ends, batch.End{Task: t, Run: run, How: batch.EndLost, Checkpoint: ""})
-		}
-	})
-	if len(ends) == 0 {
-		return nil
-	}
-	s.mu.Lock()
-	if w := o.workers[id]; w != nil {
-		for i, e := range ends {
-			if r, ok := w.running[e.Task]; ok && r.Run == e.Run {
-				ends[i].Checkpoint = r.Checkpoint
-			}
-		}
-	}
-	s.mu.Unlock()
-	_, err := o.change(ctx, batch.Change{Ends: ends})
-	s.logEnds(o, id, ends, err)
-	return err
-}
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -301,3 +301,21 @@
 		Expect(f.workers["w2"].stopped).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a gang that breaks", func() {
+	// At Asahikawa (inc-6c09) gangs stood still for the lease of a member whose worker had crashed, although
+	// the other members had reported at once that it was over.
+	It("is placed anew once its members say so and the rest are silent, before their lease expires", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.settle("j", 2)
+		id := f.workers["w1"].beat.Running[0].Task
+		delete(f.workers, "w2")
+		f.add("r1", "dc1", "w3")
+		f.workers["w1"].end(id, batch.EndBroken)
+		f.beat("w1")
+		f.advance(time.Second)
+		f.settle("j", 2)
+	})
+})
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -29,8 +29,8 @@
 	leaseMargin = 300 * time.Millisecond
 	// beatInterval is the pause that workers are asked for between heartbeats, which carry all orders.
 	beatInterval = 250 * time.Millisecond
-	// usableFor is how long after a heartbeat new runs are placed on a worker.
-	usableFor = 2500 * time.Millisecond
+	// usableFor is how long after a heartbeat new runs are placed on a worker: three heartbeats and a margin.
+	usableFor = 900 * time.Millisecond
 	// passInterval is how often placement runs without an event.
 	passInterval = 100 * time.Millisecond
 	// commitWait bounds how long a heartbeat's answer waits for commits; workers drop answers after a second.
@@ -65,6 +65,8 @@
 	workers map[string]*worker
 	// begun holds the open jobs of which a run was seen.
 	begun map[string]bool
+	// broken holds the runs of gangs, by their first member, of which a member reported that another one ended.
+	broken map[RunRef]bool
 	// stopping holds the runs that are stopped to make room, with the job that asked.
 	stopping map[RunRef]string
 	// blocked holds since when a gang has found no place.
@@ -107,7 +109,7 @@
 	o := &office{
 		ctx: ctx, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.Boot(),
 		pending: map[batch.TaskID]batch.Start{}, workers: map[string]*worker{}, begun: map[string]bool{},
-		stopping: map[RunRef]string{}, blocked: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
+		stopping: map[RunRef]string{}, broken: map[RunRef]bool{}, blocked: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
 		wake: make(chan struct{}, 1), planned: make(chan struct{}),
 	}
 	s.mu.Lock()
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -23,49 +22,96 @@
 // sweep ends the runs of workers whose leases have expired, and forgets old jobs.
 func (s *Scheduler) sweep(o *office) {
 	for clock.Sleep(o.ctx, sweepInterval) {
-		for _, id := range s.expired(o) {
-			if err := s.lose(o.ctx, o, id); err != nil {
-				s.cfg.Logger.Log("event", "worker_loss_unrecorded", "worker", id, "err", err)
+		for _, ends := range [][]batch.End{s.brokenOff(o), s.expired(o)} {
+			if len(ends) > 0 {
+				_, err := o.change(o.ctx, batch.Change{Ends: ends})
+				s.logEnds(o, "", ends, err)
 			}
 		}
 		s.forget(o)
 	}
 }
 
-// expired returns the workers with runs whose leases have expired on any clock,
-// or whose life is known to have ended.
-func (s *Scheduler) expired(o *office) []string {
+// brokenOff returns the ends of gang members on silent workers whose gang has
+// broken: others report that a member has ended, and with one member all end.
+func (s *Scheduler) brokenOff(o *office) []batch.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Boot()
-	var holders []string
-	o.ledger.View(func(b *batch.Book) { holders = slices.Sorted(maps.Keys(b.Runs)) })
-	var out []string
-	for _, id := range holders {
-		w := o.workers[id]
-		leased := o.since + s.expiry()
-		if w != nil {
-			leased = w.leased
+	var ends []batch.End
+	o.ledger.View(func(b *batch.Book) {
+		for ref := range o.broken {
+			j := b.Jobs[ref.Task.Job]
+			if j == nil {
+				delete(o.broken, ref)
+				continue
+			}
+			active := 0
+			for i, t := range j.Rounds[ref.Task.Round][ref.Task.Step].Tasks {
+				if !t.Active || t.Run != ref.Run {
+					continue
+				}
+				active++
+				if w := o.workers[t.Worker]; w != nil && now-w.heard >= usableFor {
+					id := ref.Task
+					id.Index = i
+					ends = append(ends, batch.End{Task: id, Run: t.Run, How: batch.EndLost, Checkpoint: w.running[id].Checkpoint})
+				}
+			}
+			if active == 0 {
+				delete(o.broken, ref)
+			}
 		}
-		switch {
-		case w != nil && w.left != 0 && now-w.left < farewellDelay:
-		case w != nil && w.gone:
-			out = append(out, id)
-		case now > leased:
-			out = append(out, id)
-			heard := time.Duration(-1)
+	})
+	return ends
+}
+
+// expired returns the ends of runs whose leases have expired on any clock, or whose worker's life is
+// known to have ended. They name the runs of this moment: a worker that reports again may get new ones.
+func (s *Scheduler) expired(o *office) []batch.End {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Boot()
+	var ends []batch.End
+	o.ledger.View(func(b *batch.Book) {
+		for id, runs := range b.Runs {
+			w := o.workers[id]
+			if !s.dead(o, w, now) {
+				continue
+			}
+			silent := now - o.since
 			if w != nil {
-				heard = now - w.heard
+				silent = now - w.heard
+			}
+			s.cfg.Logger.Log("event", "worker_lost", "worker", id, "runs", len(runs), "silent_ms", silent.Milliseconds(), "seen", w != nil, "term", o.term)
+			for t, run := range runs {
+				e := batch.End{Task: t, Run: run, How: batch.EndLost}
+				if w != nil && w.running[t].Run == run {
+					e.Checkpoint = w.running[t].Checkpoint
+				}
+				ends = append(ends, e)
 			}
-			s.cfg.Logger.Log("event", "worker_lost", "worker", id, "silent_ms", heard.Milliseconds(), "term", o.term)
 		}
-	}
+	})
 	for id, w := range o.workers {
 		if now-w.heard > 4*s.expiry() {
 			delete(o.workers, id)
 		}
 	}
-	return out
+	slices.SortFunc(ends, func(a, b batch.End) int { return compareTasks(a.Task, b.Task) })
+	return ends
+}
+
+// dead reports whether nothing of what a worker was given can be alive; nil is a worker that this leader never heard.
+func (s *Scheduler) dead(o *office, w *worker, now time.Duration) bool {
+	switch {
+	case w == nil:
+		return now > o.since+s.expiry()
+	case w.left != 0:
+		return now-w.left >= farewellDelay
+	default:
+		return w.gone || now > w.leased
+	}
 }
 
 // forget drops jobs that ended long ago.
