Rank workers for best fit by all resources

Cause: best fit looked at accelerators first, which says nothing where memory or processors are scarce: at Asahikawa one worker holds one bend-plan task by memory. Change: the rest of a worker counts in shares of each resource.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -67,6 +67,15 @@
 	count int
 }
 
+// left returns what stays free on the worker when it takes all that it can of a gang.
+func (c share) left(r *request, free func(*site) batch.Need) int {
+	rest := &site{worker: c.worker, free: free(c.site)}
+	for range c.count - 1 {
+		rest.free = rest.free.Minus(r.need)
+	}
+	return leftover(rest, r.need)
+}
+
 // mayspread reports whether a gang that wants one rack may run on several now.
 func (p *pass) mayspread(r *request, waited time.Duration) bool {
 	if !r.step.SameRack {
@@ -137,7 +146,7 @@
 		return nil
 	}
 	slices.SortStableFunc(list, func(a, b share) int {
-		return cmp.Or(cmp.Compare(flag(a.flaky), flag(b.flaky)), cmp.Compare(free(a.site).GPUs-a.count*r.need.GPUs, free(b.site).GPUs-b.count*r.need.GPUs), cmp.Compare(free(a.site).GPUs, free(b.site).GPUs))
+		return cmp.Or(cmp.Compare(flag(a.flaky), flag(b.flaky)), cmp.Compare(a.left(r, free), b.left(r, free)))
 	})
 	left := r.step.Count
 	var out []share
--- a/sched/place.go
+++ b/sched/place.go
@@ -328,10 +328,12 @@
 	return best
 }
 
-// leftover ranks workers for best fit: accelerators that stay free count before processors.
+// leftover ranks workers for best fit: by the scarcest resource that stays free, in thousandths of the
+// worker's, so that what is left can still be used as a whole.
 func leftover(st *site, need batch.Need) int {
-	left := st.free.Minus(need)
-	return left.GPUs*1000 + left.CPUMilli*999/max(1, st.beat.Capacity.CPUMilli)
+	left, all := st.free.Minus(need), st.beat.Capacity
+	share := func(n, of int) int { return n * 1000 / max(1, of) }
+	return share(left.GPUs, all.GPUs) + share(left.CPUMilli, all.CPUMilli) + share(left.MemoryMB, all.MemoryMB)
 }
 
 func flag(b bool) int {
