Stop what a leaving worker will not finish in good time

Change: runs that will not end 0.4 s before the announced end of a worker's life are stopped in time for their ends to be reported over several heartbeats, which also saves their progress; after a farewell the last heartbeat is waited for 2.5 s.

--- a/sched/beat.go
+++ b/sched/beat.go
@@ -86,18 +86,18 @@
 	w.leased = max(w.leased, now+s.expiry())
 	w.running = make(map[batch.TaskID]RunState, len(b.Running))
 	w.strange = 0
-	first := make(map[RunRef]progress, len(b.Running))
+	seen := make(map[RunRef]progress, len(b.Running))
 	for _, r := range b.Running {
 		w.running[r.Task] = r
 		o.begun[r.Task.Job] = true
 		ref := RunRef{Task: r.Task, Run: r.Run}
-		if old, ok := w.first[ref]; ok {
-			first[ref] = old
-		} else {
-			first[ref] = progress{at: now, percent: r.Percent}
+		first, ok := w.progress[ref]
+		if !ok {
+			first = progress{at: now, percent: r.Percent}
 		}
+		seen[ref] = first
 	}
-	w.first = first
+	w.progress = seen
 	var ends []batch.End
 	o.ledger.View(func(book *batch.Book) { ends = o.reconcile(book, w, now) })
 	w.beat.Ended = nil
@@ -206,7 +206,11 @@
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", b.Worker, "seq", b.Seq, "age_ms", (now - w.heard).Milliseconds())
 		}
 		for id, r := range w.running {
-			if why := o.unwanted(book, id, r.Run); why != "" {
+			why := o.unwanted(book, id, r.Run)
+			if j := book.Jobs[id.Job]; why == "" && j != nil && s.leavingBefore(o, w, j, r, now) {
+				why = "worker is leaving"
+			}
+			if why != "" {
 				s.stop(o, w, out, RunRef{Task: id, Run: r.Run}, why)
 			}
 		}
@@ -283,6 +287,28 @@
 	return ""
 }
 
+const (
+	// leaveBeats is how many heartbeats must be left for a worker that leaves to report its last ends; single
+	// heartbeats can be lost.
+	leaveBeats = 4
+	// leaveMargin is the time before the announced end of a worker's life in which a run should not end by
+	// itself: its end might never be heard of.
+	leaveMargin = 400 * time.Millisecond
+)
+
+// leavingBefore reports whether a run must be stopped because its worker leaves before the run ends. Its
+// progress is kept by the stop; an end as done that nobody hears of would be run again.
+func (s *Scheduler) leavingBefore(o *office, w *worker, j *batch.Job, r RunState, now time.Duration) bool {
+	if !w.beat.Draining || j.State.Final() {
+		return false
+	}
+	left := time.Duration(w.beat.DrainLeftMS) * time.Millisecond
+	if left > s.cfg.Limits.StopGrace+leaveBeats*o.beatInterval()+leaveMargin {
+		return false
+	}
+	return s.remaining(w, j, r, now) > left-leaveMargin
+}
+
 // checkpoint returns the progress from which a task resumes; a gang resumes from one that any member has.
 func (o *office) checkpoint(j *batch.Job, id batch.TaskID) string {
 	if !j.Spec.Steps[id.Step].Gang {
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -193,7 +193,7 @@
 		if j == nil || id.Step >= len(j.Spec.Steps) || j.Spec.Steps[id.Step].Lasting {
 			continue
 		}
-		if p.remaining(st.worker, j, r) <= d {
+		if p.s.remaining(st.worker, j, r, p.now) <= d {
 			free = free.Plus(j.Spec.Steps[id.Step].Charge())
 		}
 	}
@@ -201,17 +201,17 @@
 }
 
 // remaining estimates how long a run goes on, by its progress so far or else by the caller's estimate.
-func (p *pass) remaining(w *worker, j *batch.Job, r RunState) time.Duration {
+func (s *Scheduler) remaining(w *worker, j *batch.Job, r RunState, now time.Duration) time.Duration {
 	ref := RunRef{Task: r.Task, Run: r.Run}
 	if w.stopped[ref] != 0 {
-		return p.s.cfg.Limits.StopGrace
+		return s.cfg.Limits.StopGrace
 	}
 	estimate := time.Duration(j.Spec.Steps[r.Task.Step].EstimateMS) * time.Millisecond
-	first, ok := w.first[ref]
+	first, ok := w.progress[ref]
 	if !ok || r.Percent <= first.percent || r.Percent < minProgress {
 		return estimate
 	}
-	elapsed := p.now - first.at
+	elapsed := now - first.at
 	return time.Duration(float64(elapsed) * float64(100-r.Percent) / float64(r.Percent-first.percent))
 }
 
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -12,9 +12,9 @@
 const (
 	// sweepInterval is how often silent workers are looked for.
 	sweepInterval = 200 * time.Millisecond
-	// farewellDelay is how long after a worker's farewell its last heartbeat may arrive; workers repeat one
-	// that is not answered within a second.
-	farewellDelay = 1200 * time.Millisecond
+	// farewellDelay is how long after a worker's farewell its last heartbeat is waited for; heartbeats can be
+	// seconds late.
+	farewellDelay = 2500 * time.Millisecond
 	// forgetBatch bounds the jobs forgotten in one change.
 	forgetBatch = 200
 )
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -19,9 +19,8 @@
 	running map[batch.TaskID]RunState
 	strange int
 	// seen holds the runs that were listed as running once, with the count of heartbeats in a row without them.
-	seen map[RunRef]int
-	// first holds when and at which progress a run was listed first.
-	first map[RunRef]progress
+	seen     map[RunRef]int
+	progress map[RunRef]progress
 	// stopped holds the heartbeat in whose answer a stop was first ordered.
 	stopped map[RunRef]int64
 	// failedAt holds when runs failed here of late.
@@ -31,6 +30,7 @@
 	over map[batch.TaskID]time.Duration
 }
 
+// progress is when and at which percentage a run was listed first.
 type progress struct {
 	at      time.Duration
 	percent int
@@ -43,7 +43,7 @@
 
 func newWorker() *worker {
 	return &worker{
-		running: map[batch.TaskID]RunState{}, seen: map[RunRef]int{}, first: map[RunRef]progress{}, stopped: map[RunRef]int64{},
+		running: map[batch.TaskID]RunState{}, seen: map[RunRef]int{}, progress: map[RunRef]progress{}, stopped: map[RunRef]int64{},
 		rates: map[batch.TaskID]rate{}, over: map[batch.TaskID]time.Duration{},
 	}
 }
