--- a/cmd/turmericroute/app.go
+++ b/cmd/turmericroute/app.go
@@ -100,7 +100,7 @@
 	return a.group("", "schedules multi-accelerator jobs with guarantees for each team",
 		a.leaf("", serveCommand()), a.leaf("", platformCommand()), a.leaf("", tryCommand()),
 		a.group("job", "submits, shows, explains and cancels jobs",
-			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()), a.leaf("job", jobExplainCommand()),
+			a.leaf("job", jobSubmitCommand()), a.leaf("job", jobGetCommand()), a.leaf("job", jobExplainCommand()), a.leaf("job", jobHistoryCommand()),
 			a.leaf("job", jobListCommand()), a.leaf("job", jobCancelCommand())),
 		a.group("config", "reads, checks and changes the configuration",
 			a.leaf("config", configGetCommand()), a.leaf("config", configApplyCommand()),
--- a/cmd/turmericroute/serve.go
+++ b/cmd/turmericroute/serve.go
@@ -37,7 +37,7 @@
 				return nil
 			}
 			if err := serve.Run(ctx, cfg, serve.NewLogger(s.err, cfg.LogLevel)); err != nil {
-				return &hinted{err: fmt.Errorf("serve: %w", err), hint: "read the log lines above; docs/operations.md lists the usual causes"}
+				return &hinted{err: fmt.Errorf("serve: %w", err), hint: "read the log lines above; docs/OPERATIONS.md lists the usual causes"}
 			}
 			return nil
 		},
--- a/cmd/turmericroute/status.go
+++ b/cmd/turmericroute/status.go
@@ -168,6 +168,6 @@
 	err := model.NotRun(model.CodeNoLeader, "the leader's view is missing: %s", d.Error)
 	return &hinted{
 		err:  err,
-		hint: fmt.Sprintf("%d of %d instances answer; a majority of the voters must run and reach each other (docs/operations.md, lost majority)", len(reached(d.Instances)), len(d.Instances)),
+		hint: fmt.Sprintf("%d of %d instances answer; a majority of the voters must run and reach each other (docs/OPERATIONS.md, lost majority)", len(reached(d.Instances)), len(d.Instances)),
 	}
 }
--- a/itest/page_test.go
+++ b/itest/page_test.go
@@ -206,8 +206,8 @@
 
 // An operator follows the page with a broken deployment; a command on it that
 // does not work, or an exit code that is not as written, must not be possible.
-var _ = It("docs/operations.md works as it is written", func(ctx SpecContext) {
-	page, err := os.ReadFile(filepath.Join("..", "docs", "operations.md"))
+var _ = It("docs/OPERATIONS.md works as it is written", func(ctx SpecContext) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "OPERATIONS.md"))
 	Expect(err).NotTo(HaveOccurred())
 	lines := commandsOf(string(page))
 	Expect(len(lines)).To(BeNumerically(">", 60))
--- a/sched/beat.go
+++ b/sched/beat.go
@@ -89,7 +89,7 @@
 	seen := make(map[RunRef]progress, len(b.Running))
 	for _, r := range b.Running {
 		w.running[r.Task] = r
-		o.begun[r.Task.Job] = true
+		s.begin(o, r.Task.Job)
 		ref := RunRef{Task: r.Task, Run: r.Run}
 		first, ok := w.progress[ref]
 		if !ok {
@@ -104,6 +104,19 @@
 	return ends, true
 }
 
+// begin notes that a run of a job was seen.
+func (s *Scheduler) begin(o *office, id string) {
+	if o.begun[id] {
+		return
+	}
+	o.begun[id] = true
+	o.ledger.View(func(b *batch.Book) {
+		if j := b.Open[id]; j != nil && o.since < s.cfg.Boot()-s.expiry() {
+			s.metrics.startSeconds.Update(max(0, s.cfg.Wall().Sub(time.UnixMilli(j.AcceptedMS)).Seconds()))
+		}
+	})
+}
+
 // reconcile compares what a worker reports with the ledger and returns the ends to commit.
 func (o *office) reconcile(b *batch.Book, w *worker, now time.Duration) []batch.End {
 	var ends []batch.End
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -15,6 +15,7 @@
 	beats, accepted *metrics.Counter
 	starts          *metrics.Counter
 	passSeconds     *metrics.Summary
+	startSeconds    *metrics.Histogram
 }
 
 func newFigures(set *metrics.Set, s *Scheduler) figures {
@@ -26,10 +27,21 @@
 		}
 		return float64(len(s.office.workers))
 	})
+	set.GetOrCreateGauge("turmericroute_sched_open_jobs_count", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.office == nil {
+			return 0
+		}
+		n := 0
+		s.office.ledger.View(func(b *batch.Book) { n = len(b.Open) })
+		return float64(n)
+	})
 	return figures{
 		set: set, beats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		accepted: set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), starts: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
-		passSeconds: set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
+		passSeconds:  set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
+		startSeconds: set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
 	}
 }
 
--- /dev/null
+++ b/serve/logqueue_test.go
@@ -0,0 +1,50 @@
+package serve_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/serve"
+)
+
+var _ = Describe("the queue of log lines", func() {
+	// Guards against requests that wait for whoever reads the logs.
+	It("never blocks on a reader that does not read, and says how many lines it dropped", func() {
+		r, w := io.Pipe()
+		q := serve.NewLogQueue(w)
+		const lines = 20_000
+		start := time.Now()
+		for i := range lines {
+			fmt.Fprintf(q, "event=line n=%d\n", i)
+		}
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+		read := make(chan string)
+		go func() {
+			all, _ := io.ReadAll(r)
+			read <- string(all)
+		}()
+		q.Close(5 * time.Second)
+		w.Close()
+		all := <-read
+		kept := strings.Count(all, "event=line")
+		Expect(kept).To(BeNumerically(">", 1000))
+		Expect(all).To(ContainSubstring(fmt.Sprintf("event=log_lines_dropped count=%d\n", lines-kept)))
+	})
+
+	It("writes everything in order to a reader that keeps up", func() {
+		var out bytes.Buffer
+		q := serve.NewLogQueue(&out)
+		for i := range 100 {
+			fmt.Fprintf(q, "n=%d\n", i)
+		}
+		q.Close(5 * time.Second)
+		Expect(out.String()).To(HavePrefix("n=0\nn=1\n"))
+		Expect(strings.Count(out.String(), "\n")).To(Equal(100))
+	})
+})
