--- a/cmd/turmericroute/keys_test.go
+++ b/cmd/turmericroute/keys_test.go
@@ -85,7 +85,7 @@
 	It("completes subcommands and flags, and knows three shells", func() {
 		r := &runner{}
 		Expect(r.ok("completion", "words", "--", "con")).To(Equal("config\n"))
-		Expect(strings.Fields(r.ok("completion", "words", "--", "job", ""))).To(Equal([]string{"submit", "get", "explain", "list", "cancel"}))
+		Expect(strings.Fields(r.ok("completion", "words", "--", "job", ""))).To(Equal([]string{"submit", "get", "explain", "history", "list", "cancel"}))
 		Expect(r.ok("completion", "words", "--", "job", "submit", "-same")).To(Equal("-same-rack\n"))
 		for _, shell := range []string{"bash", "zsh", "fish"} {
 			Expect(r.ok("completion", shell)).To(ContainSubstring("completion words"))
--- a/sched/config.go
+++ b/sched/config.go
@@ -6,8 +6,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
-
-	"turmericroute/batch"
 )
 
 // Limits are the times that a deployment promises or demands; package platform reads them from the settings.
@@ -76,9 +74,3 @@
 	Boot func() time.Duration
 	Wall func() time.Time
 }
-
-// task is a task with what placing it needs.
-type task struct {
-	id  batch.TaskID
-	run int
-}
