--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -328,10 +328,12 @@
 		lost, other := (leader+1)%3, (leader+2)%3
 		f.machines[lost].kill()
 		Expect(os.RemoveAll(filepath.Join(f.dir, fmt.Sprint("data-", lost)))).To(Succeed())
+		before, err := os.ReadFile(f.machines[lost].log.Name())
+		Expect(err).NotTo(HaveOccurred())
 		f.start(lost, false)
 		Eventually(func() string {
 			b, _ := os.ReadFile(f.machines[lost].log.Name())
-			return string(b)
+			return string(b[len(before):])
 		}, "20s", "200ms").Should(MatchRegexp(`event=role_changed role=follower.* voters=3 learners=0`))
 		f.machines[other].kill()
 		f.configure(2)
