--- a/sched/config.go
+++ b/sched/config.go
@@ -16,16 +16,12 @@
 	StopGrace time.Duration
 	// Reclaim is how soon a guaranteed job must have begun after its acceptance.
 	Reclaim time.Duration
-	// RemotePenalty is how many times longer a task takes away from its data or its gang.
-	RemotePenalty float64
 	// KeepFinished is how long a finished job can be asked for.
 	KeepFinished time.Duration
 	// HandOver is the least time between orders of two leaders for one machine.
 	HandOver time.Duration
 	// MaintenanceTime is how long a machine is away for maintenance.
 	MaintenanceTime time.Duration
-	// NoticeTime is how long a lasting task may be away before it counts as missed.
-	NoticeTime time.Duration
 }
 
 // Adviser asks the policy service which workers may run a step.
@@ -34,13 +30,6 @@
 	Advise(ctx context.Context, step string, workers []string) (tickets map[string]string, validity time.Duration, _ error)
 }
 
-// Machine is a host of the deployment as its provider sees it.
-type Machine struct {
-	Name, Pool, DataCentre, Worker string
-	// Up reports that the host takes orders now.
-	Up bool
-}
-
 // Refusal says why the provider refuses an order; empty means that it carried it out.
 type Refusal string
 
@@ -56,8 +45,6 @@
 type Provider interface {
 	// Maintain takes a host down for maintenance at once. An error means that the outcome is not known.
 	Maintain(ctx context.Context, machine string, wave int64, holder string, fence uint64) (Refusal, error)
-	// Machines lists all hosts.
-	Machines(ctx context.Context) ([]Machine, error)
 }
 
 // Config describes a scheduler.
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -81,8 +81,8 @@
 	f.cfg = sched.Config{
 		Name: "control", Boot: boot, Wall: wall, Logger: log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter)),
 		Limits: sched.Limits{
-			MaxHold: 6 * time.Second, StopGrace: 400 * time.Millisecond, Reclaim: 6 * time.Second, RemotePenalty: 3,
-			KeepFinished: 2 * time.Minute, HandOver: 0, MaintenanceTime: 2 * time.Second, NoticeTime: 4 * time.Second,
+			MaxHold: 6 * time.Second, StopGrace: 400 * time.Millisecond, Reclaim: 6 * time.Second,
+			KeepFinished: 2 * time.Minute, HandOver: 0, MaintenanceTime: 2 * time.Second,
 		},
 	}
 	for _, c := range change {
--- a/sched/services_test.go
+++ b/sched/services_test.go
@@ -33,8 +33,6 @@
 	return "", nil
 }
 
-func (p *provider) Machines(context.Context) ([]sched.Machine, error) { return nil, nil }
-
 func (p *provider) ordered() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
