--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -125,37 +125,45 @@
 
 // start gives out runs. Members of a gang get theirs together or not at all.
 func (b *Book) start(list []Start) {
-	refused := map[[2]any]bool{}
-	key := func(s Start) [2]any { return [2]any{s.Task.Job, [2]int{s.Task.Round, s.Task.Step}} }
+	first := func(id TaskID) TaskID { id.Index = 0; return id }
+	refused := map[TaskID]bool{} // by the first task of the step
 	for _, s := range list {
-		j := b.Open[s.Task.Job]
-		if j == nil {
-			refused[key(s)] = true
-			continue
-		}
-		t := j.Task(s.Task)
-		if t == nil || t.Active || t.Done || s.Run <= t.Run || !j.Ready(s.Task.Round, s.Task.Step) {
-			refused[key(s)] = true
+		if !b.startable(s) {
+			refused[first(s.Task)] = true
 		}
 	}
 	for _, s := range list {
-		j := b.Open[s.Task.Job]
-		if j == nil {
+		if !b.startable(s) {
 			continue
 		}
-		t := j.Task(s.Task)
-		gang := t != nil && j.Spec.Steps[s.Task.Step].Gang
-		if refused[key(s)] && (gang || t == nil || t.Active || t.Done || s.Run <= t.Run || !j.Ready(s.Task.Round, s.Task.Step)) {
+		j := b.Open[s.Task.Job]
+		if j.Spec.Steps[s.Task.Step].Gang && refused[first(s.Task)] {
 			continue
 		}
+		t := j.Task(s.Task)
 		t.Run, t.Active, t.Worker, t.Life = s.Run, true, s.Worker, s.Life
-		if b.Runs[s.Worker] == nil {
-			b.Runs[s.Worker] = map[TaskID]int{}
-		}
-		b.Runs[s.Worker][s.Task] = s.Run
+		b.enter(s.Worker, s.Task, s.Run)
 	}
 }
 
+// startable reports whether a task may get the run now.
+func (b *Book) startable(s Start) bool {
+	j := b.Open[s.Task.Job]
+	if j == nil {
+		return false
+	}
+	t := j.Task(s.Task)
+	return t != nil && !t.Active && !t.Done && s.Run > t.Run && j.Ready(s.Task.Round, s.Task.Step)
+}
+
+// enter adds an active run to the index of its worker.
+func (b *Book) enter(worker string, id TaskID, run int) {
+	if b.Runs[worker] == nil {
+		b.Runs[worker] = map[TaskID]int{}
+	}
+	b.Runs[worker][id] = run
+}
+
 func (b *Book) end(e End, atMS int64) {
 	j := b.Jobs[e.Task.Job]
 	if j == nil {
@@ -283,13 +291,9 @@
 	for r, round := range j.Rounds {
 		for s, st := range round {
 			for i, t := range st.Tasks {
-				if !t.Active {
-					continue
-				}
-				if b.Runs[t.Worker] == nil {
-					b.Runs[t.Worker] = map[TaskID]int{}
+				if t.Active {
+					b.enter(t.Worker, TaskID{Job: j.ID, Round: r, Step: s, Index: i}, t.Run)
 				}
-				b.Runs[t.Worker][TaskID{Job: j.ID, Round: r, Step: s, Index: i}] = t.Run
 			}
 		}
 	}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -83,8 +83,7 @@
 	o.ledger.View(func(b *batch.Book) {
 		_, _, id, fail = resolve(b, ref)
 		if fail == nil && b.Jobs[id] == nil {
-			fail = model.NotRun(model.CodeNotFound, "no job %s", id)
-			fail.Code = CodeGone
+			fail = gone(id)
 		}
 	})
 	if fail != nil {
@@ -102,6 +101,8 @@
 // CodeGone is the code of calls for a job that does not exist in a queue that does.
 const CodeGone model.Code = "no_such_job"
 
+func gone(id string) *model.Error { return model.NotRun(CodeGone, "no job %s", id) }
+
 func (o *office) show(ref JobRef, mu *sync.Mutex) (Answer, error) {
 	var a Answer
 	var fail *model.Error
@@ -119,7 +120,7 @@
 		}
 		j := b.Jobs[id]
 		if j == nil {
-			fail = &model.Error{Code: CodeGone, Outcome: model.OutcomeNotRun, Message: "no job " + id}
+			fail = gone(id)
 			return
 		}
 		a.State = callerState(j.State, o.begun[id])
--- a/sched/place.go
+++ b/sched/place.go
@@ -37,34 +37,6 @@
 	}
 }
 
-// site is a worker during a placement pass.
-type site struct {
-	*worker
-	id   string
-	free batch.Need
-	// held is room that is kept for a more urgent gang.
-	held  batch.Need
-	flaky bool
-	// serves and fills count tasks that share the processor.
-	serves, fills int
-}
-
-// pass is one placement pass over a fixed state.
-type pass struct {
-	s     *Scheduler
-	o     *office
-	book  *batch.Book
-	now   time.Duration
-	nowMS int64
-	sites []*site
-	by    map[string]*site
-	out   []batch.Start
-	// used counts the accelerators that each team holds by jobs of priority 0.
-	demand map[string]int
-	// holding counts the gangs for which room is held in this pass.
-	holding int
-}
-
 // plan decides on new runs and on what to stop for them, without committing anything.
 func (s *Scheduler) plan(o *office) []batch.Start {
 	s.mu.Lock()
@@ -75,8 +47,7 @@
 	o.ledger.View(func(b *batch.Book) {
 		p.book = b
 		p.survey()
-		jobs := p.order()
-		for _, j := range jobs {
+		for _, j := range p.order() {
 			p.job(j)
 		}
 	})
@@ -93,51 +64,6 @@
 
 func (p *pass) jobOf(ref RunRef) *batch.Job { return p.book.Jobs[ref.Task.Job] }
 
-// survey finds the room on each usable worker.
-func (p *pass) survey() {
-	for id, w := range p.o.workers {
-		if !w.usable(p.book, p.now) {
-			continue
-		}
-		st := &site{worker: w, id: id, free: w.beat.Capacity, flaky: w.flaky(p.now)}
-		for t := range p.book.Runs[id] {
-			p.take(st, t)
-		}
-		for t, r := range w.running {
-			if p.book.Runs[id][t] == 0 {
-				// A run that the ledger has ended or does not know holds its room until it is gone.
-				p.take(st, t)
-				_ = r
-			}
-		}
-		p.by[id] = st
-		p.sites = append(p.sites, st)
-	}
-	for t, start := range p.o.pending {
-		if st := p.by[start.Worker]; st != nil && p.book.Runs[start.Worker][t] == 0 {
-			p.take(st, t)
-		}
-	}
-	slices.SortFunc(p.sites, func(a, b *site) int { return cmp.Compare(a.id, b.id) })
-}
-
-// take removes a task's room from a worker; an unknown task takes all of it.
-func (p *pass) take(st *site, id batch.TaskID) {
-	j := p.book.Jobs[id.Job]
-	if j == nil || id.Step >= len(j.Spec.Steps) {
-		st.free = batch.Need{}
-		return
-	}
-	step := j.Spec.Steps[id.Step]
-	st.free = st.free.Minus(step.Charge())
-	if step.Filler {
-		st.fills++
-	}
-	if step.TargetMS > 0 {
-		st.serves++
-	}
-}
-
 // order returns the open jobs, the most urgent first.
 func (p *pass) order() []*batch.Job {
 	jobs := make([]*batch.Job, 0, len(p.book.Open))
@@ -328,8 +254,8 @@
 	return best
 }
 
-// leftover ranks workers for best fit: by the scarcest resource that stays free, in thousandths of the
-// worker's, so that what is left can still be used as a whole.
+// leftover ranks workers for best fit: what stays free of all resources, in
+// thousandths of the worker's capacity.
 func leftover(st *site, need batch.Need) int {
 	left, all := st.free.Minus(need), st.beat.Capacity
 	share := func(n, of int) int { return n * 1000 / max(1, of) }
