Let both workers report before the outage ends in the reclaim test

Cause: the test moved the clock by 30 s and ended the outage before the workers had reported again. Change: both report first; the expectations stay.

--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -295,6 +295,7 @@
 		f.submit("urgent", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
 		f.advance(30 * time.Second)
 		f.submit("normal", "other", batch.Step{Count: 16, Need: gpus(1), EstimateMS: 10_000})
+		f.round() // both workers are usable from the moment on at which the outage ends
 		Expect(f.call(sched.Call{Outage: &batch.Outage{DataCentre: "dc1"}}).err).To(Succeed())
 		f.settle("j", 2)
 		Expect(f.workers["w1"].stopped).To(BeEmpty())
