Call one piece for a worker's room, drop an unused lookup

A start takes a worker's room through the same function as the survey; show is a method of the scheduler like the other calls; Catalog.Service had no caller. No change of behaviour.

--- a/batch/catalog.go
+++ b/batch/catalog.go
@@ -148,13 +148,3 @@
 	}
 	return 0
 }
-
-// Service returns the service with the name.
-func (c Catalog) Service(name string) (Service, bool) {
-	for _, s := range c.Services {
-		if s.Name == name {
-			return s, true
-		}
-	}
-	return Service{}, false
-}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -52,7 +52,7 @@
 		for range c.count {
 			id := first
 			id.Index = i
-			p.start(c.site, id, run+1, r.need)
+			p.start(c.site, id, run+1)
 			i++
 		}
 	}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 
 	"turmericroute/batch"
 	"turmericroute/model"
@@ -103,11 +102,11 @@
 
 func gone(id string) *model.Error { return model.NotRun(CodeGone, "no job %s", id) }
 
-func (o *office) show(ref JobRef, mu *sync.Mutex) (Answer, error) {
+func (s *Scheduler) show(o *office, ref JobRef) (Answer, error) {
 	var a Answer
 	var fail *model.Error
-	mu.Lock()
-	defer mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	o.ledger.View(func(b *batch.Book) {
 		var q batch.Queue
 		var id string
--- a/sched/place.go
+++ b/sched/place.go
@@ -234,7 +234,7 @@
 		if best == nil {
 			return
 		}
-		p.start(best, id, j.Task(id).Run+1, r.need)
+		p.start(best, id, j.Task(id).Run+1)
 	}
 }
 
@@ -269,15 +269,8 @@
 	return 0
 }
 
-func (p *pass) start(st *site, id batch.TaskID, run int, need batch.Need) {
-	st.free = st.free.Minus(need)
-	step := p.book.Jobs[id.Job].Spec.Steps[id.Step]
-	if step.Filler {
-		st.fills++
-	}
-	if step.TargetMS > 0 {
-		st.serves++
-	}
+func (p *pass) start(st *site, id batch.TaskID, run int) {
+	p.take(st, id)
 	p.out = append(p.out, batch.Start{Task: id, Run: run, Worker: st.id, Life: st.beat.Life})
 	delete(p.o.blocked, batch.TaskID{Job: id.Job, Round: id.Round, Step: id.Step})
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -201,7 +201,7 @@
 	case c.Submit != nil:
 		return s.submit(ctx, o, *c.Submit)
 	case c.Show != nil:
-		return o.show(*c.Show, &s.mu)
+		return s.show(o, *c.Show)
 	case c.Cancel != nil:
 		return s.cancel(ctx, o, *c.Cancel)
 	case c.Declare != nil:
