--- /dev/null
+++ b/cmd/bench/soak.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"turmericroute/soak"
+)
+
+// soakCommand runs seeded soaks one after the other and keeps the logs of those that break a promise.
+func soakCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("bench soak", flag.ContinueOnError)
+	binary := fs.String("binary", "target/turmericroute", "the built program")
+	dir := fs.String("dir", "", "folder for logs; empty means a temporary one")
+	first := fs.Uint64("seed", uint64(time.Now().Unix()), "the first seed")
+	count := fs.Int("count", 1, "how many seeds")
+	var cfg soak.Config
+	fs.IntVar(&cfg.Controls, "controls", 0, "control processes, 0 for the default")
+	fs.IntVar(&cfg.Entries, "entries", 0, "entry processes, 0 for the default")
+	fs.IntVar(&cfg.Workers, "workers", 0, "workers, 0 for the default")
+	fs.DurationVar(&cfg.Faulty, "faulty", 0, "how long faults are injected, 0 for the default")
+	return &ffcli.Command{
+		Name: "soak", ShortUsage: "bench soak [flags]", ShortHelp: "runs real processes under random faults and checks the promises", FlagSet: fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			root := *dir
+			if root == "" {
+				var err error
+				if root, err = os.MkdirTemp("", "soak"); err != nil {
+					return fmt.Errorf("make folder: %w", err)
+				}
+			}
+			var failed error
+			for seed := *first; seed < *first+uint64(*count); seed++ {
+				run := cfg
+				run.Binary, run.Seed, run.Dir = *binary, seed, filepath.Join(root, fmt.Sprint("seed-", seed))
+				r, err := soak.Run(ctx, run)
+				if err != nil {
+					return fmt.Errorf("soak with seed %d: %w", seed, err)
+				}
+				fmt.Println(r)
+				for _, v := range r.Violations {
+					fmt.Printf("seed=%d violation=%q\n", seed, v)
+				}
+				if len(r.Violations) > 0 {
+					failed = errors.Join(failed, fmt.Errorf("seed %d breaks a promise, logs in %s", seed, run.Dir))
+				} else if err := os.RemoveAll(run.Dir); err != nil {
+					return fmt.Errorf("remove logs: %w", err)
+				}
+			}
+			return failed
+		},
+	}
+}
--- a/cmd/turmericroute/platform.go
+++ b/cmd/turmericroute/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 
 	"turmericroute/platform"
@@ -16,10 +17,15 @@
   turmericroute platform`
 
 func platformCommand() leaf {
+	var cfg platform.Config
 	return leaf{
 		name: "platform", short: "run an instance on the users' platform", long: platformUsage, local: true,
+		flags: func(fs *flag.FlagSet) {
+			fs.StringVar(&cfg.PeerListen, "peer-listen", "", "listen for other instances here, `HOST:PORT`, where a proxy stands at the address that they call")
+		},
 		run: func(ctx context.Context, s *session, _ []string) error {
-			if err := platform.Run(ctx, s.out); err != nil {
+			cfg.Out = s.out
+			if err := platform.Run(ctx, cfg); err != nil {
 				return fmt.Errorf("run on the platform: %w", err)
 			}
 			return nil
--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -18,18 +18,20 @@
 	Refuse bool
 }
 
-// Proxy forwards connections from its own address to a target.
+// Proxy forwards connections to a target: those to its own address, or those handed to it.
 type Proxy struct {
 	target string
-	ln     net.Listener
+	ln     net.Listener // nil without an address of its own
 	wg     sync.WaitGroup
 
 	mu    sync.Mutex
 	rule  Rule
 	cut   map[direction]int
 	conns map[net.Conn]struct{}
-	done  bool
-	bytes [2]atomic.Int64
+	// made counts connections; those up to silent pass nothing on any more.
+	made, silent int
+	done         bool
+	bytes        [2]atomic.Int64
 }
 
 type direction int
@@ -39,13 +41,19 @@
 	back
 )
 
+// New returns a proxy to a target address for connections that are handed to Forward.
+func New(target string) *Proxy {
+	return &Proxy{target: target, conns: map[net.Conn]struct{}{}, cut: map[direction]int{}}
+}
+
 // Listen starts a proxy on a loopback address ("127.0.0.1:0" picks a port) to a target address.
 func Listen(address, target string) (*Proxy, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for proxy: %w", err)
 	}
-	p := &Proxy{target: target, ln: ln, conns: map[net.Conn]struct{}{}, cut: map[direction]int{}}
+	p := New(target)
+	p.ln = ln
 	p.wg.Add(1)
 	go p.accept()
 	return p, nil
@@ -85,6 +93,13 @@
 	}
 }
 
+// Silence stops all traffic on present connections, which stay open; new ones work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = p.made
+}
+
 // Close stops the proxy and its connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
@@ -93,7 +108,10 @@
 		c.Close()
 	}
 	p.mu.Unlock()
-	err := p.ln.Close()
+	var err error
+	if p.ln != nil {
+		err = p.ln.Close()
+	}
 	p.wg.Wait()
 	if err != nil {
 		return fmt.Errorf("close proxy: %w", err)
@@ -116,13 +134,25 @@
 		if err != nil {
 			return
 		}
-		if p.current().Refuse {
-			reset(c)
-			continue
-		}
+		p.Forward(c)
+	}
+}
+
+// Forward serves a connection that the caller has accepted.
+func (p *Proxy) Forward(c net.Conn) {
+	p.mu.Lock()
+	refuse := p.rule.Refuse || p.done
+	p.made++
+	number := p.made
+	if !refuse {
 		p.wg.Add(1)
-		go p.serve(c)
 	}
+	p.mu.Unlock()
+	if refuse {
+		reset(c)
+		return
+	}
+	go p.serve(c, number)
 }
 
 func (p *Proxy) current() Rule {
@@ -148,7 +178,7 @@
 	delete(p.conns, c)
 }
 
-func (p *Proxy) serve(client net.Conn) {
+func (p *Proxy) serve(client net.Conn, number int) {
 	defer p.wg.Done()
 	defer client.Close()
 	target, err := net.Dial("tcp", p.target)
@@ -164,8 +194,8 @@
 	defer p.forget(target)
 	var wg sync.WaitGroup
 	wg.Add(2)
-	go func() { defer wg.Done(); p.pipe(target, client, forward) }()
-	go func() { defer wg.Done(); p.pipe(client, target, back) }()
+	go func() { defer wg.Done(); p.pipe(target, client, forward, number) }()
+	go func() { defer wg.Done(); p.pipe(client, target, back, number) }()
 	wg.Wait()
 }
 
@@ -177,14 +207,14 @@
 
 // pipe copies from src to dst under the rules. A reader and a writer are
 // needed so that a delay adds latency and does not divide the throughput.
-func (p *Proxy) pipe(dst, src net.Conn, d direction) {
+func (p *Proxy) pipe(dst, src net.Conn, d direction, number int) {
 	queue := make(chan chunk, 1024)
 	go func() {
 		defer close(queue)
 		buf := make([]byte, 32<<10)
 		for {
 			n, err := src.Read(buf)
-			if n > 0 && !p.dropped(d) {
+			if n > 0 && !p.dropped(d, number) {
 				queue <- chunk{data: append([]byte(nil), buf[:n]...), due: time.Now().Add(p.current().Delay)}
 			}
 			if err != nil {
@@ -204,9 +234,11 @@
 	closeWrite(dst)
 }
 
-func (p *Proxy) dropped(d direction) bool {
-	r := p.current()
-	return d == forward && r.DropForward || d == back && r.DropBack
+func (p *Proxy) dropped(d direction, number int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rule
+	return number <= p.silent || d == forward && r.DropForward || d == back && r.DropBack
 }
 
 // limit shortens data to what a requested cut still lets through.
--- a/fault/proxy_test.go
+++ b/fault/proxy_test.go
@@ -84,6 +84,17 @@
 		Entry("from the target", fault.Rule{DropBack: true}),
 	)
 
+	It("silences present connections for good and serves new ones", func() {
+		Expect(say("one")).To(Equal("one"))
+		p.Silence()
+		_, err := say("two")
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+		c, err = net.Dial("tcp", p.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(say("three")).To(Equal("three"))
+	})
+
 	It("cuts in the middle of a message", func() {
 		Expect(say("one")).To(Equal("one"))
 		p.CutBack(2)
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -1,15 +1,14 @@
 package itest_test
 
 import (
-	"bytes"
-	"encoding/json"
+	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +16,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"turmericroute/batch"
+	"turmericroute/platform/stand"
+	"turmericroute/sched"
 )
 
 // The stand-in for the users' platform: three control machines and an entry on
@@ -61,34 +64,28 @@
 	return f
 }
 
-func (f *fleet) control(i int) string { return fmt.Sprintf("%s:%d", f.machines[i].ip, f.ports+20) }
-func (f *fleet) front() string        { return fmt.Sprintf("%s:%d", f.machines[3].ip, f.ports+21) }
+func (f *fleet) control(i int) string { return stand.ControlAddress(f.machines[i].ip, f.ports) }
+func (f *fleet) front() string        { return stand.FrontAddress(f.machines[3].ip, f.ports) }
 
 func (f *fleet) start(i int, bootstrap bool) {
 	m := f.machines[i]
-	listen := fmt.Sprintf("{control: %q}", f.control(i))
-	data := fmt.Sprintf("data-dir: %q", filepath.Join(f.dir, fmt.Sprint("data-", i)))
-	if i == 3 {
-		listen = fmt.Sprintf("{front: %q, ready: \"%s:%d\"}", f.front(), m.ip, f.ports+22)
-		data = ""
+	p := stand.Process{
+		Name: fmt.Sprintf("machine-%d", i), IP: m.ip, DataCentre: "z1", FirstPort: f.ports, Bootstrap: bootstrap,
+		Bounds: stand.Bounds{Grace: 2 * time.Second, MaxHold: 2 * time.Second, StopGrace: 200 * time.Millisecond, Reclaim: 6 * time.Second, KeepFinished: time.Minute, HandOver: 500 * time.Millisecond},
+	}
+	for _, seed := range f.machines[:3] {
+		p.Seeds = append(p.Seeds, seed.ip)
+	}
+	if i < 3 {
+		p.DataDir = filepath.Join(f.dir, fmt.Sprint("data-", i))
 	}
 	m.settings = filepath.Join(f.dir, fmt.Sprintf("settings-%d.yaml", i))
-	Expect(os.WriteFile(m.settings, fmt.Appendf(nil, `node: "machine-%d"
-ip: %q
-zone: "z1"
-listen: %s
-port-range: [%d, %d]
-seeds: [%q, %q, %q]
-bootstrap: %v
-%s
-bounds: {grace-s: 2, max-hold-ms: 2000, stop-grace-ms: 200, reclaim-ms: 6000, status_s: 60, lease-ms: 500}
-an-unknown-field: 1
-`, i, m.ip, listen, f.ports, f.ports+15, f.control(0), f.control(1), f.control(2), bootstrap, data), 0o600)).To(Succeed())
+	Expect(stand.WriteSettings(m.settings, p)).To(Succeed())
 	log, err := os.OpenFile(filepath.Join(f.dir, fmt.Sprintf("%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	Expect(err).NotTo(HaveOccurred())
 	m.log = log
 	m.cmd = exec.Command(binary, "platform")
-	m.cmd.Env = append(os.Environ(), "TURMERICROUTE_BOOT="+m.settings)
+	m.cmd.Env = append(os.Environ(), stand.Environment(m.settings))
 	m.cmd.Stdout, m.cmd.Stderr = log, log
 	Expect(m.cmd.Start()).To(Succeed())
 }
@@ -101,35 +98,17 @@
 	}
 }
 
-// ask makes a call and returns its status and body; 0 means that there was no answer.
-func ask(method, address, path string, body any) (int, []byte) {
-	data, err := json.Marshal(body)
-	Expect(err).NotTo(HaveOccurred())
-	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(data))
-	Expect(err).NotTo(HaveOccurred())
-	r.Host = platformHost
-	r.Header.Set("Authorization", "Bearer "+platformKey)
-	c := http.Client{Timeout: 3 * time.Second}
-	resp, err := c.Do(r)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	out, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, out
-}
+// platformCaller makes the calls of clients, operators and workers; calls without an answer give the status 0.
+var platformCaller = &stand.Caller{HTTP: &http.Client{Timeout: 3 * time.Second}, Host: platformHost, Key: platformKey}
 
 // executor runs each task for a while and keeps a ledger.
 type executor struct {
 	f       *fleet
 	id      string
 	mu      sync.Mutex
-	running map[string]time.Time // by task and run
-	ended   [][]any
-	nextEnd int
+	running map[sched.RunRef]time.Time
+	ended   []sched.RunEnd
+	nextEnd int64
 	starts  map[string]int
 	lease   time.Time
 	stop    chan struct{}
@@ -137,7 +116,7 @@
 }
 
 func newExecutor(f *fleet, id string) *executor {
-	x := &executor{f: f, id: id, running: map[string]time.Time{}, starts: map[string]int{}, stop: make(chan struct{}), done: make(chan struct{})}
+	x := &executor{f: f, id: id, running: map[sched.RunRef]time.Time{}, starts: map[string]int{}, stop: make(chan struct{}), done: make(chan struct{})}
 	go x.run()
 	DeferCleanup(func() { close(x.stop); <-x.done })
 	return x
@@ -148,102 +127,90 @@
 func (x *executor) run() {
 	defer close(x.done)
 	at := 0
-	for seq := 1; ; seq++ {
+	for seq := int64(1); ; seq++ {
 		select {
 		case <-x.stop:
 			return
 		case <-time.After(80 * time.Millisecond):
 		}
 		sent := time.Now()
-		status, body := askBeat(x.f.control(at), "/instances/"+x.id, x.report(seq))
-		if status != http.StatusOK || time.Since(sent) > time.Second {
+		o, _, _, err := platformCaller.Beat(context.Background(), x.f.control(at), x.report(seq))
+		if err != nil || o == nil || time.Since(sent) > time.Second {
 			at = (at + 1) % 3
 			continue
 		}
-		x.obey(sent, body)
+		x.obey(sent, o)
 	}
 }
 
-// askBeat is ask for goroutines that must not fail the test.
-func askBeat(address, path string, body any) (int, []byte) {
-	defer GinkgoRecover()
-	return ask("PUT", address, path, body)
-}
-
-func (x *executor) report(seq int) map[string]any {
+func (x *executor) report(seq int64) sched.Beat {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	running := [][]any{}
-	for key, since := range x.running {
-		task, run, _ := strings.Cut(key, " ")
-		how := ""
+	b := sched.Beat{
+		Worker: x.id, Service: "svc", Address: x.id + ":1", DataCentre: "z1", Life: 1, Seq: seq, Labels: []string{"a", "r1"},
+		Capacity: batch.Need{CPUMilli: 8000, MemoryMB: 8000, GPUs: 8},
+	}
+	for ref, since := range x.running {
+		var how batch.How
 		switch {
 		case time.Now().After(x.lease):
-			how = "lapsed"
+			how = batch.EndLapsed
 		case time.Since(since) >= workTime:
-			how = "done"
+			how = batch.EndDone
 		}
 		if how == "" {
-			running = append(running, []any{task, json.Number(run), "", 50})
+			b.Running = append(b.Running, sched.RunState{Task: ref.Task, Run: ref.Run, Percent: 50})
 			continue
 		}
-		delete(x.running, key)
+		delete(x.running, ref)
 		x.nextEnd++
-		x.ended = append(x.ended, []any{x.nextEnd, task, json.Number(run), how, ""})
-	}
-	return map[string]any{
-		"service": "svc", "address": x.id + ":1", "zone": "z1", "state": "ready", "born": 1, "seq": seq, "labels": []string{"a", "r1"},
-		"capacity": map[string]int{"cpu": 8000, "mem-mb": 8000, "gpu": 8}, "running": running, "ended": x.ended,
+		x.ended = append(x.ended, sched.RunEnd{N: x.nextEnd, Task: ref.Task, Run: ref.Run, How: how})
 	}
+	b.Ended = slices.Clone(x.ended)
+	return b
 }
 
-func (x *executor) obey(sent time.Time, body []byte) {
-	var a struct {
-		HoldMS int     `json:"hold-ms"`
-		Acked  int     `json:"acked-through"`
-		Start  [][]any `json:"start"`
-		Stop   [][]any `json:"stop"`
-	}
-	if json.Unmarshal(body, &a) != nil {
-		return
-	}
+func (x *executor) obey(sent time.Time, o *sched.Orders) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for len(x.ended) > 0 && x.ended[0][0].(int) <= a.Acked {
+	for len(x.ended) > 0 && x.ended[0].N <= o.AckedThrough {
 		x.ended = x.ended[1:]
 	}
-	if a.HoldMS == 0 {
+	if o.HoldMS == 0 {
 		return
 	}
-	x.lease = sent.Add(time.Duration(a.HoldMS) * time.Millisecond)
-	for _, s := range a.Start {
-		key := fmt.Sprintf("%s %v", s[0], s[1])
-		if _, ok := x.running[key]; !ok {
-			x.running[key] = time.Now()
-			x.starts[s[0].(string)]++
+	x.lease = sent.Add(time.Duration(o.HoldMS) * time.Millisecond)
+	for _, s := range o.Starts {
+		ref := sched.RunRef{Task: s.Task, Run: s.Run}
+		if _, ok := x.running[ref]; !ok {
+			x.running[ref] = time.Now()
+			x.starts[s.Task.String()]++
 		}
 	}
 }
 
-func (f *fleet) configure(version int) {
+func (f *fleet) configure(version uint64) {
+	document, err := stand.Document(batch.Catalog{
+		Version:  version,
+		Queues:   []batch.Queue{{Name: "q", Host: platformHost, Prefix: "/q/", Service: "svc", MaxFailures: 2, Stretch: 3}},
+		Services: []batch.Service{{Name: "svc", Guarded: true}},
+		Teams:    []batch.Team{{Name: "t", Keys: []string{platformKey}}},
+	})
+	Expect(err).NotTo(HaveOccurred())
 	try := 0
 	Eventually(func() int {
 		try++ // an operator goes on to another node when one does not answer
-		status, _ := ask("PUT", f.control(try%3), "/config", map[string]any{
-			"version": version, "services": []any{map[string]any{"name": "svc", "admission-control": true}},
-			"routes":  []any{map[string]any{"name": "q", "host": platformHost, "path-prefix": "/q/", "service": "svc", "timeout-ms": 3000, "max-attempts": 2, "stretch": 3}},
-			"tenants": []any{map[string]any{"name": "t", "api-keys": []string{platformKey}}},
-		})
-		return status
+		r, _ := platformCaller.Declare(context.Background(), f.control(try%3), document)
+		return r.Status
 	}, "20s", "200ms").Should(Equal(200))
 }
 
 func (f *fleet) submit(id string) {
 	Eventually(func() int {
-		status, _ := ask("POST", f.front(), "/q/"+id, map[string]any{"spec": "s", "steps": []any{
-			map[string]any{"count": 2, "gpu": 1, "gang": true, "estimate-ms": 400}, map[string]any{"count": 3, "gpu": 1, "depends-on": []int{0}, "estimate-ms": 400},
+		r, _ := platformCaller.Submit(context.Background(), f.front(), "/q/", id, batch.Spec{Text: "s", Steps: []batch.Step{
+			{Count: 2, Need: batch.Need{GPUs: 1}, Gang: true, EstimateMS: 400}, {Count: 3, Need: batch.Need{GPUs: 1}, After: []int{0}, EstimateMS: 400},
 		}})
-		return status
+		return r.Status
 	}, "20s", "200ms").Should(Equal(200))
 }
 
@@ -251,9 +218,9 @@
 	GinkgoHelper()
 	for _, id := range ids {
 		Eventually(func() string {
-			_, body := ask("GET", f.front(), "/q/"+id, nil)
-			return string(body)
-		}, "30s", "200ms").Should(Equal(`{"state":"succeeded"}`))
+			state, _, _ := platformCaller.State(context.Background(), f.front(), "/q/", id)
+			return state
+		}, "30s", "200ms").Should(Equal("succeeded"))
 	}
 }
 
@@ -305,12 +272,14 @@
 		f.finished("0a")
 		once()
 		for i := range 3 {
-			Eventually(func() string { _, b := ask("GET", f.control(i), "/config", nil); return string(b) }, "5s").Should(ContainSubstring(`"version":1`))
+			Eventually(func() uint64 { v, _, _ := platformCaller.Declared(context.Background(), f.control(i)); return v }, "5s").Should(BeEquivalentTo(1))
 		}
-		status, _ := ask("POST", f.front(), "/none/0b", map[string]any{})
-		Expect(status).To(Equal(404))
-		status, _ = ask("GET", f.front(), "/q/ff", nil)
-		Expect(status).To(Equal(410))
+		r, err := platformCaller.Submit(context.Background(), f.front(), "/none/", "0b", batch.Spec{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Status).To(Equal(404))
+		_, r, err = platformCaller.State(context.Background(), f.front(), "/q/", "ff")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Status).To(Equal(410))
 	})
 
 	// Guards against jobs and runs that are forgotten or repeated when the leader is killed.
