--- a/sched/advise.go
+++ b/sched/advise.go
@@ -78,6 +78,9 @@
 	var name string
 	var workers []string
 	o.ledger.View(func(b *batch.Book) {
+		if !slices.ContainsFunc(b.Catalog.Queues, func(q batch.Queue) bool { return q.Advice != nil }) {
+			return
+		}
 		p.book = b
 		p.survey()
 		for _, j := range p.order() {
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -35,18 +35,17 @@
 	if !ok {
 		return
 	}
-	since, blocked := p.o.blocked[first]
-	if !blocked {
-		since = p.now
+	waited := time.Duration(0)
+	if since, ok := p.o.blocked[first]; ok {
+		waited = p.now - since
 	}
-	waited := p.now - since
 	free := func(st *site) batch.Need { return st.free.Minus(st.held) }
 	chosen := p.fit(&r, free, p.mayspread(&r, waited))
 	if chosen == nil {
-		p.o.blocked[first] = since
-		p.hold(&r, waited)
+		p.hold(&r, p.blockedFor(first))
 		return
 	}
+	delete(p.o.blocked, first)
 	i := 0
 	for _, c := range chosen {
 		for range c.count {
@@ -116,7 +115,7 @@
 	}
 	best := ""
 	for rack, n := range room {
-		if n >= r.step.Count && (best == "" || n < room[best] || n == room[best] && rack < best) {
+		if n >= r.count && (best == "" || n < room[best] || n == room[best] && rack < best) {
 			best = rack
 		}
 	}
@@ -139,13 +138,13 @@
 			total += n
 		}
 	}
-	if total < r.step.Count {
+	if total < r.count {
 		return nil
 	}
 	slices.SortStableFunc(list, func(a, b share) int {
 		return cmp.Or(cmp.Compare(flag(a.flaky), flag(b.flaky)), cmp.Compare(a.left(r, free), b.left(r, free)))
 	})
-	left := r.step.Count
+	left := r.count
 	var out []share
 	for _, c := range list {
 		n := min(c.count, left)
@@ -158,24 +157,29 @@
 }
 
 // hold keeps room for a gang that finds no place, so that smaller jobs do not
-// take it up again, and stops others where the team's guarantee is due.
+// take it up again, unless others are stopped for it.
 func (p *pass) hold(r *request, waited time.Duration) {
-	guaranteed := p.guaranteed(r.job)
-	if guaranteed && waited >= time.Duration(reclaimShare*float64(p.s.cfg.Limits.Reclaim)) {
-		p.reclaim(r)
+	if p.claim(r, waited) {
 		return
 	}
-	if !guaranteed && (p.holding >= maxHolding || p.busy() < idleShare) {
+	if !p.guaranteed(r.job) && (p.holding >= maxHolding || p.busy() < idleShare) {
 		return
 	}
+	if chosen, _ := p.soonest(r, waited); chosen != nil {
+		p.holding++
+		p.keep(r, chosen)
+	}
+}
+
+// soonest returns the place that comes free first by runs that end by themselves, and within which time.
+func (p *pass) soonest(r *request, waited time.Duration) ([]share, time.Duration) {
 	for _, horizon := range horizons {
 		soon := func(st *site) batch.Need { return p.freeWithin(st, horizon).Minus(st.held) }
 		if chosen := p.fit(r, soon, p.mayspread(r, waited+horizon)); chosen != nil {
-			p.holding++
-			p.keep(r, chosen)
-			return
+			return chosen, horizon
 		}
 	}
+	return nil, 0
 }
 
 // horizons are the times within which a blocked gang may expect its place, for
--- a/sched/place.go
+++ b/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,18 +51,25 @@
 		for _, j := range p.order() {
 			p.job(j)
 		}
+		p.prune()
 	})
 	for _, st := range p.out {
 		o.pending[st.Task] = st
 	}
-	for ref := range o.stopping {
-		if j := p.jobOf(ref); j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run {
-			delete(o.stopping, ref)
-		}
-	}
 	return p.out
 }
 
+// prune forgets what was noted of steps of closed jobs and of runs that have stopped.
+func (p *pass) prune() {
+	closed := func(id batch.TaskID, _ time.Duration) bool { return p.book.Open[id.Job] == nil }
+	maps.DeleteFunc(p.o.blocked, closed)
+	maps.DeleteFunc(p.o.reclaimAt, closed)
+	maps.DeleteFunc(p.o.stopping, func(ref RunRef, _ string) bool {
+		j := p.jobOf(ref)
+		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
+	})
+}
+
 func (p *pass) jobOf(ref RunRef) *batch.Job { return p.book.Jobs[ref.Task.Job] }
 
 // order returns the open jobs, the most urgent first.
@@ -142,12 +150,14 @@
 	step    batch.Step
 	service string
 	need    batch.Need
-	ticket  map[string]string // nil when no ticket is needed
+	// count is how many tasks are to be placed together.
+	count  int
+	ticket map[string]string // nil when no ticket is needed
 }
 
 func (p *pass) request(j *batch.Job, first batch.TaskID) (request, bool) {
 	r := request{job: j, first: first, step: j.Spec.Steps[first.Step], service: p.service(j)}
-	r.need = r.step.Charge()
+	r.need, r.count = r.step.Charge(), r.step.Count
 	if needsTicket(p.book, j) {
 		t := p.o.tickets[stepName(first)]
 		if t == nil || p.now >= t.until {
@@ -177,7 +187,7 @@
 	if !r.allowed(st) {
 		return 0
 	}
-	n := r.step.Count
+	n := r.count
 	for _, dim := range [][2]int{{free.GPUs, r.need.GPUs}, {free.CPUMilli, r.need.CPUMilli}, {free.MemoryMB, r.need.MemoryMB}} {
 		if dim[1] > 0 {
 			n = min(n, max(0, dim[0])/dim[1])
@@ -224,18 +234,40 @@
 	if !ok {
 		return
 	}
-	for i := range j.Rounds[first.Round][first.Step].Tasks {
-		id := first
-		id.Index = i
-		if !p.idle(j, id) {
-			continue
-		}
+	waiting := p.idleTasks(j, first)
+	for i, id := range waiting {
 		best := p.bestSite(&r)
 		if best == nil {
+			r.count = len(waiting) - i
+			p.claim(&r, p.blockedFor(first))
 			return
 		}
 		p.start(best, id, j.Task(id).Run+1)
 	}
+	delete(p.o.blocked, first)
+}
+
+// idleTasks returns the tasks of a step that wait for a run.
+func (p *pass) idleTasks(j *batch.Job, first batch.TaskID) []batch.TaskID {
+	var out []batch.TaskID
+	for i := range j.Rounds[first.Round][first.Step].Tasks {
+		id := first
+		id.Index = i
+		if p.idle(j, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// blockedFor returns how long a step has found no place for what waits of it.
+func (p *pass) blockedFor(first batch.TaskID) time.Duration {
+	since, ok := p.o.blocked[first]
+	if !ok {
+		since = p.now
+		p.o.blocked[first] = since
+	}
+	return p.now - since
 }
 
 // bestSite returns the worker for one task: near its data, reliable, and with the least room left over.
@@ -272,5 +304,4 @@
 func (p *pass) start(st *site, id batch.TaskID, run int) {
 	p.take(st, id)
 	p.out = append(p.out, batch.Start{Task: id, Run: run, Worker: st.id, Life: st.beat.Life})
-	delete(p.o.blocked, batch.TaskID{Job: id.Job, Round: id.Round, Step: id.Step})
 }
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -32,17 +32,16 @@
 // rank returns the place of a job in the order of work.
 func (p *pass) rank(j *batch.Job) rank {
 	r := rank{guaranteed: p.guaranteed(j), priority: p.priority(j), dueMS: j.AcceptedMS}
-	q, ok := p.book.Catalog.Queue(j.Queue)
-	if !ok || j.Spec.Lasting() || j.Spec.Rounds > 0 {
+	due, ok := p.objective(j)
+	if !ok {
 		return r
 	}
-	objective := int64(q.Stretch*float64(chainMS(j, 0, false))) + int64(q.TargetMS)
 	left := chainMS(j, 0, true)
-	r.dueMS = j.AcceptedMS + objective
+	r.dueMS = due
 	switch {
-	case p.nowMS+left <= j.AcceptedMS+objective:
+	case p.nowMS+left <= due:
 		r.promise = inTime
-	case p.nowMS+left <= j.AcceptedMS+lateFactor*objective:
+	case p.nowMS+left <= j.AcceptedMS+lateFactor*(due-j.AcceptedMS):
 		r.promise = late
 	default:
 		r.promise = useless
@@ -50,6 +49,15 @@
 	return r
 }
 
+// objective returns when a job misses its objective, in unix milliseconds; false for jobs without one.
+func (p *pass) objective(j *batch.Job) (int64, bool) {
+	q, ok := p.book.Catalog.Queue(j.Queue)
+	if !ok || j.Spec.Lasting() || j.Spec.Rounds > 0 {
+		return 0, false
+	}
+	return j.AcceptedMS + int64(q.Stretch*float64(chainMS(j, 0, false))) + int64(q.TargetMS), true
+}
+
 func compareRanks(a, b rank) int {
 	return cmp.Or(
 		cmp.Compare(flag(!a.guaranteed), flag(!b.guaranteed)),
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -74,8 +74,10 @@
 	stopping map[RunRef]string
 	// blocked holds since when a gang has found no place.
 	blocked map[batch.TaskID]time.Duration
-	tickets map[string]*tickets
-	wake    chan struct{}
+	// reclaimAt is when room for a step may be looked for among others again.
+	reclaimAt map[batch.TaskID]time.Duration
+	tickets   map[string]*tickets
+	wake      chan struct{}
 	// planned is closed when the latest placement pass is committed.
 	planned chan struct{}
 }
@@ -117,7 +119,7 @@
 	o := &office{
 		ctx: ctx, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.Boot(),
 		pending: map[batch.TaskID]batch.Start{}, workers: map[string]*worker{}, begun: map[string]bool{},
-		stopping: map[RunRef]string{}, broken: map[RunRef]bool{}, blocked: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
+		stopping: map[RunRef]string{}, broken: map[RunRef]bool{}, blocked: map[batch.TaskID]time.Duration{}, reclaimAt: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
 		wake: make(chan struct{}, 1), planned: make(chan struct{}),
 	}
 	s.mu.Lock()
