Stop others for a job's objective, not only for the reclaim time

A job of priority 0 waited 0.35 of the reclaim time (2.1 to 2.2 s) before others were stopped for it, while its own objective leaves about 2 s in all.

Change: others are stopped as soon as a job of priority 0 meets its objective only so; beyond the guarantee only runs of other priorities, and only while they lose under half of the job's own work. Victims are chosen for least lost work per task that gains room, in one rack where the gang wants one.

--- a/sched/reclaim.go
+++ b/sched/reclaim.go
@@ -9,8 +9,8 @@
 const (
 	// reclaimShare is the share of the reclaim time after which others are stopped for a guaranteed job in any case.
 	reclaimShare = 0.35
-	// claimMargin is how long before the last moment others are stopped for a job's objective.
-	claimMargin = 500 * time.Millisecond
+	// borrowedCost bounds the work that others lose for a job beyond its team's guarantee, in shares of the job's own.
+	borrowedCost = 0.5
 	// reclaimPause is how long a job for which others cannot make room waits before they are looked at again.
 	reclaimPause = 300 * time.Millisecond
 )
@@ -20,16 +20,18 @@
 	return p.priority(j) == 0 && j.Team != "" && p.demand[j.Team] <= p.book.Catalog.Guarantee(j.Team)
 }
 
-// claim stops others for a guaranteed job that would miss its objective or the
-// reclaim time otherwise, and holds the room. It reports whether room is on its way.
+// claim stops others for a job of priority 0 that would miss its objective, or
+// within its team's guarantee the reclaim time, and holds the room. It reports
+// whether room is on its way.
 func (p *pass) claim(r *request, waited time.Duration) bool {
-	if !p.guaranteed(r.job) || p.now < p.o.reclaimAt[r.first] {
+	if p.priority(r.job) > 0 || p.now < p.o.reclaimAt[r.first] {
 		return false
 	}
-	if waited < time.Duration(reclaimShare*float64(p.s.cfg.Limits.Reclaim)) && !p.urgent(r, waited) {
+	due := p.guaranteed(r.job) && waited >= time.Duration(reclaimShare*float64(p.s.cfg.Limits.Reclaim))
+	if !due && !p.urgent(r, waited) {
 		return false
 	}
-	if p.reclaim(r) {
+	if p.reclaim(r, p.mayspread(r, waited)) {
 		return true
 	}
 	p.o.reclaimAt[r.first] = p.now + reclaimPause
@@ -44,7 +46,7 @@
 	}
 	slack := time.Duration(due-p.nowMS-chainMS(r.job, r.first.Round, true)) * time.Millisecond
 	stopping := p.s.cfg.Limits.StopGrace + 2*p.o.beatInterval()
-	if slack < stopping || slack > stopping+claimMargin {
+	if slack < stopping {
 		return false
 	}
 	chosen, within := p.soonest(r, waited)
@@ -53,18 +55,18 @@
 
 // reclaim stops the least costly runs of others until a job has a place, and
 // holds that place; it reports whether there is one.
-func (p *pass) reclaim(r *request) bool {
+func (p *pass) reclaim(r *request, spread bool) bool {
 	freed := map[*site]batch.Need{}
 	for ref := range p.o.stopping {
 		p.release(freed, ref)
 	}
 	free := func(st *site) batch.Need { return st.free.Minus(st.held).Plus(freed[st]) }
-	if c := p.fit(r, free, true); c != nil {
+	if c := p.fit(r, free, spread); c != nil {
 		p.keep(r, c)
 		return true
 	}
 	chosen := p.cheapest(r, freed)
-	if chosen == nil {
+	if chosen == nil || !p.guaranteed(r.job) && costOf(chosen) > borrowedCost*workOf(r.job) {
 		return false
 	}
 	for _, v := range chosen {
@@ -74,7 +76,7 @@
 			p.s.cfg.Logger.Log("event", "run_preempted", "task", ref.Task, "run", ref.Run, "for", r.job.ID, "team", r.job.Team, "cost", v.cost)
 		}
 	}
-	c := p.fit(r, free, true)
+	c := p.fit(r, free, spread)
 	if c == nil {
 		return false
 	}
@@ -110,5 +112,17 @@
 	if step.Checkpoints {
 		done = min(done, 1) // progress since the last checkpoint
 	}
-	return done * (float64(step.Need.CPUMilli)/1000 + gpuWeight*float64(step.Need.GPUs))
+	return done * coresOf(step.Need)
+}
+
+// coresOf returns what a task takes in cores.
+func coresOf(n batch.Need) float64 { return float64(n.CPUMilli)/1000 + gpuWeight*float64(n.GPUs) }
+
+// workOf returns the core-seconds that one round of a job asks for.
+func workOf(j *batch.Job) float64 {
+	sum := 0.0
+	for _, st := range j.Spec.Steps {
+		sum += float64(st.Count) * float64(st.EstimateMS) / 1000 * coresOf(st.Need)
+	}
+	return sum
 }
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -233,6 +233,77 @@
 		Expect(f.running("other")).To(HaveLen(3))
 	})
 
+	// Guards against a guarantee that holds for gangs only: waiting single tasks stopped nobody.
+	It("stops others for single tasks of a job within its team's guarantee", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1", "w2")
+		f.submit("normal", "other", batch.Step{Count: 2, Need: gpus(8), EstimateMS: 100_000})
+		f.settle("other", 2)
+		f.submit("urgent", "j", batch.Step{Count: 8, Need: gpus(1), EstimateMS: 1000})
+		f.advance(3 * time.Second)
+		f.settle("j", 8)
+		Expect(f.running("other")).To(HaveLen(1), "one worker makes enough room")
+	})
+
+	// Guards against waiting a fixed part of the reclaim time while the job's own objective passes.
+	It("stops others as soon as a job meets its objective only so", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1")
+		f.submit("normal", "other", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 100_000})
+		f.settle("other", 1)
+		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.round() // no time passes
+		f.settle("j", 1)
+	})
+
+	It("waits for room that comes free in time by itself", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1")
+		f.submit("normal", "other", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 800})
+		f.settle("other", 1)
+		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.never("j")
+		Expect(f.workers["w1"].stopped).To(BeEmpty())
+	})
+
+	It("stops those that lose least, in one rack for a gang that wants one", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1", "w2")
+		f.add("r2", "dc1", "w3", "w4")
+		f.submit("normal", "dear", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 100_000, DataRack: "r1"})
+		f.settle("dear", 1)
+		f.submit("normal", "cheap", batch.Step{Count: 3, Need: gpus(8), EstimateMS: 100_000})
+		f.settle("cheap", 3)
+		for _, w := range f.workers {
+			for i := range w.beat.Running {
+				r := &w.beat.Running[i]
+				r.Percent = 1
+				if r.Task.Job == "dear" {
+					r.Percent = 90
+				}
+			}
+		}
+		f.round()
+		f.submit("urgent", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, SameRack: true, EstimateMS: 1000})
+		f.settle("j", 2)
+		Expect(f.running("dear")).To(HaveLen(1))
+		Expect(f.workers["w3"].stopped).To(HaveLen(1))
+		Expect(f.workers["w4"].stopped).To(HaveLen(1))
+	})
+
+	It("stops little for a job beyond the guarantee, and nobody of priority 0", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1", "w2", "w3")
+		f.submit("normal", "other", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 100_000})
+		f.settle("other", 1)
+		f.submit("urgent", "first", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 100_000})
+		f.settle("first", 2)
+		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.settle("j", 1)
+		Expect(f.running("first")).To(HaveLen(2))
+		Expect(f.running("other")).To(BeEmpty())
+	})
+
 	// A hunt at Canaleta (mix, seed 963619352387) found a job that stood still while most workers were free:
 	// their room was held for a gang that waited for others.
 	It("holds no room beside workers that are mostly free", func() {
--- a/sched/victim.go
+++ b/sched/victim.go
@@ -34,7 +34,7 @@
 		}
 		for id, run := range p.book.Runs[st.id] {
 			j := p.book.Jobs[id.Job]
-			if !p.stoppable(j, id, run) {
+			if !p.stoppable(r, j, RunRef{Task: id, Run: run}) {
 				continue
 			}
 			key := id
@@ -57,16 +57,17 @@
 	return c
 }
 
-// stoppable reports whether a run may be stopped for a guaranteed job.
-func (p *pass) stoppable(j *batch.Job, id batch.TaskID, run int) bool {
-	step := j.Spec.Steps[id.Step]
+// stoppable reports whether a run may be stopped for a job: never one within its
+// team's guarantee, and one of priority 0 only for such a job.
+func (p *pass) stoppable(r *request, j *batch.Job, ref RunRef) bool {
+	step := j.Spec.Steps[ref.Task.Step]
 	switch {
-	case p.o.stopping[RunRef{Task: id, Run: run}] != "", j.State.Final(), j.Task(id).Done:
+	case p.o.stopping[ref] != "", j.State.Final(), j.Task(ref.Task).Done:
 		return false
 	case step.Lasting && step.MayMiss >= 0:
 		return false
 	}
-	return !p.guaranteed(j)
+	return !p.guaranteed(j) && (p.priority(j) > 0 || p.guaranteed(r.job))
 }
 
 // victim collects the runs that are stopped together: those of a gang, or one.
@@ -164,11 +165,15 @@
 			}
 		}
 	}
-	cost := 0.0
-	for _, v := range out {
-		cost += v.cost
+	return out, costOf(out), true
+}
+
+func costOf(list []*victim) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v.cost
 	}
-	return out, cost, true
+	return sum
 }
 
 // gain returns the least costly victims on one worker that make room for at
@@ -208,8 +213,5 @@
 			with, list = without, slices.Delete(list, i, i+1)
 		}
 	}
-	for _, v := range list {
-		cost += v.cost
-	}
-	return list, cost, p.room(r, st, with) - room
+	return list, costOf(list), p.room(r, st, with) - room
 }
