Let steps wait for the rack that they want, also for that of their data

A step whose data rack was full went elsewhere at once, a guaranteed gang after 0.35 of the reclaim time, and a slow place counted as one in time when stopping others was weighed. Runs that were ordered and not yet reported counted as endless.

Change: one rule for both wishes (mayBeRemote): 0.8 of the estimated time, for guaranteed jobs at most 0.6 of the reclaim time, and 1.5 s while most accelerators are idle.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -9,13 +9,17 @@
 )
 
 const (
-	// spreadPatience is how long, in shares of its estimated time, a gang that wants one rack waits for
-	// one before it is spread; spread it takes a multiple of that time.
-	spreadPatience = 0.8
+	// remotePatience is how long, in shares of its estimated time, a step waits for the rack that it wants
+	// before it runs elsewhere, where it takes a multiple of that time.
+	remotePatience = 0.8
+	// remoteShare bounds that wait for a guaranteed job, in shares of the reclaim time.
+	remoteShare = 0.6
+	// idlePatience bounds that wait while most accelerators are idle.
+	idlePatience = 1500 * time.Millisecond
 	// maxHolding bounds the gangs for which room is held at once; more would idle the workers.
 	maxHolding = 3
-	// idleShare is the share of accelerators in use below which no room is held: waiting work must not
-	// stand beside workers that are mostly free.
+	// idleShare is the share of accelerators in use below which no room is held and no rack waited for:
+	// waiting work must not stand beside workers that are mostly free.
 	idleShare = 0.6
 )
 
@@ -35,14 +39,12 @@
 	if !ok {
 		return
 	}
-	waited := time.Duration(0)
-	if since, ok := p.o.blocked[first]; ok {
-		waited = p.now - since
-	}
+	waited := p.waited(first)
 	free := func(st *site) batch.Need { return st.free.Minus(st.held) }
-	chosen := p.fit(&r, free, p.mayspread(&r, waited))
+	chosen := p.fit(&r, free, p.mayBeRemote(&r, waited))
 	if chosen == nil {
-		p.hold(&r, p.blockedFor(first))
+		p.o.blocked[first] = p.now - waited
+		p.hold(&r, waited)
 		return
 	}
 	delete(p.o.blocked, first)
@@ -72,33 +74,42 @@
 	return leftover(rest, r.need)
 }
 
-// mayspread reports whether a gang that wants one rack may run on several now.
-func (p *pass) mayspread(r *request, waited time.Duration) bool {
-	if !r.step.SameRack {
+// mayBeRemote reports whether a step that wants one rack, or the rack of its
+// data, may now run where it is slow.
+func (p *pass) mayBeRemote(r *request, waited time.Duration) bool {
+	if !r.step.SameRack && r.step.DataRack == "" {
 		return true
 	}
-	patience := time.Duration(spreadPatience*float64(r.step.EstimateMS)) * time.Millisecond
-	if p.priority(r.job) == 0 {
-		patience = min(patience, time.Duration(reclaimShare*float64(p.s.cfg.Limits.Reclaim)))
+	patience := time.Duration(remotePatience*float64(r.step.EstimateMS)) * time.Millisecond
+	if p.guaranteed(r.job) {
+		patience = min(patience, time.Duration(remoteShare*float64(p.s.cfg.Limits.Reclaim)))
+	}
+	if p.busy() < idleShare {
+		patience = min(patience, idlePatience)
 	}
 	if waited >= patience {
 		return true
 	}
-	// A gang that fits in no empty rack gains nothing by waiting.
-	whole := func(st *site) batch.Need { return st.beat.Capacity }
-	return p.fitRack(r, whole) == nil
+	return p.fitsNoRack(r)
+}
+
+// fitsNoRack reports whether not even an empty rack that a step wants has room
+// for it, so that it gains nothing by waiting.
+func (p *pass) fitsNoRack(r *request) bool {
+	return p.fit(r, func(st *site) batch.Need { return st.beat.Capacity }, false) == nil
 }
 
-// fit chooses workers for all tasks of a gang, nil when there is no room.
-func (p *pass) fit(r *request, free func(*site) batch.Need, spread bool) []share {
+// fit chooses workers for all tasks of a request, nil when there is no room;
+// with remote also those on which they are slow.
+func (p *pass) fit(r *request, free func(*site) batch.Need, remote bool) []share {
 	if r.step.DataRack != "" {
 		in := func(st *site) bool { return st.beat.Rack == r.step.DataRack }
-		if c := p.pack(r, free, in); c != nil {
+		if c := p.pack(r, free, in); c != nil || !remote {
 			return c
 		}
 	}
 	if r.step.SameRack {
-		if c := p.fitRack(r, free); c != nil || !spread {
+		if c := p.fitRack(r, free); c != nil || !remote {
 			return c
 		}
 	}
@@ -165,17 +176,18 @@
 	if !p.guaranteed(r.job) && (p.holding >= maxHolding || p.busy() < idleShare) {
 		return
 	}
-	if chosen, _ := p.soonest(r, waited); chosen != nil {
+	if chosen, _ := p.soonest(r, func(d time.Duration) bool { return p.mayBeRemote(r, waited+d) }); chosen != nil {
 		p.holding++
 		p.keep(r, chosen)
 	}
 }
 
-// soonest returns the place that comes free first by runs that end by themselves, and within which time.
-func (p *pass) soonest(r *request, waited time.Duration) ([]share, time.Duration) {
+// soonest returns the place that comes free first by runs that end by themselves, and within which
+// time; remote says whether it may be a slow one that long from now.
+func (p *pass) soonest(r *request, remote func(time.Duration) bool) ([]share, time.Duration) {
 	for _, horizon := range horizons {
 		soon := func(st *site) batch.Need { return p.freeWithin(st, horizon).Minus(st.held) }
-		if chosen := p.fit(r, soon, p.mayspread(r, waited+horizon)); chosen != nil {
+		if chosen := p.fit(r, soon, remote(horizon)); chosen != nil {
 			return chosen, horizon
 		}
 	}
@@ -189,15 +201,23 @@
 // freeWithin returns the room on a worker once the runs that should end within d have ended.
 func (p *pass) freeWithin(st *site, d time.Duration) batch.Need {
 	free := st.free
-	for id, r := range st.running {
+	ends := func(id batch.TaskID, r RunState) {
 		j := p.book.Jobs[id.Job]
 		if j == nil || id.Step >= len(j.Spec.Steps) || j.Spec.Steps[id.Step].Lasting {
-			continue
+			return
 		}
 		if p.s.remaining(st.worker, j, r, p.now) <= d {
 			free = free.Plus(j.Spec.Steps[id.Step].Charge())
 		}
 	}
+	for id, r := range st.running {
+		ends(id, r)
+	}
+	for id, run := range p.book.Runs[st.id] {
+		if _, reported := st.running[id]; !reported {
+			ends(id, RunState{Task: id, Run: run})
+		}
+	}
 	return free
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -235,11 +235,15 @@
 		return
 	}
 	waiting := p.idleTasks(j, first)
+	waited := p.waited(first)
+	r.count = 1 // each task finds its place by itself
+	remote := p.mayBeRemote(&r, waited)
 	for i, id := range waiting {
-		best := p.bestSite(&r)
+		best := p.bestSite(&r, remote)
 		if best == nil {
 			r.count = len(waiting) - i
-			p.claim(&r, p.blockedFor(first))
+			p.o.blocked[first] = p.now - waited
+			p.claim(&r, waited)
 			return
 		}
 		p.start(best, id, j.Task(id).Run+1)
@@ -260,25 +264,28 @@
 	return out
 }
 
-// blockedFor returns how long a step has found no place for what waits of it.
-func (p *pass) blockedFor(first batch.TaskID) time.Duration {
-	since, ok := p.o.blocked[first]
-	if !ok {
-		since = p.now
-		p.o.blocked[first] = since
+// waited returns how long a step has found no place for what waits of it.
+func (p *pass) waited(first batch.TaskID) time.Duration {
+	if since, ok := p.o.blocked[first]; ok {
+		return p.now - since
 	}
-	return p.now - since
+	return 0
 }
 
-// bestSite returns the worker for one task: near its data, reliable, and with the least room left over.
-func (p *pass) bestSite(r *request) *site {
+// bestSite returns the worker for one task: reliable, near its data, and with the least room left over;
+// with remote also one that is not near.
+func (p *pass) bestSite(r *request, remote bool) *site {
 	var best *site
 	var bestCost [3]int
 	for _, st := range p.sites {
 		if p.room(r, st, st.free.Minus(st.held)) < 1 {
 			continue
 		}
-		cost := [3]int{flag(st.flaky), flag(r.step.DataRack != "" && st.beat.Rack != r.step.DataRack), leftover(st, r.need)}
+		far := r.step.DataRack != "" && st.beat.Rack != r.step.DataRack
+		if far && !remote {
+			continue
+		}
+		cost := [3]int{flag(st.flaky), flag(far), leftover(st, r.need)}
 		if best == nil || slices.Compare(cost[:], bestCost[:]) < 0 {
 			best, bestCost = st, cost
 		}
--- a/sched/reclaim.go
+++ b/sched/reclaim.go
@@ -31,7 +31,7 @@
 	if !due && !p.urgent(r, waited) {
 		return false
 	}
-	if p.reclaim(r, p.mayspread(r, waited)) {
+	if p.reclaim(r, p.mayBeRemote(r, waited)) {
 		return true
 	}
 	p.o.reclaimAt[r.first] = p.now + reclaimPause
@@ -49,19 +49,19 @@
 	if slack < stopping {
 		return false
 	}
-	chosen, within := p.soonest(r, waited)
+	chosen, within := p.soonest(r, func(time.Duration) bool { return p.fitsNoRack(r) })
 	return chosen == nil || within > slack
 }
 
 // reclaim stops the least costly runs of others until a job has a place, and
 // holds that place; it reports whether there is one.
-func (p *pass) reclaim(r *request, spread bool) bool {
+func (p *pass) reclaim(r *request, remote bool) bool {
 	freed := map[*site]batch.Need{}
 	for ref := range p.o.stopping {
 		p.release(freed, ref)
 	}
 	free := func(st *site) batch.Need { return st.free.Minus(st.held).Plus(freed[st]) }
-	if c := p.fit(r, free, spread); c != nil {
+	if c := p.fit(r, free, remote); c != nil {
 		p.keep(r, c)
 		return true
 	}
@@ -76,7 +76,7 @@
 			p.s.cfg.Logger.Log("event", "run_preempted", "task", ref.Task, "run", ref.Run, "for", r.job.ID, "team", r.job.Team, "cost", v.cost)
 		}
 	}
-	c := p.fit(r, free, spread)
+	c := p.fit(r, free, remote)
 	if c == nil {
 		return false
 	}
