Decode the new leader's answer into a value of its own

Change: a fresh value for the answer of the call. What a team asks for is the largest step of its jobs now, not their sum.

--- a/sched/advise.go
+++ b/sched/advise.go
@@ -74,7 +74,7 @@
 func (s *Scheduler) unadvised(o *office) (string, []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &pass{s: s, o: o, now: s.cfg.Boot(), nowMS: s.cfg.Wall().UnixMilli(), by: map[string]*site{}, granted: map[string]bool{}}
+	p := &pass{s: s, o: o, now: s.cfg.Boot(), nowMS: s.cfg.Wall().UnixMilli(), by: map[string]*site{}, demand: map[string]int{}}
 	var name string
 	var workers []string
 	o.ledger.View(func(b *batch.Book) {
--- a/sched/client.go
+++ b/sched/client.go
@@ -27,8 +27,8 @@
 
 // Do makes a call; the error is a *model.Error, whose outcome is unknown when the call may have had an effect.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
-	var a Answer
 	if c.local != nil {
+		var a Answer
 		err := c.leader.WhileLeading(ctx, func(ctx context.Context) error {
 			var err error
 			a, err = c.local.Answer(ctx, call)
@@ -49,6 +49,9 @@
 	if err != nil {
 		return Answer{}, model.AsError(err)
 	}
+	// The answer that the local scheduler gave before it lost the lead must not show through: decoding
+	// into it would keep its values wherever the new one omits a field.
+	var a Answer
 	if err := json.Unmarshal(response, &a); err != nil {
 		return Answer{}, model.Unknown(model.CodeInternal, "decode answer: %v", err)
 	}
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -38,7 +38,7 @@
 				continue
 			}
 			out.Starts = append(out.Starts, StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: o.checkpoint(j, id), Ticket: o.ticket(id, b.Worker, now)})
-			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", b.Worker, "seq", b.Seq, "age_ms", (now - w.heard).Milliseconds())
+			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", b.Worker, "seq", b.Seq, "age_ms", (now - w.heard).Milliseconds(), "checkpoint", o.checkpoint(j, id))
 		}
 		for id, r := range w.running {
 			why := o.unwanted(book, id, r.Run)
--- a/sched/place.go
+++ b/sched/place.go
@@ -44,7 +44,7 @@
 	defer s.mu.Unlock()
 	start := time.Now()
 	defer s.metrics.passSeconds.UpdateDuration(start)
-	p := &pass{s: s, o: o, now: s.cfg.Boot(), nowMS: s.cfg.Wall().UnixMilli(), by: map[string]*site{}, granted: map[string]bool{}}
+	p := &pass{s: s, o: o, now: s.cfg.Boot(), nowMS: s.cfg.Wall().UnixMilli(), by: map[string]*site{}, demand: map[string]int{}}
 	o.ledger.View(func(b *batch.Book) {
 		p.book = b
 		p.survey()
@@ -74,8 +74,13 @@
 
 // order returns the open jobs, the most urgent first.
 func (p *pass) order() []*batch.Job {
-	jobs := slices.Collect(maps.Values(p.book.Open))
-	p.grant(jobs)
+	jobs := make([]*batch.Job, 0, len(p.book.Open))
+	for _, j := range p.book.Open {
+		jobs = append(jobs, j)
+		if p.priority(j) == 0 {
+			p.demand[j.Team] += gpusOf(j)
+		}
+	}
 	ranks := make(map[*batch.Job]rank, len(jobs))
 	for _, j := range jobs {
 		ranks[j] = p.rank(j)
@@ -86,6 +91,16 @@
 	return jobs
 }
 
+// gpusOf returns the accelerators that the largest step of a job needs at once. What a team asks for
+// is rather counted too low than too high: its guarantee must not be missed because of later steps.
+func gpusOf(j *batch.Job) int {
+	n := 0
+	for _, st := range j.Spec.Steps {
+		n = max(n, st.Count*st.Need.GPUs)
+	}
+	return n
+}
+
 func (p *pass) priority(j *batch.Job) int {
 	if q, ok := p.book.Catalog.Queue(j.Queue); ok {
 		return q.Priority
--- a/sched/reclaim.go
+++ b/sched/reclaim.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"turmericroute/batch"
@@ -18,32 +16,8 @@
 )
 
 // guaranteed reports whether a job is within its team's guarantee.
-func (p *pass) guaranteed(j *batch.Job) bool { return p.granted[j.ID] }
-
-// grant finds the jobs within their team's guarantee: those of priority 0 in
-// the order of their acceptance, as far as its accelerators go. Further ones do
-// not take the guarantee away from those before them.
-func (p *pass) grant(jobs []*batch.Job) {
-	urgent := slices.DeleteFunc(slices.Clone(jobs), func(j *batch.Job) bool { return p.priority(j) > 0 || j.Team == "" })
-	slices.SortFunc(urgent, func(a, b *batch.Job) int {
-		return cmp.Or(cmp.Compare(a.AcceptedMS, b.AcceptedMS), cmp.Compare(a.ID, b.ID))
-	})
-	used := map[string]int{}
-	for _, j := range urgent {
-		if need := gpusOf(j); used[j.Team]+need <= p.book.Catalog.Guarantee(j.Team) {
-			used[j.Team] += need
-			p.granted[j.ID] = true
-		}
-	}
-}
-
-// gpusOf returns the accelerators that the largest step of a job needs at once.
-func gpusOf(j *batch.Job) int {
-	n := 0
-	for _, st := range j.Spec.Steps {
-		n = max(n, st.Count*st.Need.GPUs)
-	}
-	return n
+func (p *pass) guaranteed(j *batch.Job) bool {
+	return p.priority(j) == 0 && j.Team != "" && p.demand[j.Team] <= p.book.Catalog.Guarantee(j.Team)
 }
 
 // claim stops others for a job of priority 0 that would miss its objective, or
--- a/sched/survey.go
+++ b/sched/survey.go
@@ -30,8 +30,8 @@
 	sites []*site
 	by    map[string]*site
 	out   []batch.Start
-	// granted holds the open jobs that are within their team's guarantee.
-	granted map[string]bool
+	// demand counts the accelerators that the open jobs of priority 0 of each team need.
+	demand map[string]int
 	// holding counts the gangs for which room is held in this pass.
 	holding int
 }
