--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -165,6 +166,21 @@
 		Expect(f.running("j")).To(HaveKeyWithValue(at("j", 0, 0), "w2"))
 	})
 
+	// In a sweep of 3,000 workers heartbeats came every 2.5 s, and only those of the last 0.9 s got new runs.
+	It("places runs on all of many workers, whose heartbeats are further apart", func() {
+		f := newFarm()
+		const workers = 1800 // a heartbeat each 1.5 s
+		for i := range workers {
+			f.add("r1", "dc1", fmt.Sprintf("w%d", i))
+		}
+		f.now.Add(int64(1400 * time.Millisecond))
+		f.submit("normal", "j", batch.Step{Count: workers, Need: gpus(8), EstimateMS: 1000})
+		Eventually(func() (n int) {
+			f.r.machine.Batch().View(func(b *batch.Book) { n = len(b.Runs) })
+			return n
+		}, "10s").Should(Equal(workers))
+	})
+
 	It("ignores a heartbeat that is older than one it has seen, or of an earlier life", func() {
 		f := newFarm()
 		f.add("r1", "dc1", "w1")
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -32,8 +32,10 @@
 	minBeatInterval = 100 * time.Millisecond
 	// maxBeatRate bounds the heartbeats a second of all workers together, which cost the leader about 0.2 ms each.
 	maxBeatRate = 1200
-	// usableFor is how long after a heartbeat new runs are placed on a worker: three heartbeats and a margin.
-	usableFor = 900 * time.Millisecond
+	// usableFor is how long after a heartbeat new runs are placed on a worker: three heartbeats and a margin
+	// while there are few workers, else usableBeats of them.
+	usableFor   = 900 * time.Millisecond
+	usableBeats = 3
 	// passInterval is how often placement runs without an event.
 	passInterval = 100 * time.Millisecond
 	// commitWait bounds how long a heartbeat's answer waits for commits; workers drop answers after a second.
@@ -109,6 +111,9 @@
 	return max(minBeatInterval, time.Duration(len(o.workers))*time.Second/maxBeatRate)
 }
 
+// silentAfter returns how long after a heartbeat a worker does not count as silent.
+func (o *office) silentAfter() time.Duration { return max(usableFor, usableBeats*o.beatInterval()) }
+
 // expiry returns how long after a heartbeat arrived its lease has expired on any clock.
 func (s *Scheduler) expiry() time.Duration {
 	return time.Duration(float64(s.hold())*(1+maxClockSlowness)) + leaseMargin
--- a/sched/survey.go
+++ b/sched/survey.go
@@ -38,8 +38,9 @@
 
 // survey finds the room on each usable worker.
 func (p *pass) survey() {
+	silent := p.o.silentAfter()
 	for id, w := range p.o.workers {
-		if !w.usable(p.book, p.now) {
+		if !w.usable(p.book, p.now, silent) {
 			continue
 		}
 		st := &site{worker: w, id: id, free: w.beat.Capacity, flaky: w.flaky(p.now)}
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -52,7 +52,7 @@
 					continue
 				}
 				active++
-				if w := o.workers[t.Worker]; w != nil && now-w.heard >= usableFor {
+				if w := o.workers[t.Worker]; w != nil && now-w.heard >= o.silentAfter() {
 					id := ref.Task
 					id.Index = i
 					ends = append(ends, batch.End{Task: id, Run: t.Run, How: batch.EndLost, Checkpoint: w.running[id].Checkpoint})
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -57,9 +57,9 @@
 	return b.Worker == old.Worker || b.Address == old.Address || b.Machine != "" && b.Machine == old.Machine
 }
 
-// usable reports whether new runs may be placed on the worker now.
-func (w *worker) usable(b *batch.Book, now time.Duration) bool {
-	return !w.gone && !w.beat.Draining && now-w.heard < usableFor && !b.Out[w.beat.DataCentre]
+// usable reports whether new runs may be placed now on a worker that was silent for less than the given time.
+func (w *worker) usable(b *batch.Book, now, silent time.Duration) bool {
+	return !w.gone && !w.beat.Draining && now-w.heard < silent && !b.Out[w.beat.DataCentre]
 }
 
 // has reports whether the worker carries a label; the empty label is on every worker.
