Count failures that silent members of a broken gang report late

Members on silent workers of a broken gang count as ended at once; the silent one was the member that had failed, and its report named a run that had been replaced.

Change: the leader notes whether the member that ended first is known. Where it is not, the last attempt of a gang is not given out before the silent member's lease has expired, and a run taken for lost so is marked: a later end as failed counts. Failures of a gang are kept by run.

--- a/batch/change.go
+++ b/batch/change.go
@@ -32,6 +32,14 @@
 	Run        int    `json:"run"`
 	How        How    `json:"how"`
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Unsure means that a lost run may have failed: its worker is silent, and its lease has not expired.
+	Unsure bool `json:"unsure,omitempty"`
+}
+
+// LateFailure reports whether the end says of a run that was taken for lost that it had failed, which counts
+// whatever has become of the task since.
+func (e End) LateFailure(t Task) bool {
+	return e.How == EndFailed && t.Unsure != 0 && e.Run == t.Unsure && (e.Run != t.Run || !t.Active)
 }
 
 // Change is a change of the ledger; exactly one field is set.
--- a/batch/job.go
+++ b/batch/job.go
@@ -24,6 +24,8 @@
 	Worker   string `json:"worker,omitempty"`
 	Life     int64  `json:"life,omitempty"`
 	Failures int    `json:"failures,omitempty"`
+	// Unsure is the latest run that was taken for lost and may have failed; 0 when there is none.
+	Unsure int `json:"unsure,omitempty"`
 	// Checkpoint is the latest progress that is known durably; empty means none.
 	Checkpoint string `json:"checkpoint,omitempty"`
 }
@@ -32,10 +34,8 @@
 type StepState struct {
 	Tasks []Task `json:"tasks"`
 	Done  int    `json:"done"`
-	// Failures counts the failed runs of a gang.
-	Failures int `json:"failures,omitempty"`
-	// FailedRun is the latest run of a gang that counted as a failure.
-	FailedRun int `json:"failed_run,omitempty"`
+	// FailedRuns lists the runs of a gang that counted as failures.
+	FailedRuns []int `json:"failed_runs,omitempty"`
 }
 
 // Complete reports whether all tasks are done.
@@ -78,6 +78,11 @@
 	return true
 }
 
+// LastAttempt reports whether one more failure of a gang ends the job.
+func (j *Job) LastAttempt(id TaskID) bool {
+	return len(j.Rounds[id.Round][id.Step].FailedRuns)+1 >= j.MaxFailures
+}
+
 // complete reports whether all tasks of all rounds are done.
 func (j *Job) complete() bool {
 	for _, round := range j.Rounds {
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -170,11 +170,24 @@
 		return
 	}
 	t := j.Task(e.Task)
-	if t == nil || e.Run != t.Run {
+	if t == nil {
+		return
+	}
+	if e.LateFailure(*t) {
+		t.Unsure = 0
+		if !t.Done && !j.State.Final() {
+			b.fail(j, e, atMS)
+		}
+		return
+	}
+	if e.Run != t.Run {
 		return
 	}
 	if t.Active {
 		t.Active = false
+		if e.Unsure {
+			t.Unsure = e.Run
+		}
 		delete(b.Runs[t.Worker], e.Task)
 		if len(b.Runs[t.Worker]) == 0 {
 			delete(b.Runs, t.Worker)
@@ -201,25 +214,33 @@
 	case e.How == EndDone:
 		t.Done = true
 		st.Done++
-	case e.How == EndFailed && step.Gang:
-		if st.FailedRun < e.Run {
-			st.FailedRun = e.Run
-			st.Failures++
-		}
-		if st.Failures >= j.MaxFailures {
-			b.finish(j, JobFailed, fmt.Sprintf("gang of %s failed %d times", e.Task, st.Failures), atMS)
-		}
 	case e.How == EndFailed:
-		t.Failures++
-		if t.Failures >= j.MaxFailures {
-			b.finish(j, JobFailed, fmt.Sprintf("task %s failed %d times", e.Task, t.Failures), atMS)
-		}
+		b.fail(j, e, atMS)
 	}
 	if !j.State.Final() && j.complete() {
 		b.finish(j, JobSucceeded, "", atMS)
 	}
 }
 
+// fail counts a failed run, of a gang once for all members, and ends the job that has failed too often.
+func (b *Book) fail(j *Job, e End, atMS int64) {
+	st := &j.Rounds[e.Task.Round][e.Task.Step]
+	if !j.Spec.Steps[e.Task.Step].Gang {
+		t := j.Task(e.Task)
+		if t.Failures++; t.Failures >= j.MaxFailures {
+			b.finish(j, JobFailed, fmt.Sprintf("task %s failed %d times", e.Task, t.Failures), atMS)
+		}
+		return
+	}
+	if slices.Contains(st.FailedRuns, e.Run) {
+		return
+	}
+	st.FailedRuns = append(st.FailedRuns, e.Run)
+	if n := len(st.FailedRuns); n >= j.MaxFailures {
+		b.finish(j, JobFailed, fmt.Sprintf("gang of %s failed %d times", e.Task, n), atMS)
+	}
+}
+
 func (b *Book) upkeep(u Upkeep) {
 	w, ok := b.Waves[u.Wave]
 	if !ok {
--- a/sched/beat.go
+++ b/sched/beat.go
@@ -128,11 +128,7 @@
 		}
 		if wanted(b, e) {
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
-			if e.How == batch.EndBroken {
-				first := ref
-				first.Task.Index = 0
-				o.broken[first] = true
-			}
+			o.noteBreak(b, ref, e.How)
 			if e.How == batch.EndFailed {
 				w.failedAt = append(w.failedAt, now)
 			}
@@ -167,6 +163,20 @@
 	return ends
 }
 
+// noteBreak notes what the end of a member says of its gang: that it has broken, or by which member.
+func (o *office) noteBreak(b *batch.Book, ref RunRef, how batch.How) {
+	if !b.Jobs[ref.Task.Job].Spec.Steps[ref.Task.Step].Gang {
+		return
+	}
+	ref.Task.Index = 0
+	switch how {
+	case batch.EndBroken:
+		o.broken[ref] = true
+	case batch.EndFailed, batch.EndStopped, batch.EndLapsed:
+		o.breakers[ref] = true
+	}
+}
+
 // vanishedAfter is how many heartbeats in a row must omit a run that was
 // running; a long list of ends is sent in parts.
 const vanishedAfter = 4
@@ -178,7 +188,13 @@
 		return false
 	}
 	t := j.Task(e.Task)
-	if t == nil || t.Run != e.Run {
+	if t == nil {
+		return false
+	}
+	if (batch.End{Run: e.Run, How: e.How}).LateFailure(*t) {
+		return true
+	}
+	if t.Run != e.Run {
 		return false
 	}
 	return t.Active || e.How == batch.EndDone && !t.Done && !j.State.Final()
--- a/sched/place.go
+++ b/sched/place.go
@@ -64,6 +64,7 @@
 	closed := func(id batch.TaskID, _ time.Duration) bool { return p.book.Open[id.Job] == nil }
 	maps.DeleteFunc(p.o.blocked, closed)
 	maps.DeleteFunc(p.o.reclaimAt, closed)
+	maps.DeleteFunc(p.o.breakers, func(ref RunRef, _ bool) bool { return p.book.Open[ref.Task.Job] == nil })
 	maps.DeleteFunc(p.o.stopping, func(ref RunRef, _ string) bool {
 		j := p.jobOf(ref)
 		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -406,6 +406,49 @@
 		f.advance(time.Second)
 		f.settle("j", 2)
 	})
+
+	// At Canaleta, hunt-ac7d-27, the silent member was the one that had failed: its gang was started again before
+	// it could say so, and a third time after two failures.
+	It("is not given its last attempt while the silent member may have failed", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.settle("j", 2)
+		f.workers["w1"].end(f.workers["w1"].beat.Running[0].Task, batch.EndFailed)
+		f.beat("w1")
+		f.settle("j", 2)
+		silent := f.workers["w2"]
+		delete(f.workers, "w2")
+		f.add("r1", "dc1", "w3")
+		f.workers["w1"].end(f.workers["w1"].beat.Running[0].Task, batch.EndBroken)
+		f.beat("w1")
+		f.advance(time.Second)
+		f.never("j")
+		f.workers["w2"] = silent
+		silent.end(silent.beat.Running[0].Task, batch.EndFailed)
+		f.beat("w2")
+		Expect(f.state("normal", "j")).To(Equal(sched.StateFailed))
+	})
+
+	It("counts a failure that a silent member reports after its gang was started again", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.settle("j", 2)
+		silent := f.workers["w2"]
+		delete(f.workers, "w2")
+		f.add("r1", "dc1", "w3")
+		f.workers["w1"].end(f.workers["w1"].beat.Running[0].Task, batch.EndBroken)
+		f.beat("w1")
+		f.advance(time.Second)
+		f.settle("j", 2)
+		f.workers["w2"] = silent
+		silent.end(silent.beat.Running[0].Task, batch.EndFailed)
+		f.beat("w2")
+		f.workers["w3"].end(f.workers["w3"].beat.Running[0].Task, batch.EndFailed)
+		f.beat("w3")
+		Expect(f.state("normal", "j")).To(Equal(sched.StateFailed))
+	})
 })
 
 var _ = Describe("a worker that leaves", func() {
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -72,6 +72,8 @@
 	begun map[string]bool
 	// broken holds the runs of gangs, by their first member, of which a member reported that another one ended.
 	broken map[RunRef]bool
+	// breakers holds the runs of gangs, by their first member, of which the member that ended first is known.
+	breakers map[RunRef]bool
 	// stopping holds the runs that are stopped to make room, with the job that asked.
 	stopping map[RunRef]string
 	// blocked holds since when a gang has found no place.
@@ -124,7 +126,7 @@
 	o := &office{
 		ctx: ctx, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.Boot(),
 		pending: map[batch.TaskID]batch.Start{}, workers: map[string]*worker{}, begun: map[string]bool{},
-		stopping: map[RunRef]string{}, broken: map[RunRef]bool{}, blocked: map[batch.TaskID]time.Duration{}, reclaimAt: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
+		stopping: map[RunRef]string{}, broken: map[RunRef]bool{}, breakers: map[RunRef]bool{}, blocked: map[batch.TaskID]time.Duration{}, reclaimAt: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
 		wake: make(chan struct{}, 1), planned: make(chan struct{}),
 	}
 	s.mu.Lock()
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -34,6 +34,8 @@
 
 // brokenOff returns the ends of gang members on silent workers whose gang has
 // broken: others report that a member has ended, and with one member all end.
+// Where it is not known which one ended first, a silent one may have failed;
+// then the last attempt is not given out before its lease has expired.
 func (s *Scheduler) brokenOff(o *office) []batch.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,6 +48,14 @@
 				delete(o.broken, ref)
 				continue
 			}
+			if j.State.Final() {
+				delete(o.broken, ref)
+				continue
+			}
+			known := o.breakers[ref]
+			if !known && j.LastAttempt(ref.Task) {
+				continue
+			}
 			active := 0
 			for i, t := range j.Rounds[ref.Task.Round][ref.Task.Step].Tasks {
 				if !t.Active || t.Run != ref.Run {
@@ -55,7 +65,7 @@
 				if w := o.workers[t.Worker]; w != nil && now-w.heard >= o.silentAfter() {
 					id := ref.Task
 					id.Index = i
-					ends = append(ends, batch.End{Task: id, Run: t.Run, How: batch.EndLost, Checkpoint: w.running[id].Checkpoint})
+					ends = append(ends, batch.End{Task: id, Run: t.Run, How: batch.EndLost, Checkpoint: w.running[id].Checkpoint, Unsure: !known})
 				}
 			}
 			if active == 0 {
