Look for victims only where the job's place can be

Cause: found by reading. Victims were chosen among all usable workers, but the place is looked for in the rack of the job's data, or without unreliable workers in one rack. Where the two differed runs were stopped in vain, again every 300 ms.

Change: the same order of places for both, and runs are marked only once the room that they free gives the job its place. The set of victims is a map by worker.

Figures: the new test failed before: a run in the other rack was stopped too.

--- a/sched/reclaim.go
+++ b/sched/reclaim.go
@@ -65,20 +65,24 @@
 		p.keep(r, c)
 		return true
 	}
-	chosen := p.cheapest(r, freed)
+	chosen := p.cheapest(r, remote, freed)
 	if chosen == nil || !p.guaranteed(r.job) && costOf(chosen) > borrowedCost*workOf(r.job) {
 		return false
 	}
 	for _, v := range chosen {
 		for _, ref := range v.refs {
 			p.release(freed, ref)
-			p.o.stopping[ref] = r.job.ID
-			p.s.cfg.Logger.Log("event", "run_preempted", "task", ref.Task, "run", ref.Run, "for", r.job.ID, "team", r.job.Team, "cost", v.cost)
 		}
 	}
 	c := p.fit(r, free, remote)
 	if c == nil {
-		return false
+		return false // nobody is stopped in vain
+	}
+	for _, v := range chosen {
+		for _, ref := range v.refs {
+			p.o.stopping[ref] = r.job.ID
+			p.s.cfg.Logger.Log("event", "run_preempted", "task", ref.Task, "run", ref.Run, "for", r.job.ID, "team", r.job.Team, "cost", v.cost)
+		}
 	}
 	p.keep(r, c)
 	return true
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -307,6 +307,22 @@
 		Expect(f.workers["w4"].stopped).To(HaveLen(1))
 	})
 
+	// Guards against runs that are stopped in vain: room anywhere does not help a job that still waits for the
+	// rack of its data.
+	It("stops others in the rack of the job's data only", func() {
+		f := newFarm()
+		f.add("r1", "dc1", "w1")
+		f.add("r2", "dc1", "w2")
+		f.submit("normal", "other", batch.Step{Count: 2, Need: gpus(8), EstimateMS: 100_000})
+		f.settle("other", 2)
+		f.workers["w2"].beat.Running[0].Percent = 50
+		f.round()
+		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, DataRack: "r2", EstimateMS: 10_000})
+		f.settle("j", 1)
+		Expect(f.running("j")).To(HaveKeyWithValue(at("j", 0, 0), "w2"))
+		Expect(f.workers["w1"].stopped).To(BeEmpty())
+	})
+
 	It("stops little for a job beyond the guarantee, and nobody of priority 0", func() {
 		f := newFarm()
 		f.add("r1", "dc1", "w1", "w2", "w3")
--- a/sched/victim.go
+++ b/sched/victim.go
@@ -19,15 +19,10 @@
 	cost float64
 }
 
-// victimSet holds the victims that a job may have stopped, also by worker.
-type victimSet struct {
-	by map[batch.TaskID]*victim
-	at map[*site][]*victim
-}
-
-// victims returns what may be stopped for a job on workers that it can use.
-func (p *pass) victims(r *request) victimSet {
-	c := victimSet{by: map[batch.TaskID]*victim{}, at: map[*site][]*victim{}}
+// victims returns what may be stopped for a job on each worker that it can use, the least costly first.
+func (p *pass) victims(r *request) map[*site][]*victim {
+	by := map[batch.TaskID]*victim{}
+	at := map[*site][]*victim{}
 	for _, st := range p.sites {
 		if !r.allowed(st) {
 			continue
@@ -41,20 +36,20 @@
 			if j.Spec.Steps[id.Step].Gang {
 				key.Index = -1
 			}
-			v := c.by[key]
+			v := by[key]
 			if v == nil {
 				v = p.victim(j, key)
-				c.by[key] = v
+				by[key] = v
 			}
-			if !slices.Contains(c.at[st], v) {
-				c.at[st] = append(c.at[st], v)
+			if !slices.Contains(at[st], v) {
+				at[st] = append(at[st], v)
 			}
 		}
 	}
-	for _, list := range c.at {
+	for _, list := range at {
 		slices.SortFunc(list, func(a, b *victim) int { return cmp.Or(cmp.Compare(a.cost, b.cost), compareTasks(a.key, b.key)) })
 	}
-	return c
+	return at
 }
 
 // stoppable reports whether a run may be stopped for a job: never one within its
@@ -90,12 +85,12 @@
 
 // cheapest returns the victims of least cost whose room, with what is freed
 // already, gives a job a place; nil when there are none.
-func (p *pass) cheapest(r *request, freed map[*site]batch.Need) []*victim {
-	c := p.victims(r)
+func (p *pass) cheapest(r *request, remote bool, freed map[*site]batch.Need) []*victim {
+	at := p.victims(r)
 	var best []*victim
 	bestCost := 0.0
-	for _, scope := range p.scopes(r) {
-		chosen, cost, ok := p.cheapestIn(r, c, scope, freed)
+	for _, scope := range p.scopes(r, remote) {
+		chosen, cost, ok := p.cheapestIn(r, at, scope, freed)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestCost = chosen, cost
 		}
@@ -103,34 +98,40 @@
 	return best
 }
 
-// scopes returns the sets of workers in one of which a job needs all its room:
-// a rack, where it is slow elsewhere and some rack is large enough, or all.
-func (p *pass) scopes(r *request) [][]*site {
+// scopes returns the sets of workers in one of which a job needs all its room,
+// by the order in which fit looks for it: the rack of its data, a single rack, or
+// with remote anywhere.
+func (p *pass) scopes(r *request, remote bool) [][]*site {
 	usable := slices.DeleteFunc(slices.Clone(p.sites), func(st *site) bool { return !r.allowed(st) })
-	if !r.step.SameRack {
-		return [][]*site{usable}
-	}
 	racks := map[string][]*site{}
 	room := map[string]int{}
 	for _, st := range usable {
+		if st.flaky && r.step.SameRack && st.beat.Rack != r.step.DataRack {
+			continue // fit puts no gang on it that wants a rack
+		}
 		racks[st.beat.Rack] = append(racks[st.beat.Rack], st)
 		room[st.beat.Rack] += p.room(r, st, st.beat.Capacity)
 	}
+	if r.step.DataRack != "" && room[r.step.DataRack] >= r.count {
+		return [][]*site{racks[r.step.DataRack]}
+	}
 	var out [][]*site
-	for _, rack := range slices.Sorted(maps.Keys(racks)) {
-		if room[rack] >= r.count {
-			out = append(out, racks[rack])
+	if r.step.SameRack && (remote || r.step.DataRack == "") {
+		for _, rack := range slices.Sorted(maps.Keys(racks)) {
+			if room[rack] >= r.count {
+				out = append(out, racks[rack])
+			}
 		}
 	}
-	if len(out) == 0 {
-		return [][]*site{usable}
+	if len(out) == 0 && remote {
+		out = append(out, usable)
 	}
 	return out
 }
 
 // cheapestIn chooses victims within a scope: again and again the worker whose
 // victims cost least for each task that gains room.
-func (p *pass) cheapestIn(r *request, c victimSet, scope []*site, before map[*site]batch.Need) ([]*victim, float64, bool) {
+func (p *pass) cheapestIn(r *request, at map[*site][]*victim, scope []*site, before map[*site]batch.Need) ([]*victim, float64, bool) {
 	freed := maps.Clone(before)
 	free := func(st *site) batch.Need { return st.free.Minus(st.held).Plus(freed[st]) }
 	taken := map[*victim]bool{}
@@ -146,7 +147,7 @@
 		var add []*victim
 		least := 0.0
 		for _, st := range scope {
-			list, cost, gained := p.gain(r, c, st, free(st), taken)
+			list, cost, gained := p.gain(r, at[st], st, free(st), taken)
 			if gained == 0 {
 				continue
 			}
@@ -178,7 +179,7 @@
 
 // gain returns the least costly victims on one worker that make room for at
 // least one more task there, their cost, and for how many.
-func (p *pass) gain(r *request, c victimSet, st *site, free batch.Need, taken map[*victim]bool) (list []*victim, cost float64, gained int) {
+func (p *pass) gain(r *request, victims []*victim, st *site, free batch.Need, taken map[*victim]bool) (list []*victim, cost float64, gained int) {
 	room := p.room(r, st, free)
 	if room >= r.count {
 		return nil, 0, 0
@@ -193,7 +194,7 @@
 		return n
 	}
 	with := free
-	for _, v := range c.at[st] {
+	for _, v := range victims {
 		if taken[v] {
 			continue
 		}
