Let the soak lose disks, which its schedule never did

Cause: found by reading the change again. The end of the last core fault was also overwritten by shorter later ones.

Change: the schedule waits until the core is whole, loses the disk, waits for the replacement, and extends its time by both. A lock and a field that only one goroutine used are gone.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -35,7 +35,11 @@
 		d := 300*time.Millisecond + time.Duration(rnd.Int64N(int64(longestFault)))
 		now := time.Now()
 		switch kind := rnd.IntN(16); {
-		case kind == 0 && now.Sub(diskLost) > diskGap && now.Sub(coreFault) > calmAfter:
+		case kind == 0 && now.Sub(diskLost) > diskGap:
+			// A disk is lost only while the rest of the core is whole.
+			sleep(ctx, time.Until(coreFault.Add(calmAfter)))
+			end = end.Add(time.Since(now) + calmAfter) // the pauses do not shorten the rest
+			now = time.Now()
 			i := rnd.IntN(s.cfg.Controls)
 			s.note("wipe %s", s.fleet.machines[i].name)
 			s.fleet.machines[i].harm(true)
@@ -44,20 +48,20 @@
 			sleep(ctx, calmAfter)
 		case kind <= 5:
 			s.harmProcess(rnd, d)
-			coreFault = now.Add(d)
+			coreFault = later(coreFault, now.Add(max(d, grace)))
 		case kind <= 9:
 			s.harmLink(rnd, d)
-			coreFault = now.Add(d)
+			coreFault = later(coreFault, now.Add(d))
 		default:
 			s.harmWorker(rnd, d)
 		}
-		latest = maxTime(latest, now.Add(d))
+		latest = later(latest, now.Add(d))
 		sleep(ctx, time.Duration(rnd.Int64N(int64(faultGap))))
 	}
 	sleep(ctx, time.Until(latest))
 }
 
-func maxTime(a, b time.Time) time.Time {
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
@@ -66,10 +70,7 @@
 
 // note logs a fault.
 func (s *soak) note(format string, args ...any) {
-	s.faultMu.Lock()
 	s.faults++
-	s.lastFault = time.Now()
-	s.faultMu.Unlock()
 	line := fmt.Sprintf("ts=%s at_s=%.3f fault=%q\n", time.Now().UTC().Format(time.RFC3339Nano), time.Since(s.ledger.began).Seconds(), fmt.Sprintf(format, args...))
 	f, err := os.OpenFile(filepath.Join(s.cfg.Dir, "faults.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err == nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,9 +39,7 @@
 	gangMu sync.Mutex
 	gangs  map[string]*gang
 
-	faultMu   sync.Mutex
-	lastFault time.Time
-	faults    int
+	faults int // counted by the goroutine that injects them
 
 	versionMu sync.Mutex
 	version   uint64
