Add a failing test: orders miss their bound while a machine stands still

itest 'orders of operators are acknowledged in time while a control machine stands still and acknowledgements are lost' plays operators as the platform describes them: machines picked at random from those that serve operators, a second for an answer, a growing pause, the first acknowledgement lost.

--- /dev/null
+++ b/itest/order_test.go
@@ -0,0 +1,102 @@
+package itest_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/batch"
+	"turmericroute/platform/stand"
+)
+
+const (
+	// ackLimit is the platform's bound for the acknowledgement of an order while the core is stable.
+	ackLimit = 4 * time.Second
+	// orderTimeout is how long an operator waits before it goes on to another machine.
+	orderTimeout = time.Second
+	// orderPause is added to the operator's pause with each attempt, up to maxOrderPause.
+	orderPause    = 100 * time.Millisecond
+	maxOrderPause = 500 * time.Millisecond
+)
+
+// deployServes reports whether the deploy file lets a role serve a kind of caller.
+func deployServes(role, callers string) bool {
+	GinkgoHelper()
+	b, err := os.ReadFile("../deploy/system.toml")
+	Expect(err).NotTo(HaveOccurred())
+	_, section, found := strings.Cut(string(b), "[roles."+role+"]")
+	Expect(found).To(BeTrue())
+	section, _, _ = strings.Cut(section, "[roles.")
+	serves := regexp.MustCompile(`(?m)^serves = (.*)$`).FindStringSubmatch(section)
+	Expect(serves).To(HaveLen(2))
+	return strings.Contains(serves[1], `"`+callers+`"`)
+}
+
+// operator sends orders as the platform's operators do: to machines picked at random, with a growing pause between
+// attempts. The first acknowledgement of each order is lost on its way, and the next attempt goes to another machine.
+type operator struct {
+	addresses []string
+	rnd       *rand.Rand
+}
+
+// declare sends a configuration until it is acknowledged and returns how long that took.
+func (o operator) declare(version uint64) time.Duration {
+	defer GinkgoRecover()
+	document, err := stand.Document(batch.Catalog{Version: version})
+	Expect(err).NotTo(HaveOccurred())
+	c := &stand.Caller{HTTP: &http.Client{Timeout: orderTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	sent := time.Now()
+	lost := "" // where the acknowledgement came from that was lost
+	for n := time.Duration(1); time.Since(sent) < 2*ackLimit; n++ {
+		address := o.addresses[o.rnd.IntN(len(o.addresses))]
+		for address == lost {
+			address = o.addresses[o.rnd.IntN(len(o.addresses))]
+		}
+		r, err := c.Declare(context.Background(), address, document)
+		if err == nil && r.Status == http.StatusOK {
+			if lost != "" {
+				break
+			}
+			lost = address
+		}
+		time.Sleep(min(n*orderPause, maxOrderPause))
+	}
+	return time.Since(sent)
+}
+
+var _ = Describe("orders of operators", func() {
+	// Guards against orders without acknowledgement because a machine that stands still takes a large part of the
+	// attempts of operators, a second each.
+	It("are acknowledged in time while a control machine stands still and acknowledgements are lost", func() {
+		f := newFleet(6)
+		f.configure(1)
+		leader := f.machines[f.leader()]
+		Expect(leader.cmd.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		f.configure(2)
+		// The machine that stands still comes first, so that the draws do not depend on which one led.
+		addresses := []string{stand.ControlAddress(leader.ip, f.ports)}
+		for _, m := range f.machines {
+			if m.servesControl && m != leader {
+				addresses = append(addresses, stand.ControlAddress(m.ip, f.ports))
+			}
+		}
+		const orders = 24
+		took := make([]time.Duration, orders)
+		var wg sync.WaitGroup
+		for i := range orders {
+			o := operator{addresses: addresses, rnd: rand.New(rand.NewPCG(uint64(i), 0))}
+			wg.Go(func() { took[i] = o.declare(uint64(3 + i)) })
+		}
+		wg.Wait()
+		Expect(took).To(HaveEach(BeNumerically("<", ackLimit)))
+	})
+})
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -30,9 +30,10 @@
 )
 
 type machine struct {
-	ip, settings string
-	cmd          *exec.Cmd
-	log          *os.File
+	ip, settings  string
+	servesControl bool
+	cmd           *exec.Cmd
+	log           *os.File
 }
 
 type fleet struct {
@@ -41,11 +42,11 @@
 	machines []*machine
 }
 
-// newFleet starts the machines; the first three are control machines and seeds.
-func newFleet() *fleet {
+// newFleet starts the machines; the first three are control machines and seeds, the others entries.
+func newFleet(entries int) *fleet {
 	f := &fleet{dir: tempDir(), ports: 20000 + rand.IntN(4000)}
 	net := 10 + rand.IntN(200)
-	for i := range 4 {
+	for i := range 3 + entries {
 		f.machines = append(f.machines, &machine{ip: fmt.Sprintf("127.0.%d.%d", net, i+1)})
 	}
 	for i := range f.machines {
@@ -76,6 +77,8 @@
 	for _, seed := range f.machines[:3] {
 		p.Seeds = append(p.Seeds, seed.ip)
 	}
+	m.servesControl = i < 3 || deployServes("entry", "control_plane")
+	p.ServesControl = m.servesControl
 	if i < 3 {
 		p.DataDir = filepath.Join(f.dir, fmt.Sprint("data-", i))
 	}
@@ -247,7 +250,7 @@
 	var f *fleet
 	var executors []*executor
 	BeforeEach(func() {
-		f = newFleet()
+		f = newFleet(1)
 		f.configure(1)
 		executors = []*executor{newExecutor(f, "i-1"), newExecutor(f, "i-2")}
 	})
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -171,7 +171,7 @@
 		seeds = append(seeds, f.machines[i].ip)
 	}
 	err := stand.WriteSettings(m.settings, stand.Process{
-		Name: m.name, IP: m.ip, DataCentre: m.dc, FirstPort: firstPort, Seeds: seeds, DataDir: m.data, Bootstrap: m.bootstrap,
+		Name: m.name, IP: m.ip, DataCentre: m.dc, FirstPort: firstPort, Seeds: seeds, DataDir: m.data, ServesControl: m.data != "", Bootstrap: m.bootstrap,
 		Bounds: stand.Bounds{Grace: grace, MaxHold: maxHold, StopGrace: stopGrace, Reclaim: reclaim, KeepFinished: keepJobs, HandOver: handOver},
 	})
 	if err != nil {
