Take orders of operators at every instance

Cause: only the control instances served operators, three at Asahikawa. An operator picks a machine at random, gives it a second, and after a lost answer goes to another one. While one control machine is suspended it takes every third attempt, and every second one after a lost answer; three such attempts are more than the bound. The instances that relay answer in 4 to 21 ms and were not the cause.

Change: entries serve workers and operators too, as the product's own instances do, so that one machine of nine stands still instead of one of three. Since the settings may then name entries as seeds, an instance without a disk answers where the members are, and the first membership is formed by the seeds that have a disk.

The soak now uses all instances for orders and heartbeats, and restarts with any three instances as seeds.

--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -72,7 +72,7 @@
 
 func (n *Node) seekMembership(ctx context.Context) error {
 	id, tainted, _ := n.boot.get()
-	peers := n.seedPeers()
+	peers := n.controls()
 	answers := n.identify(ctx, peers)
 	for _, a := range answers {
 		if a == nil || a.GetMembership() == nil {
@@ -84,22 +84,41 @@
 			return err
 		}
 	}
-	fresh := 0
 	for i, a := range answers {
-		switch {
-		case a.GetMembership() != nil:
+		if a.GetMembership() != nil {
 			return n.join(ctx, id, a.GetLeader(), peers[i])
-		case a.GetFresh():
-			fresh++
 		}
+		n.learnMembers(a.GetMembers())
 	}
 	if !n.cfg.Bootstrap || tainted || !n.seeded() {
 		return fmt.Errorf("no control peer has a membership")
 	}
-	if fresh < len(peers) {
-		return fmt.Errorf("%d of %d control peers are known to be fresh", fresh, len(peers))
+	fresh, err := freshSeeds(n.seedPeers(), answers)
+	if err != nil {
+		return err
 	}
-	return n.form(ctx, id, peers, answers)
+	return n.form(ctx, id, fresh)
+}
+
+// freshSeeds returns the members that the seeds with a disk would be; the error says that not all are known to be
+// fresh. A seed without a disk forms nothing, which all instances see alike.
+func freshSeeds(seeds []Peer, answers []*wire.IdentifyResponse) ([]quorum.Member, error) {
+	var fresh []quorum.Member
+	disks := 0
+	for _, p := range seeds {
+		at := slices.IndexFunc(answers, func(a *wire.IdentifyResponse) bool { return a.GetName() == p.Name })
+		if at >= 0 && answers[at].GetId() == "" {
+			continue
+		}
+		disks++
+		if at >= 0 && answers[at].GetFresh() {
+			fresh = append(fresh, quorum.Member{Name: p.Name, ID: answers[at].GetId(), Address: p.Address})
+		}
+	}
+	if len(fresh) < disks {
+		return nil, fmt.Errorf("%d of %d control peers are known to be fresh", len(fresh), disks)
+	}
+	return fresh, nil
 }
 
 // identify asks all peers at once; an answer is nil where a peer gave none.
@@ -127,13 +146,13 @@
 // form makes the initial membership if this instance has the lowest name. It
 // starts itself only after all others have synced the membership; if it fails
 // between, the next round finds the membership at one of them.
-func (n *Node) form(ctx context.Context, id string, peers []Peer, answers []*wire.IdentifyResponse) error {
+func (n *Node) form(ctx context.Context, id string, peers []quorum.Member) error {
 	m := quorum.Membership{Voters: []quorum.Member{{Name: n.cfg.Name, ID: id, Address: n.cfg.Address}}}
-	for i, p := range peers {
+	for _, p := range peers {
 		if p.Name < n.cfg.Name {
 			return fmt.Errorf("%s forms the membership", p.Name)
 		}
-		m.Voters = append(m.Voters, quorum.Member{Name: p.Name, ID: answers[i].GetId(), Address: p.Address})
+		m.Voters = append(m.Voters, p)
 	}
 	slices.SortFunc(m.Voters, func(a, b quorum.Member) int { return strings.Compare(a.Name, b.Name) })
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -84,11 +84,11 @@
 // respondHere answers on the leader, and confirms afterwards that it still
 // leads: the answer may renew leases that a later leader counts from its election.
 func (n *Node) respondHere(ctx context.Context, request []byte) ([]byte, *model.Error) {
-	if n.cfg.Responder == nil {
-		return nil, model.NotRun(model.CodeUnavailable, "this deployment answers no calls")
-	}
 	var resp []byte
 	err := n.WhileLeading(ctx, func(ctx context.Context) error {
+		if n.cfg.Responder == nil {
+			return model.NotRun(model.CodeUnavailable, "this deployment answers no calls")
+		}
 		var err error
 		resp, err = n.cfg.Responder.Respond(ctx, request)
 		return err //nolint:wrapcheck // a typed error.
@@ -142,10 +142,7 @@
 
 // Call answers a request that another instance hands on.
 func (s *server) Call(ctx context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
-	out := &wire.CallResponse{Leader: s.n.leaderName()}
-	for _, p := range memberPeers(s.n.applier.membership()) {
-		out.Members = append(out.Members, &wire.Member{Name: p.Name, Address: p.Address})
-	}
+	out := &wire.CallResponse{Leader: s.n.leaderName(), Members: s.n.knownMembers()}
 	resp, fail := s.n.respondHere(ctx, req.GetRequest())
 	if fail != nil && fail.Code == model.CodeNoLeader && fail.Outcome == model.OutcomeNotRun && req.GetRelay() {
 		resp, _, fail = s.n.callOnce(ctx, req.GetRequest(), "")
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -122,7 +122,7 @@
 	// Open means that Peers are only seeds: any control instance may join, members
 	// are named by their addresses, and voters that are gone are replaced.
 	Open bool
-	// Caller means that the instance keeps no copy of the state and does not listen: it only calls the leader.
+	// Caller means that the instance keeps no copy of the state: it calls the leader, and tells others where the members are.
 	Caller bool
 	// Leader runs while this instance leads; nil when there is nothing to run.
 	Leader LeaderRole
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -83,10 +83,6 @@
 			return err
 		}
 	}
-	if n.cfg.Caller {
-		n.cfg.Logger.Log("event", "caller_started", "name", n.cfg.Name, "seeds", len(n.seedPeers()))
-		return nil
-	}
 	lis, err := n.cfg.Listen("tcp", n.cfg.Address)
 	if err != nil {
 		if n.store != nil {
@@ -95,14 +91,19 @@
 		return fmt.Errorf("listen on %s: %w", n.cfg.Address, err)
 	}
 	n.listener = lis
+	n.server = newServer(n)
+	if n.cfg.Caller {
+		n.wg.Go(n.serve)
+		n.cfg.Logger.Log("event", "caller_started", "name", n.cfg.Name, "address", n.cfg.Address, "seeds", len(n.seedPeers()))
+		return nil
+	}
 	n.applier.wg.Go(n.applier.run)
 	if n.store != nil && n.recovered.Membership != nil {
 		if err := n.startMember(); err != nil {
 			return errors.Join(err, n.Close(ctx))
 		}
 	}
-	n.server = newServer(n)
-	n.wg.Go(func() { n.server.Serve(countedListener{lis, n.links}) }) //nolint:errcheck // ends with Stop.
+	n.wg.Go(n.serve)
 	if n.store == nil {
 		n.wg.Go(n.follow)
 	} else if n.member.Load() == nil {
@@ -116,6 +117,10 @@
 	return nil
 }
 
+func (n *Node) serve() {
+	n.server.Serve(countedListener{n.listener, n.links}) //nolint:errcheck // ends with Stop.
+}
+
 // openStore recovers the data folder; a damaged one is put aside and its
 // identity given up, so that what it promised to others is never relied on.
 func (n *Node) openStore() error {
--- a/ctrl/open_test.go
+++ b/ctrl/open_test.go
@@ -43,9 +43,14 @@
 	})
 }
 
-func (c *openCluster) caller() *ctrl.Node {
-	n := c.startWith(ctrl.Config{Name: "caller", Address: "127.0.0.1:1", Peers: c.seeds, Open: true, Caller: true})
-	return n
+// caller starts an instance without a disk at a free address that knows the seeds given.
+func (c *openCluster) caller(seeds ...ctrl.Peer) (*ctrl.Node, ctrl.Peer) {
+	a := freeAddress()
+	return c.callerAt(a, seeds...), ctrl.Peer{Name: a, Address: a, Control: true}
+}
+
+func (c *openCluster) callerAt(address string, seeds ...ctrl.Peer) *ctrl.Node {
+	return c.startWith(ctrl.Config{Name: address, Address: address, Peers: seeds, Open: true, Caller: true})
 }
 
 func (c *openCluster) voters(from string) func() []string {
@@ -78,7 +83,42 @@
 		leader := c.leader()
 		Eventually(func() int { return len(c.nodes[leader].Status().Members) }, waitTimeout).Should(Equal(4))
 		Consistently(c.voters(leader), time.Second).Should(HaveLen(3), "a fourth voter survives no further loss")
-		Expect(call(c.caller(), waitTimeout)).To(Equal("asked " + leader))
+		n, _ := c.caller(c.seeds...)
+		Expect(call(n, waitTimeout)).To(Equal("asked " + leader))
+	})
+
+	// Guards against instances that find nobody when the seeds of their settings have no disk.
+	It("is found through instances without a disk", func() {
+		c := newOpenCluster(3)
+		for i, s := range c.seeds {
+			c.control(s.Address, fmt.Sprint(i), true)
+		}
+		leader := c.leader()
+		n, entry := c.caller(c.seeds...)
+		Expect(call(n, waitTimeout)).To(Equal("asked " + leader))
+		n, _ = c.caller(entry)
+		Expect(call(n, waitTimeout)).To(Equal("asked " + leader))
+		gone := c.seeds[0].Name
+		if gone == leader {
+			gone = c.seeds[1].Name
+		}
+		c.close(gone)
+		c.seeds = []ctrl.Peer{entry}
+		fresh := freeAddress()
+		c.control(fresh, "fresh", false)
+		Eventually(c.voters(leader), waitTimeout).Should(And(HaveLen(3), ContainElement(fresh)))
+	})
+
+	// Guards against a first start that waits for the disk of a seed that has none.
+	It("forms from the seeds that have a disk", func() {
+		c := newOpenCluster(3)
+		entry := c.seeds[1]
+		c.callerAt(entry.Address, c.seeds...)
+		c.control(c.seeds[0].Address, "0", true)
+		c.control(c.seeds[2].Address, "2", true)
+		leader := c.leader()
+		Eventually(c.voters(leader), waitTimeout).Should(ConsistOf(c.seeds[0].Name, c.seeds[2].Name))
+		Expect(call(c.nodes[entry.Name], waitTimeout)).To(Equal("asked " + leader))
 	})
 
 	It("admits an empty disk at an old address that is not told to form a cluster", func() {
@@ -122,7 +162,8 @@
 			c.control(s.Address, fmt.Sprint(i), false)
 		}
 		Consistently(func() string { return c.nodes[c.seeds[0].Name].Status().Leader }, time.Second).Should(BeEmpty())
-		_, err := call(c.caller(), 300*time.Millisecond)
+		n, _ := c.caller(c.seeds...)
+		_, err := call(n, 300*time.Millisecond)
 		Expect(err).To(MatchError(ContainSubstring("no_leader")))
 	})
 })
--- a/ctrl/peers.go
+++ b/ctrl/peers.go
@@ -84,6 +84,19 @@
 	n.known.Store(&list)
 }
 
+// knownMembers returns the members by this instance's log, else those that others told of.
+func (n *Node) knownMembers() []*wire.Member {
+	peers := memberPeers(n.applier.membership())
+	if known := n.known.Load(); len(peers) == 0 && known != nil {
+		peers = *known
+	}
+	list := make([]*wire.Member, len(peers))
+	for i, p := range peers {
+		list[i] = &wire.Member{Name: p.Name, Address: p.Address}
+	}
+	return list
+}
+
 func memberPeers(m quorum.Membership) []Peer {
 	var list []Peer
 	for _, v := range slices.Concat(m.Voters, m.Learners) {
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -144,6 +144,8 @@
 		resp.Membership = membershipToWire(s.n.applier.membership())
 	case m != nil:
 		resp.Membership = membershipToWire(*m)
+	case id == "":
+		resp.Members = s.n.knownMembers()
 	}
 	return resp, nil
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -150,7 +150,7 @@
 		s.ledger.violate("configuration: %v", err)
 		return false
 	}
-	for n := 0; ctx.Err() == nil && n < 3*s.cfg.Controls; n++ {
+	for n := 0; ctx.Err() == nil && n < 3*len(s.fleet.machines); n++ {
 		try, cancel := context.WithTimeout(ctx, orderTimeout)
 		r, err := c.Declare(try, s.control(at+n), document)
 		cancel()
@@ -185,13 +185,13 @@
 	for ctx.Err() == nil {
 		if rnd.IntN(6) == 0 {
 			try, cancel := context.WithTimeout(ctx, orderTimeout)
-			r, err := c.Declare(try, s.control(rnd.IntN(s.cfg.Controls)), []byte(`{"version":1000000,"routes":[`))
+			r, err := c.Declare(try, s.control(rnd.IntN(len(s.fleet.machines))), []byte(`{"version":1000000,"routes":[`))
 			cancel()
 			if err == nil && r.Status < 400 {
 				s.ledger.violate("CONFIG: an invalid configuration is acknowledged")
 			}
 		}
-		s.declare(ctx, c, rnd.IntN(s.cfg.Controls))
+		s.declare(ctx, c, rnd.IntN(len(s.fleet.machines)))
 		sleep(ctx, time.Duration(rnd.IntN(600))*time.Millisecond)
 	}
 }
@@ -200,7 +200,7 @@
 func (s *soak) read(ctx context.Context, rnd *rand.Rand) {
 	c := s.caller()
 	for ctx.Err() == nil {
-		s.readAt(ctx, c, rnd.IntN(s.cfg.Controls))
+		s.readAt(ctx, c, rnd.IntN(len(s.fleet.machines)))
 		sleep(ctx, 50*time.Millisecond)
 	}
 }
@@ -214,6 +214,6 @@
 	if err != nil || r.Status != http.StatusOK {
 		return false
 	}
-	s.ledger.readBack(s.fleet.machines[i%s.cfg.Controls].name, version, least, string(r.Body))
+	s.ledger.readBack(s.fleet.machine(i).name, version, least, string(r.Body))
 	return true
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -192,7 +192,7 @@
 	sleep(ctx, calmAfter)
 	c := s.caller()
 	order := func(out bool) bool {
-		for n := 0; ctx.Err() == nil && n < 3*s.cfg.Controls; n++ {
+		for n := 0; ctx.Err() == nil && n < 3*len(s.fleet.machines); n++ {
 			try, cancel := context.WithTimeout(ctx, orderTimeout)
 			r, err := c.Outage(try, s.control(n), batch.Outage{DataCentre: dcName(0), Out: out})
 			cancel()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -81,6 +82,9 @@
 	return f, nil
 }
 
+// machine returns a machine by a number that may be past the last one.
+func (f *fleet) machine(i int) *machine { return f.machines[i%len(f.machines)] }
+
 func dcName(i int) string { return fmt.Sprintf("dc-%d", i%dataCentres) }
 
 func (m *machine) listen(count int) error {
@@ -163,15 +167,25 @@
 	}
 }
 
+// seeds returns the addresses that a process is told: control machines at its first start, later any that serve
+// control, as the platform's list may name them by then.
+func (f *fleet) seeds(bootstrap bool) []string {
+	var ips []string
+	for _, m := range f.machines {
+		ips = append(ips, m.ip)
+	}
+	if !bootstrap {
+		rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
+	}
+	return ips[:min(3, f.cfg.Controls)]
+}
+
 // start writes the settings and starts the process; the channel tells of its end.
 func (m *machine) start() (<-chan error, error) {
 	f := m.fleet
-	var seeds []string
-	for i := range min(3, f.cfg.Controls) {
-		seeds = append(seeds, f.machines[i].ip)
-	}
+	seeds := f.seeds(m.bootstrap)
 	err := stand.WriteSettings(m.settings, stand.Process{
-		Name: m.name, IP: m.ip, DataCentre: m.dc, FirstPort: firstPort, Seeds: seeds, DataDir: m.data, ServesControl: m.data != "", Bootstrap: m.bootstrap,
+		Name: m.name, IP: m.ip, DataCentre: m.dc, FirstPort: firstPort, Seeds: seeds, DataDir: m.data, ServesControl: true, Bootstrap: m.bootstrap,
 		Bounds: stand.Bounds{Grace: grace, MaxHold: maxHold, StopGrace: stopGrace, Reclaim: reclaim, KeepFinished: keepJobs, HandOver: handOver},
 	})
 	if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -92,9 +92,9 @@
 	return r, ctx.Err() //nolint:wrapcheck // the caller's own context.
 }
 
-// control returns the address of a control machine.
+// control returns the address at which a machine serves workers and operators, which all do.
 func (s *soak) control(i int) string {
-	return stand.ControlAddress(s.fleet.machines[i%s.cfg.Controls].ip, firstPort)
+	return stand.ControlAddress(s.fleet.machine(i).ip, firstPort)
 }
 
 // front returns the address of an entry.
@@ -138,7 +138,7 @@
 	r.gang.broken = !r.gang.done
 }
 
-// finish waits until all accepted jobs have ended, and reads the configuration back at every control machine.
+// finish waits until all accepted jobs have ended, and reads the configuration back at every machine.
 func (s *soak) finish(ctx context.Context) {
 	deadline := time.Now().Add(s.cfg.Settle)
 	caller := s.caller()
@@ -159,7 +159,7 @@
 		}
 		sleep(ctx, finishInterval)
 	}
-	for i := range s.cfg.Controls {
+	for i := range s.fleet.machines {
 		if !s.readAt(ctx, caller, i) {
 			s.ledger.violate("CONFIG: %s does not answer a read at the end", s.fleet.machines[i].name)
 		}
