--- /dev/null
+++ b/cmd/bench/days.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// playedDay is what a journal entry says of a day that was played.
+type playedDay struct {
+	Name  string         `json:"name"`
+	Seed  *uint64        `json:"seed"`
+	Rules map[string]any `json:"rules"`
+	// Short are the figures that missed the day's gate; a hunt prints broken rules only.
+	Short  []string `json:"short"`
+	Fault  any      `json:"fault"`
+	Served *float64 `json:"served"`
+}
+
+func (d playedDay) failed() bool { return len(d.Rules) > 0 || len(d.Short) > 0 || d.Fault != nil }
+
+// journalEntry is the part of a journal entry that names its days.
+type journalEntry struct {
+	Command string      `json:"cmd"`
+	Site    string      `json:"site"`
+	Days    []playedDay `json:"days"`
+}
+
+// daysCommand lists the days of journal entries that broke a rule or fell short of their gate.
+func daysCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "days", ShortUsage: "bench days FILE...", ShortHelp: "lists the days of journal entries that broke a rule or fell short",
+		FlagSet: flag.NewFlagSet("bench days", flag.ContinueOnError),
+		Exec: func(_ context.Context, files []string) error {
+			var failed error
+			for _, file := range files {
+				if err := listDays(os.Stdout, file); err != nil {
+					failed = errors.Join(failed, err)
+				}
+			}
+			return failed
+		},
+	}
+}
+
+// listDays prints the days of one entry; the error says that some failed, or that the entry cannot be read.
+func listDays(w io.Writer, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read entry: %w", err)
+	}
+	var e journalEntry
+	if err := json.Unmarshal(data, &e); err != nil {
+		return fmt.Errorf("decode %s: %w", file, err)
+	}
+	var served []float64
+	failed := 0
+	for _, d := range e.Days {
+		if d.Served != nil {
+			served = append(served, *d.Served)
+		}
+		if !d.failed() {
+			continue
+		}
+		failed++
+		seed := uint64(0)
+		if d.Seed != nil {
+			seed = *d.Seed
+		}
+		fmt.Fprintf(w, "site=%s day=%q seed=%d rules=%v short=%q fault=%v\n", e.Site, d.Name, seed, d.Rules, d.Short, d.Fault)
+	}
+	if len(served) > 0 {
+		fmt.Fprintf(w, "site=%s cmd=%s days=%d failed=%d served_min=%.3f\n", e.Site, e.Command, len(e.Days), failed, slices.Min(served))
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d days in %s failed", failed, len(e.Days), file)
+	}
+	return nil
+}
