Refuse orders at once where there has been no leader for long

Callers saw: an operator's attempt at an instance that is cut off from the leader was held for 950 ms of the second that operators wait, for as long as the cut lasted.

Cause: each call searches for a leader until its time is up, also where none was reached for many seconds, much longer than an election takes.

Clients and workers keep their time: they have few attempts, and a leader that comes back within it serves them.

--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -68,11 +68,12 @@
 	}
 	l.inTime()
 	n.learnMembers(resp.GetMembers())
-	switch {
-	case resp.GetNotLeader():
+	if resp.GetNotLeader() {
 		n.redirect(p.Name, resp.GetLeader())
 		return nil, "", noLeader(p.Name)
-	case resp.GetFailure() != nil:
+	}
+	n.led()
+	if resp.GetFailure() != nil {
 		return nil, "", failureFromWire(resp.GetFailure())
 	}
 	if resp.GetLeader() != "" {
@@ -122,6 +123,17 @@
 	return nil
 }
 
+// led notes that a leader is known or has answered.
+func (n *Node) led() { n.ledAt.Store(int64(clock.Boot())) }
+
+// Leaderless reports whether this instance has known no leader, or reached none, for longer than an election takes.
+func (n *Node) Leaderless() bool {
+	if m := n.member.Load(); m != nil && m.status.Load().Leader != "" {
+		return false
+	}
+	return clock.Boot()-time.Duration(n.ledAt.Load()) > leaderlessAfter
+}
+
 // HandOver makes another voter the leader if this instance leads, and waits for it a little.
 func (n *Node) HandOver(ctx context.Context) {
 	if m := n.member.Load(); m != nil {
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -34,6 +34,8 @@
 	// leaderSearch bounds the search for a leader; an election takes under 2 s, and
 	// an instance that is cut off must say so while its caller can still try another.
 	leaderSearch = 2500 * time.Millisecond
+	// leaderlessAfter is how long an instance is without a leader before it says so; an election takes under 2 s.
+	leaderlessAfter = 2 * time.Second
 	// retryDelay is the pause before a command is tried again that certainly was not proposed.
 	retryDelay = 20 * time.Millisecond
 	// bootInterval is how often a control instance without membership asks its peers.
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -46,6 +46,7 @@
 	known    atomic.Pointer[[]Peer]             // members that other instances told of
 	hint     atomic.Pointer[string]             // name of the leader, nil or empty when unknown
 	turn     atomic.Uint32                      // counts the peers asked for the leader
+	ledAt    atomic.Int64                       // when a leader was last known or answered, on the boot clock
 	view     atomic.Int64                       // time of the view on the boot clock
 	refollow atomic.Pointer[context.CancelFunc] // ends the stream that a diskless instance follows
 
@@ -78,6 +79,7 @@
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	n.led()
 	if n.cfg.DataDir != "" {
 		if err := n.openStore(); err != nil {
 			return err
@@ -172,6 +174,9 @@
 func (n *Node) roleChanged(s quorum.Status) {
 	n.cfg.Logger.Log("event", "role_changed", "role", s.Role, "term", s.Term, "leader", s.Leader, "voters", len(s.Membership.Voters), "learners", len(s.Membership.Learners))
 	n.metrics.roleChanges.Inc()
+	if s.Leader != "" || n.leaderName() != "" {
+		n.led()
+	}
 	leader, _ := s.Membership.Find(s.Leader)
 	n.learn(leader.Name)
 }
--- a/itest/order_test.go
+++ b/itest/order_test.go
@@ -74,6 +74,26 @@
 }
 
 var _ = Describe("orders of operators", func() {
+	// Guards against orders that wait a second at each instance that knows no leader.
+	It("are refused at once by instances that have had no leader for long", func() {
+		f := newFleet(1)
+		f.configure(1)
+		leader := f.leader()
+		f.machines[leader].kill()
+		f.machines[(leader+1)%3].kill()
+		document, err := stand.Document(batch.Catalog{Version: 2})
+		Expect(err).NotTo(HaveOccurred())
+		for _, i := range []int{(leader + 2) % 3, 3} {
+			Eventually(func(g Gomega) {
+				sent := time.Now()
+				r, err := platformCaller.Declare(context.Background(), f.control(i), document)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(r.Status).To(Equal(http.StatusServiceUnavailable))
+				g.Expect(time.Since(sent)).To(BeNumerically("<", orderTimeout/2))
+			}, "8s", "100ms").Should(Succeed())
+		}
+	})
+
 	// Guards against orders without acknowledgement because a machine that stands still takes a large part of the
 	// attempts of operators, a second each.
 	It("are acknowledged in time while a control machine stands still and acknowledgements are lost", func() {
--- a/sched/call.go
+++ b/sched/call.go
@@ -19,6 +19,11 @@
 	Ping    bool           `json:"ping,omitempty"`
 }
 
+// fromOperator reports whether the call is an operator's, who asks another instance at once when this one refuses.
+func (c Call) fromOperator() bool {
+	return c.Declare != nil || c.Catalog || c.Outage != nil || c.Wave != nil || c.WaveRef != nil
+}
+
 // JobRef names a job, or with an empty ID a queue, by its address, with the caller's key.
 type JobRef struct {
 	Host string `json:"host"`
--- a/sched/client.go
+++ b/sched/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"turmericroute/model"
 )
@@ -13,8 +14,13 @@
 	WhileLeading(ctx context.Context, f func(ctx context.Context) error) error
 	// Call hands an encoded call to the leader until ctx ends.
 	Call(ctx context.Context, request []byte) ([]byte, error)
+	// Leaderless reports whether no leader was reached for longer than an election takes.
+	Leaderless() bool
 }
 
+// leaderlessWait bounds an operator's wait where there was no leader for long. It is enough for one attempt.
+const leaderlessWait = 300 * time.Millisecond
+
 // Client makes calls from any instance.
 type Client struct {
 	leader Leader
@@ -45,6 +51,11 @@
 	if err != nil {
 		return Answer{}, model.NotRun(model.CodeInvalid, "encode call: %v", err)
 	}
+	if call.fromOperator() && c.leader.Leaderless() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, leaderlessWait)
+		defer cancel()
+	}
 	response, err := c.leader.Call(ctx, request)
 	if err != nil {
 		return Answer{}, model.AsError(err)
--- a/sched/client_test.go
+++ b/sched/client_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"turmericroute/batch"
 	"turmericroute/model"
 	"turmericroute/sched"
 )
@@ -23,7 +25,39 @@
 
 func (d deposed) Call(context.Context, []byte) ([]byte, error) { return json.Marshal(d.answer) }
 
+func (deposed) Leaderless() bool { return false }
+
+// cutOff is an instance that reaches no leader and searches until the context ends.
+type cutOff struct{ leaderless bool }
+
+func (cutOff) WhileLeading(context.Context, func(context.Context) error) error { return nil }
+
+func (cutOff) Call(ctx context.Context, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	return nil, model.NotRun(model.CodeNoLeader, "no leader is known")
+}
+
+func (c cutOff) Leaderless() bool { return c.leaderless }
+
 var _ = Describe("the client", func() {
+	// Guards against operators that wait a second at an instance that is cut off, instead of asking another one.
+	// Clients and workers have a few attempts only and are given the time in which a leader may come back.
+	DescribeTable("gives up the search for a leader",
+		func(call sched.Call, leaderless, soon bool) {
+			ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+			defer cancel()
+			start := time.Now()
+			_, err := sched.NewClient(cutOff{leaderless}, nil).Do(ctx, call)
+			Expect(err).To(MatchError(ContainSubstring("no_leader")))
+			Expect(time.Since(start) < 600*time.Millisecond).To(Equal(soon))
+		},
+		Entry("soon for an order when there was none for long", sched.Call{Declare: &batch.Catalog{}}, true, true),
+		Entry("soon for a read of the configuration when there was none for long", sched.Call{Catalog: true}, true, true),
+		Entry("late for a heartbeat", sched.Call{Beat: &sched.Beat{}}, true, false),
+		Entry("late for an order while one may be elected", sched.Call{Declare: &batch.Catalog{}}, false, false),
+		Entry("late for a client", sched.Call{Submit: &sched.Submit{}}, true, false),
+	)
+
 	// At Asahikawa grown, scale-2 seed 1010, an instance lost the lead between its answer to a heartbeat and the
 	// confirmation. The new leader's answer was decoded into the first one, so that a start went out with the
 	// checkpoint of another task.
