Send operators on from entries to the leader

With 1,400 routes (309 KB) hardly any order reached the leader through an entry: one machine was late to obey (CONFIG), version 10 had no acknowledgement for 9.3 s.

Cause: the operator's calls were relayed through links that are sized for clients' calls.

Change: an entry answers an operator's call with 307 and the leader's address once the leader has confirmed that it leads.

--- a/sched/call.go
+++ b/sched/call.go
@@ -17,11 +17,13 @@
 	Beat    *Beat          `json:"beat,omitempty"`
 	Leave   *Leave         `json:"leave,omitempty"`
 	Ping    bool           `json:"ping,omitempty"`
+	// Refer asks the leader to confirm that it leads, for an operator who is sent on to it.
+	Refer bool `json:"refer,omitempty"`
 }
 
 // fromOperator reports whether the call is an operator's, who asks another instance at once when this one refuses.
 func (c Call) fromOperator() bool {
-	return c.Declare != nil || c.Catalog || c.Outage != nil || c.Wave != nil || c.WaveRef != nil
+	return c.Declare != nil || c.Catalog || c.Outage != nil || c.Wave != nil || c.WaveRef != nil || c.Refer
 }
 
 // JobRef names a job, or with an empty ID a queue, by its address, with the caller's key.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -232,7 +232,7 @@
 		return o.wave(*c.WaveRef)
 	case c.Leave != nil:
 		return s.leave(o, c.Leave.Worker), nil
-	case c.Ping:
+	case c.Ping, c.Refer:
 		return Answer{}, nil
 	default:
 		return Answer{}, model.NotRun(model.CodeInvalid, "empty call")
