Tell seeds without a disk where the members are

Change: members tell seeds that are no members once a second, in the Identify call, where the members are.

Test: ctrl 'is found after a restart of all whose seeds have no disk'; before, the caller found no leader within 10 s. The soak now has four entries, so that some of its restarts name entries only.

--- a/ctrl/boot.go
+++ b/ctrl/boot.go
@@ -133,7 +133,7 @@
 			if conn == nil {
 				return
 			}
-			resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{})
+			resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{Members: n.knownMembers()})
 			if err == nil && resp.GetName() == p.Name {
 				answers[i] = resp
 			}
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -42,6 +42,8 @@
 	bootInterval = 200 * time.Millisecond
 	// joinTimeout bounds the addition of a learner.
 	joinTimeout = 5 * time.Second
+	// announceInterval is how often a member tells seeds that are no members where the members are.
+	announceInterval = time.Second
 	// memberInterval is how often the leader checks whether a learner can become a voter.
 	memberInterval = 200 * time.Millisecond
 	// handoverTimeout bounds the transfer of leadership in Close.
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -114,6 +114,7 @@
 	n.wg.Go(n.keepView)
 	if n.cfg.Open {
 		n.wg.Go(n.keepPlace)
+		n.wg.Go(n.announce)
 	}
 	n.cfg.Logger.Log("event", "node_started", "name", n.cfg.Name, "address", n.cfg.Address, "id", n.recovered.ID, "applied", n.machine.Applied())
 	return nil
--- a/ctrl/open_test.go
+++ b/ctrl/open_test.go
@@ -109,6 +109,27 @@
 		Eventually(c.voters(leader), waitTimeout).Should(And(HaveLen(3), ContainElement(fresh)))
 	})
 
+	// Guards against instances that never find each other when all restart with seeds that have no disk.
+	It("is found after a restart of all whose seeds have no disk", func() {
+		c := newOpenCluster(3)
+		for i, s := range c.seeds {
+			c.control(s.Address, fmt.Sprint(i), true)
+		}
+		c.leader()
+		controls := c.seeds
+		for _, s := range controls {
+			c.close(s.Name)
+		}
+		_, entry := c.caller(ctrl.Peer{Name: "127.0.0.1:9", Address: "127.0.0.1:9", Control: true})
+		c.seeds = []ctrl.Peer{entry}
+		for i, s := range controls {
+			c.control(s.Address, fmt.Sprint(i), false)
+		}
+		leader := c.leader()
+		n, _ := c.caller(entry)
+		Eventually(func() (string, error) { return call(n, time.Second) }, waitTimeout).Should(Equal("asked " + leader))
+	})
+
 	// Guards against a first start that waits for the disk of a seed that has none.
 	It("forms from the seeds that have a disk", func() {
 		c := newOpenCluster(3)
--- a/ctrl/peers.go
+++ b/ctrl/peers.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"turmericroute/clock"
 	"turmericroute/quorum"
 	"turmericroute/wire"
 )
@@ -97,6 +98,21 @@
 	return list
 }
 
+// announce tells the seeds that are no members where the members are: instances that know only these seeds, as after
+// a restart of all, find the members through them.
+func (n *Node) announce() {
+	for clock.Sleep(n.ctx, announceInterval) {
+		if n.member.Load() == nil {
+			continue
+		}
+		members := memberPeers(n.applier.membership())
+		others := slices.DeleteFunc(n.seedPeers(), func(p Peer) bool {
+			return slices.ContainsFunc(members, func(m Peer) bool { return m.Name == p.Name })
+		})
+		n.identify(n.ctx, others)
+	}
+}
+
 func memberPeers(m quorum.Membership) []Peer {
 	var list []Peer
 	for _, v := range slices.Concat(m.Voters, m.Learners) {
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -134,8 +134,11 @@
 }
 
 // Identify tells who this instance is and which membership is committed here.
-func (s *server) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+func (s *server) Identify(_ context.Context, req *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
 	id, tainted, m := s.n.boot.get()
+	if s.n.cfg.Caller {
+		s.n.learnMembers(req.GetMembers())
+	}
 	resp := &wire.IdentifyResponse{Name: s.n.cfg.Name, Id: id, Leader: s.n.leaderName()}
 	// A disk of an open deployment that is empty after the first start was lost.
 	resp.Fresh = id != "" && !tainted && m == nil && (s.n.cfg.Bootstrap || !s.n.cfg.Open)
--- a/soak/config.go
+++ b/soak/config.go
@@ -26,7 +26,7 @@
 		}
 	}
 	set(&c.Controls, 4)
-	set(&c.Entries, 2)
+	set(&c.Entries, 4)
 	set(&c.Workers, 9)
 	if c.Faulty == 0 {
 		c.Faulty = 20 * time.Second
