Log when an instance learns of other members

What an instance believes of the members decides whom it asks for the leader, and no line said when that changed. members_learned is logged on each change of the list, not on each answer that repeats it.

--- a/ctrl/peers.go
+++ b/ctrl/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"turmericroute/clock"
 	"turmericroute/quorum"
@@ -82,7 +83,17 @@
 	for i, m := range members {
 		list[i] = Peer{Name: m.GetName(), Address: m.GetAddress(), Control: true}
 	}
-	n.known.Store(&list)
+	if before := n.known.Swap(&list); before == nil || !slices.Equal(*before, list) {
+		n.cfg.Logger.Log("event", "members_learned", "members", memberNames(list))
+	}
+}
+
+func memberNames(list []Peer) string {
+	names := make([]string, len(list))
+	for i, p := range list {
+		names[i] = p.Name
+	}
+	return strings.Join(names, ",")
 }
 
 // knownMembers returns the members by this instance's log, else those that others told of.
