--- a/itest/order_test.go
+++ b/itest/order_test.go
@@ -4,9 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"regexp"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,18 +25,8 @@
 	maxOrderPause = 500 * time.Millisecond
 )
 
-// deployServes reports whether the deploy file lets a role serve a kind of caller.
-func deployServes(role, callers string) bool {
-	GinkgoHelper()
-	b, err := os.ReadFile("../deploy/system.toml")
-	Expect(err).NotTo(HaveOccurred())
-	_, section, found := strings.Cut(string(b), "[roles."+role+"]")
-	Expect(found).To(BeTrue())
-	section, _, _ = strings.Cut(section, "[roles.")
-	serves := regexp.MustCompile(`(?m)^serves = (.*)$`).FindStringSubmatch(section)
-	Expect(serves).To(HaveLen(2))
-	return strings.Contains(serves[1], `"`+callers+`"`)
-}
+// deployFile says which roles serve whom on the platform.
+const deployFile = "../deploy/system.toml"
 
 // operator sends orders as the platform's operators do: to machines picked at random, with a growing pause between
 // attempts. The first acknowledgement of each order is lost on its way, and the next attempt goes to another machine.
--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -77,7 +77,9 @@
 	for _, seed := range f.machines[:3] {
 		p.Seeds = append(p.Seeds, seed.ip)
 	}
-	m.servesControl = i < 3 || deployServes("entry", "control_plane")
+	entries, err := stand.RoleServesControl(deployFile, "entry")
+	Expect(err).NotTo(HaveOccurred())
+	m.servesControl = i < 3 || entries
 	p.ServesControl = m.servesControl
 	if i < 3 {
 		p.DataDir = filepath.Join(f.dir, fmt.Sprint("data-", i))
