Ask for the leader before a request is sent, and tell unsent requests from lost ones

Cause: an instance that knew no leader sent the whole request to one control instance after the other. When its time ran out during such an attempt, the request might have run, so the caller was told deadline_exceeded with outcome unknown although there was no leader (known red spec of ctrl). An attempt whose time was up before its request was written counted as sent as well. And an instance took the end of its leader's time as the last answer if a failed call had cleared the leader's name before, so it refused orders at once in an election.

Change: Identify tells the leader; the request goes only to the leader, or to an instance that still knows a leader which cannot be reached, to relay it. A gRPC stats handler records whether a request was handed to the connection. The end of the leader's time is noted on the protocol loop by itself.

Ruled out: a longer time limit in the spec (the caller's time is its own).

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -7,6 +7,9 @@
 	"strings"
 	"sync"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"turmericroute/clock"
 	"turmericroute/model"
 	"turmericroute/quorum"
@@ -124,29 +127,41 @@
 	return fresh, nil
 }
 
-// identifyPeers queries all peers concurrently; the response is nil for a peer that
-// didn't reply within viewTimeout or replied under another name.
+// identifyPeers queries all peers concurrently; see identify.
 func (n *Node) identifyPeers(ctx context.Context, peers []Peer) []*wire.IdentifyResponse {
-	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
-	defer cancel()
 	answers := make([]*wire.IdentifyResponse, len(peers))
 	var wg sync.WaitGroup
 	for i, p := range peers {
-		wg.Go(func() {
-			conn := n.links.get(p.Address).waitConn(ctx)
-			if conn == nil {
-				return
-			}
-			resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{Members: n.knownMembers()})
-			if err == nil && resp.GetName() == p.Name {
-				answers[i] = resp
-			}
-		})
+		wg.Go(func() { answers[i] = n.identify(ctx, p) })
 	}
 	wg.Wait()
 	return answers
 }
 
+// identify queries a peer; the response is nil if the peer didn't reply within
+// viewTimeout or replied under another name.
+func (n *Node) identify(ctx context.Context, p Peer) *wire.IdentifyResponse {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	l := n.links.get(p.Address)
+	conn := l.waitConn(ctx)
+	if conn == nil {
+		return nil
+	}
+	resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{Members: n.knownMembers()})
+	if err != nil {
+		if status.Code(err) == codes.DeadlineExceeded {
+			l.callTimedOut()
+		}
+		return nil
+	}
+	l.callAnswered()
+	if resp.GetName() != p.Name {
+		return nil
+	}
+	return resp
+}
+
 // formCluster creates the initial membership if this instance has the lowest name.
 // It adopts the membership only after all others have persisted it; if it fails
 // midway, the next attempt finds the membership at one of them.
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -50,34 +50,33 @@
 	}
 }
 
-// callOnce makes one attempt. If unreachable names a leader, another instance is
-// asked to relay the request. failedPeer is the instance that could not be reached.
+// callOnce makes one attempt. If unreachable names a leader, an instance that can
+// reach it is asked to relay the request. failedPeer is the leader that could not
+// be reached.
 func (n *Node) callOnce(ctx context.Context, request []byte, unreachable string) (response []byte, failedPeer string, _ *model.Error) {
 	if _, ok := n.leadership.current(); ok {
 		resp, fail := n.respondLocal(ctx, request)
 		return resp, "", fail
 	}
-	if unreachable != "" {
-		n.forgetLeader(unreachable)
-	}
-	p, conn := n.leaderConn(ctx)
-	if conn == nil {
-		return nil, p.Name, noLeaderError(p.Name)
+	t := n.callTarget(ctx, unreachable)
+	if t.conn == nil {
+		return nil, t.leader, noLeaderError(t.peer.Name)
 	}
 	attemptCtx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(len(request))*callTimeoutPerByte)
 	defer cancel()
+	attemptCtx, sent := recordSend(attemptCtx)
 	var options []grpc.CallOption
 	if len(request) > compressAboveBytes {
 		options = append(options, grpc.UseCompressor(gzip.Name))
 	}
-	l := n.links.get(p.Address)
-	resp, err := wire.NewControlClient(conn).Call(attemptCtx, &wire.CallRequest{Request: request, Relay: unreachable != "" && p.Name != unreachable}, options...)
+	p, l := t.peer, n.links.get(t.peer.Address)
+	resp, err := wire.NewControlClient(t.conn).Call(attemptCtx, &wire.CallRequest{Request: request, Relay: t.relay}, options...)
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded {
 			l.callTimedOut()
 		}
 		n.forgetLeader(p.Name)
-		return nil, p.Name, callError(ctx, p.Name, err)
+		return nil, t.leader, callError(ctx, p.Name, sent, err)
 	}
 	l.callAnswered()
 	n.learnMembers(resp.GetMembers())
@@ -95,6 +94,39 @@
 	return resp.GetResponse(), "", nil
 }
 
+// callTarget is the instance that an attempt is sent to.
+type callTarget struct {
+	peer Peer
+	conn *grpc.ClientConn // nil if no attempt can be made
+	// leader is the leader that the attempt should reach, empty if it is not known.
+	leader string
+	// relay means that peer hands the request on to the leader.
+	relay bool
+}
+
+// callTarget returns the leader, or if unreachable names a leader that could not
+// be reached, another instance that still knows it.
+func (n *Node) callTarget(ctx context.Context, unreachable string) callTarget {
+	if unreachable == "" {
+		p, conn, known := n.leaderConn(ctx)
+		if !known {
+			return callTarget{peer: p}
+		}
+		return callTarget{peer: p, conn: conn, leader: p.Name}
+	}
+	n.forgetLeader(unreachable)
+	asked, leader, ok := n.askForLeader(ctx)
+	switch {
+	case !ok:
+		return callTarget{peer: asked, leader: unreachable}
+	case leader.Name != unreachable || leader.Name == asked.Name:
+		return callTarget{peer: leader, conn: n.connTo(ctx, leader), leader: leader.Name}
+	default:
+		n.forgetLeader(unreachable)
+		return callTarget{peer: asked, conn: n.connTo(ctx, asked), leader: unreachable, relay: true}
+	}
+}
+
 // respondLocal answers a request on the leader and afterwards confirms that it
 // still leads: the response may renew leases, which a later leader counts from
 // its election.
--- /dev/null
+++ b/ctrl/call_test.go
@@ -0,0 +1,101 @@
+package ctrl_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	"turmericroute/ctrl"
+	"turmericroute/model"
+	"turmericroute/wire"
+)
+
+// silentPeer is a control instance that names a leader, if it has one, and never answers calls.
+type silentPeer struct {
+	wire.UnimplementedControlServer
+	address string
+	leader  string
+	calls   atomic.Int32
+}
+
+func newSilentPeer(leader func(address string) string) *silentPeer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p := &silentPeer{address: l.Addr().String()}
+	p.leader = leader(p.address)
+	s := grpc.NewServer()
+	wire.RegisterControlServer(s, p)
+	go s.Serve(l)
+	DeferCleanup(s.Stop)
+	return p
+}
+
+func (p *silentPeer) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+	return &wire.IdentifyResponse{Name: p.address, Leader: p.leader}, nil
+}
+
+func (p *silentPeer) Call(ctx context.Context, _ *wire.CallRequest) (*wire.CallResponse, error) {
+	p.calls.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (p *silentPeer) caller() *ctrl.Node {
+	c := newOpenCluster(0)
+	n, _ := c.startStateless(ctrl.Peer{Name: p.address, Address: p.address, Control: true})
+	return n
+}
+
+var _ = Describe("a call to the leader", func() {
+	// Guards against calls that end in doubt although there was no leader: the request was sent to instances
+	// that might lead, and time ran out before one of them answered.
+	It("is not sent to an instance that knows no leader, and has certainly not run", func() {
+		peer := newSilentPeer(func(string) string { return "" })
+		_, err := call(peer.caller(), 300*time.Millisecond)
+		Expect(model.AsError(err)).To(And(HaveField("Code", model.CodeNoLeader), HaveField("Outcome", model.OutcomeNotRun)))
+		Expect(peer.calls.Load()).To(BeZero())
+	})
+
+	It("is in doubt once it was sent to a leader that does not answer", func() {
+		peer := newSilentPeer(func(address string) string { return address })
+		_, err := call(peer.caller(), 300*time.Millisecond)
+		Expect(model.AsError(err)).To(HaveField("Outcome", model.OutcomeUnknown))
+		Expect(peer.calls.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against an attempt that failed before its request was written being taken for one that may have run.
+	It("has certainly not run if its time was up before it was sent", func() {
+		peer := newSilentPeer(func(address string) string { return address })
+		n := peer.caller()
+		_, err := call(n, 300*time.Millisecond) // makes the connection and the leader known
+		Expect(err).To(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.SetLeaderName(peer.address)
+		_, err = n.Call(ctx, []byte("late"))
+		Expect(model.AsError(err)).To(HaveField("Outcome", model.OutcomeNotRun))
+		Expect(peer.calls.Load()).To(BeEquivalentTo(1))
+	})
+})
+
+var _ = Describe("an instance that loses its leader", func() {
+	// Guards against orders that are refused as soon as an election starts, because a failed call had cleared the
+	// leader's name before the instance noted the end of the leader's time.
+	It("counts the time without a leader from the end of the leader's time", func() {
+		n, err := ctrl.New(ctrl.Config{Name: "a", Address: "127.0.0.1:1", DataDir: GinkgoT().TempDir(), OpenMembership: true})
+		Expect(err).NotTo(HaveOccurred())
+		n.RoleChanged("b")
+		n.AgeLeader(time.Minute)
+		n.SetLeaderName("")
+		n.RoleChanged("")
+		Expect(n.Leaderless()).To(BeFalse())
+		n.AgeLeader(time.Minute)
+		n.RoleChanged("")
+		Expect(n.Leaderless()).To(BeTrue(), "only the end of a leader's time counts")
+	})
+})
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -127,17 +127,18 @@
 
 // executeRemote forwards a command to the leader.
 func (n *Node) executeRemote(ctx context.Context, data []byte) outcome {
-	p, conn := n.leaderConn(ctx)
+	p, conn, _ := n.leaderConn(ctx)
 	if conn == nil {
 		return outcome{err: noLeaderError(p.Name)}
 	}
+	ctx, sent := recordSend(ctx)
 	resp, err := wire.NewControlClient(conn).Execute(ctx, &wire.ExecuteRequest{Command: data})
 	switch {
 	case err != nil:
 		if ctx.Err() == nil {
 			n.forgetLeader(p.Name)
 		}
-		return outcome{err: callError(ctx, p.Name, err)}
+		return outcome{err: callError(ctx, p.Name, sent, err)}
 	case resp.GetNotLeader():
 		n.noteRedirect(p.Name, resp.GetLeader())
 		return outcome{err: noLeaderError(p.Name)}
@@ -160,37 +161,55 @@
 	return model.NotRun(model.CodeNoLeader, "%s is not the leader or cannot be reached", peer)
 }
 
-// callError returns the error, with outcome unknown, for a failed call that may have reached peer.
-func callError(ctx context.Context, peer string, err error) *model.Error {
+// callError returns the error for a failed call to peer; its outcome is unknown if the request was sent.
+func callError(ctx context.Context, peer string, sent *sendRecord, err error) *model.Error {
+	if !sent.sent.Load() {
+		return noLeaderError(peer)
+	}
 	if ctx.Err() != nil || status.Code(err) == codes.DeadlineExceeded {
 		return model.Unknown(model.CodeDeadline, "%s did not answer in time", peer)
 	}
 	return model.Unknown(model.CodeUnavailable, "call to %s failed: %v", peer, err)
 }
 
-// leaderConn returns the leader, or a control peer that may know it, and a
-// connection to it; the connection is nil if there is none.
-func (n *Node) leaderConn(ctx context.Context) (Peer, *grpc.ClientConn) {
-	p, ok := n.callTarget()
+// leaderConn returns the leader and a connection to it, nil if it cannot be
+// reached. While the leader is not known, it asks one control peer: a request sent
+// to one instance after the other leaves its caller in doubt when time runs out, a
+// question does not. If that peer knows none either, known is false and the peer is
+// returned.
+func (n *Node) leaderConn(ctx context.Context) (p Peer, conn *grpc.ClientConn, known bool) {
+	p, ok := n.knownLeader()
 	if !ok {
-		return Peer{}, nil
+		asked, leader, ok := n.askForLeader(ctx)
+		if !ok {
+			return asked, nil, false
+		}
+		p = leader
 	}
-	ctx, cancel := context.WithTimeout(ctx, viewTimeout/2)
-	defer cancel()
-	conn := n.links.get(p.Address).waitConn(ctx)
-	if conn == nil {
+	if conn = n.connTo(ctx, p); conn == nil {
 		n.forgetLeader(p.Name)
 	}
-	return p, conn
+	return p, conn, true
 }
 
-// callTarget returns the leader if it is known, otherwise the control peers in rotation.
-func (n *Node) callTarget() (Peer, bool) {
-	if name := n.leaderName(); name != n.cfg.Name {
-		if p, ok := n.peerNamed(name); ok {
-			return p, true
-		}
+// connTo returns a connection to a peer, nil if there is none in time.
+func (n *Node) connTo(ctx context.Context, p Peer) *grpc.ClientConn {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout/2)
+	defer cancel()
+	return n.links.get(p.Address).waitConn(ctx)
+}
+
+// knownLeader returns the leader that this instance believes in, false if it knows none but itself.
+func (n *Node) knownLeader() (Peer, bool) {
+	name := n.leaderName()
+	if name == n.cfg.Name {
+		return Peer{}, false
 	}
+	return n.peerNamed(name)
+}
+
+// nextControlPeer returns the control peers in rotation.
+func (n *Node) nextControlPeer() (Peer, bool) {
 	peers := n.controlPeers()
 	if len(peers) == 0 {
 		return Peer{}, false
@@ -198,6 +217,25 @@
 	return peers[int(n.nextPeer.Add(1))%len(peers)], true
 }
 
+// askForLeader asks the next control peer which instance leads, and returns both;
+// it returns false if the peer doesn't know.
+func (n *Node) askForLeader(ctx context.Context) (asked, leader Peer, ok bool) {
+	if asked, ok = n.nextControlPeer(); !ok {
+		return Peer{}, Peer{}, false
+	}
+	answer := n.identify(ctx, asked)
+	if answer == nil {
+		return asked, Peer{}, false
+	}
+	n.learnMembers(answer.GetMembers())
+	leader, ok = n.peerNamed(answer.GetLeader())
+	if !ok || leader.Name == n.cfg.Name {
+		return asked, Peer{}, false
+	}
+	n.setLeaderName(leader.Name)
+	return asked, leader, true
+}
+
 // forgetLeader clears the known leader if it is the named instance, which could not be reached.
 func (n *Node) forgetLeader(name string) {
 	if n.leaderName() == name {
@@ -225,17 +263,18 @@
 	if err != nil {
 		return none, model.NotRun(model.CodeInvalid, "encode poll: %v", err)
 	}
-	p, conn := n.leaderConn(ctx)
+	p, conn, _ := n.leaderConn(ctx)
 	if conn == nil {
 		return none, noLeaderError(p.Name)
 	}
+	ctx, sent := recordSend(ctx)
 	resp, err := wire.NewControlClient(conn).Poll(ctx, &wire.PollRequest{Request: data})
 	switch {
 	case err != nil:
 		if ctx.Err() == nil {
 			n.forgetLeader(p.Name)
 		}
-		return none, callError(ctx, p.Name, err)
+		return none, callError(ctx, p.Name, sent, err)
 	case resp.GetNotLeader():
 		n.noteRedirect(p.Name, resp.GetLeader())
 		return none, noLeaderError(p.Name)
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"turmericroute/model"
 	"turmericroute/quorum"
@@ -64,3 +65,12 @@
 		return state.Result{}, nil, false
 	}
 }
+
+// SetLeaderName sets the leader that the instance believes in.
+func (n *Node) SetLeaderName(name string) { n.setLeaderName(name) }
+
+// RoleChanged reports a change of the leader, whose ID is its name, to the instance; empty means none.
+func (n *Node) RoleChanged(leader string) { n.roleChanged(quorum.Status{Leader: leader}) }
+
+// AgeLeader moves the time at which a leader was last known into the past.
+func (n *Node) AgeLeader(d time.Duration) { n.leaderSeenAt.Add(-int64(d)) }
--- a/ctrl/inquire.go
+++ b/ctrl/inquire.go
@@ -34,10 +34,11 @@
 	if _, ok := n.leadership.current(); ok {
 		return n.inquireLocal(ctx, q)
 	}
-	p, conn := n.leaderConn(ctx)
+	p, conn, _ := n.leaderConn(ctx)
 	if conn == nil {
 		return state.Report{}, noLeaderError(p.Name)
 	}
+	ctx, sent := recordSend(ctx)
 	resp, err := wire.NewControlClient(conn).Inquire(ctx, &wire.InquireRequest{Inquiry: data})
 	switch {
 	case err != nil:
@@ -45,7 +46,7 @@
 			n.forgetLeader(p.Name)
 		}
 		// An inquiry is read-only, so a failed one has outcome not_run in any case.
-		e := callError(ctx, p.Name, err)
+		e := callError(ctx, p.Name, sent, err)
 		return state.Report{}, model.NotRun(e.Code, "%s", e.Message)
 	case resp.GetNotLeader():
 		n.noteRedirect(p.Name, resp.GetLeader())
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(l.pool.credentials),
-		grpc.WithContextDialer(l.pool.dial),
+		grpc.WithContextDialer(l.pool.dial), grpc.WithStatsHandler(sendRecorder{}),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -46,6 +46,7 @@
 	learnedMembers atomic.Pointer[[]Peer]             // members reported by other instances
 	leaderHint     atomic.Pointer[string]             // name of the leader; nil or empty if unknown
 	nextPeer       atomic.Uint32                      // round-robin counter over the control peers
+	hadLeader      bool                               // whether a leader was known at the last change of role; used on the protocol loop
 	leaderSeenAt   atomic.Int64                       // boot clock time at which a leader was last known or replied
 	viewTime       atomic.Int64                       // boot clock time for which the local copy is known to be current
 	cancelFollow   atomic.Pointer[context.CancelFunc] // cancels the watch stream of a diskless instance
@@ -176,9 +177,11 @@
 func (n *Node) roleChanged(s quorum.Status) {
 	n.cfg.Logger.Log("event", "role_changed", "role", s.Role, "term", s.Term, "leader", s.Leader, "voters", len(s.Membership.Voters), "learners", len(s.Membership.Learners))
 	n.metrics.roleChanges.Inc()
-	if s.Leader != "" || n.leaderName() != "" {
+	// The end of a leader's time counts as well, whether or not a failed call has cleared the hint before.
+	if s.Leader != "" || n.hadLeader {
 		n.noteLeader()
 	}
+	n.hadLeader = s.Leader != ""
 	leader, _ := s.Membership.Find(s.Leader)
 	n.setLeaderName(leader.Name)
 }
--- a/ctrl/view.go
+++ b/ctrl/view.go
@@ -107,7 +107,7 @@
 			return index, true
 		}
 	}
-	p, conn := n.leaderConn(ctx)
+	p, conn, _ := n.leaderConn(ctx)
 	if conn == nil {
 		return 0, false
 	}
