--- a/batch/catalog.go
+++ b/batch/catalog.go
@@ -66,6 +66,20 @@
 	MaxBodyBytes int `json:"max_body_bytes,omitempty"`
 	// Source is the document that the operator sent; it is returned unchanged to readers.
 	Source []byte `json:"source"`
+
+	// queueIndex holds the position of each queue by name, nil until indexed.
+	queueIndex map[string]int
+}
+
+// indexed returns the catalog with an index of its queues.
+func (c Catalog) indexed() Catalog {
+	c.queueIndex = make(map[string]int, len(c.Queues))
+	for i, q := range c.Queues {
+		if _, ok := c.queueIndex[q.Name]; !ok {
+			c.queueIndex[q.Name] = i
+		}
+	}
+	return c
 }
 
 // Validate returns all faults of the catalog as one *model.Error, nil if there are none.
@@ -112,7 +126,7 @@
 }
 
 // QueueAt returns the queue on host with the longest prefix of path.
-func (c Catalog) QueueAt(host, path string) (Queue, bool) {
+func (c *Catalog) QueueAt(host, path string) (Queue, bool) {
 	var best Queue
 	found := false
 	for _, q := range c.Queues {
@@ -124,7 +138,14 @@
 }
 
 // Queue returns the queue with the given name.
-func (c Catalog) Queue(name string) (Queue, bool) {
+func (c *Catalog) Queue(name string) (Queue, bool) {
+	if c.queueIndex != nil {
+		i, ok := c.queueIndex[name]
+		if !ok {
+			return Queue{}, false
+		}
+		return c.Queues[i], true
+	}
 	i := slices.IndexFunc(c.Queues, func(q Queue) bool { return q.Name == name })
 	if i < 0 {
 		return Queue{}, false
@@ -133,7 +154,7 @@
 }
 
 // TeamByKey returns the team with the given API key.
-func (c Catalog) TeamByKey(key string) (Team, bool) {
+func (c *Catalog) TeamByKey(key string) (Team, bool) {
 	for _, t := range c.Teams {
 		if slices.Contains(t.Keys, key) {
 			return t, true
@@ -143,7 +164,7 @@
 }
 
 // Guarantee returns the number of accelerators guaranteed to a team, 0 if the team is unknown.
-func (c Catalog) Guarantee(team string) int {
+func (c *Catalog) Guarantee(team string) int {
 	for _, t := range c.Teams {
 		if t.Name == team {
 			return t.GuaranteedGPUs
--- a/batch/job.go
+++ b/batch/job.go
@@ -96,6 +96,20 @@
 	return true
 }
 
+// active reports whether any run of the job may be active.
+func (j *Job) active() bool {
+	for _, round := range j.Rounds {
+		for _, s := range round {
+			for _, t := range s.Tasks {
+				if t.Active {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func newRounds(s Spec) [][]StepState {
 	rounds := make([][]StepState, s.RoundCount())
 	for r := range rounds {
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -15,6 +15,8 @@
 type Ledger struct {
 	mu    sync.RWMutex
 	state State
+	// changesMu guards the exchange of state.changes while mu is held for reading.
+	changesMu sync.Mutex
 }
 
 // State is the content of a ledger. Callers of View must not modify it.
@@ -28,6 +30,8 @@
 	// Runs indexes the active runs: the run number of each active task, by worker.
 	Runs  map[string]map[TaskID]int
 	Waves map[int64]*Wave
+	// changes records what Apply changes, nil while nobody asks.
+	changes *Changes
 }
 
 // NewLedger returns an empty ledger.
@@ -69,9 +73,11 @@
 		}
 	case c.Catalog != nil:
 		if c.Catalog.Version > b.Catalog.Version {
-			b.Catalog = *c.Catalog
+			b.Catalog = c.Catalog.indexed()
+			b.changes.markAll()
 		}
 	case c.Outage != nil:
+		b.changes.markAll()
 		if c.Outage.Out {
 			b.OutOfService[c.Outage.DataCentre] = true
 		} else {
@@ -87,7 +93,8 @@
 		b.recordWaveProgress(*c.WaveProgress)
 	case c.Purge != nil:
 		for _, id := range c.Purge {
-			if j, ok := b.Jobs[id]; ok && j.State.Final() {
+			// A run that is still active needs its job until its end is recorded.
+			if j, ok := b.Jobs[id]; ok && j.State.Final() && !j.active() {
 				delete(b.Jobs, id)
 			}
 		}
@@ -104,6 +111,7 @@
 		Spec: a.Spec, State: JobOpen, AcceptedMS: atMS, Rounds: newRounds(a.Spec),
 	}
 	b.Jobs[a.ID], b.Open[a.ID] = j, j
+	b.changes.markJob(j.ID)
 	return Result{State: j.State}
 }
 
@@ -121,6 +129,7 @@
 func (b *State) finish(j *Job, s JobState, reason string, atMS int64) {
 	j.State, j.Reason, j.FinishedMS = s, reason, atMS
 	delete(b.Open, j.ID)
+	b.changes.markJob(j.ID)
 }
 
 // startRuns records the runs that can start. The members of a gang start together or not at all.
@@ -142,6 +151,8 @@
 		}
 		t := j.Task(s.Task)
 		t.Run, t.Active, t.Worker, t.Incarnation = s.Run, true, s.Worker, s.Incarnation
+		b.changes.markJob(j.ID)
+		b.changes.markWorker(s.Worker)
 		b.indexRun(s.Worker, s.Task, s.Run)
 	}
 }
@@ -185,6 +196,8 @@
 	if e.Run != t.Run {
 		return
 	}
+	b.changes.markJob(j.ID)
+	b.changes.markWorker(t.Worker)
 	if t.Active {
 		t.Active = false
 		if e.MayHaveFailed {
@@ -289,7 +302,7 @@
 		}
 	}
 	b := newState()
-	b.Catalog = snap.Catalog
+	b.Catalog = snap.Catalog.indexed()
 	for _, dc := range snap.OutOfService {
 		b.OutOfService[dc] = true
 	}
@@ -305,6 +318,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	b.changes = l.state.changes
+	b.changes.markAll()
 	l.state = b
 	return nil
 }
--- a/sched/advise.go
+++ b/sched/advise.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -52,7 +53,7 @@
 		return
 	}
 	for clock.Sleep(l.ctx, adviceInterval) {
-		step, workers := s.nextStepWithoutTickets(l)
+		step, job, workers := s.nextStepWithoutTickets(l)
 		if step == "" {
 			continue
 		}
@@ -66,73 +67,59 @@
 		}
 		s.mu.Lock()
 		l.tickets[step] = &tickets{byWorker: by, validUntil: s.cfg.BootClock() + validity - min(ticketMargin, validity/4)}
+		l.waiting.touched[job] = true
 		s.mu.Unlock()
 		l.triggerPass()
 	}
 }
 
-// nextStepWithoutTickets returns the name of the highest-ranked step that waits for tickets and the workers to
+// nextStepWithoutTickets returns the name of the highest-ranked step that waits for tickets, its job and the workers to
 // request them for; the name is empty if there is none. It also deletes tickets that expired over a minute ago
 // if no step waits.
-func (s *Scheduler) nextStepWithoutTickets(l *leaderState) (string, []string) {
+func (s *Scheduler) nextStepWithoutTickets(l *leaderState) (step, job string, workers []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := &pass{s: s, l: l, now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(), viewByID: map[string]*workerView{}, demand: map[string]int{}}
-	var name string
-	var workers []string
 	l.ledger.View(func(b *batch.State) {
 		if !slices.ContainsFunc(b.Catalog.Queues, func(q batch.Queue) bool { return q.Advice != nil }) {
 			return
 		}
-		p.state = b
-		p.survey()
-		for _, j := range p.jobsByRank() {
-			if !needsTicket(b, j) {
-				continue
-			}
-			if first, ok := p.firstStepWithoutTickets(j); ok {
-				name = stepName(first)
-				workers = p.candidates(j, first)
-				return
-			}
+		p := s.newPass(l, b)
+		if w := p.firstStepWithoutTickets(); w != nil {
+			step, job, workers = stepName(w.first), w.job.ID, p.candidates(w)
+			return
 		}
-		for step, t := range maps.All(l.tickets) {
+		for name, t := range maps.All(l.tickets) {
 			if p.now > t.validUntil+time.Minute {
-				delete(l.tickets, step)
+				delete(l.tickets, name)
 			}
 		}
 	})
-	return name, workers
+	return step, job, workers
 }
 
-// firstStepWithoutTickets returns the first step of a job that has waiting tasks and no valid tickets.
-func (p *pass) firstStepWithoutTickets(j *batch.Job) (batch.TaskID, bool) {
-	for round := range j.Rounds {
-		if j.Spec.DueMS(round) > p.nowMS {
+// firstStepWithoutTickets returns the highest-ranked waiting step that needs tickets and has no valid ones, nil if there
+// is none.
+func (p *pass) firstStepWithoutTickets() *waitingStep {
+	var first *waitingStep
+	for _, w := range p.waiting.steps {
+		if !needsTicket(p.state, w.job) {
 			continue
 		}
-		for step := range j.Rounds[round] {
-			first := batch.TaskID{Job: j.ID, Round: round, Step: step}
-			if t := p.l.tickets[stepName(first)]; t != nil && p.now < t.validUntil || !j.Ready(round, step) {
-				continue
-			}
-			for i := range j.Rounds[round][step].Tasks {
-				id := first
-				id.Index = i
-				if p.needsRun(j, id) {
-					return first, true
-				}
-			}
+		if t := p.l.tickets[stepName(w.first)]; t != nil && p.now < t.validUntil {
+			continue
+		}
+		if first == nil || cmp.Or(compareRanks(p.rank(w.job), p.rank(first.job)), compareTasks(w.first, first.first)) < 0 {
+			first = w
 		}
 	}
-	return batch.TaskID{}, false
+	return first
 }
 
 // candidates returns up to maxAdviceWorkers workers that have the most room for a step.
-func (p *pass) candidates(j *batch.Job, first batch.TaskID) []string {
-	r := request{job: j, first: first, step: j.Spec.Steps[first.Step], service: p.service(j)}
-	r.need = r.step.Reservation()
-	list := slices.DeleteFunc(slices.Clone(p.views), func(wv *workerView) bool { return !r.allowed(wv) || wv.flaky })
+func (p *pass) candidates(w *waitingStep) []string {
+	r := request{waitingStep: w, step: &w.job.Spec.Steps[w.first.Step], service: p.service(w.job)}
+	r.need, r.count = r.step.Reservation(), r.step.Count
+	list := slices.DeleteFunc(slices.Clone(p.room.list), func(wv *workerView) bool { return !r.allowed(wv) || wv.flaky })
 	slices.SortStableFunc(list, func(a, b *workerView) int { return p.fitCount(&r, b, b.free) - p.fitCount(&r, a, a.free) })
 	var out []string
 	for _, wv := range list[:min(len(list), maxAdviceWorkers)] {
--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -1,4 +1,123 @@
 package sched
 
-// DecodeCall decodes a call as a Client sends it to the leader.
-var DecodeCall = decodeCall
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"turmericroute/batch"
+	"turmericroute/state"
+)
+
+// Exported names of internal functions for the tests.
+var (
+	EncodeCall = encodeCall
+	DecodeCall = decodeCall
+)
+
+// Begin starts a term without the goroutines of Lead.
+func (s *Scheduler) Begin(ctx context.Context, term uint64, r state.Replica) { s.begin(ctx, term, r) }
+
+// Commit is what becomes of the starts of a pass.
+type Commit int
+
+// The starts are committed before the pass ends, after the scheduler has given up waiting for them, or never.
+const (
+	InTime Commit = iota
+	Late
+	Never
+)
+
+// Pass runs a placement pass.
+func (s *Scheduler) Pass(c Commit) ([]batch.Start, error) {
+	starts := s.plan(s.leader)
+	commit := func(when Commit) (err error) {
+		if len(starts) > 0 && c == when {
+			_, err = s.leader.commit(context.Background(), batch.Change{Starts: starts})
+		}
+		return err
+	}
+	err := commit(InTime)
+	s.mu.Lock()
+	s.leader.dropPending(starts)
+	s.mu.Unlock()
+	if c == Late && err == nil {
+		err = s.CheckKept() // the pass that comes between
+	}
+	return starts, errors.Join(err, commit(Late))
+}
+
+// Sweep ends runs whose leases have expired, and drops workers that have been silent for long.
+func (s *Scheduler) Sweep() error {
+	ends := s.expiredEnds(s.leader)
+	if len(ends) == 0 {
+		return nil
+	}
+	_, err := s.leader.commit(context.Background(), batch.Change{Ends: ends})
+	return err
+}
+
+// Visited returns how many workers have been refreshed and how many steps tried so far.
+func (s *Scheduler) Visited() (workers, steps uint64) {
+	return s.metrics.refreshedWorkers.Get(), s.metrics.triedSteps.Get()
+}
+
+// CheckKept compares the kept room and waiting steps with those that a fresh look at all workers and jobs gives.
+func (s *Scheduler) CheckKept() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var err error
+	s.leader.ledger.View(func(b *batch.State) {
+		kept := s.newPass(s.leader, b)
+		fresh := *kept
+		fresh.room, fresh.waiting = newRoom(), newWaitingSteps()
+		checkAt := map[*worker]time.Duration{}
+		for id, w := range s.leader.workers {
+			checkAt[w] = w.checkAt
+			fresh.refreshView(id)
+		}
+		for w, at := range checkAt {
+			w.checkAt = at
+		}
+		for id := range b.Open {
+			fresh.refreshJob(id)
+		}
+		err = diffRooms(kept.room, fresh.room)
+		if err == nil {
+			err = diffWaiting(kept.waiting, fresh.waiting)
+		}
+	})
+	return err
+}
+
+func diffRooms(kept, fresh *room) error {
+	if kept.freeGPUs != fresh.freeGPUs || kept.totalGPUs != fresh.totalGPUs || len(kept.list) != len(fresh.list) || len(kept.racks) != len(fresh.racks) {
+		return fmt.Errorf("kept %d of %d accelerators on %d workers in %d racks, fresh %d of %d on %d in %d",
+			kept.freeGPUs, kept.totalGPUs, len(kept.list), len(kept.racks), fresh.freeGPUs, fresh.totalGPUs, len(fresh.list), len(fresh.racks))
+	}
+	for i, a := range kept.list {
+		b := fresh.list[i]
+		if a.id != b.id || a.worker != b.worker || a.free != b.free || a.flaky != b.flaky || a.servingTasks != b.servingTasks || a.bestEffortTasks != b.bestEffortTasks || a.rack.name != b.rack.name {
+			return fmt.Errorf("worker %s: kept %+v flaky=%t, fresh %s %+v flaky=%t", a.id, a.free, a.flaky, b.id, b.free, b.flaky)
+		}
+	}
+	for name, a := range kept.racks {
+		if b := fresh.racks[name]; b == nil || a.freeGPUs != b.freeGPUs || len(a.list) != len(b.list) {
+			return fmt.Errorf("rack %s: kept %+v, fresh %+v", name, a, b)
+		}
+	}
+	return nil
+}
+
+func diffWaiting(kept, fresh *waitingSteps) error {
+	if !maps.EqualFunc(kept.steps, fresh.steps, func(a, b *waitingStep) bool { return a.job == b.job && a.first == b.first }) {
+		return fmt.Errorf("waiting steps: kept %v, fresh %v", slices.Collect(maps.Keys(kept.steps)), slices.Collect(maps.Keys(fresh.steps)))
+	}
+	if !maps.Equal(kept.demand, fresh.demand) || !maps.Equal(kept.scheduled, fresh.scheduled) {
+		return fmt.Errorf("demand: kept %v, fresh %v; scheduled: kept %v, fresh %v", kept.demand, fresh.demand, kept.scheduled, fresh.scheduled)
+	}
+	return nil
+}
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -166,12 +166,16 @@
 
 // heartbeat sends a worker's heartbeat and carries out the orders in the answer.
 func (f *fixture) heartbeat(name string) *sched.Orders {
+	return f.heartbeatIn(context.Background(), name)
+}
+
+func (f *fixture) heartbeatIn(ctx context.Context, name string) *sched.Orders {
 	w := f.workers[name]
 	w.hb.Seq++
 	hb := w.hb
 	hb.Running, hb.Ended = slices.Clone(hb.Running), slices.Clone(hb.Ended)
-	a := f.call(sched.Call{Heartbeat: &hb})
-	Expect(a.err).To(Succeed())
+	a, err := f.s.Answer(ctx, sched.Call{Heartbeat: &hb})
+	Expect(err).NotTo(HaveOccurred())
 	w.last = a.Orders
 	w.hb.Ended = slices.DeleteFunc(w.hb.Ended, func(e sched.RunEnd) bool { return e.Number <= a.Orders.AckedThrough })
 	for _, s := range a.Orders.Stops {
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -24,56 +24,51 @@
 	lowUtilisation = 0.6
 )
 
-// placeGang places all tasks of a gang, or none.
-func (p *pass) placeGang(j *batch.Job, first batch.TaskID) {
-	tasks := j.Rounds[first.Round][first.Step].Tasks
-	run := 0
-	for i := range tasks {
-		id := first
-		id.Index = i
-		if !p.needsRun(j, id) {
-			return
-		}
-		run = max(run, tasks[i].Run)
-	}
-	r, ok := p.newRequest(j, first)
+// placeGang places all tasks of a gang, or none, and reports whether it did.
+func (p *pass) placeGang(w *waitingStep) bool {
+	r, ok := p.newRequest(w)
 	if !ok {
-		return
+		return false
 	}
-	waited := p.waited(first)
-	free := func(wv *workerView) batch.Resources { return wv.free.Minus(wv.reserved) }
-	chosen := p.fit(&r, free, p.allowsRemote(&r, waited))
+	chosen := p.fitNow(&r, p.allowsRemote(&r, w.waited(p.now)))
 	if chosen == nil {
-		p.l.blockedSince[first] = p.now - waited
-		p.reserveOrPreempt(&r, waited)
-		return
+		w.block(p.now)
+		p.reserveOrPreempt(&r)
+		p.scheduleRetry(&r)
+		return false
+	}
+	run := 0
+	for _, t := range w.job.Rounds[w.first.Round][w.first.Step].Tasks {
+		run = max(run, t.Run)
 	}
-	delete(p.l.blockedSince, first)
-	i := 0
+	id := w.first
 	for _, c := range chosen {
 		for range c.count {
-			id := first
-			id.Index = i
 			p.assign(c.workerView, id, run+1)
-			i++
+			id.Index++
 		}
 	}
+	return true
 }
 
 // allocation is a number of tasks on one worker.
 type allocation struct {
 	*workerView
 	count int
+	// unused is the leftover of the worker once it has taken them.
+	unused int
 }
 
-// unusedAfter returns the leftover of the worker, as leftover measures it, after it has taken all tasks of the
-// allocation.
-func (c allocation) unusedAfter(r *request, free func(*workerView) batch.Resources) int {
-	rest := &workerView{worker: c.worker, free: free(c.workerView)}
-	for range c.count - 1 {
-		rest.free = rest.free.Minus(r.need)
+// rackWait returns how long a step waits for its preferred rack.
+func (p *pass) rackWait(r *request) time.Duration {
+	maxWait := time.Duration(rackWaitShare*float64(r.step.EstimateMS)) * time.Millisecond
+	if p.guaranteed(r.job) {
+		maxWait = min(maxWait, time.Duration(rackWaitReclaimShare*float64(p.s.cfg.Limits.Reclaim)))
+	}
+	if p.room.utilisation() < lowUtilisation {
+		maxWait = min(maxWait, maxIdleRackWait)
 	}
-	return leftover(rest, r.need)
+	return maxWait
 }
 
 // allowsRemote reports whether a step that prefers a single rack, or the rack of its data, may now run elsewhere,
@@ -82,32 +77,52 @@
 	if !r.step.SameRack && r.step.DataRack == "" {
 		return true
 	}
-	maxWait := time.Duration(rackWaitShare*float64(r.step.EstimateMS)) * time.Millisecond
-	if p.guaranteed(r.job) {
-		maxWait = min(maxWait, time.Duration(rackWaitReclaimShare*float64(p.s.cfg.Limits.Reclaim)))
-	}
-	if p.utilisation() < lowUtilisation {
-		maxWait = min(maxWait, maxIdleRackWait)
-	}
-	if waited >= maxWait {
-		return true
-	}
-	return p.fitsNoRack(r)
+	return waited >= p.rackWait(r) || p.fitsNoRack(r)
 }
 
 // fitsNoRack reports whether a step would not fit its preferred rack even if that were empty, so that waiting
 // for the rack gains nothing.
 func (p *pass) fitsNoRack(r *request) bool {
-	return p.fit(r, func(wv *workerView) batch.Resources { return wv.hb.Capacity }, false) == nil
+	sh := r.shape
+	if sh.emptyRackVersion != p.room.version || sh.emptyRack == nil {
+		sh.emptyRack, sh.emptyRackVersion = map[int]bool{}, p.room.version
+	}
+	none, known := sh.emptyRack[r.count]
+	if !known {
+		none = p.fit(r, func(wv *workerView) batch.Resources { return wv.hb.Capacity }, false) == nil
+		sh.emptyRack[r.count] = none
+	}
+	return none
+}
+
+// fitNow chooses workers for all tasks of a request from what is free now; it returns nil if they do not fit.
+func (p *pass) fitNow(r *request, remote bool) []allocation {
+	return p.fitOnce(r, supplyNow, remote, func(wv *workerView) batch.Resources { return wv.free.Minus(wv.reserved) })
+}
+
+// fitOnce is fit, but fails at once if as many tasks of the shape have found no place before in this pass.
+func (p *pass) fitOnce(r *request, s supply, remote bool, free func(*workerView) batch.Resources) []allocation {
+	if r.shape.at(p.number).hasFailed(s, remote, r.count) {
+		return nil
+	}
+	chosen := p.fit(r, free, remote)
+	if chosen == nil {
+		r.shape.noteFailure(s, remote, r.count)
+	}
+	return chosen
 }
 
 // fit chooses workers for all tasks of a request, given the free resources of each worker; it returns nil if they
 // do not fit. Workers outside the preferred rack, on which the tasks are slow, are considered only with remote.
 func (p *pass) fit(r *request, free func(*workerView) batch.Resources, remote bool) []allocation {
 	if r.step.DataRack != "" {
-		onDataRack := func(wv *workerView) bool { return wv.hb.Rack == r.step.DataRack }
-		if c := p.pack(r, free, onDataRack); c != nil || !remote {
-			return c
+		if rack := p.room.racks[r.step.DataRack]; rack != nil {
+			if c := p.pack(r, free, rack.list, true); c != nil {
+				return c
+			}
+		}
+		if !remote {
+			return nil
 		}
 	}
 	if r.step.SameRack {
@@ -115,41 +130,44 @@
 			return c
 		}
 	}
-	return p.pack(r, free, func(*workerView) bool { return true })
+	return p.pack(r, free, p.room.list, true)
 }
 
 // fitRack places a gang on the rack with the least room that fits it whole, without flaky workers; it returns nil
 // if there is none.
 func (p *pass) fitRack(r *request, free func(*workerView) batch.Resources) []allocation {
-	room := map[string]int{}
-	for _, wv := range p.views {
-		if !wv.flaky {
-			room[wv.hb.Rack] += p.fitCount(r, wv, free(wv))
+	var best *rackRoom
+	least := 0
+	for _, rack := range p.room.racks {
+		n := 0
+		for _, wv := range rack.list {
+			if !wv.flaky {
+				n += p.fitCount(r, wv, free(wv))
+			}
 		}
-	}
-	best := ""
-	for rack, n := range room {
-		if n >= r.count && (best == "" || n < room[best] || n == room[best] && rack < best) {
-			best = rack
+		if n >= r.count && (best == nil || n < least || n == least && rack.name < best.name) {
+			best, least = rack, n
 		}
 	}
-	if best == "" {
+	if best == nil {
 		return nil
 	}
-	return p.pack(r, free, func(wv *workerView) bool { return wv.hb.Rack == best && !wv.flaky })
+	return p.pack(r, free, best.list, false)
 }
 
-// pack places all tasks on the workers for which accept returns true, best fit first and flaky workers last; it returns
+// pack places all tasks on the listed workers, best fit first and flaky workers last, if those may be used; it returns
 // nil if they do not fit.
-func (p *pass) pack(r *request, free func(*workerView) batch.Resources, accept func(*workerView) bool) []allocation {
+func (p *pass) pack(r *request, free func(*workerView) batch.Resources, workers []*workerView, flaky bool) []allocation {
 	var list []allocation
 	total := 0
-	for _, wv := range p.views {
-		if !accept(wv) {
+	for _, wv := range workers {
+		if wv.flaky && !flaky {
 			continue
 		}
-		if n := p.fitCount(r, wv, free(wv)); n > 0 {
-			list = append(list, allocation{wv, n})
+		f := free(wv)
+		if n := p.fitCount(r, wv, f); n > 0 {
+			before := batch.Resources{CPUMilli: (n - 1) * r.need.CPUMilli, MemoryMB: (n - 1) * r.need.MemoryMB, GPUs: (n - 1) * r.need.GPUs}
+			list = append(list, allocation{wv, n, leftover(f.Minus(before), wv.hb.Capacity, r.need)})
 			total += n
 		}
 	}
@@ -157,110 +175,44 @@
 		return nil
 	}
 	slices.SortStableFunc(list, func(a, b allocation) int {
-		return cmp.Or(cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)), cmp.Compare(a.unusedAfter(r, free), b.unusedAfter(r, free)))
+		return cmp.Or(cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)), cmp.Compare(a.unused, b.unused))
 	})
 	left := r.count
-	var out []allocation
-	for _, c := range list {
-		n := min(c.count, left)
-		out = append(out, allocation{c.workerView, n})
-		if left -= n; left == 0 {
-			break
+	for i := range list {
+		list[i].count = min(list[i].count, left)
+		if left -= list[i].count; left == 0 {
+			return list[:i+1]
 		}
 	}
-	return out
+	return list
 }
 
 // reserveOrPreempt preempts other runs for a gang that could not be placed, or else reserves its earliest placement,
-// so that smaller jobs do not take the resources.
-func (p *pass) reserveOrPreempt(r *request, waited time.Duration) {
-	if p.preemptIfDue(r, waited) {
+// so that smaller jobs do not take the resources. Only full passes do so.
+func (p *pass) reserveOrPreempt(r *request) {
+	if !p.full || p.preemptIfDue(r) {
 		return
 	}
-	if !p.guaranteed(r.job) && (p.reservedGangs >= maxReservedGangs || p.utilisation() < lowUtilisation) {
+	if !p.guaranteed(r.job) && (p.reservedGangs >= maxReservedGangs || p.room.utilisation() < lowUtilisation) {
 		return
 	}
+	waited := r.waited(p.now)
 	if chosen, _ := p.earliestPlacement(r, func(d time.Duration) bool { return p.allowsRemote(r, waited+d) }); chosen != nil {
 		p.reservedGangs++
-		p.reserve(r, chosen)
-	}
-}
-
-// earliestPlacement returns the placement that becomes possible first as running tasks finish, and the horizon
-// within which it does; nil if there is none within the longest horizon. remote reports whether the placement may be
-// outside the preferred rack at that horizon.
-func (p *pass) earliestPlacement(r *request, remote func(time.Duration) bool) ([]allocation, time.Duration) {
-	for _, horizon := range horizons {
-		projected := func(wv *workerView) batch.Resources { return p.freeWithin(wv, horizon).Minus(wv.reserved) }
-		if chosen := p.fit(r, projected, remote(horizon)); chosen != nil {
-			return chosen, horizon
-		}
-	}
-	return nil, 0
-}
-
-// horizons are the times for which earliestPlacement projects the free resources, shortest first.
-var horizons = []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
-
-// freeWithin returns the resources that are free on a worker once the runs expected to end within d have ended.
-func (p *pass) freeWithin(wv *workerView, d time.Duration) batch.Resources {
-	free := wv.free
-	addIfEnding := func(id batch.TaskID, r RunState) {
-		j := p.state.Jobs[id.Job]
-		if j == nil || id.Step >= len(j.Spec.Steps) || j.Spec.Steps[id.Step].LongRunning {
-			return
-		}
-		if p.s.remaining(wv.worker, j, r, p.now) <= d {
-			free = free.Plus(j.Spec.Steps[id.Step].Reservation())
-		}
+		p.hold(reservation{step: r.waitingStep, need: r.need, chosen: chosen})
 	}
-	for id, r := range wv.running {
-		addIfEnding(id, r)
-	}
-	for id, run := range p.state.Runs[wv.id] {
-		if _, reported := wv.running[id]; !reported {
-			addIfEnding(id, RunState{Task: id, Run: run})
-		}
-	}
-	return free
-}
-
-// remaining estimates the remaining duration of a run from its progress, or else from the caller's estimate.
-func (s *Scheduler) remaining(w *worker, j *batch.Job, r RunState, now time.Duration) time.Duration {
-	ref := RunRef{Task: r.Task, Run: r.Run}
-	if w.stopSeq[ref] != 0 {
-		return s.cfg.Limits.StopGrace
-	}
-	estimate := time.Duration(j.Spec.Steps[r.Task.Step].EstimateMS) * time.Millisecond
-	first, ok := w.firstReports[ref]
-	if !ok || r.Percent <= first.percent || r.Percent < minProgress {
-		return estimate
-	}
-	elapsed := now - first.at
-	return time.Duration(float64(elapsed) * float64(100-r.Percent) / float64(r.Percent-first.percent))
 }
 
-// minProgress is the progress in percent from which the speed of a run can be extrapolated.
-const minProgress = 10
-
-// utilisation returns the fraction of the usable workers' accelerators that is in use.
-func (p *pass) utilisation() float64 {
-	free, all := 0, 0
-	for _, wv := range p.views {
-		free += max(0, wv.free.GPUs)
-		all += wv.hb.Capacity.GPUs
-	}
-	if all == 0 {
-		return 0
+// scheduleRetry makes a full pass due when time alone changes what may be done for a blocked step: it may run outside
+// its preferred rack, or runs may be preempted for it.
+func (p *pass) scheduleRetry(r *request) {
+	if p.priority(r.job) == 0 {
+		p.retryAt(max(p.now+preemptRetryInterval, r.nextPreemptAt))
+		return
 	}
-	return 1 - float64(free)/float64(all)
-}
-
-// reserve reserves the resources of a placement for the rest of the pass.
-func (p *pass) reserve(r *request, chosen []allocation) {
-	for _, c := range chosen {
-		for range c.count {
-			c.reserved = c.reserved.Plus(r.need)
+	if r.step.SameRack || r.step.DataRack != "" {
+		if at := r.blockedSince + p.rackWait(r); at > p.now {
+			p.retryAt(at)
 		}
 	}
 }
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -55,39 +55,78 @@
 		return nil, false
 	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone && w.leftAt == 0):
 		return nil, false
+	case !s.supersede(l, &hb):
+		return nil, false
 	case w != nil && hb.Incarnation > w.hb.Incarnation:
 		s.cfg.Logger.Log("event", "worker_reborn", "worker", hb.Worker, "life", hb.Incarnation, "before", w.hb.Incarnation)
+		l.forgetWorker(hb.Worker, w)
 		w = nil
 	}
-	for id, other := range l.workers {
-		if id == hb.Worker || other.gone {
-			continue
-		}
-		if other.hb.supersedes(&hb) {
-			return nil, false
-		}
-		if hb.supersedes(&other.hb) {
-			other.gone = true
-			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "by", hb.Worker, "address", hb.Address, "machine", hb.Machine)
-		}
-	}
 	if w == nil {
 		w = newWorker()
 		w.leaseEnd = l.since + s.leaseExpiry()
 		l.workers[hb.Worker] = w
+		l.room.markStale(hb.Worker)
 		s.cfg.Logger.Log("event", "worker_seen", "worker", hb.Worker, "dc", hb.DataCentre, "rack", hb.Rack, "machine", hb.Machine, "life", hb.Incarnation, "gpus", hb.Capacity.GPUs)
 	}
 	if hb.Draining != w.hb.Draining {
 		s.cfg.Logger.Log("event", "worker_draining", "worker", hb.Worker, "draining", hb.Draining, "left_ms", hb.DrainLeftMS)
 	}
+	if w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
+		l.room.markStale(hb.Worker)
+	}
+	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
-	w.running = make(map[batch.TaskID]RunState, len(hb.Running))
-	w.unknownRuns = 0
-	reports := make(map[RunRef]firstReport, len(hb.Running))
-	for _, r := range hb.Running {
-		w.running[r.Task] = r
+	if s.recordRuns(l, w, now) {
+		l.room.markStale(hb.Worker)
+	}
+	var ends []batch.End
+	l.ledger.View(func(b *batch.State) { ends = l.reconcile(b, w, now) })
+	w.hb.Ended = nil
+	return ends, true
+}
+
+// supersede marks the workers as gone that a heartbeat shows to have ended: earlier incarnations at its address or on
+// its machine. It returns false if the sender itself has been superseded.
+func (s *Scheduler) supersede(l *leaderState, hb *Heartbeat) bool {
+	for _, ids := range [...][]string{l.byAddress[hb.Address], l.byMachine[hb.Machine]} {
+		for _, id := range ids {
+			other := l.workers[id]
+			if id == hb.Worker || other.gone {
+				continue
+			}
+			if other.hb.supersedes(hb) {
+				return false
+			}
+			if hb.supersedes(&other.hb) {
+				other.gone = true
+				l.room.markStale(id)
+				s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "by", hb.Worker, "address", hb.Address, "machine", hb.Machine)
+			}
+		}
+	}
+	return true
+}
+
+// recordRuns stores the runs of a worker's latest heartbeat and reports whether they are others than before.
+func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
+	changed := len(w.running) != len(w.hb.Running)
+	for _, r := range w.hb.Running {
+		if before, ok := w.running[r.Task]; ok && before.Run == r.Run {
+			w.running[r.Task] = r
+			continue
+		}
+		changed = true
 		s.markStarted(l, r.Task.Job)
+	}
+	if !changed {
+		return false
+	}
+	w.running = make(map[batch.TaskID]RunState, len(w.hb.Running))
+	reports := make(map[RunRef]firstReport, len(w.hb.Running))
+	for _, r := range w.hb.Running {
+		w.running[r.Task] = r
 		ref := RunRef{Task: r.Task, Run: r.Run}
 		first, ok := w.firstReports[ref]
 		if !ok {
@@ -96,10 +135,7 @@
 		reports[ref] = first
 	}
 	w.firstReports = reports
-	var ends []batch.End
-	l.ledger.View(func(b *batch.State) { ends = l.reconcile(b, w, now) })
-	w.hb.Ended = nil
-	return ends, true
+	return true
 }
 
 // markStarted records that a worker has reported a run of a job. The first report updates the metric of start
@@ -119,9 +155,12 @@
 // reconcile compares a worker's latest heartbeat with the ledger and returns the ends to commit.
 func (l *leaderState) reconcile(b *batch.State, w *worker, now time.Duration) []batch.End {
 	var ends []batch.End
-	endReported := map[RunRef]bool{}
+	var endReported map[RunRef]bool
 	for _, e := range w.hb.Ended {
 		ref := RunRef{Task: e.Task, Run: e.Run}
+		if endReported == nil {
+			endReported = make(map[RunRef]bool, len(w.hb.Ended))
+		}
 		endReported[ref] = true
 		if e.Reason != batch.EndRefused {
 			l.startedJobs[e.Task.Job] = true
@@ -131,6 +170,7 @@
 			l.recordGangBreak(b, ref, e.Reason)
 			if e.Reason == batch.EndFailed {
 				w.failedAt = append(w.failedAt, now)
+				l.room.markStale(w.hb.Worker)
 			}
 		}
 		delete(w.missedReports, ref)
@@ -138,11 +178,11 @@
 	}
 	for id, run := range b.Runs[w.hb.Worker] {
 		ref := RunRef{Task: id, Run: run}
-		t := b.Jobs[id.Job].Task(id)
 		if r, ok := w.running[id]; ok && r.Run == run {
 			w.missedReports[ref] = 0
 			continue
 		}
+		t := b.Jobs[id.Job].Task(id)
 		if endReported[ref] {
 			continue
 		}
@@ -217,6 +257,7 @@
 	defer s.mu.Unlock()
 	if w := l.workers[id]; w != nil && !w.gone {
 		w.gone, w.leftAt = true, s.cfg.BootClock()
+		l.room.markStale(id)
 		s.cfg.Logger.Log("event", "worker_left", "worker", id, "running", len(w.running))
 	}
 	return Answer{}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -115,7 +115,7 @@
 			return
 		}
 		if id == "" {
-			a.IsQueue, a.Waiting = true, l.waiting(b, q.Name)
+			a.IsQueue, a.Waiting = true, l.waitingJobs(b, q.Name)
 			return
 		}
 		j := b.Jobs[id]
@@ -131,8 +131,8 @@
 	return a, nil
 }
 
-// waiting returns the number of open jobs of a queue that have not started.
-func (l *leaderState) waiting(b *batch.State, queue string) int {
+// waitingJobs returns the number of open jobs of a queue that have not started.
+func (l *leaderState) waitingJobs(b *batch.State, queue string) int {
 	n := 0
 	for id, j := range b.Open {
 		if j.Queue == queue && !l.startedJobs[id] {
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -14,8 +14,10 @@
 	set                      *metrics.Set
 	heartbeats, acceptedJobs *metrics.Counter
 	placedRuns               *metrics.Counter
-	passSeconds              *metrics.Summary
-	startSeconds             *metrics.Histogram
+	// refreshedWorkers and triedSteps count what the passes have looked at.
+	refreshedWorkers, triedSteps *metrics.Counter
+	passSeconds                  *metrics.Summary
+	startSeconds                 *metrics.Histogram
 }
 
 func newSchedulerMetrics(set *metrics.Set, s *Scheduler) schedulerMetrics {
@@ -40,6 +42,7 @@
 	return schedulerMetrics{
 		set: set, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		acceptedJobs: set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
+		refreshedWorkers: set.GetOrCreateCounter("turmericroute_sched_refreshed_workers_total"), triedSteps: set.GetOrCreateCounter("turmericroute_sched_tried_steps_total"),
 		passSeconds:  set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
 		startSeconds: set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
 	}
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -23,7 +23,8 @@
 	if w.gone {
 		return &Orders{AckedThrough: out.AckedThrough, Fence: out.Fence}
 	}
-	out.RetryAfterMS = int(l.heartbeatInterval().Milliseconds())
+	w.interval = l.heartbeatInterval()
+	out.RetryAfterMS = int(w.interval.Milliseconds())
 	now := s.cfg.BootClock()
 	l.ledger.View(func(b *batch.State) {
 		for id, run := range b.Runs[hb.Worker] {
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -2,81 +2,231 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"turmericroute/batch"
 )
 
-// workerView is a usable worker as seen by one placement pass.
-type workerView struct {
-	*worker
-	id   string
-	free batch.Resources
-	// reserved holds the resources that are reserved for higher-ranked jobs.
-	reserved batch.Resources
-	flaky    bool
-	// servingTasks and bestEffortTasks count the worker's tasks of both kinds, which placement does not mix.
-	servingTasks, bestEffortTasks int
-}
+const (
+	// fullPassShare bounds the fraction of the leader's time that full passes take.
+	fullPassShare = 0.1
+	// maxPreemptSearches bounds the searches for runs to preempt in one pass; each looks at all runs of many workers.
+	maxPreemptSearches = 8
+)
 
-// pass is one placement pass over a fixed state of the ledger.
+// pass is one placement pass over a fixed state of the ledger. A quick pass tries the steps that are new and those
+// that could use room that has come free. A full pass tries all waiting steps, and decides on preemption and
+// reservations.
 type pass struct {
-	s        *Scheduler
-	l        *leaderState
-	state    *batch.State
-	now      time.Duration
-	nowMS    int64
-	views    []*workerView
-	viewByID map[string]*workerView
-	starts   []batch.Start
-	// demand counts the accelerators that the open jobs of priority 0 of each team need.
-	demand map[string]int
+	s       *Scheduler
+	l       *leaderState
+	state   *batch.State
+	room    *room
+	waiting *waitingSteps
+	number  uint64
+	full    bool
+	now     time.Duration
+	nowMS   int64
+	starts  []batch.Start
 	// reservedGangs counts the gangs that resources coming free were reserved for in this pass.
 	reservedGangs int
+	// preemptSearches counts the searches for runs to preempt in this pass.
+	preemptSearches int
 }
 
-// survey collects the usable workers and their free resources.
-func (p *pass) survey() {
-	silent := p.l.silentAfter()
-	for id, w := range p.l.workers {
-		if !w.usable(p.state, p.now, silent) {
-			continue
+// newPass returns a pass with the room and the waiting steps brought up to date. It must be called with s.mu held,
+// within a view of the ledger.
+func (s *Scheduler) newPass(l *leaderState, b *batch.State) *pass {
+	l.passNumber++
+	p := &pass{
+		s: s, l: l, state: b, room: l.room, waiting: l.waiting, number: l.passNumber,
+		now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(),
+	}
+	changes := l.ledger.TakeChanges()
+	if changes.All {
+		for id := range l.workers {
+			p.room.markStale(id)
 		}
-		wv := &workerView{worker: w, id: id, free: w.hb.Capacity, flaky: w.flaky(p.now)}
-		for t := range p.state.Runs[id] {
-			p.allocate(wv, t)
+		for id := range b.Open {
+			p.waiting.touched[id] = true
 		}
-		for t := range w.running {
-			if p.state.Runs[id][t] == 0 {
-				// A run that has ended in the ledger or is unknown to it keeps its resources until the worker drops it.
-				p.allocate(wv, t)
-			}
+		for id := range p.waiting.byJob {
+			p.waiting.touched[id] = true
 		}
-		p.viewByID[id] = wv
-		p.views = append(p.views, wv)
+		for id := range p.waiting.share {
+			p.waiting.touched[id] = true
+		}
+		clear(p.waiting.shapes)
+	}
+	for id := range changes.Workers {
+		p.room.markStale(id)
+	}
+	for id := range changes.Jobs {
+		p.waiting.touched[id] = true
 	}
-	for t, start := range p.l.pending {
-		if wv := p.viewByID[start.Worker]; wv != nil && p.state.Runs[start.Worker][t] == 0 {
-			p.allocate(wv, t)
+	p.refreshRoom()
+	p.refreshWaiting()
+	return p
+}
+
+// reservation holds the placement that is reserved for a step until the next full pass.
+type reservation struct {
+	step   *waitingStep
+	need   batch.Resources
+	chosen []allocation
+}
+
+// apply reserves the resources for the rest of the pass.
+func (r reservation) apply() {
+	for _, c := range r.chosen {
+		for range c.count {
+			c.reserved = c.reserved.Plus(r.need)
 		}
 	}
-	slices.SortFunc(p.views, func(a, b *workerView) int { return cmp.Compare(a.id, b.id) })
 }
 
-// allocate subtracts the resources of a task from those free on a worker; an unknown task takes all of them.
-func (p *pass) allocate(wv *workerView, id batch.TaskID) {
-	j := p.state.Jobs[id.Job]
-	if j == nil || id.Step >= len(j.Spec.Steps) {
-		wv.free = batch.Resources{}
+// run tries the steps that may find a place, in the order of their ranks.
+func (p *pass) run() {
+	start := time.Now()
+	if !p.chooseScope() {
 		return
 	}
-	step := j.Spec.Steps[id.Step]
-	wv.free = wv.free.Minus(step.Reservation())
-	if step.BestEffort {
-		wv.bestEffortTasks++
+	held := p.releaseReservations()
+	for _, w := range p.rankedSteps(held) {
+		r, isHeld := held[w.first]
+		switch {
+		case p.isCandidate(w):
+			p.s.metrics.triedSteps.Inc()
+			if !p.placeStep(w) && isHeld {
+				p.hold(r)
+			}
+			w.fresh = false
+		case isHeld:
+			p.hold(r)
+		}
+	}
+	clear(p.room.grown)
+	p.waiting.anyFresh = false
+	if p.full {
+		p.l.fullPassAt = p.now + max(passInterval, time.Duration(float64(time.Since(start))/fullPassShare))
+	}
+}
+
+// chooseScope decides whether the pass is full, and returns false if there is nothing to try. A full pass is due if
+// room or steps have changed since the last one, or if time alone changes what may be done for a step.
+func (p *pass) chooseScope() bool {
+	l := p.l
+	changed := p.waiting.anyFresh || len(p.room.grown) > 0
+	l.changedSinceFull = l.changedSinceFull || changed
+	retryDue := l.nextRetryAt != 0 && l.nextRetryAt <= p.now
+	p.full = len(p.waiting.steps) > 0 && p.now >= l.fullPassAt && (l.changedSinceFull || retryDue)
+	if p.full {
+		l.changedSinceFull, l.nextRetryAt = false, 0
+	}
+	return p.full || changed
+}
+
+// retryAt makes a full pass due at a boot time.
+func (p *pass) retryAt(at time.Duration) {
+	if p.l.nextRetryAt == 0 || at < p.l.nextRetryAt {
+		p.l.nextRetryAt = at
+	}
+}
+
+// releaseReservations takes back all reservations and returns those that a quick pass keeps, by step.
+func (p *pass) releaseReservations() map[batch.TaskID]reservation {
+	held := make(map[batch.TaskID]reservation, len(p.l.reservations))
+	for _, r := range p.l.reservations {
+		for _, c := range r.chosen {
+			c.reserved = batch.Resources{}
+		}
+		if w := p.waiting.steps[r.step.first]; w != nil && !p.full {
+			held[w.first] = r
+		}
 	}
-	if step.TargetMS > 0 {
-		wv.servingTasks++
+	p.l.reservations = nil
+	return held
+}
+
+// hold reserves a placement until the next full pass.
+func (p *pass) hold(r reservation) {
+	p.l.reservations = append(p.l.reservations, r)
+	r.apply()
+}
+
+// isCandidate reports whether a step may find a place in this pass.
+func (p *pass) isCandidate(w *waitingStep) bool { return p.full || w.fresh || p.servable(w) }
+
+// servable reports whether room that has come free could serve a step that was blocked.
+func (p *pass) servable(w *waitingStep) bool {
+	if len(p.room.grown) == 0 {
+		return false
+	}
+	sh := w.shape.at(p.number)
+	if sh.servableKnown {
+		return sh.servable
+	}
+	sh.servableKnown = true
+	r, ok := p.newRequest(w)
+	if !ok {
+		return false
+	}
+	r.count = 1
+	for wv := range p.room.grown {
+		if p.fitCount(&r, wv, wv.free) > 0 {
+			sh.servable = true
+			break
+		}
+	}
+	return sh.servable
+}
+
+// rankedSteps returns the candidates and the steps with a reservation in the order of their ranks.
+func (p *pass) rankedSteps(held map[batch.TaskID]reservation) []*waitingStep {
+	type ranked struct {
+		*waitingStep
+		rank rank
+	}
+	var list []ranked
+	for first, w := range p.waiting.steps {
+		if _, isHeld := held[first]; isHeld || p.isCandidate(w) {
+			list = append(list, ranked{w, p.rank(w.job)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(compareRanks(a.rank, b.rank), compareTasks(a.first, b.first))
+	})
+	out := make([]*waitingStep, len(list))
+	for i, r := range list {
+		out[i] = r.waitingStep
+	}
+	return out
+}
+
+// prune drops the records of steps of closed jobs and of preempted runs that have ended.
+func (p *pass) prune() {
+	maps.DeleteFunc(p.l.causeKnown, func(ref RunRef, _ bool) bool { return p.state.Open[ref.Task.Job] == nil })
+	maps.DeleteFunc(p.l.preempting, func(ref RunRef, _ string) bool {
+		j := p.jobOf(ref)
+		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
+	})
+}
+
+func (p *pass) jobOf(ref RunRef) *batch.Job { return p.state.Jobs[ref.Task.Job] }
+
+func (p *pass) priority(j *batch.Job) int {
+	if q, ok := p.state.Catalog.Queue(j.Queue); ok {
+		return q.Priority
+	}
+	return j.Priority
+}
+
+// service returns the current service of a job's queue, or the one at the job's acceptance if the queue was removed.
+func (p *pass) service(j *batch.Job) string {
+	if q, ok := p.state.Catalog.Queue(j.Queue); ok {
+		return q.Service
 	}
+	return j.Service
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -29,9 +30,7 @@
 			}
 		}
 		s.mu.Lock()
-		for _, st := range starts {
-			delete(l.pending, st.Task)
-		}
+		l.dropPending(starts)
 		close(l.passDone)
 		l.passDone = make(chan struct{})
 		s.mu.Unlock()
@@ -43,114 +42,49 @@
 func (s *Scheduler) plan(l *leaderState) []batch.Start {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	start := time.Now()
-	defer s.metrics.passSeconds.UpdateDuration(start)
-	p := &pass{s: s, l: l, now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(), viewByID: map[string]*workerView{}, demand: map[string]int{}}
+	defer s.metrics.passSeconds.UpdateDuration(time.Now())
+	var starts []batch.Start
 	l.ledger.View(func(b *batch.State) {
-		p.state = b
-		p.survey()
-		for _, j := range p.jobsByRank() {
-			p.placeJob(j)
-		}
+		p := s.newPass(l, b)
 		p.prune()
+		p.run()
+		starts = p.starts
 	})
-	for _, st := range p.starts {
-		l.pending[st.Task] = st
-	}
-	return p.starts
-}
-
-// prune drops the records of steps of closed jobs and of preempted runs that have ended.
-func (p *pass) prune() {
-	closed := func(id batch.TaskID, _ time.Duration) bool { return p.state.Open[id.Job] == nil }
-	maps.DeleteFunc(p.l.blockedSince, closed)
-	maps.DeleteFunc(p.l.nextPreemptAt, closed)
-	maps.DeleteFunc(p.l.causeKnown, func(ref RunRef, _ bool) bool { return p.state.Open[ref.Task.Job] == nil })
-	maps.DeleteFunc(p.l.preempting, func(ref RunRef, _ string) bool {
-		j := p.jobOf(ref)
-		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
-	})
-}
-
-func (p *pass) jobOf(ref RunRef) *batch.Job { return p.state.Jobs[ref.Task.Job] }
-
-// jobsByRank returns the open jobs in the order of their ranks, and sums up the demand of each team.
-func (p *pass) jobsByRank() []*batch.Job {
-	jobs := make([]*batch.Job, 0, len(p.state.Open))
-	for _, j := range p.state.Open {
-		jobs = append(jobs, j)
-		if p.priority(j) == 0 {
-			p.demand[j.Team] += gpusOf(j)
-		}
-	}
-	ranks := make(map[*batch.Job]rank, len(jobs))
-	for _, j := range jobs {
-		ranks[j] = p.rank(j)
-	}
-	slices.SortFunc(jobs, func(a, b *batch.Job) int {
-		return cmp.Or(compareRanks(ranks[a], ranks[b]), cmp.Compare(a.ID, b.ID))
-	})
-	return jobs
-}
-
-// gpusOf returns the number of accelerators that the largest step of a job needs at once. The demand of a team is
-// underestimated rather than overestimated, so that later steps do not cost a job its guarantee.
-func gpusOf(j *batch.Job) int {
-	n := 0
-	for _, st := range j.Spec.Steps {
-		n = max(n, st.Count*st.Need.GPUs)
-	}
-	return n
-}
-
-func (p *pass) priority(j *batch.Job) int {
-	if q, ok := p.state.Catalog.Queue(j.Queue); ok {
-		return q.Priority
-	}
-	return j.Priority
+	return starts
 }
 
-// service returns the current service of a job's queue, or the one at the job's acceptance if the queue was removed.
-func (p *pass) service(j *batch.Job) string {
-	if q, ok := p.state.Catalog.Queue(j.Queue); ok {
-		return q.Service
+// dropPending ends the pending state of starts, whether or not they have been committed.
+func (l *leaderState) dropPending(starts []batch.Start) {
+	for _, st := range starts {
+		delete(l.pending, st.Task)
+		delete(l.pendingOn, st.Worker)
+		l.room.markStale(st.Worker)
+		l.waiting.touched[st.Task.Job] = true
 	}
-	return j.Service
 }
 
-// placeJob places the waiting tasks of all steps of a job that are due and ready.
-func (p *pass) placeJob(j *batch.Job) {
-	for round := range j.Rounds {
-		if due := j.Spec.DueMS(round); due > p.nowMS {
-			continue
-		}
-		for step := range j.Rounds[round] {
-			st := &j.Rounds[round][step]
-			if st.Complete() || !j.Ready(round, step) {
-				continue
-			}
-			first := batch.TaskID{Job: j.ID, Round: round, Step: step}
-			if j.Spec.Steps[step].Gang {
-				p.placeGang(j, first)
-			} else {
-				p.placeTasks(j, first)
-			}
-		}
+// placeStep places waiting tasks of a step, and reports whether all of them have a place.
+func (p *pass) placeStep(w *waitingStep) bool {
+	if w.job.Spec.Steps[w.first.Step].Gang {
+		return p.placeGang(w)
 	}
+	return p.placeTasks(w)
 }
 
 // needsRun reports whether a task is not done and has no active or pending run.
 func (p *pass) needsRun(j *batch.Job, id batch.TaskID) bool {
 	t := j.Task(id)
+	if t.Active || t.Done {
+		return false
+	}
 	_, pending := p.l.pending[id]
-	return !t.Active && !t.Done && !pending
+	return !pending
 }
 
 // request describes the tasks of a step that are to be placed.
 type request struct {
-	job     *batch.Job
-	first   batch.TaskID
-	step    batch.Step
+	*waitingStep
+	step    *batch.Step
 	service string
 	need    batch.Resources
 	// count is the number of tasks to place together.
@@ -160,11 +94,11 @@
 }
 
 // newRequest returns the request for a step; it returns false if the step needs tickets and has no valid ones.
-func (p *pass) newRequest(j *batch.Job, first batch.TaskID) (request, bool) {
-	r := request{job: j, first: first, step: j.Spec.Steps[first.Step], service: p.service(j)}
+func (p *pass) newRequest(w *waitingStep) (request, bool) {
+	r := request{waitingStep: w, step: &w.job.Spec.Steps[w.first.Step], service: p.service(w.job)}
 	r.need, r.count = r.step.Reservation(), r.step.Count
-	if needsTicket(p.state, j) {
-		t := p.l.tickets[stepName(first)]
+	if needsTicket(p.state, w.job) {
+		t := p.l.tickets[stepName(w.first)]
 		if t == nil || p.now >= t.validUntil {
 			return r, false
 		}
@@ -190,15 +124,18 @@
 
 // fitCount returns how many more tasks of a request fit on a worker with the given free resources.
 func (p *pass) fitCount(r *request, wv *workerView, free batch.Resources) int {
-	if !r.allowed(wv) {
-		return 0
-	}
 	n := r.count
-	for _, dim := range [][2]int{{free.GPUs, r.need.GPUs}, {free.CPUMilli, r.need.CPUMilli}, {free.MemoryMB, r.need.MemoryMB}} {
+	for _, dim := range [...][2]int{{free.GPUs, r.need.GPUs}, {free.CPUMilli, r.need.CPUMilli}, {free.MemoryMB, r.need.MemoryMB}} {
 		if dim[1] > 0 {
-			n = min(n, max(0, dim[0])/dim[1])
+			if dim[0] < dim[1] {
+				return 0
+			}
+			n = min(n, dim[0]/dim[1])
 		}
 	}
+	if !r.allowed(wv) {
+		return 0
+	}
 	if r.step.PerWorker > 0 {
 		n = min(n, r.step.PerWorker-p.tasksOn(r, wv))
 	}
@@ -211,98 +148,138 @@
 	same := func(t batch.TaskID) bool {
 		return t.Job == r.first.Job && t.Round == r.first.Round && t.Step == r.first.Step
 	}
-	for t := range p.state.Runs[wv.id] {
+	runs := p.state.Runs[wv.id]
+	for t := range runs {
 		if same(t) {
 			n++
 		}
 	}
 	for t := range wv.running {
-		if same(t) && p.state.Runs[wv.id][t] == 0 {
-			n++
-		}
-	}
-	for t, start := range p.l.pending {
-		if same(t) && start.Worker == wv.id {
+		if same(t) && runs[t] == 0 {
 			n++
 		}
 	}
-	for _, start := range p.starts {
-		if same(start.Task) && start.Worker == wv.id {
+	for _, t := range p.l.pendingOn[wv.id] {
+		if _, reported := wv.running[t]; same(t) && runs[t] == 0 && !reported {
 			n++
 		}
 	}
 	return n
 }
 
-// placeTasks places the waiting tasks of a step one by one.
-func (p *pass) placeTasks(j *batch.Job, first batch.TaskID) {
-	r, ok := p.newRequest(j, first)
+// placeTasks places the waiting tasks of a step one by one, and reports whether all of them have a place.
+func (p *pass) placeTasks(w *waitingStep) bool {
+	r, ok := p.newRequest(w)
 	if !ok {
-		return
+		return false
 	}
-	waiting := p.waitingTasks(j, first)
-	waited := p.waited(first)
+	tasks := p.waitingTasks(w)
 	r.count = 1 // each task is placed independently
-	remote := p.allowsRemote(&r, waited)
-	for i, id := range waiting {
-		best := p.bestWorker(&r, remote)
-		if best == nil {
-			r.count = len(waiting) - i
-			p.l.blockedSince[first] = p.now - waited
-			p.preemptIfDue(&r, waited)
-			return
+	remote := p.allowsRemote(&r, w.waited(p.now))
+	if w.shape.at(p.number).leastFailed[supplyNow][boolToInt(remote)] == 0 {
+		options := p.optionsFor(&r, remote)
+		for len(tasks) > 0 && len(options.list) > 0 {
+			p.assign(options.list[0].workerView, tasks[0], w.job.Task(tasks[0]).Run+1)
+			p.updateFirst(&r, options)
+			tasks = tasks[1:]
 		}
-		p.assign(best, id, j.Task(id).Run+1)
 	}
-	delete(p.l.blockedSince, first)
+	if len(tasks) == 0 {
+		return true
+	}
+	w.shape.noteFailure(supplyNow, remote, 1)
+	r.count = len(tasks)
+	w.block(p.now)
+	p.preemptIfDue(&r)
+	p.scheduleRetry(&r)
+	return false
 }
 
 // waitingTasks returns the tasks of a step that need a run.
-func (p *pass) waitingTasks(j *batch.Job, first batch.TaskID) []batch.TaskID {
+func (p *pass) waitingTasks(w *waitingStep) []batch.TaskID {
 	var out []batch.TaskID
-	for i := range j.Rounds[first.Round][first.Step].Tasks {
-		id := first
-		id.Index = i
-		if p.needsRun(j, id) {
+	id := w.first
+	for id.Index = range w.job.Rounds[w.first.Round][w.first.Step].Tasks {
+		if p.needsRun(w.job, id) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// waited returns how long a step has had waiting tasks that could not be placed.
-func (p *pass) waited(first batch.TaskID) time.Duration {
-	if since, ok := p.l.blockedSince[first]; ok {
-		return p.now - since
-	}
-	return 0
+// option is a worker that has room for a task, and its cost.
+type option struct {
+	*workerView
+	cost [3]int
 }
 
-// bestWorker returns the worker for one task, nil if there is none. It prefers workers that are not flaky, then those
-// on the rack of the data, then the best fit; workers on other racks are considered only with remote.
-func (p *pass) bestWorker(r *request, remote bool) *workerView {
-	var best *workerView
-	var bestCost [3]int
-	for _, wv := range p.views {
-		if p.fitCount(r, wv, wv.free.Minus(wv.reserved)) < 1 {
-			continue
-		}
-		offRack := r.step.DataRack != "" && wv.hb.Rack != r.step.DataRack
-		if offRack && !remote {
+// options is a heap of the workers that have room for a task of a request, the cheapest first: workers that are not
+// flaky, then those on the rack of the data, then the best fit.
+type options struct{ list []option }
+
+func (o *options) Len() int { return len(o.list) }
+func (o *options) Less(i, j int) bool {
+	a, b := &o.list[i], &o.list[j]
+	return cmp.Or(slices.Compare(a.cost[:], b.cost[:]), cmp.Compare(a.id, b.id)) < 0
+}
+func (o *options) Swap(i, j int) { o.list[i], o.list[j] = o.list[j], o.list[i] }
+
+// Push adds an option; package heap calls it.
+func (o *options) Push(x any) { o.list = append(o.list, x.(option)) }
+
+// Pop removes the last option; package heap calls it.
+func (o *options) Pop() any {
+	last := o.list[len(o.list)-1]
+	o.list = o.list[:len(o.list)-1]
+	return last
+}
+
+// optionsFor returns the workers that have room for a task of a request; workers off the rack of the data are
+// considered only with remote.
+func (p *pass) optionsFor(r *request, remote bool) *options {
+	o := &options{}
+	for _, wv := range p.searchList(r) {
+		if !remote && r.offDataRack(wv) || p.fitCount(r, wv, wv.free.Minus(wv.reserved)) < 1 {
 			continue
 		}
-		cost := [3]int{boolToInt(wv.flaky), boolToInt(offRack), leftover(wv, r.need)}
-		if best == nil || slices.Compare(cost[:], bestCost[:]) < 0 {
-			best, bestCost = wv, cost
-		}
+		o.list = append(o.list, option{wv, r.cost(wv)})
+	}
+	heap.Init(o)
+	return o
+}
+
+// searchList returns the workers among which a task may find a place: those with new room if the step was blocked, since
+// there is none on the others.
+func (p *pass) searchList(r *request) []*workerView {
+	if !r.blocked || r.fresh || p.full {
+		return p.room.list
 	}
-	return best
+	return slices.SortedFunc(maps.Keys(p.room.grown), compareViews)
+}
+
+// updateFirst updates or removes the first option after a task has been assigned to it.
+func (p *pass) updateFirst(r *request, o *options) {
+	first := &o.list[0]
+	if p.fitCount(r, first.workerView, first.free.Minus(first.reserved)) < 1 {
+		heap.Pop(o)
+		return
+	}
+	first.cost = r.cost(first.workerView)
+	heap.Fix(o, 0)
+}
+
+func (r *request) offDataRack(wv *workerView) bool {
+	return r.step.DataRack != "" && wv.hb.Rack != r.step.DataRack
+}
+
+func (r *request) cost(wv *workerView) [3]int {
+	return [3]int{boolToInt(wv.flaky), boolToInt(r.offDataRack(wv)), leftover(wv.free, wv.hb.Capacity, r.need)}
 }
 
 // leftover is the cost of a worker for best fit: the sum over all resources of what stays free after a task, in
 // thousandths of the worker's capacity.
-func leftover(wv *workerView, need batch.Resources) int {
-	left, all := wv.free.Minus(need), wv.hb.Capacity
+func leftover(free, all, need batch.Resources) int {
+	left := free.Minus(need)
 	share := func(n, of int) int { return n * 1000 / max(1, of) }
 	return share(left.GPUs, all.GPUs) + share(left.CPUMilli, all.CPUMilli) + share(left.MemoryMB, all.MemoryMB)
 }
@@ -317,5 +294,8 @@
 // assign adds the start of a run on a worker to the pass and allocates its resources.
 func (p *pass) assign(wv *workerView, id batch.TaskID, run int) {
 	p.allocate(wv, id)
-	p.starts = append(p.starts, batch.Start{Task: id, Run: run, Worker: wv.id, Incarnation: wv.hb.Incarnation})
+	start := batch.Start{Task: id, Run: run, Worker: wv.id, Incarnation: wv.hb.Incarnation}
+	p.starts = append(p.starts, start)
+	p.l.pending[id] = start
+	p.l.pendingOn[wv.id] = append(p.l.pendingOn[wv.id], id)
 }
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -19,29 +19,29 @@
 
 // guaranteed reports whether a job is within its team's guarantee.
 func (p *pass) guaranteed(j *batch.Job) bool {
-	return p.priority(j) == 0 && j.Team != "" && p.demand[j.Team] <= p.state.Catalog.Guarantee(j.Team)
+	return p.priority(j) == 0 && j.Team != "" && p.waiting.demand[j.Team] <= p.state.Catalog.Guarantee(j.Team)
 }
 
 // preemptIfDue preempts runs for a job of priority 0 that would otherwise miss its objective, or the reclaim time if
 // it is within its team's guarantee, and reserves their resources. It reports whether a placement is reserved for the
-// job.
-func (p *pass) preemptIfDue(r *request, waited time.Duration) bool {
-	if p.priority(r.job) > 0 || p.now < p.l.nextPreemptAt[r.first] {
+// job. Only full passes preempt.
+func (p *pass) preemptIfDue(r *request) bool {
+	if !p.full || p.priority(r.job) > 0 || p.now < r.nextPreemptAt || p.preemptSearches >= maxPreemptSearches {
 		return false
 	}
-	due := p.guaranteed(r.job) && waited >= time.Duration(reclaimWaitShare*float64(p.s.cfg.Limits.Reclaim))
-	if !due && !p.needsPreemption(r, waited) {
+	due := p.guaranteed(r.job) && r.waited(p.now) >= time.Duration(reclaimWaitShare*float64(p.s.cfg.Limits.Reclaim))
+	if !due && !p.needsPreemption(r) {
 		return false
 	}
-	if p.preempt(r, p.allowsRemote(r, waited)) {
+	if p.preempt(r, p.allowsRemote(r, r.waited(p.now))) {
 		return true
 	}
-	p.l.nextPreemptAt[r.first] = p.now + preemptRetryInterval
+	r.nextPreemptAt = p.now + preemptRetryInterval
 	return false
 }
 
 // needsPreemption reports whether a job can meet its objective, but only if runs are preempted for it now.
-func (p *pass) needsPreemption(r *request, waited time.Duration) bool {
+func (p *pass) needsPreemption(r *request) bool {
 	due, ok := p.objective(r.job)
 	if !ok {
 		return false
@@ -58,13 +58,14 @@
 // preempt preempts the runs that lose the least work until a job can be placed, and reserves its placement; it
 // reports whether there is one.
 func (p *pass) preempt(r *request, remote bool) bool {
+	p.preemptSearches++
 	freed := map[*workerView]batch.Resources{}
 	for ref := range p.l.preempting {
 		p.addFreed(freed, ref)
 	}
 	free := func(wv *workerView) batch.Resources { return wv.free.Minus(wv.reserved).Plus(freed[wv]) }
 	if c := p.fit(r, free, remote); c != nil {
-		p.reserve(r, c)
+		p.hold(reservation{step: r.waitingStep, need: r.need, chosen: c})
 		return true
 	}
 	chosen := p.cheapestVictims(r, remote, freed)
@@ -86,7 +87,7 @@
 			p.s.cfg.Logger.Log("event", "run_preempted", "task", ref.Task, "run", ref.Run, "for", r.job.ID, "team", r.job.Team, "cost", v.cost)
 		}
 	}
-	p.reserve(r, c)
+	p.hold(reservation{step: r.waitingStep, need: r.need, chosen: c})
 	return true
 }
 
@@ -96,7 +97,7 @@
 	if j == nil {
 		return nil
 	}
-	return p.viewByID[j.Task(ref.Task).Worker]
+	return p.room.views[j.Task(ref.Task).Worker]
 }
 
 // addFreed adds the resources of a run to those that are freed on its worker.
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -72,9 +72,11 @@
 // criticalPathMS returns the estimated duration of the critical path of a round's steps, in milliseconds; with open,
 // steps that are complete count as 0.
 func criticalPathMS(j *batch.Job, round int, open bool) int64 {
-	ends := make([]int64, len(j.Spec.Steps))
+	var space [8]int64 // avoids an allocation for most jobs
+	ends := append(space[:0], make([]int64, len(j.Spec.Steps))...)
 	longest := int64(0)
-	for i, st := range j.Spec.Steps {
+	for i := range j.Spec.Steps {
+		st := &j.Spec.Steps[i]
 		for _, dep := range st.After {
 			ends[i] = max(ends[i], ends[dep])
 		}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -67,10 +67,24 @@
 	ledger  *batch.Ledger
 	// since is the boot time at which the term started.
 	since time.Duration
-	// pending holds the starts whose commit has not completed.
-	pending map[batch.TaskID]batch.Start
-	// workers holds the workers that have sent a heartbeat, by ID.
-	workers map[string]*worker
+	// pending holds the starts whose commit has not completed, pendingOn their tasks by worker.
+	pending   map[batch.TaskID]batch.Start
+	pendingOn map[string][]batch.TaskID
+	// room and waiting are what placement passes work on; they are updated where something changes.
+	room    *room
+	waiting *waitingSteps
+	// reservations are the placements that are reserved until the next full pass.
+	reservations []reservation
+	passNumber   uint64
+	// fullPassAt is the boot time before which there is no further full pass, nextRetryAt the one at which a full pass
+	// is due although nothing has changed, 0 if there is none.
+	fullPassAt, nextRetryAt time.Duration
+	// changedSinceFull is set if room or waiting steps have changed since the last full pass.
+	changedSinceFull bool
+	// workers holds the workers that have sent a heartbeat, by ID; byAddress and byMachine find those that have not
+	// ended.
+	workers              map[string]*worker
+	byAddress, byMachine workerIndex
 	// startedJobs holds the jobs of which a worker has reported a run.
 	startedJobs map[string]bool
 	// brokenGangs holds the gang runs, keyed by their first member, in which a member has ended because another did.
@@ -79,10 +93,6 @@
 	causeKnown map[RunRef]bool
 	// preempting holds the runs that are being preempted, with the ID of the job that they make room for.
 	preempting map[RunRef]string
-	// blockedSince holds the boot time since when a step has waiting tasks that could not be placed, by its first task.
-	blockedSince map[batch.TaskID]time.Duration
-	// nextPreemptAt holds the boot time before which preemption for a step is not tried again, by its first task.
-	nextPreemptAt map[batch.TaskID]time.Duration
 	// tickets holds the tickets of each step, by stepName.
 	tickets map[string]*tickets
 	// wake holds at most one request for a placement pass.
@@ -119,8 +129,8 @@
 }
 
 // silentAfter returns how long after its last heartbeat a worker counts as silent.
-func (l *leaderState) silentAfter() time.Duration {
-	return max(minSilentAfter, silentAfterHeartbeats*l.heartbeatInterval())
+func (l *leaderState) silentAfter(w *worker) time.Duration {
+	return max(minSilentAfter, silentAfterHeartbeats*max(w.interval, l.heartbeatInterval()))
 }
 
 // leaseExpiry returns how long after the arrival of a heartbeat its lease has certainly expired, whatever the
@@ -131,15 +141,7 @@
 
 // Lead schedules jobs as the leader of a term until ctx ends, which happens when the leader lease or the term is lost.
 func (s *Scheduler) Lead(ctx context.Context, term uint64, r state.Replica) {
-	l := &leaderState{
-		ctx: ctx, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.BootClock(),
-		pending: map[batch.TaskID]batch.Start{}, workers: map[string]*worker{}, startedJobs: map[string]bool{},
-		preempting: map[RunRef]string{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{}, blockedSince: map[batch.TaskID]time.Duration{}, nextPreemptAt: map[batch.TaskID]time.Duration{}, tickets: map[string]*tickets{},
-		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
-	}
-	s.mu.Lock()
-	s.leader = l
-	s.mu.Unlock()
+	l := s.begin(ctx, term, r)
 	l.ledger.View(func(b *batch.State) {
 		s.cfg.Logger.Log("event", "scheduling_began", "term", term, "open_jobs", len(b.Open), "config_version", b.Catalog.Version, "workers_with_runs", len(b.Runs))
 	})
@@ -149,6 +151,7 @@
 	wg.Go(func() { s.runMaintenance(l) })
 	wg.Go(func() { s.requestTickets(l) })
 	wg.Wait()
+	l.ledger.DropChanges()
 	s.mu.Lock()
 	if s.leader == l {
 		s.leader = nil
@@ -157,6 +160,22 @@
 	s.cfg.Logger.Log("event", "scheduling_ended", "term", term)
 }
 
+// begin starts a term, in which calls are answered.
+func (s *Scheduler) begin(ctx context.Context, term uint64, r state.Replica) *leaderState {
+	l := &leaderState{
+		ctx: ctx, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.BootClock(),
+		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
+		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
+		room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
+		preempting: map[RunRef]string{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
+		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = l
+	return l
+}
+
 // current returns the state of the current term, or an error with CodeNoLeader while this instance does not lead.
 func (s *Scheduler) current() (*leaderState, *model.Error) {
 	s.mu.Lock()
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -63,7 +63,7 @@
 					continue
 				}
 				active++
-				if w := l.workers[t.Worker]; w != nil && now-w.heardAt >= l.silentAfter() {
+				if w := l.workers[t.Worker]; w != nil && now-w.heardAt >= l.silentAfter(w) {
 					id := ref.Task
 					id.Index = i
 					ends = append(ends, batch.End{Task: id, Run: t.Run, Reason: batch.EndLost, Checkpoint: w.running[id].Checkpoint, MayHaveFailed: !known})
@@ -107,7 +107,7 @@
 	})
 	for id, w := range l.workers {
 		if now-w.heardAt > 4*s.leaseExpiry() {
-			delete(l.workers, id)
+			l.forgetWorker(id, w)
 		}
 	}
 	slices.SortFunc(ends, func(a, b batch.End) int { return compareTasks(a.Task, b.Task) })
--- a/sched/victim.go
+++ b/sched/victim.go
@@ -24,7 +24,7 @@
 func (p *pass) victims(r *request) map[*workerView][]*victim {
 	by := map[batch.TaskID]*victim{}
 	at := map[*workerView][]*victim{}
-	for _, wv := range p.views {
+	for _, wv := range p.room.list {
 		if !r.allowed(wv) {
 			continue
 		}
@@ -102,7 +102,7 @@
 // scopes returns the sets of workers one of which must have room for all tasks of a request, in the order of
 // preference of fit: the rack of its data, a single rack, or with remote all usable workers.
 func (p *pass) scopes(r *request, remote bool) [][]*workerView {
-	usable := slices.DeleteFunc(slices.Clone(p.views), func(wv *workerView) bool { return !r.allowed(wv) })
+	usable := slices.DeleteFunc(slices.Clone(p.room.list), func(wv *workerView) bool { return !r.allowed(wv) })
 	racks := map[string][]*workerView{}
 	room := map[string]int{}
 	for _, wv := range usable {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -18,9 +18,12 @@
 	// 0.
 	gone   bool
 	leftAt time.Duration
-	// running holds the runs of the latest heartbeat; unknownRuns counts those of unknown tasks.
-	running     map[batch.TaskID]RunState
-	unknownRuns int
+	// interval is the heartbeat interval that was last requested of the worker.
+	interval time.Duration
+	// checkAt is the boot time of the worker's next entry in room.checks, 0 if there is none.
+	checkAt time.Duration
+	// running holds the runs of the latest heartbeat.
+	running map[batch.TaskID]RunState
 	// missedReports holds the active runs that were reported as running, with the number of consecutive heartbeats
 	// that have omitted them since.
 	missedReports map[RunRef]int
@@ -64,12 +67,6 @@
 	return hb.Worker == old.Worker || hb.Address == old.Address || hb.Machine != "" && hb.Machine == old.Machine
 }
 
-// usable reports whether new runs may be placed on a worker now; silent is how long after its last heartbeat a worker
-// counts as silent.
-func (w *worker) usable(b *batch.State, now, silent time.Duration) bool {
-	return !w.gone && !w.hb.Draining && now-w.heardAt < silent && !b.OutOfService[w.hb.DataCentre]
-}
-
 // hasLabel reports whether the worker has a label; it returns true for the empty label.
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.hb.Labels, label)
@@ -81,3 +78,51 @@
 	w.failedAt = slices.DeleteFunc(w.failedAt, func(at time.Duration) bool { return now-at > failureWindow })
 	return len(w.failedAt) >= flakyFailures
 }
+
+// declaresChange reports whether a heartbeat says something else about the worker itself than the latest one.
+func (w *worker) declaresChange(hb *Heartbeat) bool {
+	old := &w.hb
+	return hb.Draining != old.Draining || hb.Capacity != old.Capacity || hb.Rack != old.Rack || hb.Service != old.Service ||
+		hb.DataCentre != old.DataCentre || !slices.Equal(hb.Labels, old.Labels)
+}
+
+// workerIndex holds worker IDs by a property that few workers share.
+type workerIndex map[string][]string
+
+func (x workerIndex) add(key, id string) { x[key] = append(x[key], id) }
+
+func (x workerIndex) remove(key, id string) {
+	list := slices.DeleteFunc(x[key], func(other string) bool { return other == id })
+	if len(list) == 0 {
+		delete(x, key)
+		return
+	}
+	x[key] = list
+}
+
+// moveWorker brings the indexes up to date with the worker's next heartbeat.
+func (l *leaderState) moveWorker(w *worker, hb *Heartbeat) {
+	if w.hb.Address == hb.Address && w.hb.Machine == hb.Machine && w.hb.Worker == hb.Worker {
+		return
+	}
+	l.dropFromIndexes(w)
+	l.byAddress.add(hb.Address, hb.Worker)
+	if hb.Machine != "" {
+		l.byMachine.add(hb.Machine, hb.Worker)
+	}
+}
+
+func (l *leaderState) dropFromIndexes(w *worker) {
+	if w.hb.Worker == "" {
+		return // the worker has not been recorded yet
+	}
+	l.byAddress.remove(w.hb.Address, w.hb.Worker)
+	l.byMachine.remove(w.hb.Machine, w.hb.Worker)
+}
+
+// forgetWorker drops the record of a worker.
+func (l *leaderState) forgetWorker(id string, w *worker) {
+	l.dropFromIndexes(w)
+	delete(l.workers, id)
+	l.room.markStale(id)
+}
