Withdraw a gang that has not formed before its members time out

Change: a gang run whose members have not all reported it is withdrawn in time for the stops to arrive, unless progress or resources in use show that it is at work: a member that is only silent ends no gang that works.

Test: the spec of a member that is not heard from; before, the other member got no stop.

--- a/sched/config.go
+++ b/sched/config.go
@@ -14,6 +14,8 @@
 	MaxLease time.Duration
 	// StopGrace bounds the time that a worker takes to stop a run.
 	StopGrace time.Duration
+	// GangTimeout is how long a member of a gang waits on its worker for the others; 0 means that it waits for ever.
+	GangTimeout time.Duration
 	// Reclaim bounds the time from acceptance to start of a job within its team's guarantee.
 	Reclaim time.Duration
 	// FinishedRetention is how long a finished job can be queried.
--- /dev/null
+++ b/sched/forming.go
@@ -0,0 +1,64 @@
+package sched
+
+import (
+	"time"
+
+	"turmericroute/batch"
+)
+
+// formingMargin is what remains of Limits.GangTimeout when a gang that has not formed is given up, for the stop orders
+// to arrive.
+const formingMargin = 300 * time.Millisecond
+
+// formingGang is a gang run of which members have been ordered to start, and which is not known to be at work.
+type formingGang struct {
+	// since is the boot time of the first start order.
+	since time.Duration
+	// missing holds the indexes of the members that have not reported their run.
+	missing map[int]bool
+}
+
+// gangRef returns the key of a gang run: that of its first member.
+func gangRef(id batch.TaskID, run int) RunRef {
+	id.Index = 0
+	return RunRef{Task: id, Run: run}
+}
+
+// noteGangStart records the first start order for a member of a gang run.
+func (l *leaderState) noteGangStart(j *batch.Job, id batch.TaskID, run int, now time.Duration) {
+	ref := gangRef(id, run)
+	if l.forming[ref] != nil {
+		return
+	}
+	f := &formingGang{since: now, missing: map[int]bool{}}
+	for i := range j.Rounds[id.Round][id.Step].Tasks {
+		f.missing[i] = true
+	}
+	l.forming[ref] = f
+}
+
+// noteGangReport records that a member reports its run. Progress or resources in use mean that all members have joined.
+func (l *leaderState) noteGangReport(r RunState) {
+	if len(l.forming) == 0 {
+		return
+	}
+	ref := gangRef(r.Task, r.Run)
+	f := l.forming[ref]
+	if f == nil {
+		return
+	}
+	delete(f.missing, r.Task.Index)
+	if len(f.missing) == 0 || r.Percent > 0 || r.Gauge > 0 {
+		delete(l.forming, ref)
+	}
+}
+
+// hasNotFormed reports whether a gang run must be given up because members are still missing: each member waits for
+// the others for Limits.GangTimeout at most, and the stop must reach it before.
+func (s *Scheduler) hasNotFormed(l *leaderState, id batch.TaskID, run int, now time.Duration) bool {
+	if len(l.forming) == 0 || s.cfg.Limits.GangTimeout == 0 {
+		return false
+	}
+	f := l.forming[gangRef(id, run)]
+	return f != nil && now-f.since > s.cfg.Limits.GangTimeout-s.cfg.Limits.StopGrace-l.heartbeatInterval()-formingMargin
+}
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -113,6 +113,7 @@
 func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
 	changed := len(w.running) != len(w.hb.Running)
 	for _, r := range w.hb.Running {
+		l.noteGangReport(r)
 		if before, ok := w.running[r.Task]; ok && before.Run == r.Run {
 			w.running[r.Task] = r
 			continue
@@ -210,6 +211,7 @@
 		return
 	}
 	ref.Task.Index = 0
+	delete(l.forming, ref)
 	switch reason {
 	case batch.EndGangBroken:
 		l.brokenGangs[ref] = true
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -35,15 +35,18 @@
 			if t.Incarnation != hb.Incarnation || running && r.Run == run || seen {
 				continue
 			}
-			if reason := l.startBlockReason(b, w, j, id, run, now); reason != "" {
+			if reason := s.startBlockReason(l, b, w, j, id, run, now); reason != "" {
 				s.orderStop(l, w, out, RunRef{Task: id, Run: run}, reason)
 				continue
 			}
+			if j.Spec.Steps[id.Step].Gang {
+				l.noteGangStart(j, id, run, now)
+			}
 			out.Starts = append(out.Starts, StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: l.resumeCheckpoint(j, id), Ticket: l.ticket(id, hb.Worker, now)})
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
-			reason := l.stopReason(b, id, r.Run)
+			reason := s.stopReason(l, b, id, r.Run, now)
 			if j := b.Jobs[id.Job]; reason == "" && j != nil && s.leavesBeforeEnd(l, w, j, r, now) {
 				reason = "worker leaves before the run ends"
 			}
@@ -67,7 +70,7 @@
 }
 
 // startBlockReason returns why a committed run must not start now, "" if it may.
-func (l *leaderState) startBlockReason(b *batch.State, w *worker, j *batch.Job, id batch.TaskID, run int, now time.Duration) string {
+func (s *Scheduler) startBlockReason(l *leaderState, b *batch.State, w *worker, j *batch.Job, id batch.TaskID, run int, now time.Duration) string {
 	ref := RunRef{Task: id, Run: run}
 	switch {
 	case w.stopSeq[ref] != 0:
@@ -84,6 +87,8 @@
 		return "preempted"
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
 		return "gang is incomplete"
+	case s.hasNotFormed(l, id, run, now):
+		return "gang has not formed in time"
 	case needsTicket(b, j) && l.ticket(id, w.hb.Worker, now) == "":
 		return "ticket has expired"
 	}
@@ -101,7 +106,7 @@
 }
 
 // stopReason returns why a run that is active on a worker must be stopped, "" if it must not.
-func (l *leaderState) stopReason(b *batch.State, id batch.TaskID, run int) string {
+func (s *Scheduler) stopReason(l *leaderState, b *batch.State, id batch.TaskID, run int, now time.Duration) string {
 	j := b.Jobs[id.Job]
 	if j == nil {
 		return "job is unknown"
@@ -120,6 +125,8 @@
 		return "preempted"
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
 		return "gang is incomplete"
+	case s.hasNotFormed(l, id, run, now):
+		return "gang has not formed in time"
 	}
 	return ""
 }
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -208,6 +208,10 @@
 // prune drops the records of steps of closed jobs and of preempted runs that have ended.
 func (p *pass) prune() {
 	maps.DeleteFunc(p.l.causeKnown, func(ref RunRef, _ bool) bool { return p.state.Open[ref.Task.Job] == nil })
+	maps.DeleteFunc(p.l.forming, func(ref RunRef, _ *formingGang) bool {
+		j := p.jobOf(ref)
+		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
+	})
 	maps.DeleteFunc(p.l.preempting, func(ref RunRef, _ string) bool {
 		j := p.jobOf(ref)
 		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -51,6 +51,28 @@
 		}
 	})
 
+	// Guards against members that wait for the others until their gang times out, because an order for one of them
+	// could not be sent in time.
+	It("gives a gang up in time when a member is not heard from, unless it is at work", func() {
+		f := newFixture(func(cfg *sched.Config) { cfg.Limits.GangTimeout = 3 * time.Second })
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 9000})
+		Eventually(func() int { return len(f.heartbeat("w1").Starts) }).Should(Equal(1))
+		w1 := f.workers["w1"]
+		f.advance(1500 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+		f.advance(800 * time.Millisecond) // 700 ms before the gang times out
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+		f.awaitRunning("j", 2)
+		Expect(w1.hb.Running[0].Run).To(Equal(2))
+
+		f.heartbeat("w2")
+		w1.hb.Running[0].Percent = 1
+		f.heartbeat("w1")
+		f.advance(3 * time.Second)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty(), "a member that is only silent does not end a gang at work")
+	})
+
 	It("prefers the rack of the data, and respects labels and the bound per worker", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1", "w2")
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -91,6 +91,8 @@
 	brokenGangs map[RunRef]bool
 	// causeKnown holds the gang runs, keyed by their first member, of which the member that ended first has reported.
 	causeKnown map[RunRef]bool
+	// forming holds the gang runs that are not known to be at work yet, by gangRef.
+	forming map[RunRef]*formingGang
 	// preempting holds the runs that are being preempted, with the ID of the job that they make room for.
 	preempting map[RunRef]string
 	// tickets holds the tickets of each step, by stepName.
@@ -167,7 +169,7 @@
 		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		preempting: map[RunRef]string{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
+		forming: map[RunRef]*formingGang{}, preempting: map[RunRef]string{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
 		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
 	}
 	s.mu.Lock()
