Wait for space on a full disk instead of ending the process

Cause: a write that a full disk refused counted as a failed store: the process ended, was started again and failed again, 8 times in 6 s on one machine.

Change: a refused write leaves the store usable; what it has torn is truncated before the next one. The protocol loop repeats the write, sends nothing that depends on it and steps down meanwhile, like on a stalled disk. A failed sync still ends the process. New data folders sync the parent of each new folder.

Tests: store and ctrl specs with a disk that refuses half-written records; they need the new hook, and the process ended before by the spec of a failed write.

--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -247,6 +247,7 @@
 	last := a.recent[len(a.recent)-1]
 	compactTo := last.Index - uint64(a.entriesSinceSnapshot/retainedLogDivisor)
 	s := quorum.Snapshot{Index: last.Index, Term: last.Term, Membership: a.members}
+	entries, bytes := a.entriesSinceSnapshot, a.bytesSinceSnapshot
 	a.savingSnapshot, a.entriesSinceSnapshot, a.bytesSinceSnapshot = true, 0, 0
 	a.mu.Unlock()
 
@@ -263,7 +264,7 @@
 		}
 		if err != nil {
 			a.logger.Log("event", "snapshot_failed", "index", s.Index, "err", err)
-			a.finishSnapshot(nil, 0)
+			a.abandonSnapshot(entries, bytes)
 			return
 		}
 		a.finishSnapshot(&s, compactTo)
@@ -286,14 +287,23 @@
 	return a.entriesSinceSnapshot >= a.snapshotEntries || a.bytesSinceSnapshot >= bytes
 }
 
+// abandonSnapshot ends the saving of a snapshot that failed. The next one is due
+// after snapshotRetryEntries, or the log would grow on a disk that is short of space.
+func (a *applier) abandonSnapshot(entries, bytes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.savingSnapshot = false
+	a.entriesSinceSnapshot += max(0, entries-snapshotRetryEntries)
+	a.bytesSinceSnapshot += max(0, bytes*(entries-snapshotRetryEntries)/max(1, entries))
+}
+
 // finishSnapshot ends the saving of a snapshot. It makes s the latest snapshot and
-// drops the recent entries up to and including compactTo; a nil s means that
-// saving failed.
+// drops the recent entries up to and including compactTo.
 func (a *applier) finishSnapshot(s *quorum.Snapshot, compactTo uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.savingSnapshot = false
-	if s == nil || a.snapshot != nil && a.snapshot.Index >= s.Index {
+	if a.snapshot != nil && a.snapshot.Index >= s.Index {
 		return
 	}
 	a.snapshot = s
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -36,6 +36,10 @@
 	leaderSearchTimeout = 2500 * time.Millisecond
 	// leaderlessAfter is how long an instance has no leader before it reports so; an election takes under 2 s.
 	leaderlessAfter = 2 * time.Second
+	// diskFullRetryInterval is the pause before a write that a full disk refused is repeated.
+	diskFullRetryInterval = 100 * time.Millisecond
+	// diskFullStartInterval is the pause before the data folder is opened again when the disk was full.
+	diskFullStartInterval = time.Second
 	// retryDelay is the pause before a call to the leader is retried.
 	retryDelay = 20 * time.Millisecond
 	// bootstrapInterval is how often a control instance without a membership asks its peers for one.
@@ -72,6 +76,8 @@
 	// snapshotSizeFactor times the size of the last snapshot is how many bytes of entries are applied before the
 	// next one. Snapshots then add at most half to the bytes written, and the log stays proportional to the state.
 	snapshotSizeFactor = 2
+	// snapshotRetryEntries is how many entries are applied before a snapshot that could not be saved is tried again.
+	snapshotRetryEntries = 256
 	// retainedLogDivisor sets how many of the entries since the last snapshot stay in the log for followers that
 	// are slightly behind: their number divided by it.
 	retainedLogDivisor = 4
@@ -147,8 +153,9 @@
 	SnapshotEntries int
 	SnapshotBytes   int
 
-	// sync replaces (*os.File).Sync in tests that simulate a failing disk.
-	sync func(*os.File) error
+	// sync and write replace those of *os.File in tests that simulate a failing disk.
+	sync  func(*os.File) error
+	write func(*os.File, []byte) (int, error)
 }
 
 func (cfg Config) withDefaults() Config {
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -25,6 +25,12 @@
 	return cfg
 }
 
+// WithWrite replaces (*os.File).Write.
+func (cfg Config) WithWrite(write func(*os.File, []byte) (int, error)) Config {
+	cfg.write = write
+	return cfg
+}
+
 // Applier exposes an applier without a protocol loop or a disk.
 type Applier struct{ a *applier }
 
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -18,7 +18,10 @@
 	"turmericroute/store"
 )
 
-var errStopped = errors.New("instance is stopping")
+var (
+	errStopped  = errors.New("instance is stopping")
+	errDiskFull = errors.New("disk is full")
+)
 
 // proposal is a command or a membership to be appended to the log.
 type proposal struct {
@@ -53,6 +56,8 @@
 	err       error // why the loop stopped; valid once done is closed
 
 	status atomic.Pointer[quorum.Status]
+	// full is set while the loop waits for space on the disk.
+	full atomic.Bool
 	// lastTick is a boot clock time, so that a suspension of the machine counts towards the ticks due.
 	lastTick time.Duration
 
@@ -258,7 +263,7 @@
 
 func (m *member) save(r quorum.Ready) error {
 	if r.Snapshot != nil {
-		if err := m.storage.SaveSnapshot(*r.Snapshot); err != nil {
+		if err := m.untilSaved(func() error { return m.storage.SaveSnapshot(*r.Snapshot) }); err != nil {
 			return fmt.Errorf("install snapshot: %w", err)
 		}
 		m.applier.enqueue(applyItem{snapshot: r.Snapshot})
@@ -267,7 +272,7 @@
 		return nil
 	}
 	start := time.Now()
-	if err := m.storage.Save(r.HardState, r.Entries); err != nil {
+	if err := m.untilSaved(func() error { return m.storage.Save(r.HardState, r.Entries) }); err != nil {
 		return fmt.Errorf("save log: %w", err)
 	}
 	m.syncSeconds.UpdateDuration(start)
@@ -277,6 +282,34 @@
 	return nil
 }
 
+// untilSaved repeats a write while the disk is full. Nothing that depends on the
+// write is sent meanwhile, so for the other members this one is silent; a leader
+// steps down.
+func (m *member) untilSaved(write func() error) error {
+	err := write()
+	if !errors.Is(err, store.ErrNoSpace) {
+		return err
+	}
+	m.logger.Log("event", "disk_full", "id", m.id, "term", m.protocol.Status().Term, "err", err)
+	m.full.Store(true)
+	defer m.full.Store(false)
+	m.leadership.update(0, 0, false)
+	s := *m.status.Load()
+	s.Role, s.Leader = quorum.RoleFollower, ""
+	m.status.Store(&s)
+	m.onChange(s)
+	for errors.Is(err, store.ErrNoSpace) {
+		select {
+		case <-m.stop:
+			return errStopped
+		case <-time.After(diskFullRetryInterval):
+		}
+		err = write()
+	}
+	m.logger.Log("event", "disk_has_space", "id", m.id, "err", err)
+	return err
+}
+
 // publishStatus publishes the protocol's status to the rest of the process.
 func (m *member) publishStatus() {
 	// A sync can take long; without these ticks a lease that expired meanwhile would appear to be held.
@@ -296,6 +329,9 @@
 
 // runOnLoop runs f on the protocol loop and waits for it.
 func (m *member) runOnLoop(ctx context.Context, f func(q *quorum.Node)) error {
+	if m.full.Load() {
+		return errDiskFull
+	}
 	ran := make(chan struct{})
 	select {
 	case m.calls <- func() { f(m.protocol); close(ran) }:
@@ -323,6 +359,9 @@
 
 // submit proposes p and waits until its entry is applied.
 func (m *member) submit(ctx context.Context, p *proposal) outcome {
+	if m.full.Load() {
+		return outcome{err: notLeaderError()}
+	}
 	p.done = make(chan outcome, 1)
 	select {
 	case m.proposals <- p:
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -82,7 +82,7 @@
 	}
 	n.noteLeader()
 	if n.cfg.DataDir != "" {
-		if err := n.openStore(); err != nil {
+		if err := n.openStore(ctx); err != nil {
 			return err
 		}
 	}
@@ -127,10 +127,17 @@
 
 // openStore recovers the data folder. The files of a damaged folder are
 // quarantined and its identity is abandoned, so that votes and acknowledgements
-// that it may have lost are never relied on.
-func (n *Node) openStore() error {
+// that it may have lost are never relied on. While the disk has no space for a
+// new folder it waits.
+func (n *Node) openStore(ctx context.Context) error {
 	for {
-		s, rec, err := store.Open(store.Config{Dir: n.cfg.DataDir, Sync: n.cfg.sync})
+		s, rec, err := store.Open(store.Config{Dir: n.cfg.DataDir, Sync: n.cfg.sync, Write: n.cfg.write})
+		if errors.Is(err, store.ErrNoSpace) {
+			n.cfg.Logger.Log("event", "disk_full", "err", err)
+			if clock.Sleep(ctx, diskFullStartInterval) {
+				continue
+			}
+		}
 		if err != nil {
 			return fmt.Errorf("open data folder: %w", err)
 		}
--- a/ctrl/unit_test.go
+++ b/ctrl/unit_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -131,4 +132,41 @@
 		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
 		Expect(n.Machine().Config().Version).To(BeZero())
 	})
+
+	// Guards against a full disk ending the process, which then failed at each restart, and against entries that a
+	// refused write has torn.
+	It("takes part again once a full disk has space, and loses nothing that it acknowledged", func() {
+		var full atomic.Bool
+		c := newCluster("a", "b", "c")
+		c.start("b", "c")
+		cfg := ctrl.Config{Name: "a", Address: c.peers[0].Address, DataDir: c.dataDir("a"), Peers: c.peers, Bootstrap: true}
+		a := c.startWith(cfg.WithWrite(func(f *os.File, b []byte) (int, error) {
+			if full.Load() {
+				n, _ := f.Write(b[:len(b)/2])
+				return n, syscall.ENOSPC
+			}
+			return f.Write(b)
+		}))
+		c.leader()
+		for c.leader() != "a" {
+			c.nodes[c.leader()].TransferLeadership(context.Background())
+		}
+		registerWorker(a, 0)
+		full.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		_, err := a.Execute(ctx, patchConfig("p", 0))
+		Expect(err).To(HaveOccurred())
+		next := ""
+		Eventually(func() string { next = c.leader(); return next }, waitTimeout).ShouldNot(Equal("a"), "it steps down")
+		registerWorker(c.nodes[next], 1)
+		Consistently(a.Failed(), 300*time.Millisecond).ShouldNot(BeClosed())
+		full.Store(false)
+		applied := func(n *ctrl.Node) func() uint64 { return func() uint64 { return n.Status().Applied } }
+		Eventually(applied(a), waitTimeout).Should(Equal(c.nodes[next].Status().Applied), "it catches up")
+		before := c.nodes[next].Status().Applied
+		c.close("a")
+		a = c.startWith(cfg)
+		Eventually(applied(a), waitTimeout).Should(BeNumerically(">=", before), "its files are sound")
+	})
 })
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -286,6 +287,80 @@
 		Entry("bit in the membership", func() { flipBit(filepath.Join(dir, "membership"), 14) }),
 	)
 
+	// Guards against a store that is lost to a disk which is full for a while, and against torn parts of refused writes
+	// in the middle of a segment.
+	It("goes on after writes that a full disk refused", func() {
+		full := false
+		s, _, err := store.Open(store.Config{Dir: dir, SegmentBytes: 512, Write: func(f *os.File, b []byte) (int, error) {
+			if full {
+				n, _ := f.Write(b[:len(b)/2])
+				return n, syscall.ENOSPC
+			}
+			return f.Write(b)
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		for i := uint64(1); i <= 60; i++ {
+			if full = i%3 == 0; full {
+				Expect(s.Save(nil, entries(i, i, 1))).To(MatchError(store.ErrNoSpace))
+				Expect(s.SaveSnapshot(snapshot(i-1, 1))).To(MatchError(store.ErrNoSpace))
+			}
+			full = false
+			Expect(s.Save(&quorum.HardState{Term: 1, Commit: i}, entries(i, i, 1))).To(Succeed())
+		}
+		full = true
+		Expect(s.SaveSnapshot(snapshot(90, 2))).To(MatchError(store.ErrNoSpace), "a snapshot that replaces the log")
+		full = false
+		Expect(s.SaveSnapshot(snapshot(90, 2))).To(Succeed())
+		full = true
+		Expect(s.Save(nil, entries(91, 91, 2))).To(MatchError(store.ErrNoSpace))
+		full = false
+		Expect(s.Save(&quorum.HardState{Term: 2, Commit: 91}, entries(91, 91, 2))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		s, rec := open(dir)
+		defer s.Close()
+		Expect(rec.Damage).NotTo(HaveOccurred())
+		Expect(rec.Snapshot.Index).To(BeEquivalentTo(90))
+		Expect(rec.Entries).To(HaveLen(1))
+	})
+
+	// Guards against a log whose reset record was refused, so that its entries appeared to continue the old log.
+	It("writes the reset record of an installed snapshot before the next entries when the disk was full between", func() {
+		allowed := -1 // writes that succeed before the disk is full; negative means all
+		s, _, err := store.Open(store.Config{Dir: dir, Write: func(f *os.File, b []byte) (int, error) {
+			if allowed == 0 {
+				return 0, syscall.ENOSPC
+			}
+			allowed--
+			return f.Write(b)
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Save(&quorum.HardState{Term: 1, Commit: 5}, entries(1, 9, 1))).To(Succeed())
+		allowed = 3 // the parts of the snapshot's file; the reset record is refused
+		Expect(s.SaveSnapshot(snapshot(20, 2))).To(MatchError(store.ErrNoSpace))
+		Expect(files(dir, ".snap")).To(HaveLen(1))
+		allowed = -1
+		Expect(s.SaveSnapshot(snapshot(20, 2))).To(Succeed())
+		Expect(s.Save(&quorum.HardState{Term: 2, Commit: 21}, entries(21, 21, 2))).To(Succeed())
+		Expect(s.Close()).To(Succeed())
+		s, rec := open(dir)
+		defer s.Close()
+		Expect(rec.Damage).NotTo(HaveOccurred())
+		Expect(rec.Entries).To(HaveLen(1))
+	})
+
+	// Guards against a data folder that is gone after a power loss, since only its own name was synced.
+	It("syncs the parent of each folder that it creates", func() {
+		var synced []string
+		top := GinkgoT().TempDir()
+		s, _, err := store.Open(store.Config{Dir: filepath.Join(top, "a", "b", "c"), Sync: func(f *os.File) error {
+			synced = append(synced, f.Name())
+			return f.Sync()
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		Expect(synced[:3]).To(Equal([]string{top, filepath.Join(top, "a"), filepath.Join(top, "a", "b")}))
+	})
+
 	// Guards against retrying a failed sync: the retry may succeed although the kernel has dropped the dirty pages.
 	DescribeTable("rejects all writes after a failed sync",
 		func(failing string) {
