Ask workers for heartbeats by what they do

Cause: all workers shared 1,200 heartbeats a second alike. At 1,100 workers an order waited 0.46 s for the next heartbeat in the mean, a gang for its latest.

Change: 2,500 a second, which the leader now carries; workers without room for the smallest known task, which report ends at once, take one a second, and the others share what is left.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -60,5 +60,5 @@
 		return false
 	}
 	f := l.forming[gangRef(id, run)]
-	return f != nil && now-f.since > s.cfg.Limits.GangTimeout-s.cfg.Limits.StopGrace-l.heartbeatInterval()-formingMargin
+	return f != nil && now-f.since > s.cfg.Limits.GangTimeout-s.cfg.Limits.StopGrace-l.longestInterval()-formingMargin
 }
--- /dev/null
+++ b/sched/interval.go
@@ -0,0 +1,86 @@
+package sched
+
+import (
+	"time"
+
+	"turmericroute/batch"
+)
+
+const (
+	// minHeartbeatInterval is the shortest heartbeat interval requested of workers. Orders travel only in the
+	// answers to heartbeats, so members of a gang may wait this long for each other.
+	minHeartbeatInterval = 100 * time.Millisecond
+	// maxHeartbeatRate bounds the heartbeats per second of all workers together; each costs the leader about 0.1 ms.
+	maxHeartbeatRate = 2500
+	// busyInterval is the interval requested of workers that have no room for a task, unless the rate allows a
+	// shorter one for all. They report ends at once; the interval delays the orders to stop a run.
+	busyInterval = time.Second
+	// minSilentAfter and silentAfterHeartbeats define when a worker counts as silent and gets no new runs:
+	// after silentAfterHeartbeats intervals without a heartbeat, but not before minSilentAfter. The latter is
+	// three heartbeats and a margin where there are few workers.
+	minSilentAfter        = 900 * time.Millisecond
+	silentAfterHeartbeats = 3
+)
+
+// heartbeatInterval returns the heartbeat interval that the rate allows for all workers alike.
+func (l *leaderState) heartbeatInterval() time.Duration {
+	return max(minHeartbeatInterval, time.Duration(len(l.workers))*time.Second/maxHeartbeatRate)
+}
+
+// longestInterval returns the longest heartbeat interval that is requested of any worker.
+func (l *leaderState) longestInterval() time.Duration {
+	if all := l.heartbeatInterval(); all > minHeartbeatInterval {
+		return max(all, busyInterval)
+	}
+	return minHeartbeatInterval
+}
+
+// intervalFor returns the heartbeat interval requested of a worker. Where the rate is short, workers that have room,
+// for which there may be orders, get what those without room leave of it.
+func (l *leaderState) intervalFor(id string) time.Duration {
+	all := l.heartbeatInterval()
+	if all == minHeartbeatInterval {
+		return all
+	}
+	busy := l.longestInterval()
+	if wv := l.room.views[id]; wv != nil && !wv.hasRoom && len(l.pendingOn[id]) == 0 {
+		return busy
+	}
+	withRoom := time.Duration(l.room.withRoom)
+	withoutRoom := time.Duration(len(l.workers)) - withRoom
+	left := maxHeartbeatRate - withoutRoom*time.Second/busy // heartbeats per second
+	return max(minHeartbeatInterval, min(all, withRoom*time.Second/max(1, left)))
+}
+
+// silentAfter returns how long after its last heartbeat a worker counts as silent.
+func (l *leaderState) silentAfter(w *worker) time.Duration {
+	return max(minSilentAfter, silentAfterHeartbeats*max(w.interval, l.heartbeatInterval()))
+}
+
+// noteRoom updates whether a worker has room for the smallest task that is known.
+func (rm *room) noteRoom(wv *workerView, hasRoom bool) {
+	if hasRoom == wv.hasRoom {
+		return
+	}
+	wv.hasRoom = hasRoom
+	if hasRoom {
+		rm.withRoom++
+	} else {
+		rm.withRoom--
+	}
+}
+
+// noteNeed lowers the resources that the smallest task needs.
+func (rm *room) noteNeed(need batch.Resources) {
+	least := need
+	if rm.needKnown {
+		least = batch.Resources{CPUMilli: min(need.CPUMilli, rm.leastNeed.CPUMilli), MemoryMB: min(need.MemoryMB, rm.leastNeed.MemoryMB), GPUs: min(need.GPUs, rm.leastNeed.GPUs)}
+	}
+	if rm.needKnown && least == rm.leastNeed {
+		return
+	}
+	rm.leastNeed, rm.needKnown = least, true
+	for _, wv := range rm.list {
+		rm.noteRoom(wv, wv.free.Fits(least))
+	}
+}
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -23,7 +23,7 @@
 	if w.gone {
 		return &Orders{AckedThrough: out.AckedThrough, Fence: out.Fence}
 	}
-	w.interval = l.heartbeatInterval()
+	w.interval = l.intervalFor(hb.Worker)
 	out.RetryAfterMS = int(w.interval.Milliseconds())
 	now := s.cfg.BootClock()
 	l.ledger.View(func(b *batch.State) {
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	slack := time.Duration(due-p.nowMS-criticalPathMS(r.job, r.first.Round, true)) * time.Millisecond
-	stopTime := p.s.cfg.Limits.StopGrace + 2*p.l.heartbeatInterval()
+	stopTime := p.s.cfg.Limits.StopGrace + 2*p.l.longestInterval()
 	if slack < stopTime {
 		return false
 	}
--- a/sched/room.go
+++ b/sched/room.go
@@ -20,6 +20,8 @@
 	// reserved holds the resources that the current pass reserves for higher-ranked jobs.
 	reserved batch.Resources
 	flaky    bool
+	// hasRoom is whether the smallest known task fits.
+	hasRoom bool
 	// servingTasks and bestEffortTasks count the worker's tasks of both kinds, which placement does not mix.
 	servingTasks, bestEffortTasks int
 	// forecast is valid in the pass with number forecastPass.
@@ -44,6 +46,10 @@
 	racks map[string]*rackRoom
 	// freeGPUs and totalGPUs sum up the accelerators of all usable workers.
 	freeGPUs, totalGPUs int
+	// leastNeed holds the least of each resource that any known task needs; withRoom counts the workers with that much.
+	leastNeed batch.Resources
+	needKnown bool
+	withRoom  int
 	// version changes with the set of usable workers and with all that fitsNoRack depends on.
 	version uint64
 	// stale holds the workers whose views must be refreshed, checks the times at which workers must be looked at again.
@@ -179,6 +185,7 @@
 		more := max(0, free.GPUs) - max(0, wv.free.GPUs)
 		wv.rack.freeGPUs += more
 		wv.rack.room.freeGPUs += more
+		wv.rack.room.noteRoom(wv, free.Fits(wv.rack.room.leastNeed))
 	}
 	wv.free = free
 }
@@ -200,6 +207,7 @@
 	rack.freeGPUs += max(0, wv.free.GPUs)
 	rm.freeGPUs += max(0, wv.free.GPUs)
 	rm.totalGPUs += wv.declared.Capacity.GPUs
+	rm.noteRoom(wv, wv.free.Fits(rm.leastNeed))
 	rm.version++
 	rm.grown[wv] = true
 }
@@ -220,6 +228,7 @@
 	rack.freeGPUs -= max(0, wv.free.GPUs)
 	rm.freeGPUs -= max(0, wv.free.GPUs)
 	rm.totalGPUs -= wv.declared.Capacity.GPUs
+	rm.noteRoom(wv, false)
 	wv.rack = nil
 	rm.version++
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -27,16 +27,6 @@
 	maxClockDrift = 0.03
 	// leaseMargin allows for the time that a worker takes to end its runs after its lease has expired.
 	leaseMargin = 300 * time.Millisecond
-	// minHeartbeatInterval is the shortest heartbeat interval requested of workers. Orders travel only in the
-	// answers to heartbeats, so members of a gang may wait this long for each other.
-	minHeartbeatInterval = 100 * time.Millisecond
-	// maxHeartbeatRate bounds the heartbeats per second of all workers together; each costs the leader about 0.2 ms.
-	maxHeartbeatRate = 1200
-	// minSilentAfter and silentAfterHeartbeats define when a worker counts as silent and gets no new runs:
-	// after silentAfterHeartbeats intervals without a heartbeat, but not before minSilentAfter. The latter is
-	// three heartbeats and a margin where there are few workers.
-	minSilentAfter        = 900 * time.Millisecond
-	silentAfterHeartbeats = 3
 	// passInterval is the time between periodic placement passes.
 	passInterval = 100 * time.Millisecond
 	// commitWait bounds how long the answer to a heartbeat waits for a commit; workers discard answers after one second.
@@ -125,16 +115,6 @@
 // lease returns the duration of the lease that a heartbeat renews.
 func (s *Scheduler) lease() time.Duration { return min(leaseDuration, s.cfg.Limits.MaxLease) }
 
-// heartbeatInterval returns the heartbeat interval requested of workers.
-func (l *leaderState) heartbeatInterval() time.Duration {
-	return max(minHeartbeatInterval, time.Duration(len(l.workers))*time.Second/maxHeartbeatRate)
-}
-
-// silentAfter returns how long after its last heartbeat a worker counts as silent.
-func (l *leaderState) silentAfter(w *worker) time.Duration {
-	return max(minSilentAfter, silentAfterHeartbeats*max(w.interval, l.heartbeatInterval()))
-}
-
 // leaseExpiry returns how long after the arrival of a heartbeat its lease has certainly expired, whatever the
 // worker's clock drift.
 func (s *Scheduler) leaseExpiry() time.Duration {
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -217,6 +217,7 @@
 // of its own.
 func (p *pass) shapeOf(j *batch.Job, first batch.TaskID) *shape {
 	st := &j.Spec.Steps[first.Step]
+	p.room.noteNeed(st.Reservation())
 	if st.PerWorker > 0 || needsTicket(p.state, j) {
 		return &shape{}
 	}
