--- a/clock/wait.go
+++ b/clock/wait.go
@@ -15,7 +15,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+		return ctx.Err() == nil // both may be ready
 	case <-ctx.Done():
 		return false
 	}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -98,12 +98,12 @@
 		}
 		entries = entries[s.Index-first+1:]
 	}
+	if entries[0].Term < s.Term {
+		return nil, nil
+	}
 	prev := s.Term
 	for _, e := range entries {
 		if e.Term < prev {
-			if prev == s.Term {
-				return nil, nil
-			}
 			return nil, fmt.Errorf("%w: term %d of entry %d is below that of the previous entry", ErrMalformed, e.Term, e.Index)
 		}
 		prev = e.Term
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -325,3 +325,30 @@
 		Expect(n.Status().First).To(Equal(uint64(3)))
 	})
 })
+
+var _ = Describe("a member that restarts with a snapshot", func() {
+	restart := func(terms ...uint64) (uint64, error) {
+		cfg := followerConfig()
+		cfg.HardState.Term = 9
+		cfg.Snapshot = &quorum.Snapshot{Index: 4, Term: 5, Membership: cfg.Membership}
+		cfg.Entries = nil
+		for i, t := range terms {
+			cfg.Entries = append(cfg.Entries, quorum.Entry{Index: 5 + uint64(i), Term: t})
+		}
+		n, err := quorum.New(cfg)
+		if err != nil {
+			return 0, err
+		}
+		return n.Status().Last, nil
+	}
+
+	It("drops entries of a log that the snapshot has replaced", func() {
+		Expect(restart(4, 4)).To(BeEquivalentTo(4))
+		Expect(restart(5, 6)).To(BeEquivalentTo(6))
+	})
+
+	// Guards against entries that were acknowledged being dropped without a word, because a later one is malformed.
+	It("refuses entries whose terms go back, rather than dropping those before", func() {
+		Expect(restart(5, 4)).Error().To(MatchError(quorum.ErrMalformed))
+	})
+})
