Answer unknown for a request whose body was cut

Cause: the second sending of a request whose first had run was answered not_run when its body broke off.

--- a/webapi/api_test.go
+++ b/webapi/api_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -125,6 +127,18 @@
 const job = `{"id":"j1","team":"tejados","shape":{"tasks":2,"gpus":8,"cores":4,"memory_mb":1024}}`
 
 var _ = Describe("bodies", func() {
+	// Guards against a caller being told that a request has not run, when the body of its second sending was cut and
+	// the first has run.
+	It("that are cut have an unknown outcome", func() {
+		f := newFixture()
+		Expect(f.post("/v1/jobs", job).status).To(BeNumerically("<", 300))
+		r := httptest.NewRequest("POST", "/v1/jobs", io.MultiReader(strings.NewReader(job[:20]), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		r.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		f.api.ServeHTTP(w, r)
+		Expect(w.Header().Get(webapi.HeaderOutcome)).To(Equal(string(model.OutcomeUnknown)))
+	})
+
 	DescribeTable("are refused with a specific code and the outcome not_run", func(body string, code model.Code, want string) {
 		f := newFixture()
 		before := f.replica.executed
--- a/webapi/body.go
+++ b/webapi/body.go
@@ -107,7 +107,8 @@
 	}
 	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, model.NotRun(model.CodeInvalid, "read body: %v", err)
+		// An earlier sending of the request may have run.
+		return nil, model.Unknown(model.CodeInvalid, "read body: %v", err)
 	}
 	if int64(len(b)) > limit {
 		return nil, model.NotRun(model.CodeTooLarge, "body has more than %d bytes", limit)
