--- a/ctrl/applier.go
+++ b/ctrl/applier.go
@@ -43,6 +43,10 @@
 	// persistSnapshot saves a snapshot and compacts the log up to an index; nil without a disk.
 	persistSnapshot func(quorum.Snapshot, uint64) error
 
+	// onFailure is called when the state can no longer be kept; failed is set from then on.
+	onFailure func()
+	failed    bool
+
 	applySeconds, snapshotSeconds *metrics.Summary
 	snapshotSize                  *metrics.Gauge
 
@@ -62,7 +66,7 @@
 
 func newApplier(cfg Config, m *state.Machine) *applier {
 	a := &applier{
-		machine: m, logger: cfg.Logger, waiters: map[uint64][]waiter{},
+		machine: m, logger: cfg.Logger, waiters: map[uint64][]waiter{}, onFailure: func() {},
 		snapshotEntries: cfg.SnapshotEntries, snapshotBytes: cfg.SnapshotBytes,
 		applySeconds:    cfg.Metrics.NewSummary(`turmericroute_ctrl_apply_seconds`),
 		snapshotSeconds: cfg.Metrics.NewSummary(`turmericroute_ctrl_snapshot_seconds`),
@@ -146,9 +150,17 @@
 }
 
 func (a *applier) process(item applyItem) {
+	if a.failed {
+		return
+	}
 	if item.snapshot != nil {
 		if err := a.restore(*item.snapshot); err != nil {
+			// The state lacks what the snapshot holds, so nothing may be applied to it any more.
 			a.logger.Log("event", "restore_failed", "index", item.snapshot.Index, "err", err)
+			a.failed = true
+			a.failWaiters(^uint64(0), "snapshot could not be restored")
+			a.onFailure()
+			return
 		}
 		a.failWaiters(item.snapshot.Index, "log was replaced by a snapshot")
 	}
--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -62,7 +62,7 @@
 			n.recovered.Membership = m
 			if err := n.startMember(); err != nil {
 				n.cfg.Logger.Log("event", "member_failed", "err", err)
-				close(n.failed)
+				n.fail()
 			}
 			return
 		}
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -62,6 +62,16 @@
 	return nil
 }
 
+// Applied returns the index of the last applied entry.
+func (t Applier) Applied() uint64 { return t.a.machine.Applied() }
+
+// InstallBrokenSnapshot installs a snapshot that cannot be restored, and reports whether the applier has failed.
+func (t Applier) InstallBrokenSnapshot(index uint64) (failed bool) {
+	t.a.onFailure = func() { failed = true }
+	t.a.process(applyItem{snapshot: &quorum.Snapshot{Index: index, Data: []byte("broken")}})
+	return failed
+}
+
 // Answer returns the result or error of a proposal, and false if it has none yet.
 func Answer(done chan outcome) (state.Result, *model.Error, bool) {
 	select {
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -51,7 +51,8 @@
 	viewTime       atomic.Int64                       // boot clock time for which the local copy is known to be current
 	cancelFollow   atomic.Pointer[context.CancelFunc] // cancels the watch stream of a diskless instance
 
-	failed chan struct{} // closed when the member fails
+	failed   chan struct{} // closed when the member or the applier fails
+	failOnce sync.Once
 }
 
 // New returns an instance that is not yet started.
@@ -67,6 +68,7 @@
 	}
 	n.metrics = newNodeMetrics(cfg.Metrics, n)
 	n.applier = newApplier(cfg, n.machine)
+	n.applier.onFailure = n.fail
 	n.links = newLinkPool(cfg)
 	n.leadership = &leadership{run: n.runLeader}
 	n.viewTime.Store(math.MinInt64)
@@ -170,16 +172,19 @@
 		m.run()
 		if !errors.Is(m.err, errStopped) {
 			n.leadership.close()
-			close(n.failed)
+			n.fail()
 		}
 	})
 	return nil
 }
 
 // Failed returns a channel that is closed when the log can no longer be
-// persisted, for instance after a failed sync; the process must then exit.
+// persisted, for instance after a failed sync, or its state not be kept; the
+// process must then exit.
 func (n *Node) Failed() <-chan struct{} { return n.failed }
 
+func (n *Node) fail() { n.failOnce.Do(func() { close(n.failed) }) }
+
 // roleChanged runs on the protocol loop when role, term, leader or membership change.
 func (n *Node) roleChanged(s quorum.Status) {
 	n.cfg.Logger.Log("event", "role_changed", "role", s.Role, "term", s.Term, "leader", s.Leader, "voters", len(s.Membership.Voters), "learners", len(s.Membership.Learners))
--- a/ctrl/unit_test.go
+++ b/ctrl/unit_test.go
@@ -58,6 +58,18 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a state that goes on without what a snapshot held, and differs from that of the other members.
+	It("are unknown when a snapshot cannot be restored, and nothing is applied afterwards", func() {
+		a := ctrl.NewApplier()
+		a.Commit(commandEntry(1, 1, patchConfig("p", 0)))
+		waiting := a.AddWaiter(9, 1)
+		Expect(a.InstallBrokenSnapshot(5)).To(BeTrue())
+		_, err, _ := ctrl.Answer(waiting)
+		Expect(err.Outcome).To(Equal(model.OutcomeUnknown))
+		a.Commit(commandEntry(6, 1, patchConfig("q", 0)))
+		Expect(a.Applied()).To(BeEquivalentTo(1))
+	})
+
 	It("are a failure for an entry that cannot be decoded, and later entries are applied", func() {
 		a := ctrl.NewApplier()
 		bad, good := a.AddWaiter(1, 1), a.AddWaiter(2, 1)
