--- a/cmd/turmericroute/instances.go
+++ b/cmd/turmericroute/instances.go
@@ -91,12 +91,15 @@
 // forEachAddress calls fn concurrently for every address, each with its own client
 // and a deadline of instanceTimeout, and waits for all calls.
 func (s *session) forEachAddress(ctx context.Context, addresses []string, fn func(ctx context.Context, n int, c *client.Client)) error {
-	var wg sync.WaitGroup
+	clients := make([]*client.Client, len(addresses))
 	for n, address := range addresses {
-		c, err := s.clientFor([]string{address})
-		if err != nil {
+		var err error
+		if clients[n], err = s.clientFor([]string{address}); err != nil {
 			return err
 		}
+	}
+	var wg sync.WaitGroup
+	for n, c := range clients {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, instanceTimeout)
 			defer cancel()
--- a/gang/event.go
+++ b/gang/event.go
@@ -70,6 +70,11 @@
 	switch c := e.command.(type) {
 	case state.PlaceJob:
 		l.revertPlacement(c, now)
+	case state.RemoveWorker:
+		// After an unknown outcome the worker must register again, as it may have been removed.
+		if e.err != nil && model.AsError(e.err).Outcome == model.OutcomeNotRun {
+			l.sessions.restore(model.Worker{Name: c.Name, Incarnation: c.Incarnation})
+		}
 	case state.MoveJob:
 		if a := l.attempts[c.ID]; a != nil && a.job.Attempt == c.Attempt {
 			a.committing = false
--- a/gang/session.go
+++ b/gang/session.go
@@ -139,6 +139,16 @@
 	return list
 }
 
+// restore makes a silent worker that could not be removed one to expire again, unless it has registered meanwhile.
+func (s sessions) restore(worker model.Worker) {
+	w := s.get(worker.Name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent && w.worker.Incarnation == "" {
+		w.worker.Incarnation = worker.Incarnation
+	}
+}
+
 // register stores the worker as registered in the replicated state.
 func (w *session) register(worker model.Worker) {
 	w.mu.Lock()
