End a call that panics alone

Cause: nothing recovered from panics. One in a call from another instance ended the process; one in an HTTP request was logged without its ID and not counted.

Change: calls to the scheduler and between instances and HTTP requests end alone, logged with their subject and stack and counted. Scheduling starts anew from the ledger and the workers' heartbeats, so that nothing half changed is used on, and refuses the worker whose heartbeat panicked for the rest of the term. A panic while an entry is applied still ends the process.

Tests: sched with a heartbeat that panics, serve with a request that does.

--- a/ctrl/dump.go
+++ b/ctrl/dump.go
@@ -11,6 +11,7 @@
 type nodeMetrics struct {
 	commitSeconds *metrics.Summary
 	roleChanges   *metrics.Counter
+	panics        *metrics.Counter
 }
 
 func newNodeMetrics(set *metrics.Set, n *Node) nodeMetrics {
@@ -25,6 +26,7 @@
 	return nodeMetrics{
 		commitSeconds: set.NewSummary(`turmericroute_ctrl_commit_seconds`),
 		roleChanges:   set.NewCounter(`turmericroute_ctrl_role_changes_total`),
+		panics:        set.NewCounter(`turmericroute_ctrl_panics_total`),
 	}
 }
 
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"google.golang.org/grpc"
@@ -35,6 +37,7 @@
 		grpc.Creds(n.cfg.Credentials),
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
+		grpc.ChainUnaryInterceptor(n.recoverCall),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
 	h := &server{n: n}
@@ -43,6 +46,18 @@
 	return s
 }
 
+// recoverCall ends a call from another instance that panics alone.
+func (n *Node) recoverCall(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (resp any, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			n.metrics.panics.Inc()
+			n.cfg.Logger.Log("event", "call_panicked", "method", info.FullMethod, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+			err = status.Errorf(codes.Internal, "call failed: %v", v)
+		}
+	}()
+	return handler(ctx, req)
+}
+
 // grpcError returns an Unavailable status whose message starts with code.
 func grpcError(code model.Code, message string) error {
 	return status.Error(codes.Unavailable, string(code)+": "+message)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -47,11 +47,17 @@
 
 	mu     sync.Mutex
 	leader *leaderState
+	// refused holds the workers whose heartbeats are refused in a term, see answerSafely.
+	refused struct {
+		term    uint64
+		workers map[string]bool
+	}
 }
 
-// leaderState is the state of one term as leader; its mutable fields are guarded by Scheduler.mu.
+// leaderState is the in-memory state of a leader; it lasts for a term unless a call panics; its mutable fields are guarded by Scheduler.mu.
 type leaderState struct {
 	ctx     context.Context
+	end     context.CancelFunc // ends ctx
 	term    uint64
 	replica state.Replica
 	ledger  *batch.Ledger
@@ -123,7 +129,15 @@
 
 // Lead schedules jobs as the leader of a term until ctx ends, which happens when the leader lease or the term is lost.
 func (s *Scheduler) Lead(ctx context.Context, term uint64, r state.Replica) {
+	for ctx.Err() == nil {
+		s.lead(ctx, term, r)
+	}
+}
+
+// lead schedules jobs until ctx ends or the in-memory state can no longer be used.
+func (s *Scheduler) lead(ctx context.Context, term uint64, r state.Replica) {
 	l := s.begin(ctx, term, r)
+	defer l.end()
 	l.ledger.View(func(b *batch.State) {
 		s.cfg.Logger.Log("event", "scheduling_began", "term", term, "open_jobs", len(b.Open), "config_version", b.Catalog.Version, "workers_with_runs", len(b.Runs))
 	})
@@ -144,8 +158,9 @@
 
 // begin starts a term, in which calls are answered.
 func (s *Scheduler) begin(ctx context.Context, term uint64, r state.Replica) *leaderState {
+	ctx, end := context.WithCancel(ctx)
 	l := &leaderState{
-		ctx: ctx, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.BootClock(),
+		ctx: ctx, end: end, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.BootClock(),
 		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
@@ -213,6 +228,10 @@
 	if failure != nil {
 		return Answer{}, failure
 	}
+	return s.answerSafely(ctx, l, c)
+}
+
+func (s *Scheduler) answer(ctx context.Context, l *leaderState, c Call) (Answer, error) {
 	switch {
 	case c.Heartbeat != nil:
 		return s.heartbeat(ctx, l, *c.Heartbeat)
--- a/serve/process.go
+++ b/serve/process.go
@@ -93,7 +93,7 @@
 		Peers: s.apiPeers(), Executors: p.executors, Refresh: p.refreshQueueGauges,
 	})
 	p.server = &http.Server{
-		Handler: api, ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
+		Handler: RecoverRequests(api, c.Logger, c.Metrics), ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
 		MaxHeaderBytes: s.Limits.MaxHeaderBytes,
 		ErrorLog:       stdlog.New(log.NewStdlibAdapter(level.Warn(c.Logger), log.MessageKey("err")), "", 0),
 	}
