Search for the leader once for all callers, asking all instances at once

Cause: each call without a known leader asked one instance after the other, and waited half a second for each that was down; dials took a second each, with pauses of up to a second. Reads whose answer was lost were answered 504, as if they might have had an effect.

Change: callers share one search that asks all control instances at once; dial time and pause are half a second at most; a read has outcome not_run.

--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -110,21 +110,23 @@
 	if unreachable == "" {
 		p, conn, known := n.leaderConn(ctx)
 		if !known {
-			return callTarget{peer: p}
+			return callTarget{}
 		}
 		return callTarget{peer: p, conn: conn, leader: p.Name}
 	}
 	n.forgetLeader(unreachable)
-	asked, leader, ok := n.askForLeader(ctx)
+	leader, ok := n.findLeader(ctx)
 	switch {
 	case !ok:
-		return callTarget{peer: asked, leader: unreachable}
-	case leader.Name != unreachable || leader.Name == asked.Name:
+		return callTarget{leader: unreachable}
+	case leader.Name != unreachable:
 		return callTarget{peer: leader, conn: n.connTo(ctx, leader), leader: leader.Name}
-	default:
-		n.forgetLeader(unreachable)
-		return callTarget{peer: asked, conn: n.connTo(ctx, asked), leader: unreachable, relay: true}
 	}
+	n.forgetLeader(unreachable)
+	if p, ok := n.findRelay(ctx, unreachable); ok {
+		return callTarget{peer: p, conn: n.connTo(ctx, p), leader: unreachable, relay: true}
+	}
+	return callTarget{peer: leader, conn: n.connTo(ctx, leader), leader: unreachable}
 }
 
 // respondLocal answers a request on the leader and afterwards confirms that it
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -173,18 +173,15 @@
 }
 
 // leaderConn returns the leader and a connection to it, nil if it cannot be
-// reached. While the leader is not known, it asks one control peer: a request sent
-// to one instance after the other leaves its caller in doubt when time runs out, a
-// question does not. If that peer knows none either, known is false and the peer is
-// returned.
+// reached; known is false if no leader is known. While it is not, the control peers
+// are asked: a request sent to one instance after the other leaves its caller in
+// doubt when time runs out, a question does not.
 func (n *Node) leaderConn(ctx context.Context) (p Peer, conn *grpc.ClientConn, known bool) {
 	p, ok := n.knownLeader()
 	if !ok {
-		asked, leader, ok := n.askForLeader(ctx)
-		if !ok {
-			return asked, nil, false
+		if p, ok = n.findLeader(ctx); !ok {
+			return Peer{}, nil, false
 		}
-		p = leader
 	}
 	if conn = n.connTo(ctx, p); conn == nil {
 		n.forgetLeader(p.Name)
@@ -208,34 +205,6 @@
 	return n.peerNamed(name)
 }
 
-// nextControlPeer returns the control peers in rotation.
-func (n *Node) nextControlPeer() (Peer, bool) {
-	peers := n.controlPeers()
-	if len(peers) == 0 {
-		return Peer{}, false
-	}
-	return peers[int(n.nextPeer.Add(1))%len(peers)], true
-}
-
-// askForLeader asks the next control peer which instance leads, and returns both;
-// it returns false if the peer doesn't know.
-func (n *Node) askForLeader(ctx context.Context) (asked, leader Peer, ok bool) {
-	if asked, ok = n.nextControlPeer(); !ok {
-		return Peer{}, Peer{}, false
-	}
-	answer := n.identify(ctx, asked)
-	if answer == nil {
-		return asked, Peer{}, false
-	}
-	n.learnMembers(answer.GetMembers())
-	leader, ok = n.peerNamed(answer.GetLeader())
-	if !ok || leader.Name == n.cfg.Name {
-		return asked, Peer{}, false
-	}
-	n.setLeaderName(leader.Name)
-	return asked, leader, true
-}
-
 // forgetLeader clears the known leader if it is the named instance, which could not be reached.
 func (n *Node) forgetLeader(name string) {
 	if n.leaderName() == name {
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout and maxBackoff bound how long an instance that was down is not noticed to be back.
+	dialTimeout = 500 * time.Millisecond
 	minBackoff  = 50 * time.Millisecond
-	maxBackoff  = time.Second
+	maxBackoff  = 500 * time.Millisecond
 )
 
 // link maintains one connection to one address.
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -43,9 +43,9 @@
 	bootstrapState bootstrapState
 
 	seeds          atomic.Pointer[[]Peer]
-	learnedMembers atomic.Pointer[[]Peer]             // members reported by other instances
-	leaderHint     atomic.Pointer[string]             // name of the leader; nil or empty if unknown
-	nextPeer       atomic.Uint32                      // round-robin counter over the control peers
+	learnedMembers atomic.Pointer[[]Peer] // members reported by other instances
+	leaderHint     atomic.Pointer[string] // name of the leader; nil or empty if unknown
+	search         leaderSearch
 	hadLeader      bool                               // whether a leader was known at the last change of role; used on the protocol loop
 	leaderSeenAt   atomic.Int64                       // boot clock time at which a leader was last known or replied
 	viewTime       atomic.Int64                       // boot clock time for which the local copy is known to be current
--- a/sched/call.go
+++ b/sched/call.go
@@ -26,6 +26,11 @@
 	return c.Declare != nil || c.Catalog || c.Outage != nil || c.Wave != nil || c.WaveStatus != nil || c.ConfirmLeader
 }
 
+// readOnly reports whether the call changes nothing.
+func (c Call) readOnly() bool {
+	return c.Show != nil || c.Catalog || c.WaveStatus != nil || c.Ping || c.ConfirmLeader
+}
+
 // JobRef identifies a job by host and path, or a queue if the path has no job ID, and carries the caller's API key.
 type JobRef struct {
 	Host string `json:"host"`
--- a/sched/client.go
+++ b/sched/client.go
@@ -36,6 +36,18 @@
 // Call sends a call to the leader and returns its answer. The error is a *model.Error; its outcome is unknown if the
 // call may have taken effect.
 func (c *Client) Call(ctx context.Context, call Call) (Answer, error) {
+	a, err := c.send(ctx, call)
+	if err == nil {
+		return a, nil
+	}
+	e := model.AsError(err)
+	if call.readOnly() && e.Outcome == model.OutcomeUnknown {
+		e = model.NotRun(e.Code, "%s", e.Message) // a read has no effect that could be in doubt
+	}
+	return Answer{}, e
+}
+
+func (c *Client) send(ctx context.Context, call Call) (Answer, error) {
 	if c.local != nil {
 		var a Answer
 		err := c.leader.WhileLeading(ctx, func(ctx context.Context) error {
--- a/sched/client_test.go
+++ b/sched/client_test.go
@@ -69,7 +69,27 @@
 
 func (c isolatedInstance) Leaderless() bool { return c.leaderless }
 
+// lostAnswer is a leader whose answers are lost.
+type lostAnswer struct{ isolatedInstance }
+
+func (lostAnswer) Call(context.Context, []byte) ([]byte, error) {
+	return nil, model.Unknown(model.CodeDeadline, "leader did not answer in time")
+}
+
 var _ = Describe("the client", func() {
+	// Guards against callers who are told that a read may have taken effect, and who then don't ask again.
+	DescribeTable("leaves callers in doubt about changes only",
+		func(call sched.Call, want model.Outcome) {
+			_, err := sched.NewClient(lostAnswer{}, nil).Call(context.Background(), call)
+			Expect(model.AsError(err).Outcome).To(Equal(want))
+		},
+		Entry("a job's state", sched.Call{Show: &sched.JobRef{}}, model.OutcomeNotRun),
+		Entry("the configuration", sched.Call{Catalog: true}, model.OutcomeNotRun),
+		Entry("a submitted job", sched.Call{Submit: &sched.Submit{}}, model.OutcomeUnknown),
+		Entry("a cancelled job", sched.Call{Cancel: &sched.JobRef{}}, model.OutcomeUnknown),
+		Entry("a heartbeat", sched.Call{Heartbeat: &sched.Heartbeat{}}, model.OutcomeUnknown),
+	)
+
 	// Guards against operators that wait for a second at an isolated instance instead of asking another one. Clients
 	// and workers make only a few attempts, so their calls wait for a leader to return.
 	DescribeTable("gives up the search for a leader",
