Dial again soon where a dial gets no answer

Cause: a dial that began while the other machine had no power waited for a second.

Change: dials take 150, 300 and 900 ms in turn, with pauses of 300 ms at most.

Test: a peer whose first dials get no answer; a call of 800 ms fails before.

--- a/ctrl/call_test.go
+++ b/ctrl/call_test.go
@@ -83,6 +83,27 @@
 	})
 })
 
+var _ = Describe("a link to an instance that comes back", func() {
+	// Guards against elections that wait for a dial which began before the other machine had power: its opening packet
+	// is lost, and the next one is sent only a second later.
+	It("is made soon, though the first dials get no answer", func() {
+		peer := newSilentPeer(func(address string) string { return address })
+		back := time.Now().Add(200 * time.Millisecond)
+		c := newOpenCluster(0)
+		cfg := ctrl.Config{Name: "caller", Address: freeAddress(), Peers: []ctrl.Peer{{Name: peer.address, Address: peer.address, Control: true}}, OpenMembership: true, Stateless: true}
+		n := c.startWith(cfg.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			if time.Now().Before(back) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}))
+		_, err := call(n, 800*time.Millisecond)
+		Expect(err).To(HaveOccurred())
+		Expect(peer.calls.Load()).To(BeEquivalentTo(1), "the call was sent")
+	})
+})
+
 var _ = Describe("an instance that loses its leader", func() {
 	// Guards against orders that are refused as soon as an election starts, because a failed call had cleared the
 	// leader's name before the instance noted the end of the leader's time.
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -156,6 +156,8 @@
 	// sync and write replace those of *os.File in tests that simulate a failing disk.
 	sync  func(*os.File) error
 	write func(*os.File, []byte) (int, error)
+	// dialContext replaces that of net.Dialer in tests.
+	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (cfg Config) withDefaults() Config {
@@ -171,6 +173,9 @@
 	if cfg.Listen == nil {
 		cfg.Listen = net.Listen
 	}
+	if cfg.dialContext == nil {
+		cfg.dialContext = (&net.Dialer{}).DialContext
+	}
 	if cfg.SnapshotEntries == 0 {
 		cfg.SnapshotEntries = DefaultSnapshotEntries
 	}
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"context"
+	"net"
 	"os"
 	"time"
 
@@ -31,6 +33,12 @@
 	return cfg
 }
 
+// WithDial replaces the DialContext of net.Dialer.
+func (cfg Config) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Config {
+	cfg.dialContext = dial
+	return cfg
+}
+
 // Applier exposes an applier without a protocol loop or a disk.
 type Applier struct{ a *applier }
 
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -15,12 +15,15 @@
 )
 
 const (
-	// dialTimeout and maxBackoff bound how long an instance that was down is not noticed to be back.
-	dialTimeout = 500 * time.Millisecond
-	minBackoff  = 50 * time.Millisecond
-	maxBackoff  = 500 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause between two dials.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 300 * time.Millisecond
 )
 
+// dialTimeouts bound the dials to an address, in turn. A dial that began while the machine was without power gets no
+// answer for a second after it is back, so short ones come between; the longest suits links with a long delay.
+var dialTimeouts = [...]time.Duration{150 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond}
+
 // link maintains one connection to one address.
 type link struct {
 	address string
@@ -42,6 +45,7 @@
 	cancel         context.CancelFunc
 	logger         log.Logger
 	credentials    credentials.TransportCredentials
+	dialContext    func(ctx context.Context, network, address string) (net.Conn, error)
 	sent, received *metrics.Counter
 	writes, reads  *metrics.Counter // socket calls, about one TCP segment each
 	reconnects     *metrics.Counter
@@ -54,7 +58,7 @@
 func newLinkPool(cfg Config) *linkPool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &linkPool{
-		ctx: ctx, cancel: cancel, logger: cfg.Logger, credentials: cfg.Credentials, byAddress: map[string]*link{},
+		ctx: ctx, cancel: cancel, logger: cfg.Logger, credentials: cfg.Credentials, dialContext: cfg.dialContext, byAddress: map[string]*link{},
 		sent:       cfg.Metrics.NewCounter(`turmericroute_ctrl_sent_bytes_total`),
 		received:   cfg.Metrics.NewCounter(`turmericroute_ctrl_received_bytes_total`),
 		writes:     cfg.Metrics.NewCounter(`turmericroute_ctrl_writes_total`),
@@ -84,9 +88,9 @@
 // run reconnects with exponential back-off whenever the connection is lost or dropped.
 func (l *link) run() {
 	backoff := minBackoff
-	for l.pool.ctx.Err() == nil {
+	for attempt := 0; l.pool.ctx.Err() == nil; attempt++ {
 		started := time.Now()
-		l.connectOnce()
+		l.connectOnce(dialTimeouts[attempt%len(dialTimeouts)])
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
@@ -100,7 +104,7 @@
 }
 
 // connectOnce dials and returns when the connection is lost or dropped.
-func (l *link) connectOnce() {
+func (l *link) connectOnce(dialTimeout time.Duration) {
 	ctx, cancel := context.WithCancel(l.pool.ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
@@ -115,7 +119,7 @@
 		return
 	}
 	defer conn.Close()
-	if !waitReady(ctx, conn) {
+	if !waitReady(ctx, conn, dialTimeout) {
 		return
 	}
 	l.setConn(conn, cancel)
@@ -124,8 +128,8 @@
 	l.pool.reconnects.Inc()
 }
 
-func waitReady(ctx context.Context, conn *grpc.ClientConn) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func waitReady(ctx context.Context, conn *grpc.ClientConn, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn.Connect()
 	for {
@@ -217,8 +221,7 @@
 }
 
 func (p *linkPool) dial(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := p.dialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // gRPC adds the address.
 	}
