Adapt the rate of heartbeats to what the leader can take

Cause: gangs waited for their latest member up to 0.4 s, which is work thrown away and a later end, while the leader used 0.09 of its 0.96 of a core in the mean; on a machine that turns slow a fixed rate would be too much.

Change: additive increase up to 5,000 heartbeats a second, multiplicative decrease while the process runs late after a wait; the interval is never longer than a third of the lease.

Test: the rate by lag.

--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -124,3 +124,6 @@
 
 // Panics returns how many calls have panicked.
 func (s *Scheduler) Panics() uint64 { return s.metrics.panics.Get() }
+
+// NextRate returns the rate of heartbeats that follows one, given how late the leader was.
+var NextRate = nextRate
--- a/sched/interval.go
+++ b/sched/interval.go
@@ -4,14 +4,27 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/clock"
 )
 
 const (
 	// minHeartbeatInterval is the shortest heartbeat interval requested of workers. Orders travel only in the
 	// answers to heartbeats, so members of a gang may wait this long for each other.
 	minHeartbeatInterval = 100 * time.Millisecond
-	// maxHeartbeatRate bounds the heartbeats per second of all workers together; each costs the leader about 0.1 ms.
-	maxHeartbeatRate = 2500
+	// maxHeartbeatInterval is the longest interval that the rate may lead to: a lease spans three.
+	maxHeartbeatInterval = leaseDuration / 3
+	// maxHeartbeatRate and minHeartbeatRate bound the heartbeats per second of all workers together; each costs the
+	// leader about 0.1 ms.
+	maxHeartbeatRate = 5000
+	minHeartbeatRate = 1000
+	// initialHeartbeatRate is the rate at the start of a term, when all workers report at once.
+	initialHeartbeatRate = 2500
+	// The rate falls by rateDecrease when the leader is late by more than maxLag, at most once per rateInterval, and
+	// rises by rateIncrease in each rateInterval in which it is not.
+	rateInterval = 100 * time.Millisecond
+	maxLag       = 40 * time.Millisecond
+	rateDecrease = 0.7
+	rateIncrease = 50
 	// busyInterval is the interval requested of workers that have no room for a task, unless the rate allows a
 	// shorter one for all. They report ends at once; the interval delays the orders to stop a run.
 	busyInterval = time.Second
@@ -22,9 +35,30 @@
 	silentAfterHeartbeats = 3
 )
 
+// adaptRate adapts the rate of heartbeats to what the leader can take, until the term ends: additive increase,
+// multiplicative decrease, by how late the process runs after a wait. Heartbeats are most of its load.
+func (s *Scheduler) adaptRate(l *leaderState) {
+	before := s.cfg.BootClock()
+	for clock.Sleep(l.ctx, rateInterval) {
+		now := s.cfg.BootClock()
+		s.mu.Lock()
+		l.heartbeatRate = nextRate(l.heartbeatRate, now-before-rateInterval)
+		s.mu.Unlock()
+		before = s.cfg.BootClock()
+	}
+}
+
+// nextRate returns the rate of heartbeats after an interval in which the process was late by lag.
+func nextRate(rate int, lag time.Duration) int {
+	if lag > maxLag {
+		return max(minHeartbeatRate, int(float64(rate)*rateDecrease))
+	}
+	return min(maxHeartbeatRate, rate+rateIncrease)
+}
+
 // heartbeatInterval returns the heartbeat interval that the rate allows for all workers alike.
 func (l *leaderState) heartbeatInterval() time.Duration {
-	return max(minHeartbeatInterval, time.Duration(len(l.workers))*time.Second/maxHeartbeatRate)
+	return min(maxHeartbeatInterval, max(minHeartbeatInterval, time.Duration(len(l.workers))*time.Second/time.Duration(l.heartbeatRate)))
 }
 
 // longestInterval returns the longest heartbeat interval that is requested of any worker.
@@ -48,7 +82,7 @@
 	}
 	withRoom := time.Duration(l.room.withRoom)
 	withoutRoom := time.Duration(len(l.workers)) - withRoom
-	left := maxHeartbeatRate - withoutRoom*time.Second/busy // heartbeats per second
+	left := time.Duration(l.heartbeatRate) - withoutRoom*time.Second/busy // heartbeats per second
 	return max(minHeartbeatInterval, min(all, withRoom*time.Second/max(1, left)))
 }
 
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -188,6 +188,23 @@
 		Expect(f.running("j")).To(HaveKeyWithValue(taskID("j", 0, 0), "w2"))
 	})
 
+	// Guards against a leader that asks for more heartbeats than it can answer, as on a machine that has become slow.
+	It("asks for fewer heartbeats while the leader is late, and for more again afterwards", func() {
+		rate := 5000
+		for range 3 {
+			rate = sched.NextRate(rate, 100*time.Millisecond)
+		}
+		Expect(rate).To(BeNumerically("<", 2000))
+		for range 30 {
+			rate = sched.NextRate(rate, 100*time.Millisecond)
+		}
+		Expect(rate).To(Equal(1000))
+		for range 100 {
+			rate = sched.NextRate(rate, time.Millisecond)
+		}
+		Expect(rate).To(Equal(5000))
+	})
+
 	// Guards against a silence limit that does not grow with the heartbeat interval: with 3,000 workers the interval
 	// was 2.5 s, and only workers heard within the last 0.9 s got new runs.
 	It("places runs on all of many workers, whose heartbeats are further apart", func() {
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -87,6 +87,8 @@
 	brokenGangs map[RunRef]bool
 	// causeKnown holds the gang runs, keyed by their first member, of which the member that ended first has reported.
 	causeKnown map[RunRef]bool
+	// heartbeatRate is how many heartbeats per second the leader asks for of all workers together.
+	heartbeatRate int
 	// forming holds the gang runs that are not known to be at work yet, by gangRef.
 	forming map[RunRef]*formingGang
 	// preempting holds the runs that are being preempted, with the ID of the job that they make room for.
@@ -146,6 +148,7 @@
 	wg.Go(func() { s.sweep(l) })
 	wg.Go(func() { s.runMaintenance(l) })
 	wg.Go(func() { s.requestTickets(l) })
+	wg.Go(func() { s.adaptRate(l) })
 	wg.Wait()
 	l.ledger.DropChanges()
 	s.mu.Lock()
@@ -163,7 +166,7 @@
 		ctx: ctx, end: end, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.BootClock(),
 		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
-		room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
+		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
 		forming: map[RunRef]*formingGang{}, preempting: map[RunRef]string{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
 		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
 	}
