Search for runs to preempt incrementally, and count what they lose by time

Cause: each step of the search looked at all victims of all workers in scope again, with all members of their gangs. Work lost was counted by reported progress, so runs that had just started cost nothing, and up to 158 of them were stopped for one gang.

Change: offers by worker in a heap, looked at again only where room has changed; a scope that costs more than the best is given up. Work lost is the time since the run was reported, plus what is not reported yet.

--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -44,9 +44,11 @@
 		f.s.Begin(context.Background(), 1, r)
 	}
 	queue := batch.Queue{Name: "normal", Host: testHost, Prefix: "/normal/", Service: "svc", Priority: 1, MaxFailures: 2, Stretch: 3, TargetMS: 1000}
+	urgent := queue
+	urgent.Name, urgent.Prefix, urgent.Priority = "urgent", "/urgent/", 0
 	f.must(b, sched.Call{Declare: &batch.Catalog{
-		Version: 1, Services: []batch.Service{{Name: "svc", AdmissionControl: true}}, Queues: []batch.Queue{queue},
-		Teams: []batch.Team{{Name: "team", Keys: []string{testKey}}},
+		Version: 1, Services: []batch.Service{{Name: "svc", AdmissionControl: true}}, Queues: []batch.Queue{queue, urgent},
+		Teams: []batch.Team{{Name: "team", Keys: []string{testKey}, GuaranteedGPUs: 100}},
 	}})
 	for i := range workers {
 		name := fmt.Sprintf("w%05d", i)
@@ -252,3 +254,37 @@
 		}
 	})
 }
+
+// BenchmarkPassPreempts measures a full pass that searches for runs to preempt for a gang within its team's guarantee.
+func BenchmarkPassPreempts(b *testing.B) {
+	forSizes(b, func(b *testing.B, workers int) {
+		for b.Loop() {
+			b.StopTimer()
+			f := newFleet(b, workers, false)
+			for range 1 + workers*8/78 {
+				f.submitSingles(b) // leaves no room
+			}
+			for range 2 {
+				f.pass(b)
+				for _, w := range f.workers {
+					f.heartbeat(b, w)
+				}
+			}
+			f.jobs++
+			f.must(b, sched.Call{Submit: &sched.Submit{JobRef: jobRef("urgent", fmt.Sprintf("urgent%d", f.jobs)), Spec: batch.Spec{
+				Text: "text", Steps: []batch.Step{{Count: 12, Need: gpus(8), EstimateMS: 2500, Gang: true, SameRack: true}},
+			}}})
+			f.now += time.Second
+			for _, w := range f.workers {
+				f.heartbeat(b, w)
+			}
+			f.pass(b)
+			f.now += 3 * time.Second
+			for _, w := range f.workers {
+				f.heartbeat(b, w)
+			}
+			b.StartTimer()
+			f.pass(b)
+		}
+	})
+}
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -117,13 +117,20 @@
 	if w == nil {
 		return 0
 	}
-	done := float64(w.running[id].Percent) / 100 * float64(step.EstimateMS) / 1000
+	lost := unreportedWork
+	if first, ok := w.firstReports[RunRef{Task: id, Run: j.Task(id).Run}]; ok {
+		lost += p.now - first.at
+	}
 	if step.Checkpoints {
-		done = min(done, 1) // counts at most 1 s, the progress since the last checkpoint
+		lost = min(lost, time.Second) // the time since the last checkpoint
 	}
-	return done * coresOf(step.Need)
+	return lost.Seconds() * coresOf(step.Need)
 }
 
+// unreportedWork is how long a run has been at work before it is reported, about. It keeps many runs that have just
+// started from looking cheaper than a few.
+const unreportedWork = 300 * time.Millisecond
+
 // coresOf returns the processors and accelerators that a task needs, expressed in cores.
 func coresOf(n batch.Resources) float64 {
 	return float64(n.CPUMilli)/1000 + coresPerGPU*float64(n.GPUs)
--- a/sched/victim.go
+++ b/sched/victim.go
@@ -16,6 +16,8 @@
 	// key identifies the task; its index is -1 for a gang.
 	key  batch.TaskID
 	runs []RunRef
+	// on holds the resources that the victim takes on each usable worker.
+	on map[*workerView]batch.Resources
 	// cost is the work that would be lost, in core-seconds, weighted for runs of priority 0.
 	cost float64
 }
@@ -68,7 +70,8 @@
 
 // newVictim returns the victim for a task, or for all active runs of a gang if the index of key is negative.
 func (p *pass) newVictim(j *batch.Job, key batch.TaskID) *victim {
-	v := &victim{key: key}
+	v := &victim{key: key, on: map[*workerView]batch.Resources{}}
+	need := j.Spec.Steps[key.Step].Reservation()
 	for i, t := range j.Rounds[key.Round][key.Step].Tasks {
 		if !t.Active || key.Index >= 0 && key.Index != i {
 			continue
@@ -77,6 +80,9 @@
 		id.Index = i
 		v.runs = append(v.runs, RunRef{Task: id, Run: t.Run})
 		v.cost += p.lostWork(j, id)
+		if wv := p.room.views[t.Worker]; wv != nil {
+			v.on[wv] = v.on[wv].Plus(need)
+		}
 	}
 	if p.priority(j) == 0 {
 		v.cost = (v.cost + 1) * priorityZeroWeight
@@ -91,9 +97,12 @@
 	var best []*victim
 	bestCost := 0.0
 	for _, scope := range p.scopes(r, remote) {
-		chosen, cost, ok := p.cheapestVictimsIn(r, at, scope, freed)
-		if ok && (best == nil || cost < bestCost) {
-			best, bestCost = chosen, cost
+		s := newVictimSearch(p, r, at, scope, freed)
+		if best != nil {
+			s.maxCost = bestCost
+		}
+		if s.run() {
+			best, bestCost = s.chosen, s.cost
 		}
 	}
 	return best
@@ -129,46 +138,6 @@
 	return out
 }
 
-// cheapestVictimsIn chooses victims within a scope greedily, and returns their total cost: it repeatedly adds the
-// victims of the worker with the least cost per task that gains room. It returns false if there are too few.
-func (p *pass) cheapestVictimsIn(r *request, at map[*workerView][]*victim, scope []*workerView, alreadyFreed map[*workerView]batch.Resources) ([]*victim, float64, bool) {
-	freed := maps.Clone(alreadyFreed)
-	free := func(wv *workerView) batch.Resources { return wv.free.Minus(wv.reserved).Plus(freed[wv]) }
-	chosen := map[*victim]bool{}
-	var out []*victim
-	for {
-		total := 0
-		for _, wv := range scope {
-			total += p.fitCount(r, wv, free(wv))
-		}
-		if total >= r.count {
-			break
-		}
-		var add []*victim
-		least := 0.0
-		for _, wv := range scope {
-			list, cost, gained := p.cheapestOn(r, at[wv], wv, free(wv), chosen)
-			if gained == 0 {
-				continue
-			}
-			if perTask := cost / float64(gained); add == nil || perTask < least {
-				add, least = list, perTask
-			}
-		}
-		if add == nil {
-			return nil, 0, false
-		}
-		for _, v := range add {
-			chosen[v] = true
-			out = append(out, v)
-			for _, ref := range v.runs {
-				p.addFreed(freed, ref)
-			}
-		}
-	}
-	return out, totalCost(out), true
-}
-
 func totalCost(list []*victim) float64 {
 	sum := 0.0
 	for _, v := range list {
@@ -176,43 +145,3 @@
 	}
 	return sum
 }
-
-// cheapestOn returns the cheapest victims on one worker that make room for at least one more task there, their total
-// cost, and the number of tasks that gain room; the number is 0 if there are none.
-func (p *pass) cheapestOn(r *request, victims []*victim, wv *workerView, free batch.Resources, chosen map[*victim]bool) (list []*victim, cost float64, gained int) {
-	room := p.fitCount(r, wv, free)
-	if room >= r.count {
-		return nil, 0, 0
-	}
-	resourcesHere := func(v *victim) batch.Resources {
-		var n batch.Resources
-		for _, ref := range v.runs {
-			if p.viewOf(ref) == wv {
-				n = n.Plus(p.jobOf(ref).Spec.Steps[ref.Task.Step].Reservation())
-			}
-		}
-		return n
-	}
-	freeWith := free
-	for _, v := range victims {
-		if chosen[v] {
-			continue
-		}
-		list = append(list, v)
-		freeWith = freeWith.Plus(resourcesHere(v))
-		if gained = p.fitCount(r, wv, freeWith) - room; gained > 0 {
-			break
-		}
-	}
-	if gained == 0 {
-		return nil, 0, 0
-	}
-	// Drop victims that are not needed to gain room for one task, costliest first.
-	for i := len(list) - 2; i >= 0; i-- {
-		freeWithout := freeWith.Minus(resourcesHere(list[i]))
-		if p.fitCount(r, wv, freeWithout)-room >= 1 {
-			freeWith, list = freeWithout, slices.Delete(list, i, i+1)
-		}
-	}
-	return list, totalCost(list), p.fitCount(r, wv, freeWith) - room
-}
