Hold calls back from a leader that leaves calls without an answer

Cause: when the leader loses power, each call of an instance went into its dead connection until two of them had timed out after 0.8 s; all these callers got an unknown outcome, and clients do not send such requests again.

Change: after 0.3 s without an answer to a call, further ones wait until the leader, or another one, has answered the search.

Test: the second call to a peer that answers nothing is not sent; it was before.

--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -62,6 +62,13 @@
 	if t.conn == nil {
 		return nil, t.leader, noLeaderError(t.peer.Name)
 	}
+	p, l := t.peer, n.links.get(t.peer.Address)
+	if l.isSilent() {
+		// A request that is sent to an instance that is gone leaves its caller in doubt.
+		n.forgetLeader(p.Name)
+		return nil, "", noLeaderError(p.Name)
+	}
+	l.callSent()
 	attemptCtx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(len(request))*callTimeoutPerByte)
 	defer cancel()
 	attemptCtx, sent := recordSend(attemptCtx)
@@ -69,7 +76,6 @@
 	if len(request) > compressAboveBytes {
 		options = append(options, grpc.UseCompressor(gzip.Name))
 	}
-	p, l := t.peer, n.links.get(t.peer.Address)
 	resp, err := wire.NewControlClient(t.conn).Call(attemptCtx, &wire.CallRequest{Request: request, Relay: t.relay}, options...)
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded {
--- a/ctrl/call_test.go
+++ b/ctrl/call_test.go
@@ -21,6 +21,7 @@
 	address string
 	leader  string
 	calls   atomic.Int32
+	deaf    atomic.Bool // leaves questions without an answer as well
 }
 
 func newSilentPeer(leader func(address string) string) *silentPeer {
@@ -35,7 +36,11 @@
 	return p
 }
 
-func (p *silentPeer) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+func (p *silentPeer) Identify(ctx context.Context, _ *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+	if p.deaf.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return &wire.IdentifyResponse{Name: p.address, Leader: p.leader}, nil
 }
 
@@ -68,6 +73,23 @@
 		Expect(peer.calls.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a leader that has lost power leaving every caller in doubt until its connection is given up.
+	It("waits until a silent leader answers a question, and has certainly not run before", func() {
+		peer := newSilentPeer(func(address string) string { return address })
+		n := peer.caller()
+		_, err := call(n, 400*time.Millisecond)
+		Expect(model.AsError(err)).To(HaveField("Outcome", model.OutcomeUnknown), "the first call finds out")
+		peer.deaf.Store(true)
+		for range 3 {
+			_, err = call(n, 100*time.Millisecond)
+			Expect(model.AsError(err)).To(HaveField("Outcome", model.OutcomeNotRun))
+		}
+		Expect(peer.calls.Load()).To(BeEquivalentTo(1))
+		peer.deaf.Store(false)
+		_, err = call(n, 400*time.Millisecond)
+		Expect(model.AsError(err)).To(HaveField("Outcome", model.OutcomeUnknown), "it was sent")
+	})
+
 	// Guards against an attempt that failed before its request was written being taken for one that may have run.
 	It("has certainly not run if its time was up before it was sent", func() {
 		peer := newSilentPeer(func(address string) string { return address })
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -40,6 +40,9 @@
 	diskFullRetryInterval = 100 * time.Millisecond
 	// diskFullStartInterval is the pause before the data folder is opened again when the disk was full.
 	diskFullStartInterval = time.Second
+	// silentAfter is how long a leader may leave calls without an answer before further ones wait until it has
+	// answered a question.
+	silentAfter = 300 * time.Millisecond
 	// retryDelay is the pause before a call to the leader is retried.
 	retryDelay = 20 * time.Millisecond
 	// bootstrapInterval is how often a control instance without a membership asks its peers for one.
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -35,8 +35,10 @@
 	changed chan struct{}
 	// unansweredSince is when the first of the requests without a reply was sent, lastRequestAt when the last was.
 	unansweredSince, lastRequestAt time.Time
-	// timeouts counts consecutive calls that timed out.
-	timeouts int
+	// timeouts counts consecutive calls that timed out; callUnansweredSince is when the first call since the last answer
+	// was sent.
+	timeouts            int
+	callUnansweredSince time.Time
 }
 
 // linkPool holds one link per address; links are created on first use.
@@ -150,7 +152,7 @@
 func (l *link) setConn(conn *grpc.ClientConn, drop context.CancelFunc) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conn, l.drop, l.unansweredSince, l.timeouts = conn, drop, time.Time{}, 0
+	l.conn, l.drop, l.unansweredSince, l.timeouts, l.callUnansweredSince = conn, drop, time.Time{}, 0, time.Time{}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -189,6 +191,22 @@
 	}
 }
 
+// callSent records that a call is sent.
+func (l *link) callSent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.callUnansweredSince.IsZero() {
+		l.callUnansweredSince = time.Now()
+	}
+}
+
+// isSilent reports whether a call has been waiting for an answer for silentAfter, and no other got one.
+func (l *link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.callUnansweredSince.IsZero() && time.Since(l.callUnansweredSince) > silentAfter
+}
+
 // callTimedOut records a call that timed out; the second consecutive one drops the connection.
 func (l *link) callTimedOut() {
 	l.mu.Lock()
@@ -217,7 +235,7 @@
 func (l *link) callAnswered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unansweredSince, l.timeouts = time.Time{}, 0
+	l.unansweredSince, l.timeouts, l.callUnansweredSince = time.Time{}, 0, time.Time{}
 }
 
 func (p *linkPool) dial(ctx context.Context, address string) (net.Conn, error) {
