--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -48,13 +48,20 @@
 	return c
 }
 
+// usedAddresses holds the addresses that freeAddress has returned.
+var usedAddresses sync.Map
+
 // freeAddress returns a free loopback address with a port below the ephemeral
-// range, so that no outgoing connection takes it before its instance restarts.
+// range, so that no outgoing connection takes it before its instance restarts. It
+// returns none twice: an instance may not listen on its own yet.
 func freeAddress() string {
 	for {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000)))
-		if err == nil {
-			defer l.Close()
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if _, used := usedAddresses.LoadOrStore(l.Addr().String(), true); !used {
 			return l.Addr().String()
 		}
 	}
