--- /dev/null
+++ b/sched/lost_test.go
@@ -0,0 +1,144 @@
+package sched_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/batch"
+	"turmericroute/sched"
+)
+
+var _ = Describe("lost workers", func() {
+	It("restarts the runs of a silent worker elsewhere only after its lease has expired on any clock", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		lost := f.workers["w1"]
+		lease := time.Duration(lost.last.LeaseMS) * time.Millisecond
+		delete(f.workers, "w1")
+		f.addWorkers("r1", "dc1", "w2")
+		f.advance(lease - time.Second) // expectNoStart advances the clock by another 750 ms
+		f.expectNoStart("j")
+		f.advance(time.Second)
+		f.awaitRunning("j", 1)
+	})
+
+	It("respects the leases that an earlier leader may have granted", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		delete(f.workers, "w1")
+		f.advance(time.Minute)
+		f.changeLeader()
+		f.addWorkers("r1", "dc1", "w2")
+		f.expectNoStart("j")
+		f.advance(6 * time.Second)
+		f.awaitRunning("j", 1)
+	})
+
+	It("keeps the runs on its workers when it has just become leader", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		f.changeLeader()
+		f.expectNoStart("j")
+		Expect(f.running("j")).To(HaveLen(1))
+		Expect(f.state("normal", "j")).To(Equal(sched.StateRunning))
+	})
+
+	It("treats an incarnation as ended when its machine reports a later one", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		delete(f.workers, "w1")
+		f.addWorkers("r1", "dc1", "w2")
+		f.workers["w2"].hb.Machine, f.workers["w2"].hb.Incarnation = "m-w1", 2
+		f.awaitRunning("j", 1)
+		Expect(f.running("j")).To(HaveKeyWithValue(taskID("j", 0, 0), "w2"))
+	})
+
+	// Guards against a leader that asks for more heartbeats than it can answer, as on a machine that has become slow.
+	It("asks for fewer heartbeats while the leader is late, and for more again afterwards", func() {
+		rate := 5000
+		for range 3 {
+			rate = sched.NextRate(rate, 100*time.Millisecond)
+		}
+		Expect(rate).To(BeNumerically("<", 2000))
+		for range 30 {
+			rate = sched.NextRate(rate, 100*time.Millisecond)
+		}
+		Expect(rate).To(Equal(1000))
+		for range 100 {
+			rate = sched.NextRate(rate, time.Millisecond)
+		}
+		Expect(rate).To(Equal(5000))
+	})
+
+	// Guards against a silence limit that does not grow with the heartbeat interval: with 3,000 workers the interval
+	// was 2.5 s, and only workers heard within the last 0.9 s got new runs.
+	It("places runs on all of many workers, whose heartbeats are further apart", func() {
+		f := newFixture()
+		const workers = 1800 // each sends a heartbeat every 1.5 s
+		for i := range workers {
+			f.addWorkers("r1", "dc1", fmt.Sprintf("w%d", i))
+		}
+		f.now.Add(int64(1400 * time.Millisecond))
+		f.submit("normal", "j", batch.Step{Count: workers, Need: gpus(8), EstimateMS: 1000})
+		Eventually(func() (n int) {
+			f.r.machine.Batch().View(func(b *batch.State) { n = len(b.Runs) })
+			return n
+		}, "10s").Should(Equal(workers))
+	})
+
+	It("ignores a heartbeat that is older than the latest one, or of an earlier incarnation", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		old := f.workers["w1"].hb
+		old.Running = nil
+		for _, change := range []func(){func() { old.Seq = 1 }, func() { old.Seq, old.Incarnation = 1000, 0 }} {
+			change()
+			stale := old
+			Expect(f.call(sched.Call{Heartbeat: &stale}).Orders).To(Equal(&sched.Orders{}))
+		}
+		f.expectNoStart("j")
+	})
+
+	// Guards against starting a task a second time: the leave notice of a worker overtook the heartbeat that reported
+	// the task's run as done.
+	It("accepts the last heartbeat of a worker that has left", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		worker := f.running("j")[taskID("j", 0, 0)]
+		w := f.workers[worker]
+		w.end(taskID("j", 0, 0), batch.EndDone)
+		Expect(f.call(sched.Call{Leave: &sched.Leave{Worker: worker}}).err).To(Succeed())
+		time.Sleep(300 * time.Millisecond) // sweeps run in real time
+		f.heartbeat(worker)
+		Expect(w.last.AckedThrough).To(Equal(int64(1)))
+		Expect(f.state("normal", "j")).To(Equal(sched.StateSucceeded))
+		Expect(f.starts("j")).To(Equal(1))
+	})
+
+	It("restarts the runs of a worker that has left and reports nothing more", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		Expect(f.call(sched.Call{Leave: &sched.Leave{Worker: "w1"}}).err).To(Succeed())
+		delete(f.workers, "w1")
+		f.addWorkers("r1", "dc1", "w2")
+		f.advance(2600 * time.Millisecond)
+		f.awaitRunning("j", 1)
+	})
+})
