--- a/batch/ledger_test.go
+++ b/batch/ledger_test.go
@@ -49,6 +49,19 @@
 		l.View(func(b *batch.State) { Expect(b.Jobs["j"].Spec.Steps[0].Count).To(Equal(1)) })
 	})
 
+	// Guards against active runs of a job that is gone: the orders for their worker look the job up.
+	It("purges a job only when none of its runs is active", func() {
+		l := batch.NewLedger()
+		accept(l, "j", batch.Step{Count: 1})
+		start(l, "w", 1, task("j", 0, 0))
+		l.Apply(batch.Change{AtMS: 2000, Cancel: &batch.Cancel{ID: "j"}})
+		l.Apply(batch.Change{Purge: []string{"j"}})
+		Expect(state(l, "j")).To(Equal(batch.JobCancelled))
+		end(l, batch.EndStopped, 1, task("j", 0, 0))
+		l.Apply(batch.Change{Purge: []string{"j"}})
+		l.View(func(b *batch.State) { Expect(b.Jobs).To(BeEmpty()) })
+	})
+
 	It("starts no run of a step before the steps that it depends on are complete", func() {
 		l := batch.NewLedger()
 		accept(l, "j", batch.Step{Count: 1}, batch.Step{Count: 1, After: []int{0}})
