Leave a gang half of its time to form

Cause: where the time-out of gangs is shorter than a stop takes, the limit for forming was negative, and every gang would have been withdrawn at once.

Test: a time-out of 0.6 s.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -60,5 +60,8 @@
 		return false
 	}
 	f := l.forming[gangRef(id, run)]
-	return f != nil && now-f.since > s.cfg.Limits.GangTimeout-s.cfg.Limits.StopGrace-l.longestInterval()-formingMargin
+	timeout := s.cfg.Limits.GangTimeout
+	// At least half of the time is left to the members, however long the stop takes.
+	limit := max(timeout/2, timeout-s.cfg.Limits.StopGrace-l.longestInterval()-formingMargin)
+	return f != nil && now-f.since > limit
 }
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -72,6 +72,17 @@
 		Expect(f.heartbeat("w1").Stops).To(BeEmpty(), "a member that is only silent does not end a gang at work")
 	})
 
+	It("leaves a gang half of its time to form where the time is short", func() {
+		f := newFixture(func(cfg *sched.Config) { cfg.Limits.GangTimeout = 600 * time.Millisecond })
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 9000})
+		Eventually(func() int { return len(f.heartbeat("w1").Starts) }).Should(Equal(1))
+		f.advance(250 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+		f.advance(100 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
 	It("prefers the rack of the data, and respects labels and the bound per worker", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1", "w2")
