Ask busy workers for a heartbeat a second also where the rate allows more

Cause: with 350 workers the rate rises to where all get the shortest interval, which doubles the leader's load for workers that need no orders.

--- a/sched/interval.go
+++ b/sched/interval.go
@@ -25,8 +25,8 @@
 	maxLag       = 40 * time.Millisecond
 	rateDecrease = 0.7
 	rateIncrease = 50
-	// busyInterval is the interval requested of workers that have no room for a task, unless the rate allows a
-	// shorter one for all. They report ends at once; the interval delays the orders to stop a run.
+	// busyInterval is the interval requested of workers that have no room for a task, unless there are few workers.
+	// They report ends at once; the interval delays the orders to stop a run.
 	busyInterval = time.Second
 	// minSilentAfter and silentAfterHeartbeats define when a worker counts as silent and gets no new runs:
 	// after silentAfterHeartbeats intervals without a heartbeat, but not before minSilentAfter. The latter is
@@ -61,22 +61,19 @@
 	return min(maxHeartbeatInterval, max(minHeartbeatInterval, time.Duration(len(l.workers))*time.Second/time.Duration(l.heartbeatRate)))
 }
 
-// longestInterval returns the longest heartbeat interval that is requested of any worker.
+// longestInterval returns the longest heartbeat interval that is requested of any worker. Few workers all get the
+// shortest.
 func (l *leaderState) longestInterval() time.Duration {
-	if all := l.heartbeatInterval(); all > minHeartbeatInterval {
-		return max(all, busyInterval)
+	if time.Duration(len(l.workers))*time.Second/minHeartbeatInterval <= minHeartbeatRate {
+		return minHeartbeatInterval
 	}
-	return minHeartbeatInterval
+	return max(l.heartbeatInterval(), busyInterval)
 }
 
-// intervalFor returns the heartbeat interval requested of a worker. Where the rate is short, workers that have room,
-// for which there may be orders, get what those without room leave of it.
+// intervalFor returns the heartbeat interval requested of a worker. Workers that have room, for which there may be
+// orders, get what those without room leave of the rate.
 func (l *leaderState) intervalFor(id string) time.Duration {
-	all := l.heartbeatInterval()
-	if all == minHeartbeatInterval {
-		return all
-	}
-	busy := l.longestInterval()
+	all, busy := l.heartbeatInterval(), l.longestInterval()
 	if wv := l.room.views[id]; wv != nil && !wv.hasRoom && len(l.pendingOn[id]) == 0 {
 		return busy
 	}
