Bound the shapes that are kept

Cause: one was kept for every combination that callers' tasks need, until the next configuration; found by reading the change again.

Change: at a thousand, sharing begins anew. The spec fails without the bound.

--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -127,3 +127,10 @@
 
 // NextRate returns the rate of heartbeats that follows one, given how late the leader was.
 var NextRate = nextRate
+
+// Shapes returns how many shapes of steps are kept.
+func (s *Scheduler) Shapes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.leader.waiting.shapes)
+}
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -124,6 +124,16 @@
 		}
 	})
 
+	// Guards against memory that grows with every amount of resources that a caller asks for.
+	It("keep a bounded number of shapes", func() {
+		f := newIdleFixture()
+		for i := range 1100 {
+			f.submit("normal", fmt.Sprintf("j%d", i), batch.Step{Count: 1, Need: batch.Resources{CPUMilli: 1 + i}})
+		}
+		Expect(f.s.Pass(sched.InTime)).Error().NotTo(HaveOccurred())
+		Expect(f.s.Shapes()).To(And(BeNumerically(">", 0), BeNumerically("<=", 1000)))
+	})
+
 	// Guards against passes whose cost grows with all workers and steps. It counts what passes look at.
 	It("let a pass look at what has changed only", func() {
 		f := newIdleFixture()
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -44,6 +44,9 @@
 	bestEffort, serving      bool
 }
 
+// maxShapes bounds the shapes that are kept, since callers choose what their tasks need.
+const maxShapes = 1000
+
 // shape holds what the current pass has found out about a shape.
 type shape struct {
 	pass uint64
@@ -227,6 +230,9 @@
 	}
 	sh := p.waiting.shapes[key]
 	if sh == nil {
+		if len(p.waiting.shapes) >= maxShapes {
+			clear(p.waiting.shapes) // steps keep theirs; only the sharing begins anew
+		}
 		sh = &shape{}
 		p.waiting.shapes[key] = sh
 	}
