--- a/review/stand/calls.go
+++ b/review/stand/calls.go
@@ -51,13 +51,26 @@
 func configDocument(version int) []byte { return configWithKey(version, clientKey) }
 
 // configWithKey returns a valid configuration in which the tenant has the given key.
-func configWithKey(version int, key string) []byte {
+func configWithKey(version int, key string) []byte { return encodeConfig(version, key, nil) }
+
+// configWithAdvice returns a valid configuration in which the queue has advice.
+func configWithAdvice(version int) []byte {
+	return encodeConfig(version, clientKey, map[string]any{
+		"decision-ms": adviceDecision.Milliseconds(), "period-ms": advicePeriod.Milliseconds(), "validity-ms": adviceValidity.Milliseconds(),
+	})
+}
+
+func encodeConfig(version int, key string, advice map[string]any) []byte {
+	route := map[string]any{
+		"name": "r-cut", "host": host, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000, "target-latency-ms": 1500,
+		"priority": 1, "service": service, "max-attempts": 4, "stretch": 3.0, "public": false,
+	}
+	if advice != nil {
+		route["advice"] = advice
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-cut", "host": host, "path-prefix": prefix, "kind": "non_idempotent", "timeout-ms": 3000, "target-latency-ms": 1500,
-			"priority": 1, "service": service, "max-attempts": 4, "stretch": 3.0, "public": false,
-		}},
+		"routes":  []any{route},
 		"services": []any{map[string]any{
 			"name": service, "health-path": "/health", "max-conns": 64, "protocol": "h1", "tls": false, "cold-start-s": 0.0, "cold-per-s": 0.0,
 			"admission-control": true, "standby": false,
--- a/review/stand/case_heartbeat.go
+++ b/review/stand/case_heartbeat.go
@@ -96,8 +96,9 @@
 		if leader == nil {
 			return "", notRun("the leader is not known")
 		}
-		lateUntil := time.Now().Add(lateFor)
-		reborn.lateness = func() time.Duration { return max(0, time.Until(lateUntil)) }
+		reborn.mu.Lock()
+		reborn.lateUntil = time.Now().Add(lateFor)
+		reborn.mu.Unlock()
 		sleep(p.ctx, 150*time.Millisecond)
 		p.rec.add("fault", "SIGTERM to %s, which leads", leader.name)
 		leader.signal(syscall.SIGTERM)
--- a/review/stand/case_lost.go
+++ b/review/stand/case_lost.go
@@ -10,16 +10,13 @@
 	// finish is finish_s, and idleFor how long after it a job may have nothing running.
 	finish  = 14 * time.Second
 	idleFor = 3 * time.Second
-	// largeJobTasks tasks of tinyTask fill one executor of largeRoom.
+	// largeJobTasks tasks of tinyTask fit on one executor.
 	largeJobTasks = 1300
 	specBytes     = 4000
 	shortSpec     = 1000
 )
 
-var (
-	tinyTask  = room{CPU: 100, MemMB: 100}
-	largeRoom = room{CPU: 128000, MemMB: 524288, GPU: 8}
-)
+var tinyTask = room{CPU: 20, MemMB: 40}
 
 // unfinished waits finish_s after the end of the traffic, and then returns what breaks the rule LOST: for idleFor the
 // job is not shown as ended, and nothing of it runs.
@@ -44,7 +41,7 @@
 func playBigAnswer(p *play) (string, error) {
 	var list []*executor
 	for i := range executorCount {
-		e := p.newExecutor(i, fmt.Sprintf("e-%d", i), largeRoom)
+		e := p.newExecutor(i, fmt.Sprintf("e-%d", i), executorRoom)
 		e.need, e.work = func(string) room { return tinyTask }, 2*time.Second
 		e.run()
 		list = append(list, e)
@@ -57,14 +54,16 @@
 		size = specBytes
 	}
 	const job = "5c0e7a21d94b36f8"
-	p.rec.add("client", "a job of %d tasks of a tenth of a core, with a spec of %d bytes", largeJobTasks, size)
+	p.rec.add("client", "a job of %d tasks of a fiftieth of a core, with a spec of %d bytes", largeJobTasks, size)
 	if err := p.submit(job, []any{stepOf(largeJobTasks, tinyTask, 2*time.Second)}, strings.Repeat("x", size)); err != nil {
 		return "", err
 	}
 	sleep(p.ctx, 3*time.Second)
 	broken := p.unfinished(job)
 	for _, e := range list {
+		e.mu.Lock()
 		p.rec.add("executor", "%s took %d responses and dropped %d", e.id, e.answers, e.dropped)
+		e.mu.Unlock()
 	}
 	return broken, nil
 }
--- a/review/stand/case_writer.go
+++ b/review/stand/case_writer.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// playOtherWriter plays one entry of another writer, which lacks fields that executors send and gives the address of a
-// sound executor.
+// playOtherWriter plays one entry of another writer: it lacks fields that executors send, names a service that no
+// configuration has, and gives the address of a sound executor.
 func playOtherWriter(p *play) (string, error) {
 	list := p.startExecutors(smallTask)
 	if err := p.awaitAnswers(list); err != nil {
@@ -24,7 +24,7 @@
 	}
 	if p.trouble {
 		body, err := json.Marshal(map[string]any{
-			"service": service, "address": list[0].address, "zone": list[0].zone, "state": "ready", "seq": 1, "born": time.Now().UnixMilli(),
+			"service": "another-service", "address": list[0].address, "zone": list[0].zone, "state": "ready", "seq": 1, "born": time.Now().UnixMilli(),
 		})
 		if err != nil {
 			return "", fmt.Errorf("encode entry: %w", err)
--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -30,12 +31,14 @@
 type play struct {
 	rec     *record
 	trouble bool
-	binary  string
-	dir     string
-	prefix  string // first three bytes of the loopback addresses
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	// entrySeeds makes the platform name three entries as seeds.
+	entrySeeds bool
+	binary     string
+	dir        string
+	prefix     string // first three bytes of the loopback addresses
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
 
 	processes []*process
 	runs      *runLog
@@ -54,8 +57,8 @@
 	restarted bool
 }
 
-// newPlay starts three control and three entry processes, as the deploy file says, and applies a configuration.
-func newPlay(rec *record, binary string, trouble bool) (*play, error) {
+// newPlay starts three control and three entry processes, as the deploy file says.
+func newPlay(rec *record, binary string, trouble, entrySeeds bool) (*play, error) {
 	path, err := filepath.Abs(binary)
 	if err != nil {
 		return nil, fmt.Errorf("find program: %w", err)
@@ -67,8 +70,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("create folder: %w", err)
 	}
-	p := &play{rec: rec, trouble: trouble, binary: path, dir: dir, runs: newRunLog(rec)}
-	p.ctx, p.cancel = context.WithTimeout(context.Background(), caseTimeout)
+	p := &play{rec: rec, trouble: trouble, entrySeeds: entrySeeds, binary: path, dir: dir, runs: newRunLog(rec)}
+	ctx, cancel := context.WithTimeout(context.Background(), caseTimeout)
+	p.ctx, p.cancel = signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(p.ctx, cancel)
 	if p.prefix, err = freePrefix(); err != nil {
 		return nil, err
 	}
@@ -84,10 +89,6 @@
 	for _, m := range p.processes {
 		p.wg.Go(m.supervise)
 	}
-	if err := p.applyConfig(1); err != nil {
-		p.stop()
-		return nil, err
-	}
 	return p, nil
 }
 
@@ -115,6 +116,9 @@
 
 func (m *process) frontAddress() string { return fmt.Sprintf("%s:%d", m.ip, firstPort+ownPorts+1) }
 
+// adviceAddress returns the address of the service that knows which executors may run a step.
+func (p *play) adviceAddress() string { return fmt.Sprintf("%s.100:%d", p.prefix, firstPort) }
+
 // controls and entries return the processes of each role.
 func (p *play) controls() []*process { return p.processes[:controlCount] }
 
@@ -140,7 +144,11 @@
 		listen += fmt.Sprintf("  front: %q\n  ready: \"%s:%d\"\n", m.frontAddress(), m.ip, firstPort+ownPorts+2)
 	}
 	var seeds strings.Builder
-	for _, s := range m.play.controls() {
+	named := m.play.controls()
+	if m.play.entrySeeds {
+		named = m.play.entries()
+	}
+	for _, s := range named {
 		fmt.Fprintf(&seeds, "  - %q\n", s.controlAddress())
 	}
 	return fmt.Sprintf(`node: %q
@@ -173,7 +181,8 @@
   maintenance-s: 2
   reclaim-ms: 5900
 orders: "heartbeat"
-`, m.name, class, m.ip, m.zone, listen, firstPort, firstPort+ownPorts-1, seeds.String(), bootstrap, dataDir)
+advice: %q
+`, m.name, class, m.ip, m.zone, listen, firstPort, firstPort+ownPorts-1, seeds.String(), bootstrap, dataDir, m.play.adviceAddress())
 }
 
 // supervise starts the process, and starts it again whenever it ends, as the platform does.
--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -32,20 +32,21 @@
 
 // executor is one life of an executor. It speaks to the system as the pages say.
 type executor struct {
-	play             *play
-	id, address      string
-	zone, machine    string
-	labels           []string
-	capacity         room
-	need             func(task string) room // what the task needs
-	work             time.Duration          // how long a run of a task works
-	born             int64
-	begun            time.Time
-	firstNode        int
-	lateness         func() time.Duration // how late the next heartbeat arrives; nil means never late
-	ctx              context.Context
-	cancel           context.CancelFunc
+	play          *play
+	id, address   string
+	zone, machine string
+	labels        []string
+	capacity      room
+	need          func(task string) room // what the task needs
+	work          time.Duration          // how long a run of a task works
+	tickets       bool                   // whether a start needs a ticket
+	born          int64
+	begun         time.Time
+	ctx           context.Context
+	cancel        context.CancelFunc
+
 	mu               sync.Mutex
+	lateUntil        time.Time // heartbeats that are sent before arrive then
 	seq              int64
 	url              string
 	node             int
@@ -78,7 +79,7 @@
 	e := &executor{
 		play: p, id: id, address: fmt.Sprintf("10.9.0.%d:8080", n), zone: fmt.Sprintf("zone-%c", 'a'+n%3), machine: fmt.Sprintf("m-%02d", n),
 		labels: []string{"a", fmt.Sprintf("r-%d", n/4)}, capacity: capacity, work: time.Hour, born: time.Now().UnixMilli(), begun: time.Now(),
-		firstNode: n, node: n, running: map[string]*taskRun{}, highest: map[string]int{},
+		node: n, running: map[string]*taskRun{}, highest: map[string]int{},
 	}
 	e.ctx, e.cancel = context.WithCancel(p.ctx)
 	return e
@@ -166,14 +167,7 @@
 // sendHeartbeats sends one heartbeat after the other, each when the last has been answered or has timed out.
 func (e *executor) sendHeartbeats() {
 	for e.ctx.Err() == nil {
-		address := e.url
-		if address == "" {
-			address = e.play.processes[e.node%len(e.play.processes)].controlAddress()
-		}
-		late := time.Duration(0)
-		if e.lateness != nil {
-			late = e.lateness()
-		}
+		address, late := e.next()
 		body, sent := e.body(), time.Now()
 		pause := endHeartbeat
 		if late > 0 {
@@ -185,17 +179,16 @@
 				e.play.rec.add("late", "%s's heartbeat arrives at %s: %d %v", e.id, e.nameAt(address), status, errText(err))
 			})
 			sleep(e.ctx, answerTimeout)
-			e.url, e.node = "", e.node+1
+			e.tryNextNode()
 			continue
 		}
 		status, data, err := e.put(address, body)
 		switch {
 		case err != nil || status/100 != 2 || time.Since(sent) > answerTimeout || len(data) > maxAnswerBytes:
-			if len(data) > maxAnswerBytes && e.dropped < 3 {
-				e.play.rec.add("executor", "%s drops a response of %d bytes from %s", e.id, len(data), e.nameAt(address))
+			if len(data) > maxAnswerBytes {
+				e.noteDropped(len(data), address)
 			}
-			e.dropped++
-			e.url, e.node = "", e.node+1
+			e.tryNextNode()
 		default:
 			pause = max(pause, e.obey(data, sent))
 		}
@@ -203,6 +196,35 @@
 	}
 }
 
+// next returns the address for the next heartbeat and how late that arrives.
+func (e *executor) next() (string, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	address := e.url
+	if address == "" {
+		address = e.play.processes[e.node%len(e.play.processes)].controlAddress()
+	}
+	return address, max(0, time.Until(e.lateUntil))
+}
+
+// tryNextNode makes the next heartbeat go to the next node.
+func (e *executor) tryNextNode() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.url, e.node = "", e.node+1
+}
+
+// maxDropsRecorded bounds the dropped responses that are written to the record one by one.
+const maxDropsRecorded = 3
+
+func (e *executor) noteDropped(size int, address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dropped++; e.dropped <= maxDropsRecorded {
+		e.play.rec.add("executor", "%s drops a response of %d bytes from %s", e.id, size, e.nameAt(address))
+	}
+}
+
 // wait waits for d, or less if a run ends.
 func (e *executor) wait(d time.Duration) {
 	e.mu.Lock()
@@ -278,7 +300,12 @@
 	}
 	if o.HoldMS > 0 {
 		for _, s := range o.Start {
-			e.start(s[0].(string), int(s[1].(float64)))
+			task, run := s[0].(string), int(s[1].(float64))
+			if e.tickets && len(s) < 5 {
+				e.end(task, run, "refused")
+				continue
+			}
+			e.start(task, run)
 		}
 	}
 	return time.Duration(o.RetryAfterMS) * time.Millisecond
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,8 +33,13 @@
 	"other-writer":   playOtherWriter,
 	"bad-config":     playBadConfig,
 	"refused":        playRefused,
+	"advice":         playAdvice,
+	seedsCase:        playSeeds,
 }
 
+// seedsCase is the case that begins before the first configuration.
+const seedsCase = "seeds"
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -53,14 +58,24 @@
 		return exitNotRun
 	}
 	defer rec.close()
-	p, err := newPlay(rec, *binary, os.Getenv("TROUBLE") != "0")
+	trouble := os.Getenv("TROUBLE") != "0"
+	p, err := newPlay(rec, *binary, trouble, *name == seedsCase && trouble)
 	if err != nil {
 		rec.add("result", "could not run: %v", err)
 		return exitNotRun
 	}
+	defer p.stop()
+	if *name != seedsCase {
+		if err := p.applyConfig(1); err != nil {
+			rec.add("result", "%v", err)
+			return exitNotRun
+		}
+	}
 	broken, err := f(p)
-	p.stop()
 	switch {
+	case err == nil && broken == "" && p.ctx.Err() != nil:
+		rec.add("result", "the time of the case has run out")
+		return exitNotRun
 	case err != nil:
 		rec.add("result", "%v", err)
 		return exitNotRun
