--- a/review/stand/case_leave.go
+++ b/review/stand/case_leave.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	// announcedDrain is the time that a leaving executor announces, and leaveLate how long its notice of having left is
-	// held up.
+	// announcedDrain is the time that a leaving executor announces.
 	announcedDrain = 2500 * time.Millisecond
-	leaveLate      = 4 * time.Second
+	// leaveCut is how long its machine is cut off when it sends the notice that it has left, and leaveLate when the
+	// notice arrives: TCP sends it again after 0.2, 0.6, 1.4 and 3.0 s.
+	leaveCut  = 2 * time.Second
+	leaveLate = 3 * time.Second
 )
 
 // playLateLeave plays the planned shutdown of an executor that starts again under its ID, while the notice that its
@@ -36,7 +38,7 @@
 		p.rec.add("late", "DELETE /instances/%s arrives at %s: %d %v", first.id, leader.name, status, errText(err))
 	}
 	if p.trouble {
-		p.rec.add("fault", "DELETE /instances/%s is held up for %v; %s exits without an answer", first.id, leaveLate, first.id)
+		p.rec.add("fault", "%s's machine is cut off for %v; DELETE /instances/%s is held up, and %s exits without an answer", first.id, leaveCut, first.id, first.id)
 		p.wg.Go(func() {
 			sleep(p.ctx, leaveLate)
 			leave()
@@ -44,7 +46,7 @@
 	} else {
 		leave()
 	}
-	sleep(p.ctx, time.Second)
+	sleep(p.ctx, leaveCut)
 	reborn := p.newExecutor(0, first.id, executorRoom)
 	reborn.need, reborn.work = first.need, first.work
 	p.rec.add("executor", "%s starts again (born %d)", reborn.id, reborn.born)
@@ -56,7 +58,7 @@
 	if err := p.submit(job, []any{stepOf(2, smallTask, 30*time.Second)}, "cut"); err != nil {
 		return "", err
 	}
-	sleep(p.ctx, 1500*time.Millisecond)
+	sleep(p.ctx, 200*time.Millisecond)
 	if reborn.runningRun(fmt.Sprintf("%s.0.0.0", job)) == 0 {
 		return "", notRun("no task of the job runs on %s", reborn.id)
 	}
