--- a/review/stand/case_leave.go
+++ b/review/stand/case_leave.go
@@ -13,6 +13,8 @@
 	// notice arrives: TCP sends it again after 0.2, 0.6, 1.4 and 3.0 s.
 	leaveCut  = 2 * time.Second
 	leaveLate = 3 * time.Second
+	// startWait bounds the wait for the first run of the new life, which must begin before the notice arrives.
+	startWait = 700 * time.Millisecond
 )
 
 // playLateLeave plays the planned shutdown of an executor that starts again under its ID, while the notice that its
@@ -58,8 +60,7 @@
 	if err := p.submit(job, []any{stepOf(2, smallTask, 30*time.Second)}, "cut"); err != nil {
 		return "", err
 	}
-	sleep(p.ctx, 200*time.Millisecond)
-	if reborn.runningRun(fmt.Sprintf("%s.0.0.0", job)) == 0 {
+	if !reborn.awaitRun(fmt.Sprintf("%s.0.0.0", job), startWait) {
 		return "", notRun("no task of the job runs on %s", reborn.id)
 	}
 	sleep(p.ctx, 14*time.Second)
--- a/review/stand/case_refused.go
+++ b/review/stand/case_refused.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	refusedRounds  = 9
+	refusedRounds  = 12
 	burstClients   = 24
 	roundPause     = 6 * time.Second
 	attemptsPerJob = 4
--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -343,6 +343,16 @@
 	return 0
 }
 
+// awaitRun waits until a run of a task is running here, for at most d, and reports whether it is.
+func (e *executor) awaitRun(task string, d time.Duration) bool {
+	for until := time.Now().Add(d); time.Now().Before(until); sleep(e.ctx, executorStep) {
+		if e.runningRun(task) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // leader returns the process that the executor's last response named, nil if there is none.
 func (e *executor) leader() *process {
 	e.mu.Lock()
