--- a/review/stand/calls.go
+++ b/review/stand/calls.go
@@ -86,7 +86,12 @@
 
 // order sends an order of the operator to one node after the other until it gets a clear response.
 func (p *play) order(method, path string, body []byte) (int, []byte, error) {
-	for i := 0; p.ctx.Err() == nil; i++ {
+	return p.orderFrom(0, method, path, body)
+}
+
+// orderFrom is order, but begins with the process at an index.
+func (p *play) orderFrom(first int, method, path string, body []byte) (int, []byte, error) {
+	for i := first; p.ctx.Err() == nil; i++ {
 		m := p.processes[i%len(p.processes)]
 		status, data, err := call(p.ctx, operatorTimeout, method, "http://"+m.controlAddress()+path, nil, body)
 		if err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
--- a/review/stand/case_refused.go
+++ b/review/stand/case_refused.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -77,7 +78,9 @@
 		leader.signal(syscall.SIGKILL)
 		p.rec.add("fault", "round %d: SIGKILL to %s, which leads", round, leader.name)
 	}
-	_, _, err := p.order(http.MethodPut, "/config", configWithKey(11+2*round, "another-key"))
+	// The operator's first attempt meets another control machine than the one that led.
+	next := (slices.Index(p.processes, leader) + 1) % controlCount
+	_, _, err := p.orderFrom(next, http.MethodPut, "/config", configWithKey(11+2*round, "another-key"))
 	wg.Wait()
 	return jobs, err
 }
