--- a/review/stand/calls.go
+++ b/review/stand/calls.go
@@ -170,3 +170,12 @@
 	}
 	return err.Error()
 }
+
+// encode returns the JSON form of a request's body.
+func encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode body: %w", err)
+	}
+	return data, nil
+}
--- a/review/stand/deploy.go
+++ b/review/stand/deploy.go
@@ -119,6 +119,9 @@
 // adviceAddress returns the address of the service that knows which executors may run a step.
 func (p *play) adviceAddress() string { return fmt.Sprintf("%s.100:%d", p.prefix, firstPort) }
 
+// machinesAddress returns the address of the platform's service that has machines maintained.
+func (p *play) machinesAddress() string { return fmt.Sprintf("%s.101:%d", p.prefix, firstPort) }
+
 // controls and entries return the processes of each role.
 func (p *play) controls() []*process { return p.processes[:controlCount] }
 
@@ -182,7 +185,9 @@
   reclaim-ms: 5900
 orders: "heartbeat"
 advice: %q
-`, m.name, class, m.ip, m.zone, listen, firstPort, firstPort+ownPorts-1, seeds.String(), bootstrap, dataDir, m.play.adviceAddress())
+cloud:
+  address: %q
+`, m.name, class, m.ip, m.zone, listen, firstPort, firstPort+ownPorts-1, seeds.String(), bootstrap, dataDir, m.play.adviceAddress(), m.play.machinesAddress())
 }
 
 // supervise starts the process, and starts it again whenever it ends, as the platform does.
--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -40,6 +40,8 @@
 	need          func(task string) room // what the task needs
 	work          time.Duration          // how long a run of a task works
 	tickets       bool                   // whether a start needs a ticket
+	startup       time.Duration          // how long a task that lasts starts up; 0 if the tasks do not last
+	gauge         func(task string) int  // the last figure of a run in heartbeats; nil means the cores that the task needs
 	born          int64
 	begun         time.Time
 	ctx           context.Context
@@ -143,7 +145,7 @@
 	e.seq++
 	running, ended := [][]any{}, [][]any{}
 	for task, r := range e.running {
-		running = append(running, []any{task, r.run, "", int(min(99, 100*time.Since(r.started)/e.work)), e.need(task).CPU})
+		running = append(running, []any{task, r.run, "", e.percent(r), e.gaugeOf(task)})
 	}
 	for _, x := range e.ends[:min(len(e.ends), endsPerHeartbeat)] {
 		ended = append(ended, []any{x.number, x.task, x.run, x.how, ""})
@@ -164,6 +166,34 @@
 	return data
 }
 
+// percent returns how far a run is; a task that lasts is at work at 100.
+func (e *executor) percent(r *taskRun) int {
+	if e.startup == 0 {
+		return int(min(99, 100*time.Since(r.started)/e.work))
+	}
+	return int(min(100, 100*time.Since(r.started)/e.startup))
+}
+
+func (e *executor) gaugeOf(task string) int {
+	if e.gauge == nil {
+		return e.need(task).CPU
+	}
+	return e.gauge(task)
+}
+
+// atWork returns the tasks that last and are at work here.
+func (e *executor) atWork() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for task, r := range e.running {
+		if e.startup > 0 && e.percent(r) == 100 {
+			list = append(list, task)
+		}
+	}
+	return list
+}
+
 // sendHeartbeats sends one heartbeat after the other, each when the last has been answered or has timed out.
 func (e *executor) sendHeartbeats() {
 	for e.ctx.Err() == nil {
@@ -364,3 +394,11 @@
 func (e *executor) putLate(address string, body []byte) (int, []byte, error) {
 	return call(e.play.ctx, answerTimeout, http.MethodPut, "http://"+address+"/instances/"+e.id, http.Header{"Content-Type": {"application/json"}}, body)
 }
+
+// nextLife returns a new executor on the same machine, whose life begins now.
+func (e *executor) nextLife(id string) *executor {
+	next := e.play.newExecutor(e.node, id, e.capacity)
+	next.address, next.zone, next.machine, next.labels = e.address, e.zone, e.machine, e.labels
+	next.need, next.work, next.startup, next.gauge, next.tickets = e.need, e.work, e.startup, e.gauge, e.tickets
+	return next
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,11 @@
 var cases = map[string]func(p *play) (string, error){
 	"late-heartbeat": playLateHeartbeat,
 	"late-leave":     playLateLeave,
+	"late-order":     playLateOrder,
+	"wave":           playWave,
+	"reclaim":        playReclaim,
+	"late-submit":    playLateSubmit,
+	"fills":          playFills,
 	"big-answer":     playBigAnswer,
 	"other-writer":   playOtherWriter,
 	"bad-config":     playBadConfig,
--- a/review/stand/runs.go
+++ b/review/stand/runs.go
@@ -128,3 +128,29 @@
 	}
 	return task
 }
+
+// startsIn counts the runs that some executors have begun since a time.
+func (l *runLog) startsIn(executors map[string]bool, since time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.runs {
+		if executors[r.executor] && r.start >= since {
+			n++
+		}
+	}
+	return n
+}
+
+// total returns how many runs go on.
+func (l *runLog) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.runs {
+		if r.end == 0 {
+			n++
+		}
+	}
+	return n
+}
