--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
   echo "run the build line of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec target/review -case late-order -record review/1/record.txt
+exec target/review -case other-writer -record review/1/record.txt
