--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
   echo "run the build line of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec target/review -case reclaim -record review/2/record.txt
+exec target/review -case late-leave -record review/2/record.txt
