--- a/sched/call.go
+++ b/sched/call.go
@@ -48,7 +48,7 @@
 	InvalidReason string `json:"invalid,omitempty"`
 }
 
-// Leave reports that a worker has shut down in an orderly way.
+// Leave reports that a worker has shut down in an orderly way. It does not say which life of the worker has.
 type Leave struct {
 	Worker string `json:"worker"`
 }
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -53,7 +53,7 @@
 	switch {
 	case w != nil && hb.Incarnation < w.hb.Incarnation:
 		return nil, false
-	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone && w.leftAt == 0):
+	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone):
 		return nil, false
 	case !s.supersede(l, &hb):
 		return nil, false
@@ -72,9 +72,13 @@
 	if hb.Draining != w.hb.Draining {
 		s.cfg.Logger.Log("event", "worker_draining", "worker", hb.Worker, "draining", hb.Draining, "left_ms", hb.DrainLeftMS)
 	}
-	if w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
+	if w.leaving {
+		s.cfg.Logger.Log("event", "worker_stayed", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "draining", hb.Draining)
+	}
+	if w.leaving || w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
 		l.room.markStale(hb.Worker)
 	}
+	w.leaving = false
 	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
@@ -252,15 +256,19 @@
 	l.triggerPass()
 }
 
-// leave records that a worker has left, which ends all its runs. They are not recorded as lost at once: the
-// worker's last heartbeat, which may report a run as done, can arrive after the notice.
+// leave records a notice of leaving. The notice names no incarnation, so it may be a late one of a former life: it ends
+// no run and no lease, and only keeps further runs off the worker until its next heartbeat.
 func (s *Scheduler) leave(l *leaderState, id string) Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w := l.workers[id]; w != nil && !w.gone {
-		w.gone, w.leftAt = true, s.cfg.BootClock()
-		l.room.markStale(id)
-		s.cfg.Logger.Log("event", "worker_left", "worker", id, "running", len(w.running))
+	w := l.workers[id]
+	if w == nil {
+		s.cfg.Logger.Log("event", "worker_left", "worker", id, "seen", false)
+		return Answer{}
 	}
+	w.leaving = true
+	l.room.markStale(id)
+	age := s.cfg.BootClock() - w.heardAt
+	s.cfg.Logger.Log("event", "worker_left", "worker", id, "seen", true, "life", w.hb.Incarnation, "draining", w.hb.Draining, "running", len(w.running), "age_ms", age.Milliseconds())
 	return Answer{}
 }
--- a/sched/lost_test.go
+++ b/sched/lost_test.go
@@ -141,4 +141,70 @@
 		f.advance(2600 * time.Millisecond)
 		f.awaitRunning("j", 1)
 	})
+
+	// Guards against ending the runs of a worker's present life by the notice of a former one, which arrives after the
+	// worker has started again under its ID: the notice names no life.
+	DescribeTable("keeps the runs of a worker whose former life's notice of leaving arrives late",
+		func(draining, newLeader bool) {
+			f := newFixture()
+			f.addWorkers("r1", "dc1", "w1")
+			w1 := f.workers["w1"]
+			w1.hb.Draining = true
+			f.heartbeat("w1")
+			w1.hb.Draining, w1.hb.Incarnation, w1.hb.Seq = false, 2, 0
+			f.heartbeat("w1")
+			f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60000})
+			f.awaitRunning("j", 1)
+			f.addWorkers("r1", "dc1", "w2")
+			if newLeader {
+				f.changeLeader()
+			}
+			w1.hb.Draining, w1.hb.DrainLeftMS = draining, 20000
+			f.heartbeatAll()
+			Expect(f.call(sched.Call{Leave: &sched.Leave{Worker: "w1"}}).err).To(Succeed())
+			for range 8 {
+				f.advance(time.Second)
+				f.heartbeatAll()
+				time.Sleep(50 * time.Millisecond) // sweeps and placement passes run in real time
+			}
+			Expect(w1.last.LeaseMS).To(BeNumerically(">", 0))
+			Expect(w1.stopped).To(BeEmpty())
+			Expect(f.running("j")).To(Equal(map[batch.TaskID]string{taskID("j", 0, 0): "w1"}))
+			Expect(f.starts("j")).To(Equal(1))
+		},
+		Entry("while the present life is ready", false, false),
+		Entry("while the present life drains itself", true, false),
+		Entry("at the next leader", false, true),
+	)
+
+	// Guards against ending a lease early: a worker that is cut off when the notice of a former life arrives goes on
+	// until its lease expires.
+	It("waits for the lease of a worker that is silent after a notice of leaving", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		lease := time.Duration(f.workers["w1"].last.LeaseMS) * time.Millisecond
+		Expect(f.call(sched.Call{Leave: &sched.Leave{Worker: "w1"}}).err).To(Succeed())
+		delete(f.workers, "w1")
+		f.addWorkers("r1", "dc1", "w2")
+		f.advance(lease - time.Second) // expectNoStart advances the clock by another 750 ms
+		f.expectNoStart("j")
+		f.advance(time.Second)
+		f.awaitRunning("j", 1)
+	})
+
+	It("places nothing on a worker after its notice of leaving, until it sends another heartbeat", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		Expect(f.call(sched.Call{Leave: &sched.Leave{Worker: "w1"}}).err).To(Succeed())
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
+		runs := func() (n int) {
+			f.r.machine.Batch().View(func(b *batch.State) { n = len(b.Runs["w1"]) })
+			return n
+		}
+		Consistently(runs, 400*time.Millisecond).Should(BeZero())
+		f.heartbeat("w1")
+		Eventually(runs).Should(Equal(1))
+	})
 })
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -12,9 +12,6 @@
 const (
 	// sweepInterval is the time between sweeps.
 	sweepInterval = 200 * time.Millisecond
-	// finalHeartbeatWait is how long to wait for the last heartbeat of a worker that has left, since heartbeats can
-	// arrive seconds late.
-	finalHeartbeatWait = 2500 * time.Millisecond
 	// purgeBatch bounds the jobs that are purged in one change.
 	purgeBatch = 200
 )
@@ -120,8 +117,6 @@
 	switch {
 	case w == nil:
 		return now > l.since+s.leaseExpiry()
-	case w.leftAt != 0:
-		return now-w.leftAt >= finalHeartbeatWait
 	default:
 		return w.gone || now > w.leaseEnd
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -14,10 +14,10 @@
 	// heardAt is when the latest heartbeat arrived, and leaseEnd when its lease has expired on any clock; both are boot
 	// times.
 	heardAt, leaseEnd time.Duration
-	// gone is set once the incarnation has ended; leftAt is the boot time at which the worker reported that itself, else
-	// 0.
-	gone   bool
-	leftAt time.Duration
+	// gone is set once the incarnation has ended.
+	gone bool
+	// leaving is set by a notice of leaving until the next heartbeat; no run is placed on the worker meanwhile.
+	leaving bool
 	// interval is the heartbeat interval that was last requested of the worker.
 	interval time.Duration
 	// checkAt is the boot time of the worker's next entry in room.checks, 0 if there is none.
