--- a/batch/catalog.go
+++ b/batch/catalog.go
@@ -82,6 +82,11 @@
 	return c
 }
 
+// Declares reports whether the catalog declares a service.
+func (c Catalog) Declares(service string) bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == service })
+}
+
 // Validate returns all faults of the catalog as one *model.Error, nil if there are none.
 func (c Catalog) Validate() error {
 	var faults []string
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -167,6 +167,16 @@
 	return t != nil && !t.Active && !t.Done && s.Run > t.Run && j.Ready(s.Task.Round, s.Task.Step)
 }
 
+// HasRuns reports whether a life of a worker has active runs.
+func (b *State) HasRuns(worker string, incarnation int64) bool {
+	for id := range b.Runs[worker] {
+		if b.Jobs[id.Job].Task(id).Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // indexRun adds an active run to the index of its worker.
 func (b *State) indexRun(worker string, id TaskID, run int) {
 	if b.Runs[worker] == nil {
--- /dev/null
+++ b/sched/claim.go
@@ -0,0 +1,116 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"turmericroute/batch"
+)
+
+// ignoredLogInterval is the least time between two log lines about heartbeats that are ignored.
+const ignoredLogInterval = time.Second
+
+// declared reports whether a heartbeat counts. One of a service that no catalog declares may come from another writer,
+// and must not change what is known of others. Workers whose service is declared no more keep their runs.
+func (l *leaderState) declared(w *worker, hb *Heartbeat) bool {
+	if w != nil && w.hb.Incarnation == hb.Incarnation {
+		return true
+	}
+	ok := false
+	l.ledger.View(func(b *batch.State) {
+		ok = b.Catalog.Version == 0 || b.Catalog.Declares(hb.Service) || b.HasRuns(hb.Worker, hb.Incarnation)
+	})
+	return ok
+}
+
+// declares reports whether the catalog declares a service.
+func (l *leaderState) declares(service string) (ok bool) {
+	l.ledger.View(func(b *batch.State) { ok = b.Catalog.Declares(service) })
+	return ok
+}
+
+// ignoreHeartbeat counts a heartbeat of an undeclared service, and logs it unless another was logged just before.
+func (s *Scheduler) ignoreHeartbeat(l *leaderState, hb *Heartbeat, now time.Duration) {
+	s.metrics.ignoredHeartbeats.Inc()
+	if l.ignoredLoggedAt != 0 && now-l.ignoredLoggedAt < ignoredLogInterval {
+		return
+	}
+	l.ignoredLoggedAt = now
+	s.cfg.Logger.Log("event", "heartbeat_ignored", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "service", hb.Service, "address", hb.Address, "why", "service is not declared")
+}
+
+// endFormerLives marks the earlier lives on the sender's machine as gone. It returns false if a later life on the
+// machine has ended the sender. An address is no identity: anyone may give it.
+func (s *Scheduler) endFormerLives(l *leaderState, hb *Heartbeat) bool {
+	for _, id := range l.byMachine[hb.Machine] {
+		other := l.workers[id]
+		switch {
+		case id == hb.Worker || other.gone:
+		case other.hb.Incarnation > hb.Incarnation && l.declares(other.hb.Service):
+			return false
+		case hb.Incarnation > other.hb.Incarnation && l.declares(hb.Service):
+			other.gone = true
+			l.room.markStale(id)
+			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine)
+		}
+	}
+	return true
+}
+
+// noteAddress keeps new runs off earlier workers at the sender's address, and reports whether a later one that is heard
+// from has taken that address. The leases of all of them go on, since each says only of itself whether it has ended.
+func (l *leaderState) noteAddress(hb *Heartbeat, now time.Duration) (taken bool) {
+	for _, id := range l.byAddress[hb.Address] {
+		other := l.workers[id]
+		switch {
+		case id == hb.Worker || other.gone:
+		case hb.Incarnation > other.hb.Incarnation:
+			other.addressTaken = true
+			l.room.markStale(id)
+		case hb.Incarnation < other.hb.Incarnation && now-other.heardAt < l.silentAfter(other):
+			taken = true
+		}
+	}
+	return taken
+}
+
+// workerIndex holds worker IDs by a property that few workers share.
+type workerIndex map[string][]string
+
+func (x workerIndex) add(key, id string) { x[key] = append(x[key], id) }
+
+func (x workerIndex) remove(key, id string) {
+	list := slices.DeleteFunc(x[key], func(other string) bool { return other == id })
+	if len(list) == 0 {
+		delete(x, key)
+		return
+	}
+	x[key] = list
+}
+
+// moveWorker brings the indexes up to date with the worker's next heartbeat.
+func (l *leaderState) moveWorker(w *worker, hb *Heartbeat) {
+	if w.hb.Address == hb.Address && w.hb.Machine == hb.Machine && w.hb.Worker == hb.Worker {
+		return
+	}
+	l.dropFromIndexes(w)
+	l.byAddress.add(hb.Address, hb.Worker)
+	if hb.Machine != "" {
+		l.byMachine.add(hb.Machine, hb.Worker)
+	}
+}
+
+func (l *leaderState) dropFromIndexes(w *worker) {
+	if w.hb.Worker == "" {
+		return // the worker has not been recorded yet
+	}
+	l.byAddress.remove(w.hb.Address, w.hb.Worker)
+	l.byMachine.remove(w.hb.Machine, w.hb.Worker)
+}
+
+// forgetWorker drops the record of a worker.
+func (l *leaderState) forgetWorker(id string, w *worker) {
+	l.dropFromIndexes(w)
+	delete(l.workers, id)
+	l.room.markStale(id)
+}
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -75,6 +75,13 @@
 
 func newFixture(change ...func(*sched.Config)) *fixture {
 	f := &fixture{workers: map[string]*fakeWorker{}}
+	f.start(change...)
+	f.declare(1)
+	return f
+}
+
+// start makes a new scheduler lead, without a configuration.
+func (f *fixture) start(change ...func(*sched.Config)) {
 	f.now.Store(int64(1000 * time.Second))
 	boot := func() time.Duration { return time.Duration(f.now.Load()) }
 	wall := func() time.Time { return time.UnixMilli(0).Add(boot()) }
@@ -92,8 +99,6 @@
 	f.s = sched.New(f.cfg)
 	f.lead()
 	DeferCleanup(func() { f.stop(); <-f.ended })
-	f.declare(1)
-	return f
 }
 
 // lead makes the scheduler lead in a new term.
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -50,12 +50,16 @@
 	defer s.mu.Unlock()
 	now := s.cfg.BootClock()
 	w := l.workers[hb.Worker]
+	if !l.declared(w, &hb) {
+		s.ignoreHeartbeat(l, &hb, now)
+		return nil, false
+	}
 	switch {
 	case w != nil && hb.Incarnation < w.hb.Incarnation:
 		return nil, false
 	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone):
 		return nil, false
-	case !s.supersede(l, &hb):
+	case !s.endFormerLives(l, &hb):
 		return nil, false
 	case w != nil && hb.Incarnation > w.hb.Incarnation:
 		s.cfg.Logger.Log("event", "worker_reborn", "worker", hb.Worker, "life", hb.Incarnation, "before", w.hb.Incarnation)
@@ -75,10 +79,11 @@
 	if w.leaving {
 		s.cfg.Logger.Log("event", "worker_stayed", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "draining", hb.Draining)
 	}
-	if w.leaving || w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
+	addressTaken := l.noteAddress(&hb, now)
+	if w.leaving || addressTaken != w.addressTaken || w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
 		l.room.markStale(hb.Worker)
 	}
-	w.leaving = false
+	w.leaving, w.addressTaken = false, addressTaken
 	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
@@ -91,28 +96,6 @@
 	return ends, true
 }
 
-// supersede marks the workers as gone that a heartbeat shows to have ended: earlier incarnations at its address or on
-// its machine. It returns false if the sender itself has been superseded.
-func (s *Scheduler) supersede(l *leaderState, hb *Heartbeat) bool {
-	for _, ids := range [...][]string{l.byAddress[hb.Address], l.byMachine[hb.Machine]} {
-		for _, id := range ids {
-			other := l.workers[id]
-			if id == hb.Worker || other.gone {
-				continue
-			}
-			if other.hb.supersedes(hb) {
-				return false
-			}
-			if hb.supersedes(&other.hb) {
-				other.gone = true
-				l.room.markStale(id)
-				s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "by", hb.Worker, "address", hb.Address, "machine", hb.Machine)
-			}
-		}
-	}
-	return true
-}
-
 // recordRuns stores the runs of a worker's latest heartbeat and reports whether they are others than before.
 func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
 	changed := len(w.running) != len(w.hb.Running)
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -62,16 +62,25 @@
 	}
 }
 
-// restart replaces a worker by a later incarnation, under another name on the same machine or under its own.
+// restart replaces a worker by a later incarnation, under another name on the same machine or under its own, or by one
+// on another machine that takes its address, while the former may go on.
 func (h *history) restart() {
 	name := h.worker()
 	old := h.workers[name].hb
 	next := old
 	next.Incarnation, next.Seq, next.Running, next.Ended, next.Draining = old.Incarnation+1, 0, nil, nil, false
-	if h.rand.IntN(2) == 0 {
+	goesOn := false
+	switch h.rand.IntN(4) {
+	case 0, 1:
+		next.Worker = fmt.Sprintf("%s-%d", name[:2], next.Incarnation)
+	case 2:
 		next.Worker = fmt.Sprintf("%s-%d", name[:2], next.Incarnation)
+		next.Machine = "m-" + next.Worker
+		goesOn = h.rand.IntN(2) == 0
+	}
+	if !goesOn {
+		delete(h.workers, name)
 	}
-	delete(h.workers, name)
 	h.workers[next.Worker] = &fakeWorker{hb: next}
 }
 
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -13,6 +13,7 @@
 type schedulerMetrics struct {
 	set                      *metrics.Set
 	heartbeats, acceptedJobs *metrics.Counter
+	ignoredHeartbeats        *metrics.Counter
 	placedRuns, panics       *metrics.Counter
 	// refreshedWorkers and triedSteps count what the passes have looked at.
 	refreshedWorkers, triedSteps *metrics.Counter
@@ -41,7 +42,8 @@
 	})
 	return schedulerMetrics{
 		set: set, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
-		acceptedJobs: set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
+		ignoredHeartbeats: set.GetOrCreateCounter("turmericroute_sched_ignored_heartbeats_total"),
+		acceptedJobs:      set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
 		panics:           set.GetOrCreateCounter("turmericroute_sched_panics_total"),
 		refreshedWorkers: set.GetOrCreateCounter("turmericroute_sched_refreshed_workers_total"), triedSteps: set.GetOrCreateCounter("turmericroute_sched_tried_steps_total"),
 		passSeconds:  set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -81,6 +81,8 @@
 	// ended.
 	workers              map[string]*worker
 	byAddress, byMachine workerIndex
+	// ignoredLoggedAt is the boot time at which an ignored heartbeat was last logged.
+	ignoredLoggedAt time.Duration
 	// startedJobs holds the jobs of which a worker has reported a run.
 	startedJobs map[string]bool
 	// brokenGangs holds the gang runs, keyed by their first member, in which a member has ended because another did.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -16,8 +16,9 @@
 	heardAt, leaseEnd time.Duration
 	// gone is set once the incarnation has ended.
 	gone bool
-	// leaving is set by a notice of leaving until the next heartbeat; no run is placed on the worker meanwhile.
-	leaving bool
+	// leaving is set by a notice of leaving until the next heartbeat, addressTaken while a later worker at the same
+	// address is heard from. No run is placed on the worker meanwhile.
+	leaving, addressTaken bool
 	// interval is the heartbeat interval that was last requested of the worker.
 	interval time.Duration
 	// checkAt is the boot time of the worker's next entry in room.checks, 0 if there is none.
@@ -58,15 +59,6 @@
 	}
 }
 
-// supersedes reports whether a heartbeat shows that the sender of an older one has ended: it has a later incarnation
-// and the same worker ID, address or machine.
-func (hb *Heartbeat) supersedes(old *Heartbeat) bool {
-	if hb.Incarnation <= old.Incarnation {
-		return false
-	}
-	return hb.Worker == old.Worker || hb.Address == old.Address || hb.Machine != "" && hb.Machine == old.Machine
-}
-
 // hasLabel reports whether the worker has a label; it returns true for the empty label.
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.hb.Labels, label)
@@ -85,44 +77,3 @@
 	return hb.Draining != old.Draining || hb.Capacity != old.Capacity || hb.Rack != old.Rack || hb.Service != old.Service ||
 		hb.DataCentre != old.DataCentre || !slices.Equal(hb.Labels, old.Labels)
 }
-
-// workerIndex holds worker IDs by a property that few workers share.
-type workerIndex map[string][]string
-
-func (x workerIndex) add(key, id string) { x[key] = append(x[key], id) }
-
-func (x workerIndex) remove(key, id string) {
-	list := slices.DeleteFunc(x[key], func(other string) bool { return other == id })
-	if len(list) == 0 {
-		delete(x, key)
-		return
-	}
-	x[key] = list
-}
-
-// moveWorker brings the indexes up to date with the worker's next heartbeat.
-func (l *leaderState) moveWorker(w *worker, hb *Heartbeat) {
-	if w.hb.Address == hb.Address && w.hb.Machine == hb.Machine && w.hb.Worker == hb.Worker {
-		return
-	}
-	l.dropFromIndexes(w)
-	l.byAddress.add(hb.Address, hb.Worker)
-	if hb.Machine != "" {
-		l.byMachine.add(hb.Machine, hb.Worker)
-	}
-}
-
-func (l *leaderState) dropFromIndexes(w *worker) {
-	if w.hb.Worker == "" {
-		return // the worker has not been recorded yet
-	}
-	l.byAddress.remove(w.hb.Address, w.hb.Worker)
-	l.byMachine.remove(w.hb.Machine, w.hb.Worker)
-}
-
-// forgetWorker drops the record of a worker.
-func (l *leaderState) forgetWorker(id string, w *worker) {
-	l.dropFromIndexes(w)
-	delete(l.workers, id)
-	l.room.markStale(id)
-}
