--- a/sched/claim_test.go
+++ b/sched/claim_test.go
@@ -124,6 +124,19 @@
 		f.awaitRunning("j", 1)
 	})
 
+	// Guards against an end that somebody else reports for a worker's run.
+	It("ends no run of another worker", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60000})
+		f.awaitRunning("j", 1)
+		f.addWorkers("r1", "dc1", "w2")
+		f.workers["w2"].hb.Ended = []sched.RunEnd{{Number: 1, Task: taskID("j", 0, 0), Run: 1, Reason: batch.EndFailed}}
+		f.heartbeat("w2")
+		Expect(f.workers["w2"].hb.Ended).To(BeEmpty(), "the report is acknowledged, as it changes nothing")
+		f.expectUndisturbed()
+	})
+
 	It("ends an earlier worker on the same machine, whose runs restart at once", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1")
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -153,7 +153,7 @@
 		if e.Reason != batch.EndRefused {
 			l.startedJobs[e.Task.Job] = true
 		}
-		if changesLedger(b, e) {
+		if changesLedger(b, &w.hb, e) {
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint})
 			l.recordGangBreak(b, ref, e.Reason)
 			if e.Reason == batch.EndFailed {
@@ -211,8 +211,9 @@
 // lost; a worker with many ends reports them over several heartbeats.
 const vanishedAfterMisses = 4
 
-// changesLedger reports whether the end of a run changes the ledger.
-func changesLedger(b *batch.State, e RunEnd) bool {
+// changesLedger reports whether the end of a run that a worker reports changes the ledger. Only the life that has the
+// run can end it.
+func changesLedger(b *batch.State, hb *Heartbeat, e RunEnd) bool {
 	j := b.Jobs[e.Task.Job]
 	if j == nil {
 		return false
@@ -224,7 +225,7 @@
 	if (batch.End{Run: e.Run, Reason: e.Reason}).LateFailure(*t) {
 		return true
 	}
-	if t.Run != e.Run {
+	if t.Run != e.Run || t.Worker != hb.Worker || t.Incarnation != hb.Incarnation {
 		return false
 	}
 	return t.Active || e.Reason == batch.EndDone && !t.Done && !j.State.Final()
