--- a/batch/change.go
+++ b/batch/change.go
@@ -54,6 +54,8 @@
 	WaveProgress *WaveProgress `json:"upkeep,omitempty"`
 	// Purge lists the IDs of jobs to delete if they have ended.
 	Purge []string `json:"forget,omitempty"`
+	// PurgeTombstonesBeforeMS deletes the tombstones that are older, in Unix milliseconds.
+	PurgeTombstonesBeforeMS int64 `json:"purge_tombstones_before_ms,omitempty"`
 	// AtMS is the leader's time of the change in Unix milliseconds.
 	AtMS int64 `json:"at_ms,omitempty"`
 }
@@ -69,7 +71,7 @@
 	Spec        Spec   `json:"spec"`
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. For an unknown job it leaves a tombstone, since the submission may still be under way.
 type Cancel struct {
 	ID string `json:"id"`
 }
@@ -94,4 +96,6 @@
 	State JobState `json:"state,omitempty"`
 	// Duplicate is set if an accepted job already existed.
 	Duplicate bool `json:"known,omitempty"`
+	// NoJob is set if a cancelled job is unknown.
+	NoJob bool `json:"no_job,omitempty"`
 }
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -30,6 +30,9 @@
 	// Runs indexes the active runs: the run number of each active task, by worker.
 	Runs  map[string]map[TaskID]int
 	Waves map[int64]*Wave
+	// Tombstones holds the jobs that were cancelled before they were submitted, with the time of the latest
+	// cancellation in Unix milliseconds. They are never accepted.
+	Tombstones map[string]int64
 	// changes records what Apply changes, nil while nobody asks.
 	changes *Changes
 }
@@ -44,7 +47,7 @@
 func newState() State {
 	return State{
 		OutOfService: map[string]bool{}, Jobs: map[string]*Job{}, Open: map[string]*Job{},
-		Runs: map[string]map[TaskID]int{}, Waves: map[int64]*Wave{},
+		Runs: map[string]map[TaskID]int{}, Waves: map[int64]*Wave{}, Tombstones: map[string]int64{},
 	}
 }
 
@@ -98,6 +101,8 @@
 				delete(b.Jobs, id)
 			}
 		}
+	case c.PurgeTombstonesBeforeMS != 0:
+		maps.DeleteFunc(b.Tombstones, func(_ string, atMS int64) bool { return atMS < c.PurgeTombstonesBeforeMS })
 	}
 	return Result{}
 }
@@ -106,6 +111,9 @@
 	if j, ok := b.Jobs[a.ID]; ok {
 		return Result{State: j.State, Duplicate: true}
 	}
+	if overtaken := b.Overtaken(a.ID); overtaken != nil {
+		return Result{Failure: overtaken}
+	}
 	j := &Job{
 		ID: a.ID, Queue: a.Queue, Service: a.Service, Priority: a.Priority, MaxFailures: a.MaxFailures, Team: a.Team,
 		Spec: a.Spec, State: JobOpen, AcceptedMS: atMS, Rounds: newRounds(a.Spec),
@@ -118,7 +126,7 @@
 func (b *State) cancel(id string, atMS int64) Result {
 	j, ok := b.Jobs[id]
 	if !ok {
-		return Result{Failure: model.NotRun(model.CodeNotFound, "no job %s", id)}
+		return b.cancelUnknown(id, atMS)
 	}
 	if !j.State.Final() {
 		b.finish(j, JobCancelled, "cancelled by the caller", atMS)
@@ -126,6 +134,31 @@
 	return Result{State: j.State}
 }
 
+// cancelUnknown leaves a tombstone for a job that is unknown. An acknowledged cancellation must not be forgotten while
+// the submission may arrive, so it is refused when there are too many, in place of dropping older ones.
+func (b *State) cancelUnknown(id string, atMS int64) Result {
+	before, ok := b.Tombstones[id]
+	if !ok && len(b.Tombstones) >= MaxTombstones {
+		return Result{Failure: model.NotRun(model.CodeOverloaded, "too many jobs were cancelled before they were submitted: %d", len(b.Tombstones))}
+	}
+	b.Tombstones[id] = max(before, atMS)
+	return Result{NoJob: true}
+}
+
+// MaxTombstones bounds the tombstones.
+const MaxTombstones = 20000
+
+// CodeCancelled is the code of a submission that its cancellation has overtaken.
+const CodeCancelled model.Code = "cancelled"
+
+// Overtaken returns the error of a submission that its cancellation has overtaken, nil if there was none.
+func (b *State) Overtaken(id string) *model.Error {
+	if _, ok := b.Tombstones[id]; !ok {
+		return nil
+	}
+	return model.NotRun(CodeCancelled, "job %s was cancelled before its submission arrived", id)
+}
+
 func (b *State) finish(j *Job, s JobState, reason string, atMS int64) {
 	j.State, j.Reason, j.FinishedMS = s, reason, atMS
 	delete(b.Open, j.ID)
@@ -283,13 +316,15 @@
 	OutOfService []string `json:"out,omitempty"`
 	Jobs         []*Job   `json:"jobs,omitempty"`
 	Waves        []*Wave  `json:"waves,omitempty"`
+	// Tombstones is encoded with sorted keys.
+	Tombstones map[string]int64 `json:"tombstones,omitempty"`
 }
 
 // EncodeSnapshot returns the state as JSON, in a deterministic order.
 func (l *Ledger) EncodeSnapshot() (json.RawMessage, error) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	snap := Snapshot{Catalog: l.state.Catalog, OutOfService: slices.Sorted(maps.Keys(l.state.OutOfService))}
+	snap := Snapshot{Catalog: l.state.Catalog, OutOfService: slices.Sorted(maps.Keys(l.state.OutOfService)), Tombstones: l.state.Tombstones}
 	for _, id := range slices.Sorted(maps.Keys(l.state.Jobs)) {
 		snap.Jobs = append(snap.Jobs, l.state.Jobs[id])
 	}
@@ -326,6 +361,7 @@
 	for _, w := range snap.Waves {
 		b.Waves[w.Number] = w
 	}
+	maps.Copy(b.Tombstones, snap.Tombstones)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b.changes = l.state.changes
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -47,6 +47,8 @@
 		a.ID, a.Queue, a.Service, a.Priority, a.MaxFailures, a.Spec = id, q.Name, q.Service, q.Priority, max(1, q.MaxFailures), c.Spec
 		switch {
 		case existing != nil:
+		case b.Overtaken(id) != nil:
+			failure = b.Overtaken(id)
 		case id == "":
 			failure = model.NotRun(model.CodeInvalid, "job ID is missing")
 		case c.InvalidReason != "":
@@ -77,12 +79,14 @@
 	return Answer{State: StatePending}, nil
 }
 
+// cancel cancels a job. One that is unknown is recorded too before the caller is told so, since its submission may
+// arrive later.
 func (s *Scheduler) cancel(ctx context.Context, l *leaderState, ref JobRef) (Answer, error) {
 	var id string
 	var failure *model.Error
 	l.ledger.View(func(b *batch.State) {
 		_, _, id, failure = resolve(b, ref)
-		if failure == nil && b.Jobs[id] == nil {
+		if failure == nil && id == "" {
 			failure = noSuchJob(id)
 		}
 	})
@@ -90,10 +94,13 @@
 		return Answer{}, failure
 	}
 	res, err := l.commit(ctx, batch.Change{Cancel: &batch.Cancel{ID: id}})
-	s.cfg.Logger.Log("event", "job_cancelled", "job", id, "state", res.State, "term", l.term, "err", err)
+	s.cfg.Logger.Log("event", "job_cancelled", "job", id, "state", res.State, "known", !res.NoJob, "term", l.term, "err", err)
 	if err != nil {
 		return Answer{}, err
 	}
+	if res.NoJob {
+		return Answer{}, noSuchJob(id)
+	}
 	l.triggerPass()
 	return Answer{State: callerState(res.State, false)}, nil
 }
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -122,12 +122,16 @@
 	}
 }
 
-// purgeFinished removes jobs that finished longer ago than their retention time.
+// purgeFinished removes jobs that finished, and tombstones that were left, longer ago than the retention time.
 func (s *Scheduler) purgeFinished(l *leaderState) {
 	before := s.cfg.WallClock().Add(-s.cfg.Limits.FinishedRetention - retentionMargin).UnixMilli()
 	var ids []string
+	oldTombstones := false
 	s.mu.Lock()
 	l.ledger.View(func(b *batch.State) {
+		for _, atMS := range b.Tombstones {
+			oldTombstones = oldTombstones || atMS < before-tombstonePurgeDelay.Milliseconds()
+		}
 		for id := range l.startedJobs {
 			if b.Open[id] == nil {
 				delete(l.startedJobs, id)
@@ -140,6 +144,11 @@
 		}
 	})
 	s.mu.Unlock()
+	if oldTombstones {
+		if _, err := l.commit(context.WithoutCancel(l.ctx), batch.Change{PurgeTombstonesBeforeMS: before}); err != nil {
+			s.cfg.Logger.Log("event", "tombstones_unforgotten", "err", err)
+		}
+	}
 	if len(ids) == 0 {
 		return
 	}
@@ -149,5 +158,8 @@
 	}
 }
 
+// tombstonePurgeDelay is how long old tombstones wait for others, so that many are deleted by one change.
+const tombstonePurgeDelay = 5 * time.Second
+
 // retentionMargin extends the retention of finished jobs, since the clocks of leaders differ.
 const retentionMargin = 30 * time.Second
