--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -200,14 +200,14 @@
 	return t != nil && !t.Active && !t.Done && s.Run > t.Run && j.Ready(s.Task.Round, s.Task.Step)
 }
 
-// HasRuns reports whether a life of a worker has active runs.
-func (b *State) HasRuns(worker string, incarnation int64) bool {
+// LatestLife returns the latest incarnation of a worker that has active runs, and false if none has.
+func (b *State) LatestLife(worker string) (incarnation int64, ok bool) {
 	for id := range b.Runs[worker] {
-		if b.Jobs[id.Job].Task(id).Incarnation == incarnation {
-			return true
+		if i := b.Jobs[id.Job].Task(id).Incarnation; !ok || i > incarnation {
+			incarnation, ok = i, true
 		}
 	}
-	return false
+	return incarnation, ok
 }
 
 // indexRun adds an active run to the index of its worker.
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -18,11 +18,25 @@
 	}
 	ok := false
 	l.ledger.View(func(b *batch.State) {
-		ok = b.Catalog.Version == 0 || b.Catalog.Declares(hb.Service) || b.HasRuns(hb.Worker, hb.Incarnation)
+		life, hasRuns := b.LatestLife(hb.Worker)
+		ok = b.Catalog.Version == 0 || b.Catalog.Declares(hb.Service) || hasRuns && life == hb.Incarnation
 	})
 	return ok
 }
 
+// ofFormerLife reports whether a heartbeat is a late one of an earlier life of its worker. The ledger tells so too: a
+// new leader may hear of the earlier life first, and must not end the runs of the later one.
+func (l *leaderState) ofFormerLife(w *worker, hb *Heartbeat) (former bool) {
+	if w != nil {
+		return hb.Incarnation < w.hb.Incarnation
+	}
+	l.ledger.View(func(b *batch.State) {
+		life, ok := b.LatestLife(hb.Worker)
+		former = ok && hb.Incarnation < life
+	})
+	return former
+}
+
 // declares reports whether the catalog declares a service.
 func (l *leaderState) declares(service string) (ok bool) {
 	l.ledger.View(func(b *batch.State) { ok = b.Catalog.Declares(service) })
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -55,7 +55,8 @@
 		return nil, false
 	}
 	switch {
-	case w != nil && hb.Incarnation < w.hb.Incarnation:
+	case l.ofFormerLife(w, &hb):
+		s.cfg.Logger.Log("event", "heartbeat_late", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "seen", w != nil)
 		return nil, false
 	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone):
 		return nil, false
--- a/sched/lost_test.go
+++ b/sched/lost_test.go
@@ -177,6 +177,24 @@
 		Entry("at the next leader", false, true),
 	)
 
+	// Guards against ending the runs of a worker's present life by a heartbeat of a former one, which is the first that a
+	// new leader hears of the worker.
+	It("ignores a late heartbeat of a worker's former life at the next leader", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		w1 := f.workers["w1"]
+		late := w1.hb
+		late.Seq = 100
+		w1.hb.Incarnation, w1.hb.Seq = 2, 0
+		f.heartbeat("w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60000})
+		f.awaitRunning("j", 1)
+		f.changeLeader()
+		f.addWorkers("r1", "dc1", "w2")
+		Expect(f.call(sched.Call{Heartbeat: &late}).Orders).To(Equal(&sched.Orders{}))
+		f.expectUndisturbed()
+	})
+
 	// Guards against ending a lease early: a worker that is cut off when the notice of a former life arrives goes on
 	// until its lease expires.
 	It("waits for the lease of a worker that is silent after a notice of leaving", func() {
