--- a/sched/call.go
+++ b/sched/call.go
@@ -4,7 +4,7 @@
 	"turmericroute/batch"
 )
 
-// Call is a request to the leader; exactly one field is set.
+// Call is a request to the leader; exactly one field is set, Stamp apart.
 type Call struct {
 	Submit     *Submit        `json:"submit,omitempty"`
 	Show       *JobRef        `json:"show,omitempty"`
@@ -17,6 +17,8 @@
 	Heartbeat  *Heartbeat     `json:"beat,omitempty"`
 	Leave      *Leave         `json:"leave,omitempty"`
 	Ping       bool           `json:"ping,omitempty"`
+	// Stamp is the age of an Outage.
+	Stamp *Stamp `json:"stamp,omitempty"`
 	// ConfirmLeader asks the leader to confirm that it leads, before an operator is redirected to it.
 	ConfirmLeader bool `json:"refer,omitempty"`
 }
@@ -65,6 +67,8 @@
 	Orders *Orders `json:"orders,omitempty"`
 	// WaveDone is set if the wave has ended.
 	WaveDone bool `json:"wave_done,omitempty"`
+	// Stamp answers a Ping.
+	Stamp *Stamp `json:"stamp,omitempty"`
 }
 
 // JobState is a job's state as reported to callers.
--- a/sched/client.go
+++ b/sched/client.go
@@ -36,7 +36,11 @@
 // Call sends a call to the leader and returns its answer. The error is a *model.Error; its outcome is unknown if the
 // call may have taken effect.
 func (c *Client) Call(ctx context.Context, call Call) (Answer, error) {
-	a, err := c.send(ctx, call)
+	send := c.send
+	if call.Outage != nil {
+		send = c.sendStamped // nothing else orders outages among each other
+	}
+	a, err := send(ctx, call)
 	if err == nil {
 		return a, nil
 	}
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -158,6 +158,12 @@
 	Expect(f.call(sched.Call{Cancel: &r}).err).To(Succeed())
 }
 
+// setOutage takes a data centre out of service or back, with an order that is stamped just before.
+func (f *fixture) setOutage(dc string, out bool) error {
+	stamp := f.call(sched.Call{Ping: true}).Stamp
+	return f.call(sched.Call{Outage: &batch.Outage{DataCentre: dc, Out: out}, Stamp: stamp}).err
+}
+
 // addWorkers adds workers with 8 accelerators in a rack and sends a heartbeat of each.
 func (f *fixture) addWorkers(rack, dc string, names ...string) {
 	for _, n := range names {
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -182,6 +182,19 @@
 	return Answer{}, nil
 }
 
+// setOutage takes a data centre out of service or back. Outages have no version, so the latest order counts, and one that
+// has been under way for too long is refused.
+func (s *Scheduler) setOutage(ctx context.Context, l *leaderState, c Call) (Answer, error) {
+	if stale := s.checkStamp(l, c.Stamp); stale != nil {
+		s.cfg.Logger.Log("event", "outage_refused", "dc", c.Outage.DataCentre, "out", c.Outage.Out, "why", stale.Message)
+		return Answer{}, stale
+	}
+	_, err := l.commit(ctx, batch.Change{Outage: c.Outage})
+	s.cfg.Logger.Log("event", "outage_changed", "dc", c.Outage.DataCentre, "out", c.Outage.Out, "term", l.term, "err", err)
+	l.triggerPass()
+	return Answer{}, err
+}
+
 func (l *leaderState) waveStatus(number int64) (Answer, error) {
 	var a Answer
 	var failure *model.Error
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -100,7 +100,7 @@
 	case 10:
 		h.restart()
 	case 11:
-		Expect(h.call(sched.Call{Outage: &batch.Outage{DataCentre: "dc2", Out: h.rand.IntN(2) == 0}}).err).To(Succeed())
+		Expect(h.setOutage("dc2", h.rand.IntN(2) == 0)).To(Succeed())
 	case 12:
 		ref := jobRef("normal", h.job())
 		h.call(sched.Call{Cancel: &ref}) // it may have ended or be in the other queue
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -125,10 +125,10 @@
 	It("starts nothing in a data centre that is out of service", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1")
-		Expect(f.call(sched.Call{Outage: &batch.Outage{DataCentre: "dc1", Out: true}}).err).To(Succeed())
+		Expect(f.setOutage("dc1", true)).To(Succeed())
 		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1)})
 		f.expectNoStart("j")
-		Expect(f.call(sched.Call{Outage: &batch.Outage{DataCentre: "dc1"}}).err).To(Succeed())
+		Expect(f.setOutage("dc1", false)).To(Succeed())
 		f.awaitRunning("j", 1)
 	})
 
@@ -320,12 +320,12 @@
 	It("gives the freed resources to the job that they were freed for, however late it is", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1", "w2")
-		Expect(f.call(sched.Call{Outage: &batch.Outage{DataCentre: "dc1", Out: true}}).err).To(Succeed())
+		Expect(f.setOutage("dc1", true)).To(Succeed())
 		f.submit("urgent", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
 		f.advance(30 * time.Second)
 		f.submit("normal", "other", batch.Step{Count: 16, Need: gpus(1), EstimateMS: 10_000})
 		f.heartbeatAll() // makes both workers usable as soon as the outage ends
-		Expect(f.call(sched.Call{Outage: &batch.Outage{DataCentre: "dc1"}}).err).To(Succeed())
+		Expect(f.setOutage("dc1", false)).To(Succeed())
 		f.awaitRunning("j", 2)
 		Expect(f.workers["w1"].stopped).To(BeEmpty())
 		Expect(f.workers["w2"].stopped).To(BeEmpty())
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -253,10 +253,7 @@
 		l.ledger.View(func(b *batch.State) { a.Source = b.Catalog.Source })
 		return a, nil
 	case c.Outage != nil:
-		_, err := l.commit(ctx, batch.Change{Outage: c.Outage})
-		s.cfg.Logger.Log("event", "outage_changed", "dc", c.Outage.DataCentre, "out", c.Outage.Out, "err", err)
-		l.triggerPass()
-		return Answer{}, err
+		return s.setOutage(ctx, l, c)
 	case c.Wave != nil:
 		_, err := l.commit(ctx, batch.Change{Wave: c.Wave})
 		s.cfg.Logger.Log("event", "wave_started", "wave", c.Wave.Number, "machines", strings.Join(c.Wave.Machines, ","), "maximum", c.Wave.MaxConcurrent, "duration_ms", c.Wave.DurationMS, "err", err)
@@ -265,7 +262,9 @@
 		return l.waveStatus(*c.WaveStatus)
 	case c.Leave != nil:
 		return s.leave(l, c.Leave.Worker), nil
-	case c.Ping, c.ConfirmLeader:
+	case c.Ping:
+		return Answer{Stamp: s.stamp(l)}, nil
+	case c.ConfirmLeader:
 		return Answer{}, nil
 	default:
 		return Answer{}, model.NotRun(model.CodeInvalid, "call has no field set")
