--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -201,7 +201,12 @@
 // setLeaderName stores the name of the leader; empty means unknown.
 func (n *Node) setLeaderName(name string) { n.leaderHint.Store(&name) }
 
+// leaderName returns the name of the leader, empty if it is not known. A leader knows itself: searches and redirects that
+// began before its election may set another name, which would hide it from all others for as long as it leads.
 func (n *Node) leaderName() string {
+	if m := n.member.Load(); m != nil && m.status.Load().Role == quorum.RoleLeader {
+		return n.cfg.Name
+	}
 	if name := n.leaderHint.Load(); name != nil {
 		return *name
 	}
