--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -26,7 +26,7 @@
 // Call sends an encoded request to the leader and returns its encoded response.
 // All requests are idempotent: failed attempts are retried until ctx ends. The
 // error is a *model.Error; its outcome is unknown once an attempt may have
-// reached the leader.
+// reached the leader, also if a later one is refused.
 func (n *Node) Call(ctx context.Context, request []byte) ([]byte, error) {
 	maybeExecuted := false
 	unreachable := "" // the leader that could not be reached directly
@@ -38,7 +38,7 @@
 		if fail.Outcome == model.OutcomeUnknown {
 			maybeExecuted = true
 		} else if fail.Code != model.CodeNoLeader {
-			return nil, fail
+			return nil, fail.InDoubtIf(maybeExecuted)
 		}
 		unreachable = failedPeer
 		if !clock.Sleep(ctx, retryDelay) {
--- a/ctrl/call_test.go
+++ b/ctrl/call_test.go
@@ -22,6 +22,7 @@
 	leader  string
 	calls   atomic.Int32
 	deaf    atomic.Bool // leaves questions without an answer as well
+	refuses atomic.Bool // refuses all calls but the first
 }
 
 func newSilentPeer(leader func(address string) string) *silentPeer {
@@ -45,7 +46,9 @@
 }
 
 func (p *silentPeer) Call(ctx context.Context, _ *wire.CallRequest) (*wire.CallResponse, error) {
-	p.calls.Add(1)
+	if p.calls.Add(1) > 1 && p.refuses.Load() {
+		return &wire.CallResponse{Failure: &wire.Failure{Code: string(model.CodeUnauthorised), Outcome: string(model.OutcomeNotRun)}}, nil
+	}
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
@@ -73,6 +76,16 @@
 		Expect(peer.calls.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a refusal that says "not run" of a job that runs: the attempt before it had been carried out, and
+	// only its answer was lost.
+	It("is in doubt if a later attempt is refused after one that may have been carried out", func() {
+		peer := newSilentPeer(func(address string) string { return address })
+		peer.refuses.Store(true)
+		_, err := call(peer.caller(), 3*time.Second)
+		Expect(model.AsError(err)).To(And(HaveField("Code", model.CodeUnauthorised), HaveField("Outcome", model.OutcomeUnknown)))
+		Expect(peer.calls.Load()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a leader that has lost power leaving every caller in doubt until its connection is given up.
 	It("waits until a silent leader answers a question, and has certainly not run before", func() {
 		peer := newSilentPeer(func(address string) string { return address })
--- a/model/errors.go
+++ b/model/errors.go
@@ -77,6 +77,17 @@
 	return &Error{Code: code, Outcome: OutcomeUnknown, Message: fmt.Sprintf(format, args...)}
 }
 
+// InDoubtIf returns the error with OutcomeUnknown if an earlier attempt at the same request may have been carried out:
+// the refusal of a later one says nothing about it.
+func (e *Error) InDoubtIf(maybeExecuted bool) *Error {
+	if !maybeExecuted || e.Outcome != OutcomeNotRun {
+		return e
+	}
+	out := *e
+	out.Outcome = OutcomeUnknown
+	return &out
+}
+
 // AsError returns the first *Error in the chain of err, or a new one with CodeInternal and OutcomeUnknown.
 func AsError(err error) *Error {
 	var e *Error
--- a/sched/client.go
+++ b/sched/client.go
@@ -52,6 +52,7 @@
 }
 
 func (c *Client) send(ctx context.Context, call Call) (Answer, error) {
+	maybeExecuted := false
 	if c.local != nil {
 		var a Answer
 		err := c.leader.WhileLeading(ctx, func(ctx context.Context) error {
@@ -62,9 +63,11 @@
 		if err == nil {
 			return a, nil
 		}
-		if e := model.AsError(err); e.Code != model.CodeNoLeader {
+		e := model.AsError(err)
+		if e.Code != model.CodeNoLeader {
 			return Answer{}, e
 		}
+		maybeExecuted = e.Outcome == model.OutcomeUnknown
 	}
 	request, err := encodeCall(call)
 	if err != nil {
@@ -77,7 +80,7 @@
 	}
 	response, err := c.leader.Call(ctx, request)
 	if err != nil {
-		return Answer{}, model.AsError(err)
+		return Answer{}, model.AsError(err).InDoubtIf(maybeExecuted)
 	}
 	// Decode into a fresh Answer: a may hold what the local scheduler answered before it lost leadership, and decoding
 	// keeps old values wherever the new answer omits a field.
--- a/sched/client_test.go
+++ b/sched/client_test.go
@@ -76,7 +76,23 @@
 	return nil, model.Unknown(model.CodeDeadline, "leader did not answer in time")
 }
 
+// refusingLeader is a leader that refuses everything.
+type refusingLeader struct{ deposedLeader }
+
+func (refusingLeader) Call(context.Context, []byte) ([]byte, error) {
+	return nil, model.NotRun(model.CodeUnauthorised, "API key is unknown")
+}
+
 var _ = Describe("the client", func() {
+	// Guards against a refusal that says "not run" of a job that runs: this instance had accepted it and then lost
+	// leadership.
+	It("leaves the caller in doubt when the next leader refuses what this one may have carried out", func() {
+		f := newFixture()
+		submit := &sched.Submit{JobRef: jobRef("normal", "j"), Spec: batch.Spec{Text: "t", Steps: []batch.Step{{Count: 1}}}}
+		_, err := sched.NewClient(refusingLeader{}, f.s).Call(context.Background(), sched.Call{Submit: submit})
+		Expect(model.AsError(err)).To(And(HaveField("Code", model.CodeUnauthorised), HaveField("Outcome", model.OutcomeUnknown)))
+	})
+
 	// Guards against callers who are told that a read may have taken effect, and who then don't ask again.
 	DescribeTable("leaves callers in doubt about changes only",
 		func(call sched.Call, want model.Outcome) {
