--- a/sched/orders.go
+++ b/sched/orders.go
@@ -23,6 +23,7 @@
 	if w.gone {
 		return &Orders{AckedThrough: out.AckedThrough, Fence: out.Fence}
 	}
+	bytesLeft := maxStartsBytes
 	w.interval = l.intervalFor(hb.Worker)
 	out.RetryAfterMS = int(w.interval.Milliseconds())
 	now := s.cfg.BootClock()
@@ -39,10 +40,14 @@
 				s.orderStop(l, w, out, RunRef{Task: id, Run: run}, reason)
 				continue
 			}
+			order := StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: l.resumeCheckpoint(j, id), Ticket: l.ticket(id, hb.Worker, now)}
+			if bytesLeft -= order.encodedBytes(); bytesLeft < 0 && len(out.Starts) > 0 {
+				continue // with the next heartbeat
+			}
 			if j.Spec.Steps[id.Step].Gang {
 				l.noteGangStart(j, id, run, now)
 			}
-			out.Starts = append(out.Starts, StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: l.resumeCheckpoint(j, id), Ticket: l.ticket(id, hb.Worker, now)})
+			out.Starts = append(out.Starts, order)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
@@ -60,6 +65,18 @@
 	return out
 }
 
+// encodedBytes returns a bound on the size of a start order in an answer. Encoding takes up to six bytes for one of text.
+func (o *StartOrder) encodedBytes() int {
+	return 6*(len(o.Text)+len(o.Checkpoint)+len(o.Ticket)) + 2*len(o.Task.Job) + startOverheadBytes
+}
+
+// maxStartsBytes bounds the start orders in one answer, but for a single larger one. Workers and the calls between
+// instances accept messages of 4 MiB.
+const maxStartsBytes = 3 << 20
+
+// startOverheadBytes is the size of a start order apart from its texts.
+const startOverheadBytes = 100
+
 // orderStop adds a stop to the orders and records the heartbeat in whose answer it was first sent.
 func (s *Scheduler) orderStop(l *leaderState, w *worker, out *Orders, ref RunRef, reason string) {
 	out.Stops = append(out.Stops, ref)
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -1,6 +1,8 @@
 package sched_test
 
 import (
+	"encoding/json"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -96,6 +98,23 @@
 		f.expectNoStart("label")
 	})
 
+	// Guards against an answer that exceeds what workers accept: it was dropped, and its starts were sent again with each
+	// further heartbeat.
+	It("sends the starts for one worker in several answers if they are large together", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.workers["w1"].hb.Capacity = batch.Resources{CPUMilli: 1 << 30, MemoryMB: 1 << 30}
+		text := strings.Repeat("<", 4000) // six bytes each when encoded
+		Expect(f.call(sched.Call{Submit: &sched.Submit{JobRef: jobRef("normal", "j"), Spec: batch.Spec{Text: text, Steps: []batch.Step{{Count: 300, Need: batch.Resources{CPUMilli: 1}}}}}}).err).To(Succeed())
+		Eventually(func() int { return f.runsOn("w1") }).Should(Equal(300))
+		for answers := 1; len(f.running("j")) < 300; answers++ {
+			Expect(answers).To(BeNumerically("<=", 4))
+			data, err := json.Marshal(f.heartbeat("w1"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(data)).To(BeNumerically("<=", 4<<20))
+		}
+	})
+
 	It("stops a cancelled job and does not restart its tasks", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1")
