--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -128,6 +128,18 @@
 // NextRate returns the rate of heartbeats that follows one, given how late the leader was.
 var NextRate = nextRate
 
+// Preempting reports whether a run on a worker is to be preempted.
+func (s *Scheduler) Preempting(worker string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ref := range s.leader.preempting {
+		if _, ok := s.leader.workers[worker].running[ref.Task]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Shapes returns how many shapes of steps are kept.
 func (s *Scheduler) Shapes() int {
 	s.mu.Lock()
--- a/sched/maintenance.go
+++ b/sched/maintenance.go
@@ -81,10 +81,14 @@
 		}
 		return
 	}
-	for _, m := range s.maintenanceOrder(l, waiting) {
-		if inMaintenance >= max(1, w.MaxConcurrent) {
+	for inMaintenance < max(1, w.MaxConcurrent) {
+		// What may be taken down is looked at anew after each machine.
+		order := s.maintenanceOrder(l, waiting)
+		if len(order) == 0 {
 			return
 		}
+		m := order[0]
+		waiting = slices.DeleteFunc(waiting, func(other string) bool { return other == m })
 		if s.maintainMachine(l, w, m) {
 			down[m] = s.cfg.BootClock()
 			inMaintenance++
@@ -96,8 +100,19 @@
 func (s *Scheduler) maintainMachine(l *leaderState, w batch.Wave, machine string) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
+	s.mu.Lock()
+	before, again := l.maintainedAt[machine]
+	l.maintainedAt[machine] = s.cfg.BootClock()
+	s.mu.Unlock()
 	refusal, err := s.cfg.Provider.Maintain(ctx, machine, w.Number, s.cfg.Name, l.term)
 	s.cfg.Logger.Log("event", "maintenance_ordered", "machine", machine, "wave", w.Number, "fence", l.term, "refusal", refusal, "err", err)
+	if refusal != "" && err == nil {
+		s.mu.Lock()
+		if delete(l.maintainedAt, machine); again {
+			l.maintainedAt[machine] = before
+		}
+		s.mu.Unlock()
+	}
 	if err != nil || refusal == RefusedBusy || refusal == RefusedFence {
 		// After an error the order may have been carried out; the provider answers a repeated order as if
 		// it had just carried it out.
@@ -110,7 +125,7 @@
 }
 
 // maintenanceOrder returns machines sorted by the number of runs that their maintenance would stop, fewest first. It
-// omits machines whose maintenance would exceed the MaxUnavailable of a long-running step.
+// omits machines whose maintenance would exceed the MaxUnavailable of a long-running step, all of whose tasks there end at once.
 func (s *Scheduler) maintenanceOrder(l *leaderState, machines []string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -124,8 +139,7 @@
 			cost[w.hb.Machine] += len(b.Runs[id])
 			for t := range b.Runs[id] {
 				j := b.Jobs[t.Job]
-				step := j.Spec.Steps[t.Step]
-				if step.LongRunning && step.MaxUnavailable >= 0 && !j.State.Final() && l.unavailableTasks(b, j, t) >= step.MaxUnavailable {
+				if bounded(&j.Spec.Steps[t.Step]) && !j.State.Final() && !s.mayStop(l, j, t, tasksOfStep(b.Runs[id], t)-1) {
 					blocked[w.hb.Machine] = true
 				}
 			}
@@ -136,17 +150,11 @@
 	return out
 }
 
-// unavailableTasks returns how many other tasks of a long-running step are not fully available.
-func (l *leaderState) unavailableTasks(b *batch.State, j *batch.Job, id batch.TaskID) int {
+// tasksOfStep returns how many runs are of the step of a task.
+func tasksOfStep(runs map[batch.TaskID]int, id batch.TaskID) int {
 	n := 0
-	for i, t := range j.Rounds[id.Round][id.Step].Tasks {
-		if i == id.Index {
-			continue
-		}
-		other := id
-		other.Index = i
-		w := l.workers[t.Worker]
-		if !t.Active || w == nil || w.running[other].Percent < 100 {
+	for other := range runs {
+		if other.Index = id.Index; other == id {
 			n++
 		}
 	}
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -51,6 +51,7 @@
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
+			s.keepAvailable(l, b, w, RunRef{Task: id, Run: r.Run})
 			reason := s.stopReason(l, b, id, r.Run, now)
 			if j := b.Jobs[id.Job]; reason == "" && j != nil && s.leavesBeforeEnd(l, w, j, r, now) {
 				reason = "worker leaves before the run ends"
@@ -148,6 +149,22 @@
 	return ""
 }
 
+// keepAvailable ends the preemption of a run that has not been told to stop, if too many others of its step have become
+// unavailable since.
+func (s *Scheduler) keepAvailable(l *leaderState, b *batch.State, w *worker, ref RunRef) {
+	if l.preempting[ref] == "" || w.stopSeq[ref] != 0 {
+		return
+	}
+	j := b.Jobs[ref.Task.Job]
+	if j == nil || !bounded(&j.Spec.Steps[ref.Task.Step]) || s.mayStop(l, j, ref.Task, 0) {
+		return
+	}
+	s.cfg.Logger.Log("event", "preemption_dropped", "task", ref.Task, "run", ref.Run, "for", l.preempting[ref], "why", "too many tasks of the step are unavailable")
+	delete(l.preempting, ref)
+	l.room.markStale(w.hb.Worker)
+	l.triggerPass()
+}
+
 const (
 	// leaveHeartbeats is the number of heartbeat intervals that are left to a leaving worker to report its last
 	// ends, since single heartbeats can be lost.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -95,6 +95,8 @@
 	forming map[RunRef]*formingGang
 	// preempting holds the runs that are being preempted, with the ID of the job that they make room for.
 	preempting map[RunRef]string
+	// maintainedAt holds the boot time at which the maintenance of each machine was ordered, until it is over.
+	maintainedAt map[string]time.Duration
 	// tickets holds the tickets of each step, by stepName.
 	tickets map[string]*tickets
 	// wake holds at most one request for a placement pass.
@@ -169,7 +171,7 @@
 		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, preempting: map[RunRef]string{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
+		forming: map[RunRef]*formingGang{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
 		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
 	}
 	s.mu.Lock()
--- a/sched/victim.go
+++ b/sched/victim.go
@@ -25,6 +25,7 @@
 // victims returns the gangs and tasks that may be preempted for a job on each worker that it may use, cheapest first.
 func (p *pass) victims(r *request) map[*workerView][]*victim {
 	by := map[batch.TaskID]*victim{}
+	budget := stopBudget{p: p, left: map[batch.TaskID]int{}}
 	at := map[*workerView][]*victim{}
 	for _, wv := range p.room.list {
 		if !r.allowed(wv) {
@@ -32,7 +33,7 @@
 		}
 		for id, run := range p.state.Runs[wv.id] {
 			j := p.state.Jobs[id.Job]
-			if !p.preemptible(r, j, RunRef{Task: id, Run: run}) {
+			if !p.preemptible(r, j, RunRef{Task: id, Run: run}) || !budget.take(j, id) {
 				continue
 			}
 			key := id
@@ -56,13 +57,13 @@
 }
 
 // preemptible reports whether a run may be preempted for a job: never within its team's guarantee, and at priority 0
-// only if the job is within its own team's guarantee. Long-running steps with a MaxUnavailable are never preempted.
+// only if the job is within its own team's guarantee. Bounded steps are preempted for guaranteed jobs only.
 func (p *pass) preemptible(r *request, j *batch.Job, ref RunRef) bool {
 	step := j.Spec.Steps[ref.Task.Step]
 	switch {
 	case p.l.preempting[ref] != "", j.State.Final(), j.Task(ref.Task).Done:
 		return false
-	case step.LongRunning && step.MaxUnavailable >= 0:
+	case bounded(&step) && !p.guaranteed(r.job):
 		return false
 	}
 	return !p.guaranteed(j) && (p.priority(j) > 0 || p.guaranteed(r.job))
