--- a/sched/advise.go
+++ b/sched/advise.go
@@ -23,10 +23,43 @@
 	ticketMargin = 400 * time.Millisecond
 )
 
-// tickets are the tickets that the policy service has issued for one step, by worker; they expire together.
+// tickets are the tickets that the policy service has issued for one step.
 type tickets struct {
-	byWorker   map[string]string
+	// byWorker holds the tickets by worker; they expire together.
+	byWorker   map[string]issuedTicket
 	validUntil time.Duration
+	// denied holds the workers that may not run the step, with the life that was asked for. That does not change.
+	denied map[string]int64
+}
+
+// issuedTicket is a ticket that is valid during one life of a worker.
+type issuedTicket struct {
+	text string
+	life int64
+}
+
+// of reports whether the ticket was issued for the present life of a worker.
+func (t issuedTicket) of(wv *workerView) bool { return t.text != "" && t.life == wv.hb.Incarnation }
+
+// note adds an answer of the policy service for the workers asked for.
+func (t *tickets) note(asked []candidate, by map[string]string, validUntil, now time.Duration) {
+	if now >= t.validUntil {
+		t.byWorker, t.validUntil = map[string]issuedTicket{}, validUntil
+	}
+	t.validUntil = min(t.validUntil, validUntil)
+	for _, c := range asked {
+		if by[c.id] == "" {
+			t.denied[c.id] = c.life
+			continue
+		}
+		t.byWorker[c.id] = issuedTicket{text: by[c.id], life: c.life}
+	}
+}
+
+// candidate is a life of a worker that may be able to run a step.
+type candidate struct {
+	id   string
+	life int64
 }
 
 // needsTicket reports whether the runs of a job need a ticket of the policy service.
@@ -39,11 +72,11 @@
 
 // ticket returns the ticket for a task on a worker, or "" if there is no valid one.
 func (l *leaderState) ticket(id batch.TaskID, worker string, now time.Duration) string {
-	t := l.tickets[stepName(id)]
-	if t == nil || now >= t.validUntil {
+	t, w := l.tickets[stepName(id)], l.workers[worker]
+	if t == nil || now >= t.validUntil || w == nil || t.byWorker[worker].life != w.hb.Incarnation {
 		return ""
 	}
-	return t.byWorker[worker]
+	return t.byWorker[worker].text
 }
 
 // requestTickets requests tickets for waiting steps, one request at a time: the policy service serves only one
@@ -53,10 +86,14 @@
 		return
 	}
 	for clock.Sleep(l.ctx, adviceInterval) {
-		step, job, workers := s.nextStepWithoutTickets(l)
+		step, job, asked := s.nextStepWithoutTickets(l)
 		if step == "" {
 			continue
 		}
+		workers := make([]string, len(asked))
+		for i, c := range asked {
+			workers[i] = c.id
+		}
 		ctx, cancel := context.WithTimeout(l.ctx, adviceTimeout)
 		started := s.cfg.BootClock()
 		by, validity, err := s.cfg.Adviser.Advise(ctx, step, workers)
@@ -66,7 +103,13 @@
 			continue
 		}
 		s.mu.Lock()
-		l.tickets[step] = &tickets{byWorker: by, validUntil: s.cfg.BootClock() + validity - min(ticketMargin, validity/4)}
+		now := s.cfg.BootClock()
+		t := l.tickets[step]
+		if t == nil {
+			t = &tickets{denied: map[string]int64{}}
+			l.tickets[step] = t
+		}
+		t.note(asked, by, now+validity-min(ticketMargin, validity/4), now)
 		l.waiting.touched[job] = true
 		s.mu.Unlock()
 		l.triggerPass()
@@ -76,7 +119,7 @@
 // nextStepWithoutTickets returns the name of the highest-ranked step that waits for tickets, its job and the workers to
 // request them for; the name is empty if there is none. It also deletes tickets that expired over a minute ago
 // if no step waits.
-func (s *Scheduler) nextStepWithoutTickets(l *leaderState) (step, job string, workers []string) {
+func (s *Scheduler) nextStepWithoutTickets(l *leaderState) (step, job string, workers []candidate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.ledger.View(func(b *batch.State) {
@@ -84,8 +127,8 @@
 			return
 		}
 		p := s.newPass(l, b)
-		if w := p.firstStepWithoutTickets(); w != nil {
-			step, job, workers = stepName(w.first), w.job.ID, p.candidates(w)
+		if w, list := p.firstStepWithoutTickets(); w != nil {
+			step, job, workers = stepName(w.first), w.job.ID, list
 			return
 		}
 		for name, t := range maps.All(l.tickets) {
@@ -97,33 +140,74 @@
 	return step, job, workers
 }
 
-// firstStepWithoutTickets returns the highest-ranked waiting step that needs tickets and has no valid ones, nil if there
-// is none.
-func (p *pass) firstStepWithoutTickets() *waitingStep {
-	var first *waitingStep
+// firstStepWithoutTickets returns the highest-ranked waiting step that needs tickets, and the workers to ask for; nil if
+// there is none.
+func (p *pass) firstStepWithoutTickets() (*waitingStep, []candidate) {
+	var waiting []*waitingStep
 	for _, w := range p.waiting.steps {
-		if !needsTicket(p.state, w.job) {
-			continue
+		if needsTicket(p.state, w.job) && !p.hasTicketedRoom(w) {
+			waiting = append(waiting, w)
 		}
-		if t := p.l.tickets[stepName(w.first)]; t != nil && p.now < t.validUntil {
-			continue
+	}
+	slices.SortFunc(waiting, func(a, b *waitingStep) int {
+		return cmp.Or(compareRanks(p.rank(a.job), p.rank(b.job)), compareTasks(a.first, b.first))
+	})
+	for _, w := range waiting {
+		if list := p.candidates(w); len(list) > 0 {
+			return w, list
 		}
-		if first == nil || cmp.Or(compareRanks(p.rank(w.job), p.rank(first.job)), compareTasks(w.first, first.first)) < 0 {
-			first = w
+	}
+	return nil, nil
+}
+
+// hasTicketedRoom reports whether a step has valid tickets for workers with room for it: for the whole gang, or for at
+// least one task.
+func (p *pass) hasTicketedRoom(w *waitingStep) bool {
+	r, ok := p.newRequest(w)
+	if !ok {
+		return false
+	}
+	need := 1
+	if r.step.Gang {
+		need = r.count
+	}
+	for id := range r.ticket {
+		if wv := p.room.views[id]; wv != nil && !wv.flaky {
+			need -= p.fitCount(&r, wv, wv.free)
 		}
 	}
-	return first
+	return need <= 0
 }
 
-// candidates returns up to maxAdviceWorkers workers that have the most room for a step.
-func (p *pass) candidates(w *waitingStep) []string {
+// candidates returns up to maxAdviceWorkers workers that have the most room for a step, without those that the policy
+// service has denied and those that have valid tickets. While there are valid tickets, workers without room wait.
+func (p *pass) candidates(w *waitingStep) []candidate {
 	r := request{waitingStep: w, step: &w.job.Spec.Steps[w.first.Step], service: p.service(w.job)}
 	r.need, r.count = r.step.Reservation(), r.step.Count
-	list := slices.DeleteFunc(slices.Clone(p.room.list), func(wv *workerView) bool { return !r.allowed(wv) || wv.flaky })
-	slices.SortStableFunc(list, func(a, b *workerView) int { return p.fitCount(&r, b, b.free) - p.fitCount(&r, a, a.free) })
-	var out []string
+	t := p.l.tickets[stepName(w.first)]
+	list := slices.DeleteFunc(slices.Clone(p.room.list), func(wv *workerView) bool {
+		return !r.allowed(wv) || wv.flaky || t != nil && t.covers(wv, p.now)
+	})
+	fits := make(map[*workerView]int, len(list))
+	for _, wv := range list {
+		fits[wv] = p.fitCount(&r, wv, wv.free)
+	}
+	if t != nil && p.now < t.validUntil {
+		list = slices.DeleteFunc(list, func(wv *workerView) bool { return fits[wv] == 0 })
+	}
+	slices.SortStableFunc(list, func(a, b *workerView) int { return fits[b] - fits[a] })
+	var out []candidate
 	for _, wv := range list[:min(len(list), maxAdviceWorkers)] {
-		out = append(out, wv.id)
+		out = append(out, candidate{id: wv.id, life: wv.hb.Incarnation})
 	}
 	return out
 }
+
+// covers reports whether the policy service need not be asked about a worker: it has been denied in its present life, or
+// has a valid ticket.
+func (t *tickets) covers(wv *workerView, now time.Duration) bool {
+	if life, ok := t.denied[wv.id]; ok && life == wv.hb.Incarnation {
+		return true
+	}
+	return now < t.validUntil && t.byWorker[wv.id].of(wv)
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -90,7 +90,7 @@
 	// count is the number of tasks to place together.
 	count int
 	// ticket holds the ticket of each worker; nil if no ticket is needed.
-	ticket map[string]string
+	ticket map[string]issuedTicket
 }
 
 // newRequest returns the request for a step; it returns false if the step needs tickets and has no valid ones.
@@ -113,7 +113,7 @@
 	if wv.hb.Service != r.service || !wv.hasLabel(r.step.Label) {
 		return false
 	}
-	if r.ticket != nil && r.ticket[wv.id] == "" {
+	if r.ticket != nil && !r.ticket[wv.id].of(wv) {
 		return false
 	}
 	if r.step.BestEffort && wv.servingTasks > 0 || r.step.TargetMS > 0 && wv.bestEffortTasks > 0 {
--- a/sched/services_test.go
+++ b/sched/services_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -103,6 +104,7 @@
 	calls      int
 	inCall     bool
 	concurrent bool
+	asked      map[string]int // how often each worker was asked for
 }
 
 func (a *adviser) Advise(_ context.Context, _ string, workers []string) (map[string]string, time.Duration, error) {
@@ -110,6 +112,12 @@
 	a.concurrent = a.concurrent || a.inCall
 	a.inCall = true
 	a.calls++
+	if a.asked == nil {
+		a.asked = map[string]int{}
+	}
+	for _, w := range workers {
+		a.asked[w]++
+	}
 	permitted := a.permitted
 	a.mu.Unlock()
 	time.Sleep(30 * time.Millisecond)
@@ -144,6 +152,71 @@
 		Expect(a.concurrent).To(BeFalse())
 	})
 
+	// Guards against a step that never runs because the policy allows none of the workers with the most room, which
+	// alone were asked for again and again.
+	It("is requested for the other workers when the first ones are denied, and not again for those", func() {
+		a := &adviser{permitted: []string{"w80"}}
+		f := newFixture(func(c *sched.Config) { c.Adviser = a })
+		for i := range 80 {
+			f.addWorkers("r1", "dc1", fmt.Sprintf("w%02d", i+1))
+		}
+		f.submit("advised", "j", batch.Step{Count: 8, Need: gpus(1)})
+		f.awaitRunning("j", 8)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		Expect(a.asked).To(HaveLen(80))
+		Expect(a.asked["w01"]).To(Equal(1))
+		Expect(a.calls).To(Equal(3))
+	})
+
+	It("is requested for more workers when those with tickets have no room", func() {
+		a := &adviser{permitted: []string{"w01", "w80"}}
+		f := newFixture(func(c *sched.Config) { c.Adviser = a })
+		for i := range 80 {
+			f.addWorkers("r1", "dc1", fmt.Sprintf("w%02d", i+1))
+		}
+		f.submit("advised", "j", batch.Step{Count: 2, Need: gpus(8)})
+		f.awaitRunning("j", 2)
+		f.submit("advised", "k", batch.Step{Count: 1, Need: gpus(8)})
+		f.expectNoStart("k")
+		before := func() int { a.mu.Lock(); defer a.mu.Unlock(); return a.calls }()
+		f.expectNoStart("k")
+		Expect(func() int { a.mu.Lock(); defer a.mu.Unlock(); return a.calls }()).To(BeNumerically("<=", before+1), "all others are denied")
+	})
+
+	It("is requested anew for the next life of a worker that was denied", func() {
+		a := &adviser{permitted: []string{}}
+		f := newFixture(func(c *sched.Config) { c.Adviser = a })
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("advised", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.expectNoStart("j")
+		a.mu.Lock()
+		a.permitted = []string{"w1"}
+		a.mu.Unlock()
+		f.expectNoStart("j")
+		w := f.workers["w1"]
+		w.hb.Incarnation, w.hb.Seq = 2, 0
+		f.awaitRunning("j", 1)
+	})
+
+	// Guards against starts that a worker refuses until its former life's ticket has expired.
+	It("is requested anew for the next life of a worker that had a ticket", func() {
+		a := &adviser{permitted: []string{"w1"}}
+		f := newFixture(func(c *sched.Config) { c.Adviser = a })
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("advised", "j", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("j", 1)
+		w := f.workers["w1"]
+		w.hb.Incarnation, w.hb.Seq, w.hb.Running, w.started = 2, 0, nil, nil
+		a.mu.Lock()
+		calls := a.calls
+		a.mu.Unlock()
+		Eventually(func() int { f.heartbeat("w1"); return len(w.started) }, "2s").Should(Equal(1)) // the clock stands still
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		Expect(a.calls).To(Equal(calls + 1))
+	})
+
 	It("starts nothing when it is not available", func() {
 		f := newFixture(func(c *sched.Config) { c.Adviser = &adviser{} })
 		f.addWorkers("r1", "dc1", "w1")
