--- a/sched/gang.go
+++ b/sched/gang.go
@@ -155,7 +155,8 @@
 	return p.pack(r, free, best.list, false)
 }
 
-// pack places all tasks on the listed workers, best fit first and flaky workers last, if those may be used; it returns
+// pack places all tasks on the listed workers, best fit first, then flaky workers, if those may be used, and
+// for a serving step those with best-effort tasks last; it returns
 // nil if they do not fit.
 func (p *pass) pack(r *request, free func(*workerView) batch.Resources, workers []*workerView, flaky bool) []allocation {
 	var list []allocation
@@ -175,7 +176,7 @@
 		return nil
 	}
 	slices.SortStableFunc(list, func(a, b allocation) int {
-		return cmp.Or(cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)), cmp.Compare(a.unused, b.unused))
+		return cmp.Or(cmp.Compare(boolToInt(r.mixes(a.workerView)), boolToInt(r.mixes(b.workerView))), cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)), cmp.Compare(a.unused, b.unused))
 	})
 	left := r.count
 	for i := range list {
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -70,6 +70,9 @@
 	if w == nil {
 		w = newWorker()
 		w.leaseEnd = l.since + s.leaseExpiry()
+		for _, r := range hb.Running {
+			w.rates[r.Task] = rate{inherited: true, changedAt: now}
+		}
 		l.workers[hb.Worker] = w
 		l.room.markStale(hb.Worker)
 		s.cfg.Logger.Log("event", "worker_seen", "worker", hb.Worker, "dc", hb.DataCentre, "rack", hb.Rack, "machine", hb.Machine, "life", hb.Incarnation, "gpus", hb.Capacity.GPUs)
--- a/sched/place.go
+++ b/sched/place.go
@@ -108,7 +108,7 @@
 }
 
 // allowed reports whether a worker may run tasks of the step, apart from its free resources: its service, label and
-// ticket match, and it does not mix best-effort and serving tasks.
+// ticket match, and it has no serving tasks if the step is a best-effort one.
 func (r *request) allowed(wv *workerView) bool {
 	if wv.hb.Service != r.service || !wv.hasLabel(r.step.Label) {
 		return false
@@ -116,12 +116,13 @@
 	if r.ticket != nil && !r.ticket[wv.id].of(wv) {
 		return false
 	}
-	if r.step.BestEffort && wv.servingTasks > 0 || r.step.TargetMS > 0 && wv.bestEffortTasks > 0 {
-		return false
-	}
-	return true
+	return !r.step.BestEffort || wv.servingTasks == 0
 }
 
+// mixes reports whether a serving task would share the worker with best-effort tasks. These are throttled there while it
+// misses its target, so such workers are the last choice, and better than none.
+func (r *request) mixes(wv *workerView) bool { return r.step.TargetMS > 0 && wv.bestEffortTasks > 0 }
+
 // fitCount returns how many more tasks of a request fit on a worker with the given free resources.
 func (p *pass) fitCount(r *request, wv *workerView, free batch.Resources) int {
 	n := r.count
@@ -210,11 +211,11 @@
 // option is a worker that has room for a task, and its cost.
 type option struct {
 	*workerView
-	cost [3]int
+	cost [4]int
 }
 
-// options is a heap of the workers that have room for a task of a request, the cheapest first: workers that are not
-// flaky, then those on the rack of the data, then the best fit.
+// options is a heap of the workers that have room for a task of a request, the cheapest first: workers without
+// best-effort tasks for a serving task, then those that are not flaky, then those on the rack of the data, then the best fit.
 type options struct{ list []option }
 
 func (o *options) Len() int { return len(o.list) }
@@ -272,8 +273,8 @@
 	return r.step.DataRack != "" && wv.hb.Rack != r.step.DataRack
 }
 
-func (r *request) cost(wv *workerView) [3]int {
-	return [3]int{boolToInt(wv.flaky), boolToInt(r.offDataRack(wv)), leftover(wv.free, wv.hb.Capacity, r.need)}
+func (r *request) cost(wv *workerView) [4]int {
+	return [4]int{boolToInt(r.mixes(wv)), boolToInt(wv.flaky), boolToInt(r.offDataRack(wv)), leftover(wv.free, wv.hb.Capacity, r.need)}
 }
 
 // leftover is the cost of a worker for best fit: the sum over all resources of what stays free after a task, in
--- a/sched/room.go
+++ b/sched/room.go
@@ -22,7 +22,8 @@
 	flaky    bool
 	// hasRoom is whether the smallest known task fits.
 	hasRoom bool
-	// servingTasks and bestEffortTasks count the worker's tasks of both kinds, which placement does not mix.
+	// servingTasks and bestEffortTasks count the worker's tasks of both kinds, which placement mixes only where a serving task has no
+	// other place.
 	servingTasks, bestEffortTasks int
 	// forecast is valid in the pass with number forecastPass.
 	forecast     forecast
--- a/sched/services_test.go
+++ b/sched/services_test.go
@@ -239,6 +239,45 @@
 		}
 	})
 
+	// Guards against a serving task that has no place for as long as best-effort tasks run on all workers with room.
+	It("share a worker when there is no other for the serving task", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1", "w2", "w3")
+		f.submit("normal", "serve", batch.Step{Count: 2, Need: gpus(4), LongRunning: true, TargetMS: 50, PerWorker: 1, MaxUnavailable: 0})
+		f.awaitRunning("serve", 2)
+		f.submit("normal", "fill", batch.Step{Count: 1, Need: gpus(1), BestEffort: true, LongRunning: true, MaxUnavailable: -1})
+		f.awaitRunning("fill", 1)
+		lost := f.running("serve")[taskID("serve", 0, 0)]
+		delete(f.workers, lost)
+		f.awaitRunning("serve", 2)
+		Expect(f.running("serve")).To(ContainElement(f.running("fill")[taskID("fill", 0, 0)]))
+		f.addWorkers("r1", "dc1", "w4")
+		f.submit("normal", "more", batch.Step{Count: 1, Need: gpus(1), LongRunning: true, TargetMS: 50, MaxUnavailable: 0})
+		f.awaitRunning("more", 1)
+		Expect(f.running("more")).NotTo(ContainElement(f.running("fill")[taskID("fill", 0, 0)]), "there is another place")
+	})
+
+	// Guards against best-effort tasks that stay throttled because the leader that had throttled them is gone.
+	It("go on at full speed under the next leader once the target is met", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "fill", batch.Step{Count: 1, Need: gpus(1), BestEffort: true})
+		f.awaitRunning("fill", 1)
+		f.submit("normal", "serve", batch.Step{Count: 1, Need: gpus(1), LongRunning: true, TargetMS: 50, MaxUnavailable: 0})
+		f.awaitRunning("serve", 1)
+		w := f.workers["w1"]
+		serving := slices.IndexFunc(w.hb.Running, func(r sched.RunState) bool { return r.Task.Job == "serve" })
+		w.hb.Running[serving].Gauge = 90
+		f.heartbeat("w1")
+		f.advance(400 * time.Millisecond)
+		Expect(f.heartbeat("w1").Rates).To(HaveLen(1))
+		f.changeLeader()
+		w.hb.Running[serving].Gauge = 20
+		Expect(f.heartbeat("w1").Rates).To(BeEmpty())
+		f.advance(4 * time.Second)
+		Expect(f.heartbeat("w1").Rates).To(Equal([]sched.RateOrder{{RunRef: sched.RunRef{Task: taskID("fill", 0, 0), Run: 1}, Percent: 100}}))
+	})
+
 	It("on one worker nevertheless: best-effort tasks are throttled while the target latency is exceeded, and released after it is met", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1")
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -52,7 +52,7 @@
 		switch {
 		case over:
 			next = rate{percent: 0, changedAt: now}
-		case !known:
+		case !known, current.inherited && now-current.changedAt < throttleRelease:
 			continue
 		case now-current.changedAt >= throttleRelease:
 			next = rate{percent: 100, changedAt: now}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -50,6 +50,8 @@
 type rate struct {
 	percent   int
 	changedAt time.Duration
+	// inherited means that the percentage is not known: an earlier leader may have throttled the task.
+	inherited bool
 }
 
 func newWorker() *worker {
