--- a/ctrl/leader_test.go
+++ b/ctrl/leader_test.go
@@ -23,6 +23,17 @@
 		}
 	})
 
+	// Guards against taking an instance that has lost its disk for one that votes again: operators and tests wait for
+	// the end of a repair by its role.
+	It("is not known to a control instance that has not joined, which says that it joins", func() {
+		c := newCluster("a", "b", "c")
+		c.start("b")
+		Expect(c.nodes["b"].Status().Role).To(Equal("joining"))
+		c.start("a", "c")
+		c.leader()
+		Eventually(func() string { return c.nodes["b"].Status().Role }, waitTimeout).Should(BeElementOf("leader", "follower"))
+	})
+
 	It("is found again by all others after every instance has forgotten it", func() {
 		c := newCluster("a", "b", "c")
 		c.start("a", "b", "c")
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -216,6 +216,9 @@
 // Machine returns the local copy of the state.
 func (n *Node) Machine() *state.Machine { return n.machine }
 
+// roleJoining is the role of a control instance that is not a member yet, as after the loss of its disk.
+const roleJoining = "joining"
+
 // Status returns the status of this instance and of the members it knows.
 func (n *Node) Status() state.ReplicaStatus {
 	s := state.ReplicaStatus{
@@ -223,6 +226,9 @@
 		Applied: n.machine.Applied(), ViewAgeMS: n.ViewAge().Milliseconds(),
 	}
 	s.Commit = s.Applied
+	if n.cfg.DataDir != "" {
+		s.Role = roleJoining
+	}
 	members, known := n.applier.membership(), map[string]quorum.MemberStatus{}
 	if m := n.member.Load(); m != nil {
 		q := m.status.Load()
--- a/state/replica.go
+++ b/state/replica.go
@@ -29,7 +29,9 @@
 
 // ReplicaStatus describes one instance as a member of the replicated log.
 type ReplicaStatus struct {
-	Name       string `json:"name"`
+	Name string `json:"name"`
+	// Role is that of the protocol, "joining" on a control instance that is not a member yet, and "follower" on one
+	// without a disk.
 	Role       string `json:"role"`
 	Term       uint64 `json:"term"`
 	Leader     string `json:"leader"`
