--- a/sched/claim.go
+++ b/sched/claim.go
@@ -43,14 +43,14 @@
 	return ok
 }
 
-// ignoreHeartbeat counts a heartbeat of an undeclared service, and logs it unless another was logged just before.
-func (s *Scheduler) ignoreHeartbeat(l *leaderState, hb *Heartbeat, now time.Duration) {
+// ignoreHeartbeat counts a heartbeat that changes nothing, and logs it unless another was logged just before.
+func (s *Scheduler) ignoreHeartbeat(l *leaderState, hb *Heartbeat, now time.Duration, why string) {
 	s.metrics.ignoredHeartbeats.Inc()
 	if l.ignoredLoggedAt != 0 && now-l.ignoredLoggedAt < ignoredLogInterval {
 		return
 	}
 	l.ignoredLoggedAt = now
-	s.cfg.Logger.Log("event", "heartbeat_ignored", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "service", hb.Service, "address", hb.Address, "why", "service is not declared")
+	s.cfg.Logger.Log("event", "heartbeat_ignored", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "service", hb.Service, "address", hb.Address, "why", why)
 }
 
 // endFormerLives marks the earlier lives on the sender's machine as gone. It returns false if a later life on the
@@ -79,6 +79,9 @@
 		switch {
 		case id == hb.Worker || other.gone:
 		case hb.Incarnation > other.hb.Incarnation:
+			if other.addressTaken {
+				continue
+			}
 			other.addressTaken = true
 			l.room.markStale(id)
 		case hb.Incarnation < other.hb.Incarnation && now-other.heardAt < l.silentAfter(other):
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -51,12 +51,12 @@
 	now := s.cfg.BootClock()
 	w := l.workers[hb.Worker]
 	if !l.declared(w, &hb) {
-		s.ignoreHeartbeat(l, &hb, now)
+		s.ignoreHeartbeat(l, &hb, now, "service is not declared")
 		return nil, false
 	}
 	switch {
 	case l.ofFormerLife(w, &hb):
-		s.cfg.Logger.Log("event", "heartbeat_late", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "seen", w != nil)
+		s.ignoreHeartbeat(l, &hb, now, "the worker has a later life")
 		return nil, false
 	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone):
 		return nil, false
--- a/sched/services_test.go
+++ b/sched/services_test.go
@@ -296,5 +296,9 @@
 		w.hb.Running[1].Gauge = 20
 		f.advance(4 * time.Second)
 		Expect(f.heartbeat("w1").Rates[0].Percent).To(Equal(100))
+		f.advance(time.Second)
+		Expect(f.heartbeat("w1").Rates[0].Percent).To(Equal(100), "the answer before may have been lost")
+		f.advance(3 * time.Second)
+		Expect(f.heartbeat("w1").Rates).To(BeEmpty())
 	})
 })
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -114,12 +114,10 @@
 // dead reports whether no run on a worker can still be active; w is nil for a worker that has sent this leader no
 // heartbeat.
 func (s *Scheduler) dead(l *leaderState, w *worker, now time.Duration) bool {
-	switch {
-	case w == nil:
+	if w == nil {
 		return now > l.since+s.leaseExpiry()
-	default:
-		return w.gone || now > w.leaseEnd
 	}
+	return w.gone || now > w.leaseEnd
 }
 
 // purgeFinished removes jobs that finished, and tombstones that were left, longer ago than the retention time.
--- a/sched/throttle.go
+++ b/sched/throttle.go
@@ -54,6 +54,9 @@
 			next = rate{percent: 0, changedAt: now}
 		case !known, current.inherited && now-current.changedAt < throttleRelease:
 			continue
+		case current.percent == 100 && now-current.changedAt >= throttleRelease:
+			delete(w.rates, id) // repeated for long enough
+			continue
 		case now-current.changedAt >= throttleRelease:
 			next = rate{percent: 100, changedAt: now}
 		}
