--- a/sched/advise.go
+++ b/sched/advise.go
@@ -1,11 +1,11 @@
 package sched
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"turmericroute/batch"
@@ -19,6 +19,10 @@
 	adviceInterval = 50 * time.Millisecond
 	// adviceTimeout bounds one request to the policy service.
 	adviceTimeout = 3 * time.Second
+	// maxCandidateSearches bounds the searches for workers to ask for in one look at the waiting steps, as each of them
+	// looks at all workers; candidateRetryInterval is the pause after one that has found none, so that others get a turn.
+	maxCandidateSearches   = 8
+	candidateRetryInterval = 500 * time.Millisecond
 	// ticketMargin is the part of a ticket's validity that is reserved for the start order to reach the worker.
 	ticketMargin = 400 * time.Millisecond
 )
@@ -30,6 +34,8 @@
 	validUntil time.Duration
 	// denied holds the workers that may not run the step, with the life that was asked for. That does not change.
 	denied map[string]int64
+	// searchAt is the boot time before which no further workers to ask for are searched.
+	searchAt time.Duration
 }
 
 // issuedTicket is a ticket that is valid during one life of a worker.
@@ -79,6 +85,16 @@
 	return t.byWorker[worker].text
 }
 
+// ticketsOf returns the record of a step's tickets.
+func (l *leaderState) ticketsOf(step string) *tickets {
+	t := l.tickets[step]
+	if t == nil {
+		t = &tickets{denied: map[string]int64{}}
+		l.tickets[step] = t
+	}
+	return t
+}
+
 // requestTickets requests tickets for waiting steps, one request at a time: the policy service serves only one
 // concurrent request per caller.
 func (s *Scheduler) requestTickets(l *leaderState) {
@@ -104,12 +120,7 @@
 		}
 		s.mu.Lock()
 		now := s.cfg.BootClock()
-		t := l.tickets[step]
-		if t == nil {
-			t = &tickets{denied: map[string]int64{}}
-			l.tickets[step] = t
-		}
-		t.note(asked, by, now+validity-min(ticketMargin, validity/4), now)
+		l.ticketsOf(step).note(asked, by, now+validity-min(ticketMargin, validity/4), now)
 		l.waiting.touched[job] = true
 		s.mu.Unlock()
 		l.triggerPass()
@@ -117,8 +128,7 @@
 }
 
 // nextStepWithoutTickets returns the name of the highest-ranked step that waits for tickets, its job and the workers to
-// request them for; the name is empty if there is none. It also deletes tickets that expired over a minute ago
-// if no step waits.
+// request them for; the name is empty if there is none. It also deletes the tickets of jobs that have ended.
 func (s *Scheduler) nextStepWithoutTickets(l *leaderState) (step, job string, workers []candidate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,15 +136,13 @@
 		if !slices.ContainsFunc(b.Catalog.Queues, func(q batch.Queue) bool { return q.Advice != nil }) {
 			return
 		}
+		maps.DeleteFunc(l.tickets, func(step string, _ *tickets) bool {
+			job, _, _ := strings.Cut(step, ".")
+			return b.Open[job] == nil
+		})
 		p := s.newPass(l, b)
 		if w, list := p.firstStepWithoutTickets(); w != nil {
 			step, job, workers = stepName(w.first), w.job.ID, list
-			return
-		}
-		for name, t := range maps.All(l.tickets) {
-			if p.now > t.validUntil+time.Minute {
-				delete(l.tickets, name)
-			}
 		}
 	})
 	return step, job, workers
@@ -143,19 +151,18 @@
 // firstStepWithoutTickets returns the highest-ranked waiting step that needs tickets, and the workers to ask for; nil if
 // there is none.
 func (p *pass) firstStepWithoutTickets() (*waitingStep, []candidate) {
-	var waiting []*waitingStep
-	for _, w := range p.waiting.steps {
-		if needsTicket(p.state, w.job) && !p.hasTicketedRoom(w) {
-			waiting = append(waiting, w)
-		}
-	}
-	slices.SortFunc(waiting, func(a, b *waitingStep) int {
-		return cmp.Or(compareRanks(p.rank(a.job), p.rank(b.job)), compareTasks(a.first, b.first))
+	waiting := p.rankedWaiting(func(w *waitingStep) bool {
+		t := p.l.tickets[stepName(w.first)]
+		return needsTicket(p.state, w.job) && (t == nil || p.now >= t.searchAt) && !p.hasTicketedRoom(w)
 	})
-	for _, w := range waiting {
+	for _, w := range waiting[:min(len(waiting), maxCandidateSearches)] {
 		if list := p.candidates(w); len(list) > 0 {
 			return w, list
 		}
+		t := p.l.ticketsOf(stepName(w.first))
+		if t.searchAt = p.now + candidateRetryInterval; p.now < t.validUntil {
+			t.searchAt = min(t.searchAt, t.validUntil)
+		}
 	}
 	return nil, nil
 }
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -44,11 +44,12 @@
 			return
 		}
 		existing = b.Jobs[id]
+		overtaken := b.Overtaken(id)
 		a.ID, a.Queue, a.Service, a.Priority, a.MaxFailures, a.Spec = id, q.Name, q.Service, q.Priority, max(1, q.MaxFailures), c.Spec
 		switch {
 		case existing != nil:
-		case b.Overtaken(id) != nil:
-			failure = b.Overtaken(id)
+		case overtaken != nil:
+			failure = overtaken
 		case id == "":
 			failure = model.NotRun(model.CodeInvalid, "job ID is missing")
 		case c.InvalidReason != "":
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -185,13 +185,21 @@
 
 // rankedSteps returns the candidates and the steps with a reservation in the order of their ranks.
 func (p *pass) rankedSteps(held map[batch.TaskID]reservation) []*waitingStep {
+	return p.rankedWaiting(func(w *waitingStep) bool {
+		_, isHeld := held[w.first]
+		return isHeld || p.isCandidate(w)
+	})
+}
+
+// rankedWaiting returns the waiting steps that are chosen, in the order of their ranks.
+func (p *pass) rankedWaiting(chosen func(*waitingStep) bool) []*waitingStep {
 	type ranked struct {
 		*waitingStep
 		rank rank
 	}
 	var list []ranked
-	for first, w := range p.waiting.steps {
-		if _, isHeld := held[first]; isHeld || p.isCandidate(w) {
+	for _, w := range p.waiting.steps {
+		if chosen(w) {
 			list = append(list, ranked{w, p.rank(w.job)})
 		}
 	}
--- a/sched/services_test.go
+++ b/sched/services_test.go
@@ -199,6 +199,24 @@
 		f.awaitRunning("j", 1)
 	})
 
+	// Guards against many steps that nobody may run and that keep a later one from being asked for.
+	It("is requested for a step behind many for which all workers are denied", func() {
+		a := &adviser{permitted: []string{}}
+		f := newFixture(func(c *sched.Config) { c.Adviser = a })
+		f.addWorkers("r1", "dc1", "w1")
+		for i := range 20 {
+			f.submit("advised", fmt.Sprintf("a%02d", i), batch.Step{Count: 1, Need: gpus(1)})
+		}
+		denied := func() int { a.mu.Lock(); defer a.mu.Unlock(); return a.calls }
+		Eventually(denied, "5s").Should(Equal(20))
+		a.mu.Lock()
+		a.permitted = []string{"w1"}
+		a.mu.Unlock()
+		f.advance(10 * time.Second)
+		f.submit("advised", "z", batch.Step{Count: 1, Need: gpus(1)})
+		f.awaitRunning("z", 1)
+	})
+
 	// Guards against starts that a worker refuses until its former life's ticket has expired.
 	It("is requested anew for the next life of a worker that had a ticket", func() {
 		a := &adviser{permitted: []string{"w1"}}
