--- a/replay/sim.go
+++ b/replay/sim.go
@@ -91,50 +91,6 @@
 	free       model.Resources // capacity less declared use
 }
 
-// eventKind is the kind of an event.
-type eventKind int
-
-const (
-	evSubmit eventKind = iota
-	evCancel
-	evAttemptEnd
-	evReleased
-	evFaultStart
-	evFaultEnd
-	evTick
-	evSample
-	evReport
-)
-
-// event is something that happens at a virtual time.
-type event struct {
-	t          float64 // virtual seconds
-	seq        int     // orders events of the same time by their scheduling
-	kind       eventKind
-	run        *run
-	generation int // of the run when the event was scheduled
-	fault      fault
-}
-
-// eventHeap is a heap of events by time, then by sequence number.
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].t == h[j].t {
-		return h[i].seq < h[j].seq
-	}
-	return h[i].t < h[j].t
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 // sim replays one trace through one scheduler.
 type sim struct {
 	trace         trace
@@ -477,46 +433,6 @@
 	}
 }
 
-// startFault applies a fault.
-func (s *sim) startFault(f fault) {
-	switch {
-	case f.dataCentre != "":
-		s.setOutOfService(f.dataCentre, true)
-	case f.failsTasks:
-		s.workersByName[f.worker].failsTasks = true
-	default:
-		s.workersByName[f.worker].up = false
-		s.scheduler.Step(virtualTime(s.now), place.WorkerLost{Name: f.worker})
-	}
-}
-
-// endFault reverts a fault. A lost worker joins again with a new incarnation.
-func (s *sim) endFault(f fault) {
-	switch {
-	case f.dataCentre != "":
-		s.setOutOfService(f.dataCentre, false)
-	case f.failsTasks:
-		s.workersByName[f.worker].failsTasks = false
-	default:
-		w := s.workersByName[f.worker]
-		w.up = true
-		w.Incarnation += "1"
-		s.scheduler.Step(virtualTime(s.now), place.WorkerJoined{Worker: w.Worker})
-	}
-}
-
-// setOutOfService takes a data centre out of service or returns it to service.
-func (s *sim) setOutOfService(name string, out bool) {
-	cfg, err := config.Apply(s.cfg, config.Patch{Changes: []config.Change{
-		{SetDataCentre: &config.DataCentreState{Name: name, OutOfService: out}},
-	}})
-	if err != nil {
-		panic(err) // the trace names an unknown data centre
-	}
-	s.cfg = cfg
-	s.scheduler.Step(virtualTime(s.now), place.ConfigChanged{Config: cfg})
-}
-
 // reportProgress reports the progress of all running runs to the scheduler, as workers do when they poll.
 func (s *sim) reportProgress() {
 	for _, r := range s.active.runs {
