Tell the hypotheses about real processes apart by metrics and logs

Nothing told a dial that the machine did not accept from one whose handshake the process did not complete, nor why a leader's session ended, nor how late ticks were. Counted and logged now: dials by result and time, accepted connections, turns of the protocol loop and their syncs, lateness of ticks, ends of a leader's work by reason, time without a leader. Lines are bounded: a failing link logs at each doubling of its failed dials, a slow turn at most once a second.

The proxies of the soak knew the sender of a connection from /proc, which took longer the more processes there were, one connection after the other. Instances now connect from the address of their machine (-peer-source).

--- a/cmd/turmericroute/platform.go
+++ b/cmd/turmericroute/platform.go
@@ -22,6 +22,7 @@
 		name: "platform", short: "run an instance on the users' platform", long: platformUsage, local: true,
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&cfg.PeerListen, "peer-listen", "", "`HOST:PORT` to listen on for other instances, if they connect through a proxy")
+			fs.StringVar(&cfg.PeerSource, "peer-source", "", "local `IP` address of connections to other instances, empty to let the system choose")
 		},
 		run: func(ctx context.Context, s *session, _ []string) error {
 			cfg.LogOutput = s.out
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -181,11 +181,14 @@
 func (n *Node) noteLeader() { n.leaderSeenAt.Store(int64(clock.SinceBoot())) }
 
 // Leaderless reports whether this instance has neither known nor reached a leader for leaderlessAfter.
-func (n *Node) Leaderless() bool {
+func (n *Node) Leaderless() bool { return n.timeWithoutLeader() > leaderlessAfter }
+
+// timeWithoutLeader returns how long this instance has neither known nor reached a leader.
+func (n *Node) timeWithoutLeader() time.Duration {
 	if m := n.member.Load(); m != nil && m.status.Load().Leader != "" {
-		return false
+		return 0
 	}
-	return clock.SinceBoot()-time.Duration(n.leaderSeenAt.Load()) > leaderlessAfter
+	return clock.SinceBoot() - time.Duration(n.leaderSeenAt.Load())
 }
 
 // TransferLeadership transfers leadership to another voter if this instance
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -21,6 +21,10 @@
 	tick = 50 * time.Millisecond
 	// leaderWatchdogTimeout ends leadership when the protocol loop hangs, for instance in a sync; it is below the leader lease.
 	leaderWatchdogTimeout = 250 * time.Millisecond
+	// slowTurn is the length of a turn of the protocol loop above which it is logged, half the minimum election timeout;
+	// at most one is logged in slowTurnLogInterval.
+	slowTurn            = 200 * time.Millisecond
+	slowTurnLogInterval = time.Second
 	// viewInterval is how often an instance reads the leader's commit index.
 	viewInterval = 400 * time.Millisecond
 	// viewTimeout bounds one such read and one attempt to find the leader.
@@ -151,6 +155,8 @@
 	Credentials credentials.TransportCredentials
 	// Listen opens the gRPC listener; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
+	// DialContext connects to other instances; nil means the method of a zero net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// SnapshotEntries bounds the entries between two snapshots. A snapshot is taken earlier after SnapshotBytes of
 	// entries, or after a multiple of the last snapshot's size if that is more. 0 means the default.
 	SnapshotEntries int
@@ -159,8 +165,6 @@
 	// sync and write replace those of *os.File in tests that simulate a failing disk.
 	sync  func(*os.File) error
 	write func(*os.File, []byte) (int, error)
-	// dialContext replaces that of net.Dialer in tests.
-	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (cfg Config) withDefaults() Config {
@@ -176,8 +180,8 @@
 	if cfg.Listen == nil {
 		cfg.Listen = net.Listen
 	}
-	if cfg.dialContext == nil {
-		cfg.dialContext = (&net.Dialer{}).DialContext
+	if cfg.DialContext == nil {
+		cfg.DialContext = (&net.Dialer{}).DialContext
 	}
 	if cfg.SnapshotEntries == 0 {
 		cfg.SnapshotEntries = DefaultSnapshotEntries
--- a/ctrl/dump.go
+++ b/ctrl/dump.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"fmt"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"turmericroute/quorum"
@@ -12,6 +14,8 @@
 	commitSeconds *metrics.Summary
 	roleChanges   *metrics.Counter
 	panics        *metrics.Counter
+	// leadingEnded returns the counter of the leader sessions that ended for a reason.
+	leadingEnded func(reason error) *metrics.Counter
 }
 
 func newNodeMetrics(set *metrics.Set, n *Node) nodeMetrics {
@@ -23,7 +27,11 @@
 		}
 		return 0
 	})
+	set.NewGauge(`turmericroute_ctrl_no_leader_seconds`, func() float64 { return n.timeWithoutLeader().Seconds() })
 	return nodeMetrics{
+		leadingEnded: func(reason error) *metrics.Counter {
+			return set.GetOrCreateCounter(fmt.Sprintf(`turmericroute_ctrl_leading_ended_total{reason=%q}`, reason))
+		},
 		commitSeconds: set.NewSummary(`turmericroute_ctrl_commit_seconds`),
 		roleChanges:   set.NewCounter(`turmericroute_ctrl_role_changes_total`),
 		panics:        set.NewCounter(`turmericroute_ctrl_panics_total`),
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -35,7 +35,7 @@
 
 // WithDial replaces the DialContext of net.Dialer.
 func (cfg Config) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Config {
-	cfg.dialContext = dial
+	cfg.DialContext = dial
 	return cfg
 }
 
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -9,6 +10,14 @@
 	"turmericroute/quorum"
 )
 
+// Reasons for the end of a leader session, which are the labels of a metric.
+var (
+	errLeaseLost   = errors.New("lease_lost")
+	errTermEnded   = errors.New("term_ended")
+	errLoopStalled = errors.New("loop_stalled")
+	errClosed      = errors.New("closed")
+)
+
 // leadership runs the leader's work while this instance holds the leader lease.
 type leadership struct {
 	// run is called once per session; it returns when ctx ends.
@@ -18,7 +27,7 @@
 	term        uint64
 	commitIndex uint64 // at the start of the session; covers all entries of earlier terms
 	ctx         context.Context
-	cancel      context.CancelFunc
+	cancel      context.CancelCauseFunc
 	watchdog    *time.Timer
 	deadline    time.Duration // boot clock time; the watchdog timer doesn't advance while the machine is suspended
 	runDone     chan struct{} // closed when the latest run has returned
@@ -37,8 +46,14 @@
 func (l *leadership) update(term, index uint64, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cancel != nil && (!held || term != l.term || l.ctx.Err() != nil) {
-		l.end()
+	switch {
+	case l.cancel == nil:
+	case term != l.term:
+		l.end(errTermEnded)
+	case !held:
+		l.end(errLeaseLost)
+	case l.ctx.Err() != nil:
+		l.end(errLoopStalled)
 	}
 	switch {
 	case !held:
@@ -53,11 +68,12 @@
 // begin starts a session; run is called once that of the previous session has
 // returned. The caller holds l.mu.
 func (l *leadership) begin(term, index uint64) {
-	l.ctx, l.cancel = context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
+	l.ctx, l.cancel = ctx, cancel
 	l.term, l.commitIndex = term, index
-	l.watchdog = time.AfterFunc(leaderWatchdogTimeout, l.cancel)
+	l.watchdog = time.AfterFunc(leaderWatchdogTimeout, func() { cancel(errLoopStalled) })
 	l.deadline = clock.SinceBoot() + leaderWatchdogTimeout
-	previous, done, ctx := l.runDone, make(chan struct{}), l.ctx
+	previous, done := l.runDone, make(chan struct{})
 	l.runDone = done
 	go func() {
 		defer close(done)
@@ -68,10 +84,10 @@
 	}()
 }
 
-// end ends the session; the caller holds l.mu.
-func (l *leadership) end() {
+// end ends the session for a reason; the caller holds l.mu.
+func (l *leadership) end(reason error) {
 	l.watchdog.Stop()
-	l.cancel()
+	l.cancel(reason)
 	l.cancel = nil
 }
 
@@ -89,7 +105,7 @@
 func (l *leadership) close() {
 	l.mu.Lock()
 	if l.cancel != nil {
-		l.end()
+		l.end(errClosed)
 	}
 	done := l.runDone
 	l.mu.Unlock()
@@ -101,7 +117,12 @@
 // runLeader runs the leader role and maintains the membership until ctx ends.
 func (n *Node) runLeader(ctx context.Context, term uint64) {
 	n.cfg.Logger.Log("event", "leading_began", "term", term)
-	defer n.cfg.Logger.Log("event", "leading_ended", "term", term)
+	defer func() {
+		<-ctx.Done()
+		reason := context.Cause(ctx)
+		n.metrics.leadingEnded(reason).Inc()
+		n.cfg.Logger.Log("event", "leading_ended", "term", term, "reason", reason)
+	}()
 	session, ok := n.leadership.current()
 	if !ok || session.term != term || n.machine.Wait(ctx, session.commitIndex) != nil {
 		return
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -39,6 +39,10 @@
 	// was sent.
 	timeouts            int
 	callUnansweredSince time.Time
+
+	// failedDials counts the consecutive dials that failed, the first of which began at failingSince; used by run only.
+	failedDials  int
+	failingSince time.Time
 }
 
 // linkPool holds one link per address; links are created on first use.
@@ -51,6 +55,9 @@
 	sent, received *metrics.Counter
 	writes, reads  *metrics.Counter // socket calls, about one TCP segment each
 	reconnects     *metrics.Counter
+	accepted       *metrics.Counter
+	dialSeconds    *metrics.Summary
+	dials          map[dialResult]*metrics.Counter
 
 	wg        sync.WaitGroup
 	mu        sync.Mutex
@@ -60,12 +67,16 @@
 func newLinkPool(cfg Config) *linkPool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &linkPool{
-		ctx: ctx, cancel: cancel, logger: cfg.Logger, credentials: cfg.Credentials, dialContext: cfg.dialContext, byAddress: map[string]*link{},
+		ctx: ctx, cancel: cancel, logger: cfg.Logger, credentials: cfg.Credentials, dialContext: cfg.DialContext, byAddress: map[string]*link{},
 		sent:       cfg.Metrics.NewCounter(`turmericroute_ctrl_sent_bytes_total`),
 		received:   cfg.Metrics.NewCounter(`turmericroute_ctrl_received_bytes_total`),
 		writes:     cfg.Metrics.NewCounter(`turmericroute_ctrl_writes_total`),
 		reads:      cfg.Metrics.NewCounter(`turmericroute_ctrl_reads_total`),
 		reconnects: cfg.Metrics.NewCounter(`turmericroute_ctrl_reconnects_total`),
+		accepted:   cfg.Metrics.NewCounter(`turmericroute_ctrl_accepted_connections_total`),
+		// The time from a dial until the connection can be used.
+		dialSeconds: cfg.Metrics.NewSummary(`turmericroute_ctrl_dial_seconds`),
+		dials:       dialCounters(cfg.Metrics),
 	}
 }
 
@@ -109,9 +120,10 @@
 func (l *link) connectOnce(dialTimeout time.Duration) {
 	ctx, cancel := context.WithCancel(l.pool.ctx)
 	defer cancel()
+	d := &dialing{pool: l.pool, startedAt: time.Now()}
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(l.pool.credentials),
-		grpc.WithContextDialer(l.pool.dial), grpc.WithStatsHandler(sendRecorder{}),
+		grpc.WithContextDialer(d.dialContext), grpc.WithStatsHandler(sendRecorder{}),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
 		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
@@ -121,7 +133,10 @@
 		return
 	}
 	defer conn.Close()
-	if !waitReady(ctx, conn, dialTimeout) {
+	result := d.waitReady(ctx, conn, dialTimeout)
+	d.record(result)
+	l.logDial(d, result)
+	if result != dialConnected {
 		return
 	}
 	l.setConn(conn, cancel)
@@ -130,21 +145,20 @@
 	l.pool.reconnects.Inc()
 }
 
-func waitReady(ctx context.Context, conn *grpc.ClientConn, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn.Connect()
-	for {
-		switch s := conn.GetState(); s {
-		case connectivity.Ready:
-			return true
-		case connectivity.TransientFailure, connectivity.Shutdown:
-			return false
-		default:
-			if !conn.WaitForStateChange(ctx, s) {
-				return false
-			}
+// logDial logs failed dials in a row at each doubling of their number, and the connection after them.
+func (l *link) logDial(d *dialing, r dialResult) {
+	if r == dialConnected {
+		if l.failedDials > 0 {
+			l.pool.logger.Log("event", "link_connected", "address", l.address, "failed_dials", l.failedDials, "after_ms", time.Since(l.failingSince).Milliseconds(), "dial_ms", time.Since(d.startedAt).Milliseconds())
 		}
+		l.failedDials = 0
+		return
+	}
+	if l.failedDials++; l.failedDials == 1 {
+		l.failingSince = d.startedAt
+	}
+	if l.failedDials&(l.failedDials-1) == 0 && l.pool.ctx.Err() == nil {
+		l.pool.logger.Log("event", "dial_failed", "address", l.address, "result", string(r), "failed_dials", l.failedDials, "failing_ms", time.Since(l.failingSince).Milliseconds(), "dial_ms", time.Since(d.startedAt).Milliseconds())
 	}
 }
 
@@ -258,6 +272,7 @@
 	if err != nil {
 		return nil, err //nolint:wrapcheck // gRPC inspects it.
 	}
+	l.links.accepted.Inc()
 	return &countedConn{Conn: c, links: l.links}, nil
 }
 
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -64,6 +64,13 @@
 	syncSeconds *metrics.Summary
 	syncEntries *metrics.Summary
 	dropped     *metrics.Counter
+	// tickDelay is how late ticks are delivered, turnSeconds how long a turn of the loop takes, its syncs included.
+	tickDelay   *metrics.Summary
+	turnSeconds *metrics.Summary
+	// syncTime is the total time of all syncs.
+	syncTime time.Duration
+	// slowTurnLoggedAt is the boot clock time at which a slow turn was last logged.
+	slowTurnLoggedAt time.Duration
 }
 
 func newMember(cfg Config, rec store.Recovered, st Storage, tr Transport, a *applier, l *leadership) (*member, error) {
@@ -81,6 +88,8 @@
 		syncSeconds: cfg.Metrics.NewSummary(`turmericroute_ctrl_sync_seconds`),
 		syncEntries: cfg.Metrics.NewSummary(`turmericroute_ctrl_sync_entries`),
 		dropped:     cfg.Metrics.GetOrCreateCounter(`turmericroute_ctrl_dropped_messages_total{direction="received"}`),
+		tickDelay:   cfg.Metrics.NewSummary(`turmericroute_ctrl_tick_delay_seconds`),
+		turnSeconds: cfg.Metrics.NewSummary(`turmericroute_ctrl_turn_seconds`),
 	}
 	s := q.Status()
 	m.status.Store(&s)
@@ -106,21 +115,13 @@
 	defer ticker.Stop()
 	m.lastTick = clock.SinceBoot()
 	for {
-		select {
-		case <-m.stop:
+		work := m.nextWork(ticker.C)
+		if work == nil {
 			m.err = errStopped
 			return
-		case <-ticker.C:
-			m.deliverTicks()
-		case msg := <-m.inbox:
-			m.handle(msg)
-		case p := <-m.proposals:
-			m.deliverTicks()
-			m.propose(p, m.protocol.Status().Term)
-		case f := <-m.calls:
-			m.deliverTicks()
-			f()
 		}
+		began, syncs := clock.SinceBoot(), m.syncTime
+		work()
 		m.drainQueues()
 		if err := m.processReady(); err != nil {
 			m.err = err
@@ -128,6 +129,40 @@
 			return
 		}
 		m.publishStatus()
+		m.recordTurn(began, m.syncTime-syncs)
+	}
+}
+
+// nextWork waits for a tick, a message, a proposal or a call and returns its handler, nil when the loop is to stop.
+func (m *member) nextWork(ticks <-chan time.Time) func() {
+	select {
+	case <-m.stop:
+		return nil
+	case <-ticks:
+		return m.deliverTicks
+	case msg := <-m.inbox:
+		return func() { m.handle(msg) }
+	case p := <-m.proposals:
+		return func() {
+			m.deliverTicks()
+			m.propose(p, m.protocol.Status().Term)
+		}
+	case f := <-m.calls:
+		return func() {
+			m.deliverTicks()
+			f()
+		}
+	}
+}
+
+// recordTurn records how long a turn of the loop took and how much of it was spent in syncs.
+func (m *member) recordTurn(began, syncs time.Duration) {
+	now := clock.SinceBoot()
+	took := now - began
+	m.turnSeconds.Update(took.Seconds())
+	if took > slowTurn && now-m.slowTurnLoggedAt > slowTurnLogInterval {
+		m.slowTurnLoggedAt = now
+		m.logger.Log("event", "turn_slow", "role", m.status.Load().Role, "ms", took.Milliseconds(), "sync_ms", syncs.Milliseconds(), "messages", len(m.inbox), "proposals", len(m.proposals))
 	}
 }
 
@@ -135,7 +170,11 @@
 // tick, and the leader lease is counted in ticks.
 func (m *member) deliverTicks() {
 	const maxTicks = 64 // several election timeouts; further ticks have no effect
-	due := int((clock.SinceBoot() - m.lastTick) / tick)
+	late := clock.SinceBoot() - m.lastTick
+	due := int(late / tick)
+	if due > 0 {
+		m.tickDelay.Update((late - tick).Seconds())
+	}
 	for range min(due, maxTicks) {
 		m.protocol.Tick()
 	}
@@ -287,6 +326,7 @@
 		return nil
 	}
 	start := time.Now()
+	defer func() { m.syncTime += time.Since(start) }()
 	if err := m.untilSaved(func() error { return m.storage.Save(r.HardState, r.Entries) }); err != nil {
 		return fmt.Errorf("save log: %w", err)
 	}
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -187,7 +188,8 @@
 
 // roleChanged runs on the protocol loop when role, term, leader or membership change.
 func (n *Node) roleChanged(s quorum.Status) {
-	n.cfg.Logger.Log("event", "role_changed", "role", s.Role, "term", s.Term, "leader", s.Leader, "voters", len(s.Membership.Voters), "learners", len(s.Membership.Learners))
+	withoutLeader := clock.SinceBoot() - time.Duration(n.leaderSeenAt.Load())
+	n.cfg.Logger.Log("event", "role_changed", "role", s.Role, "term", s.Term, "leader", s.Leader, "leader_last_known_ms", withoutLeader.Milliseconds(), "voters", len(s.Membership.Voters), "learners", len(s.Membership.Learners))
 	n.metrics.roleChanges.Inc()
 	// The end of a leader's time counts as well, whether or not a failed call has cleared the hint before.
 	if s.Leader != "" || n.hadLeader {
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -32,6 +32,7 @@
 	cfg      Config
 	ledger   *ledger
 	machines []*machine
+	byIP     map[string]int // index of each machine, by its IP address
 	wg       sync.WaitGroup
 	stopping chan struct{}
 }
@@ -66,7 +67,7 @@
 
 // newCluster creates all machines, starts their proxies and then their processes.
 func newCluster(cfg Config, l *ledger) (*cluster, error) {
-	c := &cluster{cfg: cfg, ledger: l, stopping: make(chan struct{})}
+	c := &cluster{cfg: cfg, ledger: l, byIP: map[string]int{}, stopping: make(chan struct{})}
 	prefix := subnet(cfg.Seed)
 	machineCount := cfg.Controls + cfg.Entries
 	for i := range machineCount {
@@ -77,6 +78,7 @@
 		} else {
 			m.name = fmt.Sprintf("entry-%d", i)
 		}
+		c.byIP[m.ip] = i
 		c.machines = append(c.machines, m)
 	}
 	for _, m := range c.machines {
@@ -119,15 +121,14 @@
 }
 
 // senderOf returns the index of the machine whose process opened the connection
-// from remote, or unknown when there is none.
+// from remote, or unknown when there is none. Processes connect from the address
+// of their machine.
 func (c *cluster) senderOf(remote net.Addr, unknown int) int {
-	pids := map[int]int{}
-	for i, m := range c.machines {
-		if pid := m.pid(); pid > 0 {
-			pids[pid] = i
-		}
+	host, _, err := net.SplitHostPort(remote.String())
+	if err != nil {
+		return unknown
 	}
-	if i, ok := processOf(remote, pids); ok {
+	if i, ok := c.byIP[host]; ok {
 		return i
 	}
 	return unknown
@@ -211,7 +212,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
 	}
-	cmd := exec.Command(c.cfg.Binary, "platform", "-peer-listen", fmt.Sprintf("%s:%d", m.ip, peerPort))
+	cmd := exec.Command(c.cfg.Binary, "platform", "-peer-listen", fmt.Sprintf("%s:%d", m.ip, peerPort), "-peer-source", m.ip)
 	cmd.Env = append(os.Environ(), stand.Environment(m.settingsPath))
 	cmd.Stdout, cmd.Stderr = log, log
 	m.mu.Lock()
