Keep dialling an instance that is short of processor time, more patiently each time

What callers saw: no leader and no answer, for good, after a restart of many instances at once (shown by specs; not seen in the soaks of this work). Cause: a dial, handshake included, was given up after at most 0.9 s and made anew; what was given up cost the other side another handshake. Two bounds now: until the machine accepts the connection, as short as before, since the first packets after an outage are lost; and from then on for the handshake, 1 s and twice as long after each one that was not completed, up to 16 s.

The same class acted on connections that were made: two calls without an answer, or a second without a reply to the protocol, dropped them, however slow the other side was. Each drop without an answer since the last one now doubles the silence that the next connection may keep, up to eight times. A call that had under 150 ms left tells nothing and no longer counts.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -148,10 +149,11 @@
 	if conn == nil {
 		return nil
 	}
+	sentAt := time.Now()
 	resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{Members: n.knownMembers()})
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded {
-			l.callTimedOut()
+			l.callTimedOut(sentAt)
 		}
 		return nil
 	}
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -69,6 +69,7 @@
 		return nil, "", noLeaderError(p.Name)
 	}
 	l.callSent()
+	sentAt := time.Now()
 	attemptCtx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(len(request))*callTimeoutPerByte)
 	defer cancel()
 	attemptCtx, sent := recordSend(attemptCtx)
@@ -79,7 +80,7 @@
 	resp, err := wire.NewControlClient(t.conn).Call(attemptCtx, &wire.CallRequest{Request: request, Relay: t.relay}, options...)
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded {
-			l.callTimedOut()
+			l.callTimedOut(sentAt)
 		}
 		n.forgetLeader(p.Name)
 		return nil, t.leader, callError(ctx, p.Name, sent, err)
--- a/ctrl/dial.go
+++ b/ctrl/dial.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,26 +34,67 @@
 	return counters
 }
 
+const (
+	// minHandshakeTimeout and maxHandshakeTimeout bound the time that a machine which has accepted a connection gets to
+	// complete the handshake. A dial that is given up costs it another handshake.
+	minHandshakeTimeout = time.Second
+	maxHandshakeTimeout = 16 * time.Second
+)
+
+// acceptTimeouts bound the wait until a machine accepts a connection, in turn. A dial that began while the machine was
+// without power gets no answer for a second after it is back, so short ones come between; the longest suits links with
+// a long delay.
+var acceptTimeouts = [...]time.Duration{150 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond}
+
+// dialTimeouts bounds a dial to an address.
+type dialTimeouts struct {
+	attempt   int // number of the dial
+	handshake time.Duration
+}
+
+func newDialTimeouts() dialTimeouts { return dialTimeouts{handshake: minHandshakeTimeout} }
+
+// accept returns the bound on the wait until the machine accepts the connection.
+func (t dialTimeouts) accept() time.Duration { return acceptTimeouts[t.attempt%len(acceptTimeouts)] }
+
+// after returns the bounds of the next dial.
+func (t dialTimeouts) after(r dialResult) dialTimeouts {
+	t.attempt++
+	switch r {
+	case dialNoHandshake:
+		t.handshake = min(2*t.handshake, maxHandshakeTimeout)
+	case dialConnected:
+		t.handshake = minHandshakeTimeout
+	}
+	return t
+}
+
 // dialing is one dial of a connection.
 type dialing struct {
-	pool      *linkPool
-	startedAt time.Time
-	accepted  atomic.Bool // whether the machine has accepted the connection
+	pool       *linkPool
+	startedAt  time.Time
+	accepted   chan struct{} // closed when the machine has accepted the connection
+	acceptOnce sync.Once
 }
 
 // dialContext connects and records that the machine has accepted the connection.
 func (d *dialing) dialContext(ctx context.Context, address string) (net.Conn, error) {
 	c, err := d.pool.dial(ctx, address)
 	if err == nil {
-		d.accepted.Store(true)
+		d.acceptOnce.Do(func() { close(d.accepted) })
 	}
 	return c, err
 }
 
 // waitReady waits until the connection can be used, and returns how the dial ended.
-func (d *dialing) waitReady(ctx context.Context, conn *grpc.ClientConn, timeout time.Duration) dialResult {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (d *dialing) waitReady(ctx context.Context, conn *grpc.ClientConn, timeouts dialTimeouts) dialResult {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timedOut := make(chan dialResult, 1)
+	go func() {
+		defer cancel()
+		timedOut <- d.timeOut(ctx, timeouts)
+	}()
 	conn.Connect()
 	for {
 		switch s := conn.GetState(); s {
@@ -62,17 +103,29 @@
 		case connectivity.TransientFailure, connectivity.Shutdown:
 			return dialRefused
 		default:
-			if conn.WaitForStateChange(ctx, s) {
-				continue
-			}
-			if d.accepted.Load() {
-				return dialNoHandshake
+			if !conn.WaitForStateChange(ctx, s) {
+				return <-timedOut
 			}
-			return dialNotAccepted
 		}
 	}
 }
 
+// timeOut waits until a bound of the dial has passed or ctx ends, and returns what the dial was waiting for.
+func (d *dialing) timeOut(ctx context.Context, timeouts dialTimeouts) dialResult {
+	select {
+	case <-d.accepted:
+	case <-time.After(timeouts.accept()):
+		return dialNotAccepted
+	case <-ctx.Done():
+		return dialNotAccepted
+	}
+	select {
+	case <-time.After(timeouts.handshake):
+	case <-ctx.Done():
+	}
+	return dialNoHandshake
+}
+
 // record counts the dial.
 func (d *dialing) record(r dialResult) {
 	d.pool.dials[r].Inc()
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -18,12 +18,13 @@
 	// minBackoff and maxBackoff bound the pause between two dials.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
+	// minTimedOut is how long a call must have waited for its timeout to tell anything about the connection; it is below
+	// searchTimeout.
+	minTimedOut = 150 * time.Millisecond
+	// maxPatience bounds how often the silence that a connection may keep is doubled.
+	maxPatience = 3
 )
 
-// dialTimeouts bound the dials to an address, in turn. A dial that began while the machine was without power gets no
-// answer for a second after it is back, so short ones come between; the longest suits links with a long delay.
-var dialTimeouts = [...]time.Duration{150 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond}
-
 // link maintains one connection to one address.
 type link struct {
 	address string
@@ -39,6 +40,9 @@
 	// was sent.
 	timeouts            int
 	callUnansweredSince time.Time
+	// patience counts the consecutive connections that were dropped as silent, up to maxPatience. Each doubles the silence
+	// that the next one may keep: a new connection costs an instance that is merely slow more than an answer.
+	patience int
 
 	// failedDials counts the consecutive dials that failed, the first of which began at failingSince; used by run only.
 	failedDials  int
@@ -101,9 +105,10 @@
 // run reconnects with exponential back-off whenever the connection is lost or dropped.
 func (l *link) run() {
 	backoff := minBackoff
-	for attempt := 0; l.pool.ctx.Err() == nil; attempt++ {
+	timeouts := newDialTimeouts()
+	for l.pool.ctx.Err() == nil {
 		started := time.Now()
-		l.connectOnce(dialTimeouts[attempt%len(dialTimeouts)])
+		timeouts = timeouts.after(l.connectOnce(timeouts))
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
@@ -116,11 +121,11 @@
 	}
 }
 
-// connectOnce dials and returns when the connection is lost or dropped.
-func (l *link) connectOnce(dialTimeout time.Duration) {
+// connectOnce dials and returns how that ended, if it was connected once the connection is lost or dropped.
+func (l *link) connectOnce(timeouts dialTimeouts) dialResult {
 	ctx, cancel := context.WithCancel(l.pool.ctx)
 	defer cancel()
-	d := &dialing{pool: l.pool, startedAt: time.Now()}
+	d := &dialing{pool: l.pool, startedAt: time.Now(), accepted: make(chan struct{})}
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(l.pool.credentials),
 		grpc.WithContextDialer(d.dialContext), grpc.WithStatsHandler(sendRecorder{}),
@@ -130,19 +135,20 @@
 	)
 	if err != nil {
 		l.pool.logger.Log("event", "link_failed", "address", l.address, "err", err)
-		return
+		return dialRefused
 	}
 	defer conn.Close()
-	result := d.waitReady(ctx, conn, dialTimeout)
+	result := d.waitReady(ctx, conn, timeouts)
 	d.record(result)
 	l.logDial(d, result)
 	if result != dialConnected {
-		return
+		return result
 	}
 	l.setConn(conn, cancel)
 	defer l.setConn(nil, nil)
 	conn.WaitForStateChange(ctx, connectivity.Ready)
 	l.pool.reconnects.Inc()
+	return result
 }
 
 // logDial logs failed dials in a row at each doubling of their number, and the connection after them.
@@ -196,11 +202,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if l.unansweredSince.IsZero() || now.Sub(l.lastRequestAt) > stallTimeout {
+	if l.unansweredSince.IsZero() || now.Sub(l.lastRequestAt) > stallTimeout<<l.patience {
 		l.unansweredSince = now
 	}
 	l.lastRequestAt = now
-	if now.Sub(l.unansweredSince) > stallTimeout {
+	if now.Sub(l.unansweredSince) > stallTimeout<<l.patience {
 		l.dropSilent()
 	}
 }
@@ -221,11 +227,15 @@
 	return !l.callUnansweredSince.IsZero() && time.Since(l.callUnansweredSince) > silentAfter
 }
 
-// callTimedOut records a call that timed out; the second consecutive one drops the connection.
-func (l *link) callTimedOut() {
+// callTimedOut records a call that had no answer since it was sent; the second consecutive one drops the connection, later
+// ones if earlier connections were dropped as well. A call with little time left says nothing about the connection.
+func (l *link) callTimedOut(sentAt time.Time) {
+	if time.Since(sentAt) < minTimedOut {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.timeouts++; l.timeouts > 1 {
+	if l.timeouts++; l.timeouts > 1<<l.patience {
 		l.dropSilent()
 	}
 }
@@ -234,22 +244,24 @@
 	if l.drop == nil {
 		return
 	}
-	l.pool.logger.Log("event", "link_dropped", "address", l.address, "reason", "no answer")
+	l.pool.logger.Log("event", "link_dropped", "address", l.address, "reason", "no answer", "timeouts", l.timeouts, "patience", l.patience)
+	l.patience = min(l.patience+1, maxPatience)
 	l.drop()
+	l.drop = nil
 }
 
 // replyReceived records a reply to a message sent on this connection.
 func (l *link) replyReceived() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unansweredSince = time.Time{}
+	l.unansweredSince, l.patience = time.Time{}, 0
 }
 
 // callAnswered records a call that was answered in time.
 func (l *link) callAnswered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unansweredSince, l.timeouts, l.callUnansweredSince = time.Time{}, 0, time.Time{}
+	l.unansweredSince, l.timeouts, l.callUnansweredSince, l.patience = time.Time{}, 0, time.Time{}, 0
 }
 
 func (p *linkPool) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/ctrl/view.go
+++ b/ctrl/view.go
@@ -114,10 +114,11 @@
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	l := n.links.get(p.Address)
+	sentAt := time.Now()
 	resp, err := wire.NewControlClient(conn).ReadIndex(ctx, &wire.ReadIndexRequest{})
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded {
-			l.callTimedOut()
+			l.callTimedOut(sentAt)
 		}
 		n.forgetLeader(p.Name)
 		return 0, false
