Keep enough voters for the disks that may be lost

Cause: five voters and one learner, two voters silent. The first is removed because a learner has caught up (4 voters), the second because the number is even (3), and the learner isn't added because 3 is odd. A majority is then two disks. Likewise a voter whose replacement had caught up was removed from an even number, and a single or three voters with one learner stayed.

No removal makes the majority smaller than ToleratedLosses+1; from an odd number a removal leaves the majority as it is. A learner that has caught up is added before a further voter is removed, and at once while there are too few voters.

The four new table entries fail with the former rule.

Tests: the existing entries of the table are unchanged but for the new argument, one tolerated loss.

--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -142,6 +142,9 @@
 	// OpenMembership makes Peers mere seeds: any control instance may join, members
 	// are named by their addresses, and voters that stop responding are replaced.
 	OpenMembership bool
+	// ToleratedLosses is how many disks may be lost together without losing a committed entry; with open membership
+	// no voter is removed that this needs. 0 means as many as the first membership survives.
+	ToleratedLosses int
 	// Stateless means that the instance keeps no copy of the state: it only calls the leader and tells other
 	// instances the members it knows.
 	Stateless bool
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -146,7 +146,7 @@
 		err := m.runOnLoop(ctx, func(q *quorum.Node) {
 			s := q.Status()
 			if n.cfg.OpenMembership {
-				next, change = nextOpenMembership(s, silentVoters(s, silentSince, clock.SinceBoot()))
+				next, change = nextOpenMembership(s, silentVoters(s, silentSince, clock.SinceBoot()), n.toleratedLosses())
 			} else {
 				next, change = nextMembership(s)
 			}
--- a/ctrl/open.go
+++ b/ctrl/open.go
@@ -13,7 +13,8 @@
 	replaceVoterAfter = 2 * time.Second
 	// rejoinInterval is how often a member without a leader checks whether it has been removed.
 	rejoinInterval = 500 * time.Millisecond
-	// maxOpenVoters bounds the voters with open membership; more would only add messages.
+	// maxOpenVoters bounds the voters with open membership unless more losses are to be tolerated; more would only add
+	// messages.
 	maxOpenVoters = 5
 )
 
@@ -40,8 +41,10 @@
 // nextOpenMembership returns the next membership on the way to an odd number of
 // voters that reply and a description of the change, empty if there is none. The
 // number is odd because one more voter wouldn't let the cluster survive one more
-// failure, while a partition into halves would stop all commits.
-func nextOpenMembership(s quorum.Status, silent map[string]bool) (quorum.Membership, string) {
+// failure, while a partition into halves would stop all commits. No removal makes
+// the majority smaller than toleratedLosses+1: an acknowledged entry may be on the
+// disks of a majority only, and toleratedLosses of them may be lost together.
+func nextOpenMembership(s quorum.Status, silent map[string]bool, toleratedLosses int) (quorum.Membership, string) {
 	if s.Pending || s.Role != quorum.RoleLeader {
 		return quorum.Membership{}, ""
 	}
@@ -51,26 +54,50 @@
 			caughtUp = append(caughtUp, l)
 		}
 	}
+	voters := len(s.Membership.Voters)
+	even := voters%2 == 0
+	// An odd number of voters has the same majority as the even number below it.
+	mayRemove := voters > 1 && !even || voters/2 > toleratedLosses
 	for _, v := range s.Membership.Voters {
 		for _, l := range caughtUp {
-			if v.Name == l.Name && v.ID != s.ID {
+			switch {
+			case v.Name != l.Name || v.ID == s.ID:
+			case mayRemove:
 				return s.Membership.Without(v.ID), "remove lost voter " + v.Name
+			default:
+				return s.Membership.WithVoter(l), "add voter " + l.Name
 			}
 		}
 	}
-	voters := len(s.Membership.Voters)
-	even := voters%2 == 0
+	full := voters >= max(maxOpenVoters, 2*toleratedLosses+1)
+	tooFew := voters < 2*toleratedLosses
+	if len(caughtUp) > 0 && !full && (even || tooFew) {
+		return s.Membership.WithVoter(caughtUp[0]), "add voter " + caughtUp[0].Name
+	}
 	for _, v := range s.Membership.Voters {
-		if silent[v.ID] && (len(caughtUp) > 0 || even) && voters > 1 {
+		if silent[v.ID] && (len(caughtUp) > 0 || even) && mayRemove {
 			return s.Membership.Without(v.ID), "remove silent voter " + v.Name
 		}
 	}
-	if len(caughtUp) > 0 && even || len(caughtUp) > 1 && voters < maxOpenVoters {
+	if len(caughtUp) > 1 && !full {
 		return s.Membership.WithVoter(caughtUp[0]), "add voter " + caughtUp[0].Name
 	}
 	return quorum.Membership{}, ""
 }
 
+// toleratedLosses returns the configured number, or else the one that the first
+// membership of this instance survives.
+func (n *Node) toleratedLosses() int {
+	if n.cfg.ToleratedLosses > 0 {
+		return n.cfg.ToleratedLosses
+	}
+	_, _, m := n.bootstrapState.get()
+	if m == nil {
+		return 0
+	}
+	return (len(m.Voters) - 1) / 2
+}
+
 // rejoinWhenRemoved rejoins the cluster when this instance has been removed from
 // the members, for instance during a long suspension; it then knows no leader.
 func (n *Node) rejoinWhenRemoved() {
--- a/ctrl/open_test.go
+++ b/ctrl/open_test.go
@@ -25,7 +25,8 @@
 // openCluster runs instances with open membership that are configured with seeds only.
 type openCluster struct {
 	*cluster
-	seeds []ctrl.Peer
+	seeds           []ctrl.Peer
+	toleratedLosses int // Config.ToleratedLosses of the control instances
 }
 
 func newOpenCluster(seeds int) *openCluster {
@@ -40,7 +41,8 @@
 // startControl starts a control instance.
 func (c *openCluster) startControl(address, dataDir string, bootstrap bool) *ctrl.Node {
 	return c.startWith(ctrl.Config{
-		Name: address, Address: address, DataDir: c.dataDir(dataDir), Peers: c.seeds, OpenMembership: true, Bootstrap: bootstrap, Responder: echoResponder{address},
+		Name: address, Address: address, DataDir: c.dataDir(dataDir), Peers: c.seeds, OpenMembership: true, Bootstrap: bootstrap, ToleratedLosses: c.toleratedLosses,
+		Responder: echoResponder{address},
 	})
 }
 
@@ -191,7 +193,7 @@
 })
 
 var _ = DescribeTable("the next membership of an open cluster",
-	func(voters, learners, silentVoters int, want string) {
+	func(voters, learners, silentVoters, toleratedLosses int, want string) {
 		s := quorum.Status{ID: "v0", Role: quorum.RoleLeader, Members: map[string]quorum.MemberStatus{}}
 		silent := map[string]bool{}
 		for i := range voters {
@@ -204,16 +206,21 @@
 			s.Membership.Learners = append(s.Membership.Learners, quorum.Member{Name: id, ID: id})
 			s.Members[id] = quorum.MemberStatus{CaughtUp: true}
 		}
-		_, change := ctrl.NextOpenMembership(s, silent)
+		_, change := ctrl.NextOpenMembership(s, silent, toleratedLosses)
 		Expect(change).To(Equal(want))
 	},
-	Entry("three voters and one spare learner stay as they are", 3, 1, 0, ""),
-	Entry("two spare learners make five voters", 3, 2, 0, "add voter l0"),
-	Entry("a spare learner makes an even number odd", 4, 1, 0, "add voter l0"),
-	Entry("a silent voter is removed if there is a spare learner", 3, 1, 1, "remove silent voter v1"),
-	Entry("a silent voter of three stays if there is no spare learner", 3, 0, 1, ""),
-	Entry("a silent voter of an even number is removed", 4, 0, 1, "remove silent voter v1"),
-	Entry("five voters get no further one", 5, 3, 0, ""),
+	Entry("three voters and one spare learner stay as they are", 3, 1, 0, 1, ""),
+	Entry("two spare learners make five voters", 3, 2, 0, 1, "add voter l0"),
+	Entry("a spare learner makes an even number odd", 4, 1, 0, 1, "add voter l0"),
+	Entry("a silent voter is removed if there is a spare learner", 3, 1, 1, 1, "remove silent voter v1"),
+	Entry("a silent voter of three stays if there is no spare learner", 3, 0, 1, 1, ""),
+	Entry("a silent voter of an even number is removed", 4, 0, 1, 1, "remove silent voter v1"),
+	Entry("five voters get no further one", 5, 3, 0, 1, ""),
+	// The majority of three voters is on two disks, both of which may be lost.
+	Entry("a silent voter of four stays if two losses are tolerated", 4, 0, 1, 2, ""),
+	Entry("a learner is added before a further silent voter is removed", 4, 1, 1, 2, "add voter l0"),
+	Entry("a fourth voter is added if two losses are tolerated", 3, 1, 0, 2, "add voter l0"),
+	Entry("a second voter is added if one loss is tolerated", 1, 1, 0, 1, "add voter l0"),
 )
 
 var _ = Describe("commands decided by a leader", func() {
--- a/ctrl/suite_test.go
+++ b/ctrl/suite_test.go
@@ -1,6 +1,7 @@
 package ctrl_test
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -8,6 +9,13 @@
 )
 
 func TestCtrl(t *testing.T) {
+	fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "ctrl")
 }
