Count a pause of a member as one tick of its timeouts

After a pause of 0.4 to 1 s (a scheduler of the operating system, a disk) a follower counted all ticks that were due before it read what the leader had sent meanwhile, and began a pre-vote; one that a majority shared ended the leader's term. A leader stepped down the same way while the answers to it were waiting, so a pause of all members at once always cost an election.

quorum.Node.Tick now takes the number of ticks that are due. A leader counts them all towards the age of its lease; check-quorum, the activity of members and the timeouts of the others count a pause as one tick. That is safe: the promise of a follower lasts longer, it campaigns later, and a leader that keeps its office has no lease before a round that it started after the pause is answered.

A leader that is paused alone for more than the election timeout, or that a majority leaves without answers for 400 ms, still loses its office.

--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// deliverTicks delivers all ticks that are due: a sync may take longer than a
-// tick, and the leader lease is counted in ticks.
+// deliverTicks delivers all ticks that are due: the loop may be held up for longer
+// than a tick, and the leader lease is counted in ticks.
 func (m *member) deliverTicks() {
 	const maxTicks = 64 // several election timeouts; further ticks have no effect
 	late := clock.SinceBoot() - m.lastTick
@@ -175,9 +175,7 @@
 	if due > 0 {
 		m.tickDelay.Update((late - tick).Seconds())
 	}
-	for range min(due, maxTicks) {
-		m.protocol.Tick()
-	}
+	m.protocol.Tick(min(due, maxTicks))
 	m.lastTick += time.Duration(due) * tick
 }
 
--- a/quorum/doc.go
+++ b/quorum/doc.go
@@ -16,5 +16,7 @@
 // read request first, then deliver all ticks that are due by the monotonic
 // clock, and only then call Step or ReadIndex. With any other order, a process
 // that was suspended or delayed by a slow sync would measure a lease, or the
-// time during which a follower must not vote, from an outdated tick.
+// time during which a follower must not vote, from an outdated tick. A member
+// that does not lead counts only one of the ticks that are due after a pause; see
+// Node.Tick.
 package quorum
--- a/quorum/lead.go
+++ b/quorum/lead.go
@@ -8,9 +8,9 @@
 // leaderState is a leader's state during its term.
 type leaderState struct {
 	progress    map[string]*progress // of all other members by ID
-	electedAt   uint64               // tick of the election
+	electedAt   instant              // time of the election
 	lastRound   uint64               // last round started, zero for none
-	roundStarts []uint64             // ticks at which the latest rounds started, in order
+	roundStarts []instant            // times at which the latest rounds started, in order
 
 	transferee     string // ID of the voter to which leadership is transferred, empty for none
 	transferAt     uint64 // tick at which the transfer began
@@ -24,7 +24,7 @@
 	n.leader = n.id
 	n.transferTerm = 0
 	n.votes = nil
-	n.leaderState = leaderState{progress: map[string]*progress{}, electedAt: n.now}
+	n.leaderState = leaderState{progress: map[string]*progress{}, electedAt: n.clock()}
 	n.trackMembers()
 	n.appendEntry(Entry{Kind: EntryEmpty})
 	n.startRound()
@@ -60,8 +60,9 @@
 }
 
 func (n *Node) tickLeader() {
-	if n.now-n.quorumTick() >= uint64(n.cfg.ElectionTicks) {
-		// Check quorum: no majority answered within the minimum election timeout.
+	if n.awake()-n.quorumInstant().awake >= uint64(n.cfg.ElectionTicks) {
+		// Check quorum: no majority answered within the minimum election timeout. Answers that arrived during a pause of
+		// this member have not been handled yet.
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -73,7 +74,7 @@
 			p.becomeProbe(true)
 		}
 	}
-	if (n.now-n.leaderState.electedAt)%uint64(n.cfg.HeartbeatTicks) == 0 {
+	if n.now-n.leaderState.roundStarts[len(n.leaderState.roundStarts)-1].now >= uint64(n.cfg.HeartbeatTicks) {
 		n.startRound()
 	}
 }
--- a/quorum/net_test.go
+++ b/quorum/net_test.go
@@ -181,10 +181,12 @@
 	if h.nextTick > w.now {
 		return
 	}
+	due := 0
 	for h.nextTick <= w.now {
-		h.node.Tick()
+		due++
 		h.nextTick += h.period
 	}
+	h.node.Tick(due)
 	w.schedule(h.nextTick, h, func() {})
 }
 
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -14,6 +14,7 @@
 	snapshot *Snapshot // sent to members that need entries before the log
 
 	now          uint64 // ticks since the start
+	paused       uint64 // ticks of pauses of this member, part of now
 	hadContact   bool   // a leader may hold a lease that depends on this member
 	lastContact  uint64 // tick of the last message from a leader
 	elapsed      int    // ticks since the election timer was reset
@@ -111,10 +112,24 @@
 	return entries, nil
 }
 
-// Tick advances this member's logical clock by one tick. The caller must deliver
-// all ticks that are due by its monotonic clock before each Step and ReadIndex,
-// since the leader lease compares tick counts of different members.
-func (n *Node) Tick() {
+// Tick advances this member's logical clock by the given number of ticks. The
+// caller must deliver all ticks that are due by its monotonic clock before each
+// Step and ReadIndex, since the leader lease compares tick counts of different
+// members.
+//
+// More than one tick is due only after a pause of this member, in which it could
+// not receive. A leader counts them all towards the age of its lease. All other
+// timeouts count a pause as one tick, since the messages that would have ended
+// them may be waiting. This is safe on a member that does not lead: its promise
+// to a leader lasts longer, and it campaigns later.
+func (n *Node) Tick(due int) {
+	if due <= 0 {
+		return
+	}
+	if n.role == RoleLeader {
+		n.now += uint64(due - 1)
+		n.paused += uint64(due - 1)
+	}
 	n.now++
 	n.elapsed++
 	switch n.role {
--- a/quorum/node_test.go
+++ b/quorum/node_test.go
@@ -34,7 +34,7 @@
 
 func ticks(n *quorum.Node, count int) {
 	for range count {
-		n.Tick()
+		n.Tick(1)
 	}
 }
 
--- a/quorum/progress.go
+++ b/quorum/progress.go
@@ -30,7 +30,7 @@
 	sentCommit uint64 // commit index last sent
 	ackedRound uint64 // last round acknowledged
 	replied    bool   // the member has replied in this term
-	repliedAt  uint64 // tick of the last reply
+	repliedAt  uint64 // tick of the last reply, without pauses of the leader
 }
 
 // becomeProbe switches to stateProbe; if paused, no append is sent before the next reply.
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -48,6 +48,13 @@
 	answer[n] = (answer[n] < LEASE -> answer[n] + 1 : LEASE)
 }
 
+/* A member that was paused omits a tick; a leader may not. */
+#ifdef LEADER_OMITS
+#define MAY_OMIT(n) true
+#else
+#define MAY_OMIT(n) (!leads[n])
+#endif
+
 inline follow(n) {
 	leads[n] = 0;
 	candidate[n] = 0;
@@ -131,6 +138,7 @@
 
 #define STEPS(n) \
 	:: d_step { phase[n] >= FAST -> tick(n) } \
+	:: d_step { phase[n] >= FAST && MAY_OMIT(n) -> phase[n] = 0 } \
 	:: d_step { SETTLED && leads[n] -> round[n] = 0 } \
 	:: d_step { SETTLED && leads[n] -> follow(n) } \
 	HAND_OVER(n) \
