Lengthen election timeouts after failed elections

While votes take longer than an election timeout to be saved and answered (a busy machine, a slow disk), candidates replaced each other and no leader was elected for as long as that lasted. From the third election in a row on the timeout is doubled, to four times its length at most; contact with a leader resets it.

--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -11,15 +11,16 @@
 	n.role = role
 	n.leader = ""
 	n.votes = map[string]bool{}
-	n.resetTimer()
 	if role == RoleCandidate {
 		// This member's own vote counts once it is synced; see Advance.
 		n.term++
 		n.vote = n.id
+		n.elections++
 	} else {
 		n.transferTerm = 0
 		n.votes[n.id] = true
 	}
+	n.resetTimer()
 	n.requestVotes()
 	n.countVotes()
 }
--- a/quorum/lead.go
+++ b/quorum/lead.go
@@ -22,6 +22,7 @@
 func (n *Node) becomeLeader() {
 	n.role = RoleLeader
 	n.leader = n.id
+	n.elections = 0
 	n.transferTerm = 0
 	n.votes = nil
 	n.leaderState = leaderState{progress: map[string]*progress{}, electedAt: n.clock()}
--- a/quorum/net_test.go
+++ b/quorum/net_test.go
@@ -76,7 +76,9 @@
 	loss      float64         // probability that a message is lost
 	duplicate float64         // probability that a message is duplicated
 	delay     float64         // maximum delay of a message
+	minDelay  float64         // minimum delay of a message
 	syncTime  float64         // maximum duration of a sync
+	minSync   float64         // minimum duration of a sync
 	proposed  int             // number of proposals
 }
 
@@ -205,7 +207,11 @@
 			w.transmit(h, m)
 		}
 	}
-	w.schedule(w.now+w.rng.Float64()*w.syncTime, h, func() {
+	took := w.rng.Float64() * w.syncTime
+	if r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 {
+		took = max(w.minSync, took)
+	}
+	w.schedule(w.now+took, h, func() {
 		h.disk.save(r)
 		h.pending = nil
 		for _, m := range r.Messages {
@@ -256,7 +262,7 @@
 			continue
 		}
 		h := w.hosts[to]
-		w.schedule(w.now+0.01+w.rng.Float64()*w.delay, h, func() {
+		w.schedule(w.now+max(w.minDelay, 0.01+w.rng.Float64()*w.delay), h, func() {
 			if err := h.node.Step(m); err != nil && !errors.Is(err, quorum.ErrMisaddressed) {
 				w.fail("%s steps %+v: %v", h.id, m, err)
 			}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -19,6 +19,7 @@
 	lastContact  uint64 // tick of the last message from a leader
 	elapsed      int    // ticks since the election timer was reset
 	timeout      int    // randomised election timeout in ticks
+	elections    int    // elections seen since the last contact with a leader
 	votes        map[string]bool
 	transferTerm uint64 // term of the leader that transferred leadership to this candidate, zero for none
 
@@ -149,10 +150,21 @@
 	}
 }
 
-// resetTimer restarts the election timer with a new random timeout.
+const (
+	// firstElections is the number of elections without a leader after which the timeout is doubled at each further
+	// one. Split votes end within them, so the back-off delays no election in a healthy network.
+	firstElections = 2
+	// maxTimeoutDoublings bounds the election timeout at 64 ticks by default.
+	maxTimeoutDoublings = 2
+)
+
+// resetTimer restarts the election timer with a new random timeout. The timeout
+// grows with failed elections: while votes take longer than a timeout to be saved
+// and answered, candidates would replace each other without end.
 func (n *Node) resetTimer() {
 	n.elapsed = 0
 	n.timeout = n.cfg.ElectionTicks + n.cfg.Rand(n.cfg.ElectionTicks+1)
+	n.timeout <<= min(max(n.elections-firstElections, 0), maxTimeoutDoublings)
 }
 
 // becomeFollower makes this member a follower of leader, which may be empty, in term.
@@ -162,6 +174,7 @@
 	}
 	if term > n.term {
 		n.term, n.vote = term, ""
+		n.elections++
 	}
 	n.leader = leader
 	n.role = RoleFollower
--- a/quorum/pause_test.go
+++ b/quorum/pause_test.go
@@ -27,7 +27,6 @@
 
 var _ = Describe("A pause of members", func() {
 	const seeds = 40
-	const second = 20 // ticks
 
 	// keepsLeader verifies that pauses end with the leader and the term before them, which holds its lease again.
 	keepsLeader := func(ticks float64, paused func(w *network, leader *host) []*host) {
--- a/quorum/step.go
+++ b/quorum/step.go
@@ -50,7 +50,7 @@
 	if m.Term > n.term || n.role == RoleCandidate || n.role == RolePreCandidate || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.hadContact, n.lastContact = true, n.now
+	n.hadContact, n.lastContact, n.elections = true, n.now, 0
 	n.resetTimer()
 	switch m.Kind {
 	case MessageAppend:
