Give each test process a loopback address of its own for its ports

'replaces a permanently lost voter' failed once: 'listen tcp 127.0.0.1:28716: bind: address already in use'. Another process of the same tests ran at that moment; free ports were looked for, closed and used later on the same address.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -51,12 +51,16 @@
 // usedAddresses holds the addresses that freeAddress has returned.
 var usedAddresses sync.Map
 
+// loopbackIP is a loopback address of this test process alone, so that processes that run at the same time don't take
+// each other's ports.
+var loopbackIP = fmt.Sprintf("127.%d.%d.1", 100+os.Getpid()/256%100, os.Getpid()%256)
+
 // freeAddress returns a free loopback address with a port below the ephemeral
 // range, so that no outgoing connection takes it before its instance restarts. It
 // returns none twice: an instance may not listen on its own yet.
 func freeAddress() string {
 	for {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000)))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackIP, 15000+rand.IntN(15000)))
 		if err != nil {
 			continue
 		}
