Answer the requests that are in flight when a shutdown's time is up

What callers saw: a connection that ends without an answer (LOST), at an entry that is terminated while there is no leader or a slow one. Cause: a request waits up to 2.2 s for the leader, the shutdown waited 2 s for requests and then let the process end. Fix: all servers are shut down at once, with all of the grace time but the drain delay and a second; then the contexts of the requests still in flight are cancelled, and they are answered as not run or in doubt.

--- a/itest/platform_test.go
+++ b/itest/platform_test.go
@@ -347,3 +347,39 @@
 		expectSingleStarts()
 	})
 })
+
+var _ = Describe("an entry that is terminated while there is no leader", func() {
+	// Guards against callers whose connection ends without an answer: their requests waited for a leader for longer than
+	// the shutdown waited for them.
+	It("answers all requests that it has read", func() {
+		f := newPlatformFleet(1)
+		for _, m := range f.machines[:3] {
+			m.kill()
+		}
+		entry := f.machines[3]
+		Eventually(func() error {
+			_, err := platformClient.Submit(context.Background(), f.frontAddress(), "/q/", "00", batch.Spec{})
+			return err
+		}, "5s", "100ms").Should(Succeed())
+		Expect(entry.cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		const callers, interval = 20, 50 * time.Millisecond // until the end of the drain delay, half of the grace time
+		answers := make(chan error, callers)
+		for i := range callers {
+			time.Sleep(interval)
+			go func() {
+				r, err := platformClient.Submit(context.Background(), f.frontAddress(), "/q/", fmt.Sprintf("%02d", i), batch.Spec{})
+				if err == nil && r.Status != http.StatusServiceUnavailable && r.Status != http.StatusGatewayTimeout {
+					err = fmt.Errorf("status %d", r.Status)
+				}
+				answers <- err
+			}()
+		}
+		for range callers {
+			err := <-answers
+			if err != nil && strings.Contains(err.Error(), "connection refused") {
+				continue // after the listener was closed
+			}
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+})
--- a/serve/process.go
+++ b/serve/process.go
@@ -71,6 +71,7 @@
 	settings      Settings
 	components    Components
 	server        *http.Server
+	requests      *Requests
 	started       time.Time
 	configMetrics *configMetrics
 	gaugedTeamsMu sync.Mutex
@@ -85,7 +86,7 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
-	p := &Process{settings: s, components: c, started: time.Now(), gaugedTeams: map[string]bool{}}
+	p := &Process{settings: s, components: c, requests: NewRequests(), started: time.Now(), gaugedTeams: map[string]bool{}}
 	p.configMetrics = newConfigMetrics(c.Metrics, c.Node)
 	api := webapi.New(webapi.Config{
 		Replica: c.Node, Entry: c.Services, Logger: c.Logger, Metrics: c.Metrics, Dump: p.dump, Ready: p.ready,
@@ -94,8 +95,8 @@
 	})
 	p.server = &http.Server{
 		Handler: RecoverRequests(api, c.Logger, c.Metrics), ReadHeaderTimeout: s.Limits.ReadHeaderTimeout, IdleTimeout: s.Limits.IdleTimeout,
-		MaxHeaderBytes: s.Limits.MaxHeaderBytes,
-		ErrorLog:       stdlog.New(log.NewStdlibAdapter(level.Warn(c.Logger), log.MessageKey("err")), "", 0),
+		MaxHeaderBytes: s.Limits.MaxHeaderBytes, BaseContext: p.requests.BaseContext,
+		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Warn(c.Logger), log.MessageKey("err")), "", 0),
 	}
 	return p
 }
@@ -193,8 +194,8 @@
 	if err := p.components.Services.Drain(drainCtx); err != nil {
 		errs = append(errs, fmt.Errorf("finish requests to upstreams: %w", err))
 	}
-	if err := p.server.Shutdown(drainCtx); err != nil {
-		errs = append(errs, fmt.Errorf("finish requests: %w", err), p.server.Close())
+	if err := p.requests.Finish(drainCtx, p.server); err != nil {
+		errs = append(errs, err)
 	}
 	closeCtx, cancelClose := context.WithTimeout(ctx, closeTimeout)
 	defer cancelClose()
