End due runs of the soak's workers before a lease is extended

A worker that waits for the next due event could extend a lease that had expired a moment before, since no ticker ends its runs within 10 ms any more. The progress of a gang's member is read under the lock of gangs.

--- a/soak/task.go
+++ b/soak/task.go
@@ -89,16 +89,11 @@
 	}
 }
 
-// percent returns the estimated progress of a run, from 0 to 99.
-func (r *run) percent() int {
-	start := r.startedAt
-	if r.gang != nil {
-		start = r.gang.completeAt
-	}
-	if start.IsZero() {
-		return 0
-	}
-	return int(min(99, 100*(r.resumedWork+time.Since(start))/r.workTime))
+// percent returns the estimated progress of a run at the time now, from 0 to 99.
+func (s *soak) percent(r *run, now time.Time) int {
+	s.gangMu.Lock()
+	defer s.gangMu.Unlock()
+	return int(min(99, 100*(r.resumedWork+r.worked(now))/r.workTime))
 }
 
 // stepOf returns the step and the need of a task, and false when no caller submitted
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -171,19 +171,9 @@
 func (w *worker) advanceRuns(now time.Time) (time.Time, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	expired := now.After(w.lease)
-	if expired {
-		for i := range w.ends {
-			w.ends[i].leaseExpired = true
-		}
-	}
-	for id, r := range w.running {
-		if reason := w.endReason(id, r, now, expired); reason != "" {
-			w.endRun(id, r, reason)
-		}
-	}
+	w.endDueRuns(now)
 	next := now.Add(idleInterval)
-	if !expired {
+	if !now.After(w.lease) {
 		next = earlier(next, w.lease)
 	}
 	for _, r := range w.running {
@@ -196,6 +186,21 @@
 	return earlier(next, drainEnd), now.After(drainEnd)
 }
 
+// endDueRuns ends the runs that are due at the time now. The caller holds w.mu.
+func (w *worker) endDueRuns(now time.Time) {
+	expired := now.After(w.lease)
+	if expired {
+		for i := range w.ends {
+			w.ends[i].leaseExpired = true
+		}
+	}
+	for id, r := range w.running {
+		if reason := w.endReason(id, r, now, expired); reason != "" {
+			w.endRun(id, r, reason)
+		}
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -330,7 +335,7 @@
 	now := time.Now()
 	for id, r := range w.running {
 		w.host.s.saveCheckpoint(id, r, now)
-		b.Running = append(b.Running, sched.RunState{Task: id, Run: r.number, Checkpoint: r.checkpoint, Percent: r.percent()})
+		b.Running = append(b.Running, sched.RunState{Task: id, Run: r.number, Checkpoint: r.checkpoint, Percent: w.host.s.percent(r, now)})
 	}
 	for _, e := range w.ends {
 		b.Ended = append(b.Ended, e.RunEnd)
@@ -346,6 +351,8 @@
 	if w.ended || o.Fence < w.fence || time.Since(sent) > heartbeatTimeout {
 		return
 	}
+	// A lease that has expired is not extended for the runs that it covered.
+	w.endDueRuns(time.Now())
 	w.fence = o.Fence
 	for len(w.ends) > 0 && w.ends[0].Number <= o.AckedThrough {
 		e := w.ends[0]
