Change the membership only from the one in force

Callers: a control machine that lost its disk is admitted, dropped again without a trace and admitted once more; until then the loss of another disk isn't borne. In a trial on a scratch test with 6 control instances and 145 stateless ones, all restarted and two of them with empty disks, one instance joined 0.3 s after the election, was dropped by another one that joined in the same turn, and was back 1.7 s later.

Cause: the next membership was computed from a published status, and put into the log after other changes. Such a change undid the ones between: it dropped learners, and as it may differ in one voter, a voter that was just added, too.

Fix: a change names the membership that it replaces, and the protocol loop refuses it unless that is in force. A leader that admits a learner tries again while it leads, where the learner formerly waited for its next attempt.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -223,28 +223,34 @@
 }
 
 // addLearner adds a control instance as a learner, on the leader. It replaces a
-// learner that has the same name but another ID.
+// learner that has the same name but another ID. Other changes of the membership
+// may come first; it tries again while this instance leads.
 func (n *Node) addLearner(ctx context.Context, joining quorum.Member) (quorum.Membership, *model.Error) {
 	if !n.mayJoin(joining) {
 		return quorum.Membership{}, model.NotRun(model.CodeInvalid, "%q is not a control instance of this deployment", joining.Name)
 	}
-	session, ok := n.leadership.current()
-	m := n.member.Load()
-	if !ok || m == nil {
-		return quorum.Membership{}, notLeaderError()
-	}
-	s := m.status.Load()
-	if _, ok := s.Membership.Find(joining.ID); ok {
-		return s.Membership, nil
-	}
-	next := s.Membership
-	for _, l := range s.Membership.Learners {
-		if l.Name == joining.Name {
-			next = next.Without(l.ID)
+	for {
+		session, ok := n.leadership.current()
+		m := n.member.Load()
+		if !ok || m == nil {
+			return quorum.Membership{}, notLeaderError()
+		}
+		current := m.status.Load().Membership
+		if _, ok := current.Find(joining.ID); ok {
+			return current, nil
+		}
+		next := current
+		for _, l := range current.Learners {
+			if l.Name == joining.Name {
+				next = next.Without(l.ID)
+			}
+		}
+		next = next.WithLearner(joining)
+		out := m.submit(ctx, &proposal{membership: &membershipChange{from: current, to: next}, term: session.term})
+		if out.err != nil && out.err.Code == model.CodeUnavailable && out.err.Outcome == model.OutcomeNotRun && clock.Sleep(ctx, retryDelay) {
+			continue
 		}
+		n.cfg.Logger.Log("event", "learner_added", "name", joining.Name, "id", joining.ID, "err", errorOrNil(out.err))
+		return next, out.err
 	}
-	next = next.WithLearner(joining)
-	out := m.submit(ctx, &proposal{membership: &next, term: session.term})
-	n.cfg.Logger.Log("event", "learner_added", "name", joining.Name, "id", joining.ID, "err", errorOrNil(out.err))
-	return next, out.err
 }
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -98,3 +98,9 @@
 
 // AgeLeader moves the time at which a leader was last known into the past.
 func (n *Node) AgeLeader(d time.Duration) { n.leaderSeenAt.Add(-int64(d)) }
+
+// AddLearner adds a learner on the leader.
+func (n *Node) AddLearner(ctx context.Context, m quorum.Member) error {
+	_, err := n.addLearner(ctx, m)
+	return errorOrNil(err)
+}
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -141,10 +141,11 @@
 	silentSince := map[string]time.Duration{}
 	for clock.Sleep(ctx, membershipInterval) {
 		m := n.member.Load()
-		var next quorum.Membership
+		var current, next quorum.Membership
 		var change string
 		err := m.runOnLoop(ctx, func(q *quorum.Node) {
 			s := q.Status()
+			current = s.Membership
 			if n.cfg.OpenMembership {
 				next, change = nextOpenMembership(s, silentVoters(s, silentSince, clock.SinceBoot()), n.toleratedLosses())
 			} else {
@@ -157,7 +158,7 @@
 		if change == "" {
 			continue
 		}
-		out := m.submit(ctx, &proposal{membership: &next, term: term})
+		out := m.submit(ctx, &proposal{membership: &membershipChange{from: current, to: next}, term: term})
 		n.cfg.Logger.Log("event", "membership_changed", "change", change, "voters", len(next.Voters), "learners", len(next.Learners), "err", errorOrNil(out.err))
 	}
 }
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -21,6 +21,8 @@
 var (
 	errStopped  = errors.New("instance is stopping")
 	errDiskFull = errors.New("disk is full")
+	// errOutdated refuses a change of a membership that is no longer in force.
+	errOutdated = errors.New("the membership has changed meanwhile")
 )
 
 // proposal is a command or a membership to be appended to the log.
@@ -28,7 +30,7 @@
 	data []byte
 	// command is the decoded form of data.
 	command    state.Command
-	membership *quorum.Membership
+	membership *membershipChange
 	// term is the term in which the command was admitted; in any other term it is refused.
 	term uint64
 	// settled is set once, by the loop when it takes the proposal or by the proposer when it gives up.
@@ -36,6 +38,11 @@
 	done    chan outcome
 }
 
+// membershipChange replaces a membership while it is in force.
+type membershipChange struct {
+	from, to quorum.Membership
+}
+
 // member runs the consensus protocol on one goroutine.
 type member struct {
 	cfg        Config
@@ -230,10 +237,13 @@
 	}
 	var index, term uint64
 	var err error
-	if p.membership != nil {
-		index, term, err = m.protocol.ProposeMembership(*p.membership)
-	} else {
+	switch c := p.membership; {
+	case c == nil:
 		index, term, err = m.protocol.Propose(p.data)
+	case !m.protocol.Status().Membership.Equal(c.from):
+		err = errOutdated
+	default:
+		index, term, err = m.protocol.ProposeMembership(c.to)
 	}
 	switch {
 	case errors.Is(err, quorum.ErrNotLeader):
--- a/ctrl/members_test.go
+++ b/ctrl/members_test.go
@@ -1,10 +1,12 @@
 package ctrl_test
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"os"
 	"slices"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -225,4 +227,28 @@
 		Eventually(workerCount(c.nodes[c.leader()]), waitTimeout).Should(Equal(1))
 		Eventually(func() []string { return c.voters(c.leader())() }, waitTimeout).Should(HaveLen(5))
 	})
+
+	// Guards against members that are dropped by a change which was prepared before they joined.
+	It("keeps all members that join at the same time", func() {
+		c := newOpenCluster(3)
+		for i, s := range c.seeds {
+			c.startControl(s.Address, fmt.Sprint(i), true)
+		}
+		leader := c.leader()
+		const joining = 30
+		var wg sync.WaitGroup
+		for i := range joining {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				a := fmt.Sprintf("127.0.0.1:%d", i+1)
+				Eventually(func() error {
+					ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+					defer cancel()
+					return c.nodes[leader].AddLearner(ctx, quorum.Member{ID: fmt.Sprint(i), Name: a, Address: a})
+				}, waitTimeout).Should(Succeed())
+			})
+		}
+		wg.Wait()
+		Expect(c.nodes[leader].Status().Members).To(HaveLen(len(c.seeds) + joining))
+	})
 })
