Join at any leader that members name, for a second each

Cause: of the members that answered, only the first was followed. If it names a leader that is gone, or doesn't know yet of another one, the attempt waits 5 s for a connection and the next one does the same. An instance that was removed and asks to be admitted again did likewise.

Fix: those that lead by their own answer are asked first, then those that are named by others, each for a second.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -91,12 +92,12 @@
 			return err
 		}
 	}
-	for i, a := range answers {
-		if a.GetMembership() != nil {
-			return n.join(ctx, id, a.GetLeader(), peers[i])
-		}
+	for _, a := range answers {
 		n.learnMembers(a.GetMembers())
 	}
+	if slices.ContainsFunc(answers, func(a *wire.IdentifyResponse) bool { return a.GetMembership() != nil }) {
+		return n.joinAny(ctx, id, n.joinCandidates(peers, answers))
+	}
 	if !n.cfg.Bootstrap || dataLost || !n.isSeed() {
 		return fmt.Errorf("no control peer has a membership")
 	}
@@ -176,7 +177,7 @@
 		m.Voters = append(m.Voters, p)
 	}
 	slices.SortFunc(m.Voters, func(a, b quorum.Member) int { return strings.Compare(a.Name, b.Name) })
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	ctx, cancel := context.WithTimeout(ctx, formTimeout)
 	defer cancel()
 	for _, p := range peers {
 		conn := n.links.get(p.Address).waitConn(ctx)
@@ -196,13 +197,43 @@
 	return err
 }
 
-// join asks the leader, or p if the leader is unknown, to add this instance as a learner.
-func (n *Node) join(ctx context.Context, id, leader string, p Peer) error {
+// joinCandidates returns the instances that may admit this one: those that lead by their own answer, then those that
+// members name as the leader.
+func (n *Node) joinCandidates(peers []Peer, answers []*wire.IdentifyResponse) []Peer {
+	var leading, named []Peer
+	for i, a := range answers {
+		leader, ok := n.peerNamed(a.GetLeader())
+		switch {
+		case a.GetMembership() == nil || !ok:
+		case leader.Name == peers[i].Name:
+			leading = append(leading, leader)
+		case !slices.Contains(named, leader):
+			named = append(named, leader)
+		}
+	}
+	return append(leading, named...)
+}
+
+// joinAny asks the candidates in turn to add this instance as a learner.
+func (n *Node) joinAny(ctx context.Context, id string, candidates []Peer) error {
+	if len(candidates) == 0 {
+		return errors.New("join: no member knows a leader")
+	}
+	var errs []error
+	for _, p := range candidates {
+		err := n.join(ctx, id, p)
+		if err == nil {
+			return nil
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// join asks p to add this instance as a learner.
+func (n *Node) join(ctx context.Context, id string, p Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	if leaderPeer, ok := n.peerNamed(leader); ok {
-		p = leaderPeer
-	}
 	conn := n.links.get(p.Address).waitConn(ctx)
 	if conn == nil {
 		return fmt.Errorf("join: %s cannot be reached", p.Name)
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -51,8 +51,10 @@
 	retryDelay = 20 * time.Millisecond
 	// bootstrapInterval is how often a control instance without a membership asks its peers for one.
 	bootstrapInterval = 200 * time.Millisecond
-	// joinTimeout bounds joining as a learner, and forming a cluster.
-	joinTimeout = 5 * time.Second
+	// formTimeout bounds forming a cluster.
+	formTimeout = 5 * time.Second
+	// joinTimeout bounds one attempt to join as a learner, since the instance that is asked may be gone or deposed.
+	joinTimeout = time.Second
 	// announceInterval is how often a member sends the list of members to seeds that are not members.
 	announceInterval = time.Second
 	// membershipInterval is how often the leader checks whether the membership should change.
--- a/ctrl/open.go
+++ b/ctrl/open.go
@@ -109,17 +109,18 @@
 			continue
 		}
 		peers := n.controlPeers()
-		for i, a := range n.identifyPeers(n.ctx, peers) {
-			if a.GetMembership() == nil || a.GetLeader() == "" {
-				continue
-			}
+		answers := n.identifyPeers(n.ctx, peers)
+		for i, a := range answers {
 			if _, ok := membershipFromWire(a.GetMembership()).Find(m.id); ok {
-				continue
-			}
-			if err := n.join(n.ctx, m.id, a.GetLeader(), peers[i]); err != nil {
-				n.cfg.Logger.Log("event", "rejoin_failed", "leader", a.GetLeader(), "err", err)
+				answers[i] = nil
 			}
-			break
+		}
+		candidates := n.joinCandidates(peers, answers)
+		if len(candidates) == 0 {
+			continue
+		}
+		if err := n.joinAny(n.ctx, m.id, candidates); err != nil {
+			n.cfg.Logger.Log("event", "rejoin_failed", "err", err)
 		}
 	}
 }
