Tell a gang that resumes from one that is at work

Members of a gang that resumes from a checkpoint report the progress from which they resume while they wait for the others. Any progress counted as a sign that all had joined, so the gang run was no longer watched, and the members waited until they ended alone if one was not heard from.

Progress counts now if it is more than at the first report, or if the run resumed from nothing; a later checkpoint counts too.

The spec "is given up in time when it resumes from a checkpoint" failed before (no stop 2.3 s after the start order with a limit of 3 s) and passes now; its counterpart, that further progress shows work, passed before and after.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -37,8 +37,8 @@
 	l.forming[ref] = f
 }
 
-// noteGangReport records that a member reports its run. Progress or resources in use mean that all members have joined.
-func (l *leaderState) noteGangReport(r RunState) {
+// noteGangReport records that a member reports its run. Work that it has done means that all members have joined.
+func (l *leaderState) noteGangReport(w *worker, r RunState) {
 	if len(l.forming) == 0 {
 		return
 	}
@@ -48,11 +48,27 @@
 		return
 	}
 	delete(f.missing, r.Task.Index)
-	if len(f.missing) == 0 || r.Percent > 0 || r.Gauge > 0 {
+	if len(f.missing) == 0 || l.showsWork(w, r) {
 		delete(l.forming, ref)
 	}
 }
 
+// showsWork reports whether a member of a gang has done any work in its run. One that waits for the others reports the
+// progress and the checkpoint from which it resumes, and uses no resources.
+func (l *leaderState) showsWork(w *worker, r RunState) bool {
+	first, known := w.firstReports[RunRef{Task: r.Task, Run: r.Run}]
+	if r.Gauge > 0 || known && r.Percent > first.percent {
+		return true
+	}
+	from := ""
+	l.ledger.View(func(b *batch.State) {
+		if j := b.Jobs[r.Task.Job]; j != nil && j.Task(r.Task) != nil {
+			from = l.resumeCheckpoint(j, r.Task)
+		}
+	})
+	return r.Checkpoint > from || from == "" && r.Percent > 0
+}
+
 // hasNotFormed reports whether a gang run must be given up because members are still missing: each member waits for
 // the others for Limits.GangTimeout at most, and the stop must reach it before.
 func (s *Scheduler) hasNotFormed(l *leaderState, id batch.TaskID, run int, now time.Duration) bool {
--- /dev/null
+++ b/sched/forming_test.go
@@ -0,0 +1,84 @@
+package sched_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/batch"
+	"turmericroute/sched"
+)
+
+// newGangFixture returns a fixture with a time limit for gangs to form and workers with room for one member each.
+func newGangFixture(timeout time.Duration, workers ...string) *fixture {
+	f := newFixture(func(cfg *sched.Config) { cfg.Limits.GangTimeout = timeout })
+	f.addWorkers("r1", "dc1", workers...)
+	return f
+}
+
+// submitGang submits a gang with one member for each of the given number of workers.
+func (f *fixture) submitGang(id string, members int) {
+	f.submit("normal", id, batch.Step{Count: members, Need: gpus(8), Gang: true, Checkpoints: true, EstimateMS: 100_000})
+}
+
+// awaitStart sends heartbeats of one worker, without advancing the clock, until it is ordered to start a run.
+func (f *fixture) awaitStart(worker string) {
+	GinkgoHelper()
+	Eventually(func() int { return len(f.heartbeat(worker).Starts) }).Should(Equal(1))
+}
+
+// resume makes the first member's run fail with a checkpoint and waits until it is started again from there, while the
+// other workers are not heard from.
+func (f *fixture) resume(id, worker, checkpoint string, percent int) {
+	GinkgoHelper()
+	w := f.workers[worker]
+	w.end(w.hb.Running[0].Task, batch.EndFailed)
+	w.hb.Ended[0].Checkpoint = checkpoint
+	for _, other := range f.workers {
+		if other != w {
+			other.end(taskID(id, 0, other.memberOf(id)), batch.EndGangBroken)
+		}
+	}
+	f.heartbeatAll()
+	Eventually(func() int {
+		f.heartbeat(worker)
+		return len(w.hb.Running)
+	}).Should(Equal(1))
+	w.hb.Running[0].Percent, w.hb.Running[0].Checkpoint = percent, checkpoint
+}
+
+// memberOf returns the index of the member of a gang that runs on the worker.
+func (w *fakeWorker) memberOf(id string) int {
+	i := slices.IndexFunc(w.hb.Running, func(r sched.RunState) bool { return r.Task.Job == id })
+	return w.hb.Running[i].Task.Index
+}
+
+var _ = Describe("a gang that forms", func() {
+	// Guards against members that wait until their gang times out, because the progress from which they resume counted
+	// as a sign that the gang is at work.
+	It("is given up in time when it resumes from a checkpoint and a member is not heard from", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitRunning("j", 2)
+		f.heartbeatAll()
+		f.resume("j", "w1", "c1", 40)
+		f.heartbeat("w1")
+		f.advance(2300 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
+	It("is at work once it has got further than where it resumed", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitRunning("j", 2)
+		f.heartbeatAll()
+		f.resume("j", "w1", "c1", 40)
+		f.heartbeat("w1")
+		f.workers["w1"].hb.Running[0].Percent = 41
+		f.heartbeat("w1")
+		f.advance(2300 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+	})
+})
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -104,7 +104,7 @@
 func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
 	changed := len(w.running) != len(w.hb.Running)
 	for _, r := range w.hb.Running {
-		l.noteGangReport(r)
+		l.noteGangReport(w, r)
 		if before, ok := w.running[r.Task]; ok && before.Run == r.Run {
 			w.running[r.Task] = r
 			continue
