Withdraw a gang at once when a member must not start

A start may be withheld after other members were ordered: the worker drains, its data centre goes out of service, its ticket has expired, or the run is preempted. The members that waited were stopped only after the worker of the withheld one had sent a further heartbeat, since only that ended its run, and members could still be ordered to start meanwhile.

The leader notes now that the gang run is given up when it withholds a start, and withdraws it from every member with the next answer.

"is withdrawn from members that wait as soon as another must not start" and "does not begin to start once a member must not" failed before and pass now.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -16,6 +16,8 @@
 	since time.Duration
 	// missing holds the indexes of the members that have not reported their run.
 	missing map[int]bool
+	// givenUp is set once a member has been withdrawn, so that the gang cannot form.
+	givenUp bool
 }
 
 // gangRef returns the key of a gang run: that of its first member.
@@ -24,17 +26,23 @@
 	return RunRef{Task: id, Run: run}
 }
 
-// noteGangStart records the first start order for a member of a gang run.
-func (l *leaderState) noteGangStart(j *batch.Job, id batch.TaskID, run int, now time.Duration) {
+// formingOf returns the record of a gang run, a new one if there is none.
+func (l *leaderState) formingOf(j *batch.Job, id batch.TaskID, run int, now time.Duration) *formingGang {
 	ref := gangRef(id, run)
-	if l.forming[ref] != nil {
-		return
-	}
-	f := &formingGang{since: now, missing: map[int]bool{}}
-	for i := range j.Rounds[id.Round][id.Step].Tasks {
-		f.missing[i] = true
+	f := l.forming[ref]
+	if f == nil {
+		f = &formingGang{since: now, missing: map[int]bool{}}
+		for i := range j.Rounds[id.Round][id.Step].Tasks {
+			f.missing[i] = true
+		}
+		l.forming[ref] = f
 	}
-	l.forming[ref] = f
+	return f
+}
+
+// giveUpGang records that a member of a gang run will not start.
+func (l *leaderState) giveUpGang(j *batch.Job, id batch.TaskID, run int, now time.Duration) {
+	l.formingOf(j, id, run, now).givenUp = true
 }
 
 // noteGangReport records that a member reports its run. Work that it has done means that all members have joined.
@@ -79,5 +87,5 @@
 	timeout := s.cfg.Limits.GangTimeout
 	// At least half of the time is left to the members, however long the stop takes.
 	limit := max(timeout/2, timeout-s.cfg.Limits.StopGrace-l.longestInterval()-formingMargin)
-	return f != nil && now-f.since > limit
+	return f != nil && (f.givenUp || now-f.since > limit)
 }
--- a/sched/forming_test.go
+++ b/sched/forming_test.go
@@ -81,4 +81,24 @@
 		f.advance(2300 * time.Millisecond)
 		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
 	})
+
+	// Guards against members that wait until their gang times out, because the withdrawal of one that must not start
+	// reached the others two heartbeats later.
+	It("is withdrawn from members that wait as soon as another must not start", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w1")
+		f.workers["w2"].hb.Draining, f.workers["w2"].hb.DrainLeftMS = true, 20_000
+		Expect(f.heartbeat("w2").Starts).To(BeEmpty())
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
+	It("does not begin to start once a member must not", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		Eventually(func() int { return f.runsOn("w1") + f.runsOn("w2") }).Should(Equal(2))
+		f.workers["w2"].hb.Draining, f.workers["w2"].hb.DrainLeftMS = true, 20_000
+		f.heartbeat("w2")
+		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
+	})
 })
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -37,6 +37,9 @@
 				continue
 			}
 			if reason := s.startBlockReason(l, b, w, j, id, run, now); reason != "" {
+				if j.Spec.Steps[id.Step].Gang {
+					l.giveUpGang(j, id, run, now)
+				}
 				s.orderStop(l, w, out, RunRef{Task: id, Run: run}, reason)
 				continue
 			}
@@ -45,7 +48,7 @@
 				continue // with the next heartbeat
 			}
 			if j.Spec.Steps[id.Step].Gang {
-				l.noteGangStart(j, id, run, now)
+				l.formingOf(j, id, run, now)
 			}
 			out.Starts = append(out.Starts, order)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
