Hear often from workers on which a gang forms

A member usually takes the room of its worker, and with more than 100 workers those without room were asked for a heartbeat once a second. A stop for a member that waits for the others, and the report that it has joined, came up to a second late.

Workers with members of a gang that is not known to be at work are now asked for the interval that the rate allows all workers alike, which stays within the rate at any number of them.

"is heard from often until all members have joined, however many workers there are" failed before (1,000 ms asked for with the start order among 300 workers) and passes now.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -45,6 +45,11 @@
 	l.formingOf(j, id, run, now).givenUp = true
 }
 
+// isForming reports whether the gang run of a task is not known to be at work.
+func (l *leaderState) isForming(id batch.TaskID, run int) bool {
+	return len(l.forming) > 0 && l.forming[gangRef(id, run)] != nil
+}
+
 // noteGangReport records that a member reports its run. Work that it has done means that all members have joined.
 func (l *leaderState) noteGangReport(w *worker, r RunState) {
 	if len(l.forming) == 0 {
--- a/sched/forming_test.go
+++ b/sched/forming_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -101,4 +102,22 @@
 		f.heartbeat("w2")
 		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
 	})
+
+	// Guards against stops that arrive a second late: a member takes the room of its worker, and workers without room
+	// were asked for a heartbeat once a second.
+	It("is heard from often until all members have joined, however many workers there are", func() {
+		f := newGangFixture(3 * time.Second)
+		for i := range 300 {
+			f.addWorkers("r1", "dc1", fmt.Sprintf("w%d", i))
+		}
+		f.submitGang("j", 300)
+		Eventually(func() int { return f.runsOn("w0") }).Should(Equal(1))
+		orders := f.heartbeat("w0")
+		Expect(orders.Starts).To(HaveLen(1))
+		Expect(orders.RetryAfterMS).To(BeNumerically("<=", 200))
+		Expect(f.heartbeat("w0").RetryAfterMS).To(BeNumerically("<=", 200))
+		f.heartbeatAll() // starts the others
+		f.heartbeatAll() // reports them
+		Expect(f.heartbeat("w0").RetryAfterMS).To(Equal(1000))
+	})
 })
--- a/sched/interval.go
+++ b/sched/interval.go
@@ -71,10 +71,14 @@
 }
 
 // intervalFor returns the heartbeat interval requested of a worker. Workers that have room, for which there may be
-// orders, get what those without room leave of the rate.
-func (l *leaderState) intervalFor(id string) time.Duration {
+// orders, get what those without room leave of the rate. Those with members of a gang that forms get no longer ones than
+// all would alike, since a stop must reach the members in time.
+func (l *leaderState) intervalFor(id string, forming bool) time.Duration {
 	all, busy := l.heartbeatInterval(), l.longestInterval()
 	if wv := l.room.views[id]; wv != nil && !wv.hasRoom && len(l.pendingOn[id]) == 0 {
+		if forming {
+			return all
+		}
 		return busy
 	}
 	withRoom := time.Duration(l.room.withRoom)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -24,8 +24,7 @@
 		return &Orders{AckedThrough: out.AckedThrough, Fence: out.Fence}
 	}
 	bytesLeft := maxStartsBytes
-	w.interval = l.intervalFor(hb.Worker)
-	out.RetryAfterMS = int(w.interval.Milliseconds())
+	forming := false
 	now := s.cfg.BootClock()
 	l.ledger.View(func(b *batch.State) {
 		for id, run := range b.Runs[hb.Worker] {
@@ -49,12 +48,14 @@
 			}
 			if j.Spec.Steps[id.Step].Gang {
 				l.formingOf(j, id, run, now)
+				forming = true
 			}
 			out.Starts = append(out.Starts, order)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
 			s.keepAvailable(l, b, w, RunRef{Task: id, Run: r.Run})
+			forming = forming || l.isForming(id, r.Run)
 			reason := s.stopReason(l, b, id, r.Run, now)
 			if j := b.Jobs[id.Job]; reason == "" && j != nil && s.leavesBeforeEnd(l, w, j, r, now) {
 				reason = "worker leaves before the run ends"
@@ -65,6 +66,8 @@
 		}
 		s.throttle(l, b, w, out, now)
 	})
+	w.interval = l.intervalFor(hb.Worker, forming)
+	out.RetryAfterMS = int(w.interval.Milliseconds())
 	slices.SortFunc(out.Starts, func(a, c StartOrder) int { return compareTasks(a.Task, c.Task) })
 	return out
 }
