Give a gang that has not formed up in time for late answers

A gang run was given up when Limits.GangTimeout less the longest interval and a margin had passed since the first start order. A stop travels in the answer to a heartbeat, which workers accept up to a second late, and may have to wait for the answer before it. Members ended alone while the leader was 300 to 1,000 ms late or when one answer was lost.

A gang that certainly has not formed is now given up early enough for two late answers: some member has not been ordered to start, its worker has just reported without it, or the last start order is so old that members at work would report it. Otherwise the limit is as before, so that no gang is withdrawn that has just begun to work.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -6,15 +6,22 @@
 	"turmericroute/batch"
 )
 
-// formingMargin is what remains of Limits.GangTimeout when a gang that has not formed is given up, for the stop orders
-// to arrive.
-const formingMargin = 300 * time.Millisecond
+const (
+	// formingMargin is what remains of Limits.GangTimeout when a gang that may have formed is given up, for the stop
+	// orders to arrive.
+	formingMargin = 300 * time.Millisecond
+	// answerTimeout is how long a worker waits for the answer to a heartbeat.
+	answerTimeout = time.Second
+	// workShownAfter is how long after the last start order the members of a gang report resources in use, if all have
+	// joined: the order arrives within answerTimeout, and the figure covers half a second.
+	workShownAfter = answerTimeout + 500*time.Millisecond
+)
 
 // formingGang is a gang run of which members have been ordered to start, and which is not known to be at work.
 type formingGang struct {
-	// since is the boot time of the first start order.
-	since time.Duration
-	// missing holds the indexes of the members that have not reported their run.
+	// since is the boot time of the first start order, orderedAt that of the latest.
+	since, orderedAt time.Duration
+	// missing holds the members that have not reported their run, by index, and whether they have been ordered to start.
 	missing map[int]bool
 	// givenUp is set once a member has been withdrawn, so that the gang cannot form.
 	givenUp bool
@@ -33,13 +40,19 @@
 	if f == nil {
 		f = &formingGang{since: now, missing: map[int]bool{}}
 		for i := range j.Rounds[id.Round][id.Step].Tasks {
-			f.missing[i] = true
+			f.missing[i] = false
 		}
 		l.forming[ref] = f
 	}
 	return f
 }
 
+// noteGangStart records a start order for a member of a gang run.
+func (l *leaderState) noteGangStart(j *batch.Job, id batch.TaskID, run int, now time.Duration) {
+	f := l.formingOf(j, id, run, now)
+	f.missing[id.Index], f.orderedAt = true, now
+}
+
 // giveUpGang records that a member of a gang run will not start.
 func (l *leaderState) giveUpGang(j *batch.Job, id batch.TaskID, run int, now time.Duration) {
 	l.formingOf(j, id, run, now).givenUp = true
@@ -83,14 +96,35 @@
 }
 
 // hasNotFormed reports whether a gang run must be given up because members are still missing: each member waits for
-// the others for Limits.GangTimeout at most, and the stop must reach it before.
-func (s *Scheduler) hasNotFormed(l *leaderState, id batch.TaskID, run int, now time.Duration) bool {
-	if len(l.forming) == 0 || s.cfg.Limits.GangTimeout == 0 {
+// the others for Limits.GangTimeout at most, and the stop must reach it before. The given member is absent if its worker
+// has just reported without it.
+func (s *Scheduler) hasNotFormed(l *leaderState, id batch.TaskID, run int, absent bool, now time.Duration) bool {
+	if !l.isForming(id, run) || s.cfg.Limits.GangTimeout == 0 {
 		return false
 	}
 	f := l.forming[gangRef(id, run)]
+	return f.givenUp || now-f.since > s.formingLimit(l, absent || !f.mayHaveFormed(now))
+}
+
+// mayHaveFormed reports whether all members may have started without having shown work yet.
+func (f *formingGang) mayHaveFormed(now time.Duration) bool {
+	for _, ordered := range f.missing {
+		if !ordered {
+			return false
+		}
+	}
+	return now-f.orderedAt <= workShownAfter
+}
+
+// formingLimit returns how long a gang may take to form. At least half of the time is left to the members, however long
+// the stop takes. A gang that certainly has not formed is given up so early that the stop may come with the answer to the
+// second heartbeat, both answers being as late as workers accept. One that may have begun to work gets more time to
+// report that.
+func (s *Scheduler) formingLimit(l *leaderState, certain bool) time.Duration {
 	timeout := s.cfg.Limits.GangTimeout
-	// At least half of the time is left to the members, however long the stop takes.
-	limit := max(timeout/2, timeout-s.cfg.Limits.StopGrace-l.longestInterval()-formingMargin)
-	return f != nil && (f.givenUp || now-f.since > limit)
+	stopTime := l.longestInterval() + formingMargin
+	if certain {
+		stopTime = l.heartbeatInterval() + 2*answerTimeout
+	}
+	return max(timeout/2, timeout-s.cfg.Limits.StopGrace-stopTime)
 }
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -16,8 +16,8 @@
 )
 
 // newIdleFixture returns a fixture whose scheduler acts only when the test makes it.
-func newIdleFixture() *fixture {
-	f := newFixture()
+func newIdleFixture(change ...func(*sched.Config)) *fixture {
+	f := newFixture(change...)
 	f.stop()
 	<-f.ended
 	f.s = sched.New(f.cfg)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -47,7 +47,7 @@
 				continue // with the next heartbeat
 			}
 			if j.Spec.Steps[id.Step].Gang {
-				l.formingOf(j, id, run, now)
+				l.noteGangStart(j, id, run, now)
 				forming = true
 			}
 			out.Starts = append(out.Starts, order)
@@ -111,7 +111,7 @@
 		return "preempted"
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
 		return "gang is incomplete"
-	case s.hasNotFormed(l, id, run, now):
+	case s.hasNotFormed(l, id, run, true, now):
 		return "gang has not formed in time"
 	case needsTicket(b, j) && l.ticket(id, w.hb.Worker, now) == "":
 		return "ticket has expired"
@@ -149,7 +149,7 @@
 		return "preempted"
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
 		return "gang is incomplete"
-	case s.hasNotFormed(l, id, run, now):
+	case s.hasNotFormed(l, id, run, false, now):
 		return "gang has not formed in time"
 	}
 	return ""
