--- a/soak/calm.go
+++ b/soak/calm.go
@@ -24,9 +24,11 @@
 	if s.cfg.Calm <= 0 {
 		return
 	}
-	s.calmSince.Store(time.Now().UnixNano())
+	began := time.Now()
+	s.calmSince.Store(began.UnixNano())
 	sleep(ctx, s.cfg.Calm)
 	s.calmSince.Store(0)
+	s.calm = span{began, time.Now()}
 }
 
 // inCalm reports whether a calm began before the time began and still lasts.
--- a/soak/config.go
+++ b/soak/config.go
@@ -79,7 +79,7 @@
 	Closing Closing
 	// LeaderChanges and LeadingEnded count the sessions of leaders that began and ended, by the logs.
 	LeaderChanges, LeadingEnded int
-	// CalmNoLeader is the longest time without a leader that a control machine reported in calm.
+	// CalmNoLeader is the longest time in calm in which no control machine led, by the logs.
 	CalmNoLeader time.Duration
 	// Violations describes the broken invariants in the order in which they were found.
 	Violations []string
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/platform/stand"
 	"turmericroute/sched"
 )
 
@@ -76,6 +77,50 @@
 	x.l.configRead("node", version, x.l.newestAcknowledged(), document)
 }
 
+// LeaderEvent is an event in the log of a control machine, at a time after the start of the calm.
+type LeaderEvent struct {
+	After   time.Duration
+	Machine int
+	Kind    string
+}
+
+// LongestGap returns the longest time without a leader in a calm.
+func LongestGap(calm time.Duration, events ...LeaderEvent) time.Duration {
+	from := time.Now()
+	var es []leaderEvent
+	for _, e := range events {
+		es = append(es, leaderEvent{from.Add(e.After), e.Machine, e.Kind})
+	}
+	return longestGap(es, span{from, from.Add(calm)})
+}
+
+// Calm is a soak without processes that is calm since a second ago.
+type Calm struct{ s *soak }
+
+// NewCalm returns a calm soak; with ended, its calm has ended.
+func NewCalm(ended bool) Calm {
+	cfg := Config{Controls: 1, Entries: 1}
+	l := newLedger(time.Second)
+	s := &soak{cfg: cfg, bounds: boundsByName[SmallBounds], ledger: l, cluster: &cluster{cfg: cfg, machines: []*machine{{name: "control-0"}, {name: "entry-1"}}}}
+	if !ended {
+		s.calmSince.Store(time.Now().Add(-time.Minute).UnixNano())
+	}
+	return Calm{s}
+}
+
+// SubmissionEnded records the result of a submission that began a given time ago.
+func (x Calm) SubmissionEnded(ago time.Duration, status int, body string, err error) {
+	x.s.checkCalmSubmission(time.Now().Add(-ago), 0, &job{id: "0a"}, stand.Reply{Status: status, Body: []byte(body)}, err)
+}
+
+// ConfigEnded records the end of a change of the configuration that began a given time ago.
+func (x Calm) ConfigEnded(ago time.Duration) {
+	x.s.checkCalmConfig(time.Now().Add(-ago), 7, "control-0")
+}
+
+// Violations returns all violations.
+func (x Calm) Violations() []string { return x.s.ledger.violations }
+
 // Violations returns all violations.
 func (x Ledger) Violations() []string {
 	var r Report
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -111,3 +111,20 @@
 		Entry("another document", "CONFIG", func() { l.ConfigSent(1, "one", true); l.ConfigRead(1, "two") }),
 	)
 })
+
+// Guards against a report that overlooks short times without a leader in calm.
+var _ = DescribeTable("the longest time without a leader", func(want time.Duration, events ...soak.LeaderEvent) {
+	Expect(soak.LongestGap(10*time.Second, events...)).To(Equal(want))
+},
+	Entry("with one leader", time.Duration(0), soak.LeaderEvent{After: -time.Second, Kind: "leading_began"}),
+	Entry("without a leader", 10*time.Second),
+	Entry("between two leaders", 2*time.Second, soak.LeaderEvent{After: -time.Second, Kind: "leading_began"},
+		soak.LeaderEvent{After: time.Second, Kind: "leading_ended"}, soak.LeaderEvent{After: 3 * time.Second, Machine: 1, Kind: "leading_began"}),
+	Entry("before the first leader", 3*time.Second, soak.LeaderEvent{After: 3 * time.Second, Kind: "leading_began"}),
+	Entry("after the last leader", 4*time.Second, soak.LeaderEvent{After: -time.Second, Kind: "leading_began"}, soak.LeaderEvent{After: 6 * time.Second, Kind: "leading_ended"}),
+	Entry("with an overlap of two leaders", time.Duration(0), soak.LeaderEvent{After: -time.Second, Kind: "leading_began"},
+		soak.LeaderEvent{After: time.Second, Machine: 1, Kind: "leading_began"}, soak.LeaderEvent{After: 3 * time.Second, Kind: "leading_ended"}),
+	Entry("before the calm", time.Duration(0), soak.LeaderEvent{After: -5 * time.Second, Kind: "leading_ended"}, soak.LeaderEvent{After: -time.Second, Kind: "leading_began"}),
+	Entry("after a leader was killed and started again", time.Second, soak.LeaderEvent{After: -time.Second, Kind: "leading_began"},
+		soak.LeaderEvent{After: time.Second, Kind: "started"}, soak.LeaderEvent{After: 2 * time.Second, Kind: "leading_began"}),
+)
--- a/soak/metrics.go
+++ b/soak/metrics.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -10,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"sync"
 	"time"
 
@@ -28,9 +26,6 @@
 // recordedMetric matches the lines of the metrics that metrics.log holds.
 var recordedMetric = regexp.MustCompile(`(?m)^turmericroute_(?:ctrl_(?:dials_total|dial_seconds|no_leader_seconds|leading_ended_total|tick_delay_seconds|turn_seconds|sync_seconds|commit_seconds)|sched_pass_seconds)\b.*$`)
 
-// noLeaderMetric matches the line of the time without a leader.
-var noLeaderMetric = regexp.MustCompile(`(?m)^turmericroute_ctrl_no_leader_seconds (\S+)$`)
-
 // recordMetrics appends the metrics of all control machines to metrics.log until ctx
 // ends, and once more then.
 func (s *soak) recordMetrics(ctx context.Context) {
@@ -81,33 +76,6 @@
 		for _, line := range recordedMetric.FindAll(text, -1) {
 			fmt.Fprintf(&b, "at_s=%.3f machine=%s calm=%v %s\n", began.Sub(s.ledger.startedAt).Seconds(), s.cluster.machines[i].name, calm, line)
 		}
-		if match := noLeaderMetric.FindSubmatch(text); match != nil && calm {
-			if v, err := strconv.ParseFloat(string(match[1]), 64); err == nil {
-				s.calmNoLeader.Store(max(s.calmNoLeader.Load(), int64(v*float64(time.Second))))
-			}
-		}
 	}
 	return b.Bytes()
 }
-
-// countLeaders counts the sessions of leaders that began and ended in the logs of the control machines.
-func (s *soak) countLeaders() (began, ended int) {
-	for _, m := range s.cluster.machines[:s.cfg.Controls] {
-		f, err := os.Open(filepath.Join(s.cfg.Dir, m.name+".log"))
-		if err != nil {
-			continue // recorded when the process could not be started
-		}
-		lines := bufio.NewScanner(f)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			switch line := lines.Bytes(); {
-			case bytes.Contains(line, []byte("event=leading_began")):
-				began++
-			case bytes.Contains(line, []byte("event=leading_ended")):
-				ended++
-			}
-		}
-		f.Close()
-	}
-	return began, ended
-}
--- a/soak/run.go
+++ b/soak/run.go
@@ -48,8 +48,7 @@
 
 	// calmSince is when the current calm began, in Unix nanoseconds; 0 outside of it.
 	calmSince atomic.Int64
-	// calmNoLeader is the longest time without a leader that a control machine reported in calm.
-	calmNoLeader atomic.Int64
+	calm      span // the latest calm, once it has ended
 
 	versionMu sync.Mutex
 	version   uint64 // newest configuration version that was created
@@ -108,8 +107,8 @@
 	stopTraffic()
 	callers.Wait()
 	s.checkCompletion(ctx)
-	r := Report{Seed: cfg.Seed, Faults: s.faults, Closing: cfg.Closing, CalmNoLeader: time.Duration(s.calmNoLeader.Load())}
-	r.LeaderChanges, r.LeadingEnded = s.countLeaders()
+	r := Report{Seed: cfg.Seed, Faults: s.faults, Closing: cfg.Closing}
+	s.reportLeaders(&r)
 	l.finalChecks(&r)
 	return r, ctx.Err() //nolint:wrapcheck // the error of the caller's context.
 }
