Never replace a list of members by an older one

Callers: after a change of leader an instance without a disk may answer no_leader for good, although the members work and it knew them before.

Cause: instances without a disk pass their lists of members on, and each list replaced the one before, whatever its age. An instance that was out of touch while members were replaced hands its old list to all that ask it or are asked by it.

Fix: each list carries the log index that its sender had applied, and an older one is ignored. All instances answer with the members that they know, and learn from the question, members and those that join as well. Fields are only added; a list without an index counts as the oldest.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -93,7 +93,7 @@
 		}
 	}
 	for _, a := range answers {
-		n.learnMembers(a.GetMembers())
+		n.learnMembers(a.GetMembers(), a.GetMembersIndex())
 	}
 	if slices.ContainsFunc(answers, func(a *wire.IdentifyResponse) bool { return a.GetMembership() != nil }) {
 		return n.joinAny(ctx, id, n.joinCandidates(peers, answers))
@@ -151,7 +151,8 @@
 		return nil
 	}
 	sentAt := time.Now()
-	resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{Members: n.knownMembers()})
+	members, index := n.knownMembers()
+	resp, err := wire.NewControlClient(conn).Identify(ctx, &wire.IdentifyRequest{Members: members, MembersIndex: index})
 	if err != nil {
 		if status.Code(err) == codes.DeadlineExceeded {
 			l.callTimedOut(sentAt)
--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -86,7 +86,7 @@
 		return nil, t.leader, callError(ctx, p.Name, sent, err)
 	}
 	l.callAnswered()
-	n.learnMembers(resp.GetMembers())
+	n.learnMembers(resp.GetMembers(), resp.GetMembersIndex())
 	if resp.GetNotLeader() {
 		n.noteRedirect(p.Name, resp.GetLeader())
 		return nil, "", noLeaderError(p.Name)
@@ -213,7 +213,8 @@
 
 // Call answers a request forwarded by another instance.
 func (s *server) Call(ctx context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
-	out := &wire.CallResponse{Leader: s.n.leaderName(), Members: s.n.knownMembers()}
+	out := &wire.CallResponse{Leader: s.n.leaderName()}
+	out.Members, out.MembersIndex = s.n.knownMembers()
 	resp, fail := s.n.respondLocal(ctx, req.GetRequest())
 	if fail != nil && fail.Code == model.CodeNoLeader && fail.Outcome == model.OutcomeNotRun && req.GetRelay() {
 		resp, _, fail = s.n.callOnce(ctx, req.GetRequest(), "")
--- a/ctrl/join_test.go
+++ b/ctrl/join_test.go
@@ -26,15 +26,25 @@
 	return &wire.IdentifyResponse{Name: s.address, Id: "1", Membership: m, Leader: s.leader}, nil
 }
 
-func startOutdatedMember() ctrl.Peer {
-	a := freeAddress()
-	l, err := net.Listen("tcp", a)
+// outdatedInstance answers like an instance without a disk whose list of members is out of date.
+type outdatedInstance struct {
+	wire.UnimplementedControlServer
+	address, member string
+}
+
+func (s *outdatedInstance) Identify(context.Context, *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+	return &wire.IdentifyResponse{Name: s.address, Members: []*wire.Member{{Name: s.member, Address: s.member}}}, nil
+}
+
+// startServer serves s at an address.
+func startServer(address string, s wire.ControlServer) ctrl.Peer {
+	l, err := net.Listen("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
 	srv := grpc.NewServer()
-	wire.RegisterControlServer(srv, &outdatedMember{address: a, leader: freeAddress()})
-	go srv.Serve(l)
+	wire.RegisterControlServer(srv, s)
+	go srv.Serve(l) //nolint:errcheck // returns after Stop.
 	DeferCleanup(srv.Stop)
-	return ctrl.Peer{Name: a, Address: a, Control: true}
+	return ctrl.Peer{Name: address, Address: address, Control: true}
 }
 
 var _ = Describe("an instance with an empty disk", func() {
@@ -46,9 +56,40 @@
 			c.startControl(s.Address, string(rune('a'+i)), true)
 		}
 		c.leader()
-		c.seeds = append([]ctrl.Peer{startOutdatedMember()}, c.seeds...)
+		outdated := &outdatedMember{address: freeAddress(), leader: freeAddress()}
+		c.seeds = append([]ctrl.Peer{startServer(outdated.address, outdated)}, c.seeds...)
 		fresh := freeAddress()
 		c.startControl(fresh, "fresh", false)
 		Eventually(func() string { return c.nodes[fresh].Status().Role }, 2*time.Second, 10*time.Millisecond).Should(Equal("learner"))
 	})
 })
+
+var _ = Describe("a stateless instance", func() {
+	// Guards against a list of members that is replaced by an older one, which passes from instance to instance: when
+	// the leader was lost, the instance had forgotten the other members.
+	It("keeps the newest members that it knows", func() {
+		c := newOpenCluster(3)
+		for i, s := range c.seeds {
+			c.startControl(s.Address, string(rune('a'+i)), true)
+		}
+		leader := c.leader()
+		outdated := &outdatedInstance{address: freeAddress(), member: freeAddress()}
+		n, _ := c.startStateless(ctrl.Peer{Name: leader, Address: leader, Control: true}, startServer(outdated.address, outdated))
+		Expect(call(n, waitTimeout)).To(Equal("asked " + leader))
+		returns := -1
+		for i, p := range c.seeds {
+			if p.Name != leader {
+				returns = i
+			}
+		}
+		c.close(c.seeds[returns].Name)
+		c.close(leader)
+		Eventually(func() error {
+			_, err := call(n, time.Second)
+			return err
+		}, waitTimeout).Should(MatchError(ContainSubstring("no_leader")))
+		c.startControl(c.seeds[returns].Name, string(rune('a'+returns)), false)
+		successor := c.leader()
+		Eventually(func() (string, error) { return call(n, time.Second) }, waitTimeout).Should(Equal("asked " + successor))
+	})
+})
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -44,8 +44,8 @@
 	bootstrapState bootstrapState
 
 	seeds          atomic.Pointer[[]Peer]
-	learnedMembers atomic.Pointer[[]Peer] // members reported by other instances
-	leaderHint     atomic.Pointer[string] // name of the leader; nil or empty if unknown
+	learnedMembers atomic.Pointer[memberList] // the newest members reported by other instances
+	leaderHint     atomic.Pointer[string]     // name of the leader; nil or empty if unknown
 	search         leaderSearch
 	hadLeader      bool                               // whether a leader was known at the last change of role; used on the protocol loop
 	leaderSeenAt   atomic.Int64                       // boot clock time at which a leader was last known or replied
--- a/ctrl/peers.go
+++ b/ctrl/peers.go
@@ -43,7 +43,7 @@
 		add(p)
 	}
 	if known := n.learnedMembers.Load(); known != nil {
-		for _, p := range *known {
+		for _, p := range known.peers {
 			add(p)
 		}
 	}
@@ -74,17 +74,34 @@
 	return n.cfg.OpenMembership || slices.ContainsFunc(*n.seeds.Load(), func(p Peer) bool { return p.Name == joining.Name && p.Control })
 }
 
-// learnMembers stores the members that another instance reports; an empty list is ignored.
-func (n *Node) learnMembers(members []*wire.Member) {
+// memberList is the members as of a log index.
+type memberList struct {
+	peers []Peer
+	index uint64
+}
+
+// learnMembers stores the members that another instance reports as of a log index, unless newer ones are known; an
+// empty list is ignored. Lists pass through instances that keep no log and may have been out of touch for long.
+func (n *Node) learnMembers(members []*wire.Member, index uint64) {
 	if len(members) == 0 {
 		return
 	}
-	list := make([]Peer, len(members))
+	list := memberList{peers: make([]Peer, len(members)), index: index}
 	for i, m := range members {
-		list[i] = Peer{Name: m.GetName(), Address: m.GetAddress(), Control: true}
+		list.peers[i] = Peer{Name: m.GetName(), Address: m.GetAddress(), Control: true}
 	}
-	if before := n.learnedMembers.Swap(&list); before == nil || !slices.Equal(*before, list) {
-		n.cfg.Logger.Log("event", "members_learned", "members", joinNames(list))
+	for {
+		before := n.learnedMembers.Load()
+		if before != nil && index < before.index {
+			return
+		}
+		if !n.learnedMembers.CompareAndSwap(before, &list) {
+			continue
+		}
+		if before == nil || !slices.Equal(before.peers, list.peers) {
+			n.cfg.Logger.Log("event", "members_learned", "members", joinNames(list.peers), "index", index)
+		}
+		return
 	}
 }
 
@@ -96,17 +113,20 @@
 	return strings.Join(names, ",")
 }
 
-// knownMembers returns the members according to this instance's log, or those reported by other instances if it has none.
-func (n *Node) knownMembers() []*wire.Member {
+// knownMembers returns the newer ones of the members according to this instance's log and of those reported by others,
+// and the log index at which they were in force.
+func (n *Node) knownMembers() ([]*wire.Member, uint64) {
+	// The index is read first, so that the members are never older than it says.
+	index := n.machine.Applied()
 	peers := memberPeers(n.applier.membership())
-	if known := n.learnedMembers.Load(); len(peers) == 0 && known != nil {
-		peers = *known
+	if known := n.learnedMembers.Load(); known != nil && (len(peers) == 0 || known.index > index) {
+		peers, index = known.peers, known.index
 	}
 	list := make([]*wire.Member, len(peers))
 	for i, p := range peers {
 		list[i] = &wire.Member{Name: p.Name, Address: p.Address}
 	}
-	return list
+	return list, index
 }
 
 // announceMembers sends the list of members to the seeds that are not members. Instances that know only these seeds,
--- a/ctrl/search.go
+++ b/ctrl/search.go
@@ -122,7 +122,7 @@
 	if answer == nil {
 		return ""
 	}
-	n.learnMembers(answer.GetMembers())
+	n.learnMembers(answer.GetMembers(), answer.GetMembersIndex())
 	name := answer.GetLeader()
 	if name == "" || name == n.cfg.Name {
 		return ""
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -152,10 +152,11 @@
 // Identify returns the name and ID of this instance and the membership it knows.
 func (s *server) Identify(_ context.Context, req *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
 	id, dataLost, m := s.n.bootstrapState.get()
-	if s.n.cfg.Stateless {
-		s.n.learnMembers(req.GetMembers())
+	if s.n.cfg.OpenMembership {
+		s.n.learnMembers(req.GetMembers(), req.GetMembersIndex())
 	}
 	resp := &wire.IdentifyResponse{Name: s.n.cfg.Name, Id: id, Leader: s.n.leaderName()}
+	resp.Members, resp.MembersIndex = s.n.knownMembers()
 	// With open membership Bootstrap is set only at the first start: a disk that is empty later has lost its data.
 	resp.Fresh = id != "" && !dataLost && m == nil && (s.n.cfg.Bootstrap || !s.n.cfg.OpenMembership)
 	switch {
@@ -163,8 +164,6 @@
 		resp.Membership = membershipToWire(s.n.applier.membership())
 	case m != nil:
 		resp.Membership = membershipToWire(*m)
-	case id == "":
-		resp.Members = s.n.knownMembers()
 	}
 	return resp, nil
 }
