Keep the leader while the disks of all members are slow for seconds

Syncs took 2 to 3.4 s on all control instances at once. After 1 s of a sync a member fell silent, so that another could lead; but the others were no faster, and each step of an election needs a sync. A leader now falls silent after 1 s only if its entries are committed, that is, if a majority has saved them sooner; otherwise, and on other members, the bound is 5 s. A leader whose disk alone hangs gives up as before ('of more than a second makes a leader give up its office').

--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -25,9 +25,12 @@
 	// at most one is logged in slowTurnLogInterval.
 	slowTurn            = 200 * time.Millisecond
 	slowTurnLogInterval = time.Second
-	// maxSyncTime is how long the protocol loop goes on while a write is in progress. A member whose disk hangs for
-	// longer must not keep an office in which nothing is committed.
+	// maxSyncTime is how long a leader goes on while a write is in progress that the others have completed. A leader whose
+	// disk hangs must not keep an office in which nothing is committed.
 	maxSyncTime = time.Second
+	// maxSharedSyncTime is the same bound while the others are no faster, when another leader would commit nothing either,
+	// and for members that do not lead.
+	maxSharedSyncTime = 5 * time.Second
 	// viewInterval is how often an instance reads the leader's commit index.
 	viewInterval = 400 * time.Millisecond
 	// viewTimeout bounds one such read and one attempt to find the leader.
--- /dev/null
+++ b/ctrl/hang_test.go
@@ -0,0 +1,39 @@
+package ctrl_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/state"
+)
+
+var _ = Describe("Syncs of several seconds", func() {
+	// Guards against elections, each step of which needs a sync, while the disks of all members are equally slow: for
+	// seconds nothing is answered, not even what needs no disk.
+	It("of all members end no leadership and delay no read", func() {
+		c := newCluster("a", "b", "c", "d", "e")
+		role := &countingRole{}
+		disks := startSlow(c, role)
+		leader := c.nodes[c.leader()]
+		registerWorker(leader, 0)
+		Eventually(role.begun.Load).Should(BeNumerically(">", 0))
+		sessions, term := role.begun.Load(), leader.Status().Term
+		disks.set(2500 * time.Millisecond)
+		committed := make(chan error, 1)
+		go func() {
+			_, err := leader.Execute(context.Background(), state.RegisterWorker{Worker: worker(1)})
+			committed <- err
+		}()
+		for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			start := time.Now()
+			Expect(leader.WhileLeading(context.Background(), func(context.Context) error { return nil })).To(Succeed())
+			Expect(time.Since(start)).To(BeNumerically("<", 300*time.Millisecond))
+		}
+		Eventually(committed, waitTimeout).Should(Receive(BeNil()))
+		Expect(role.begun.Load()).To(Equal(sessions))
+		Expect(leader.Status().Term).To(Equal(term))
+	})
+})
--- a/ctrl/save.go
+++ b/ctrl/save.go
@@ -180,11 +180,11 @@
 	}
 }
 
-// awaitLongSave waits for the write in progress once it has taken maxSyncTime.
-// For the other members this one is then silent, so that they elect another
-// leader or replace it.
+// awaitLongSave waits for the write in progress once it has taken too long. For
+// the other members this one is then silent, so that they elect another leader or
+// replace it.
 func (m *member) awaitLongSave() {
-	if m.saving == nil || clock.SinceBoot()-m.saving.startedAt < maxSyncTime {
+	if m.saving == nil || clock.SinceBoot()-m.saving.startedAt < m.maxSaveTime() {
 		return
 	}
 	waitedFrom := clock.SinceBoot()
@@ -192,6 +192,17 @@
 	m.syncTime += clock.SinceBoot() - waitedFrom
 }
 
+// maxSaveTime returns how long the loop goes on during the write in progress. That
+// its entries are committed tells a leader that a majority has saved them sooner.
+func (m *member) maxSaveTime() time.Duration {
+	entries := m.saving.ready.Entries
+	s := m.protocol.Status()
+	if s.Role == quorum.RoleLeader && len(entries) > 0 && s.Commit >= entries[len(entries)-1].Index {
+		return maxSyncTime
+	}
+	return maxSharedSyncTime
+}
+
 // untilSaved repeats a write, whose first attempt gave err, while the disk is full. Nothing that depends on the
 // write is sent meanwhile, so for the other members this one is silent; a leader
 // steps down.
