Suspend the leader's session while its lease is not held

A pause of the protocol loop of 250 ms, or a lease that ran out, ended the leader's session (loop_stalled, lease_lost), although no other leader was elected and the next round gave the lease back in the same term. Lead began anew and had lost all that it knew of workers, and calls that were being answered failed with an unknown outcome.

The session is now suspended: current is false, so nothing is begun, and answers wait for the lease to be confirmed in the same term. It goes on once the lease is held; it ends with the term, when the member steps down, or when it has been suspended for 1 s. ExecuteIn goes on while suspended, since only the leader of a term can commit in it. The lease that is won back in the same term excludes another leader in between: its majority would refuse the round.

Three instances: with the leader's loop paused for 300 ms three times, Lead began 4 times instead of once before; with all loops paused for 900 ms the answer failed.

--- a/ctrl/call.go
+++ b/ctrl/call.go
@@ -172,7 +172,7 @@
 	if err := f(ctx); err != nil {
 		return err
 	}
-	if _, term, held := n.member.Load().readIndex(ctx); !held || term != session.term {
+	if !n.confirmLease(ctx, session) {
 		return model.Unknown(model.CodeNoLeader, "leadership was lost before the answer")
 	}
 	return nil
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -19,8 +19,13 @@
 const (
 	// tick is the tick interval of package quorum, whose timeouts are counted in ticks.
 	tick = 50 * time.Millisecond
-	// leaderWatchdogTimeout ends leadership when the protocol loop hangs, for instance in a sync; it is below the leader lease.
+	// leaderWatchdogTimeout suspends the leader's session when the protocol loop hangs; it is below the leader lease.
 	leaderWatchdogTimeout = 250 * time.Millisecond
+	// maxSuspension ends a session that stays suspended. It allows for pauses of a process by the operating system, and
+	// is short against the leases of workers, which the leader cannot renew meanwhile.
+	maxSuspension = time.Second
+	// leaseRetryDelay is the pause before a suspended session is asked again whether the lease is held.
+	leaseRetryDelay = 10 * time.Millisecond
 	// slowTurn is the length of a turn of the protocol loop above which it is logged, half the minimum election timeout;
 	// at most one is logged in slowTurnLogInterval.
 	slowTurn            = 200 * time.Millisecond
--- a/ctrl/execute.go
+++ b/ctrl/execute.go
@@ -51,10 +51,11 @@
 }
 
 // ExecuteIn commits c if this instance leads in term, and fails with outcome
-// not_run otherwise.
+// not_run otherwise. It depends on no lease, since only the leader of a term can
+// commit in it.
 func (n *Node) ExecuteIn(ctx context.Context, term uint64, c state.Command) (state.Result, error) {
-	session, ok := n.leadership.current()
-	if !ok || session.term != term {
+	session, ok := n.leadership.in(term)
+	if !ok {
 		return state.Result{}, notLeaderError()
 	}
 	out := n.propose(ctx, session, c)
@@ -275,7 +276,7 @@
 	}
 	// The response renews task leases, which a later leader counts from its election. It must not be sent after
 	// that election, even if this instance notices the loss of its leader lease too late.
-	if _, term, held := n.member.Load().readIndex(ctx); !held || term != session.term {
+	if !n.confirmLease(ctx, session) {
 		return model.PollResponse{}, notLeaderError()
 	}
 	return resp, nil
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -21,6 +21,11 @@
 // Voters returns the voters in the membership that an instance knows.
 func Voters(n *Node) []quorum.Member { return n.member.Load().status.Load().Membership.Voters }
 
+// StallLoop holds up the protocol loop of an instance.
+func StallLoop(n *Node, d time.Duration) error {
+	return n.member.Load().runOnLoop(context.Background(), func(*quorum.Node) { time.Sleep(d) })
+}
+
 // WithSync replaces (*os.File).Sync.
 func (cfg Config) WithSync(sync func(*os.File) error) Config {
 	cfg.sync = sync
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -18,7 +18,11 @@
 	errClosed      = errors.New("closed")
 )
 
-// leadership runs the leader's work while this instance holds the leader lease.
+// leadership runs the leader's work. A session begins once this instance holds the
+// leader lease and lasts while it leads the term. While the lease is not certainly
+// held, the session is suspended: nothing is answered, but the leader's work keeps
+// what it has in memory, since a pause of the process ends before another leader
+// is elected more often than not.
 type leadership struct {
 	// run is called once per session; it returns when ctx ends.
 	run func(ctx context.Context, term uint64)
@@ -29,38 +33,41 @@
 	ctx         context.Context
 	cancel      context.CancelCauseFunc
 	watchdog    *time.Timer
-	deadline    time.Duration // boot clock time; the watchdog timer doesn't advance while the machine is suspended
+	deadline    time.Duration // boot clock time until which the session is not suspended unless lapsed is set
+	lapsed      bool          // the lease was not held at the last update
 	runDone     chan struct{} // closed when the latest run has returned
 }
 
-// leaderSession is a period in which this instance holds the leader lease without
-// interruption, within one term.
+// leaderSession is a period in which this instance leads one term.
 type leaderSession struct {
 	ctx         context.Context
 	term        uint64
 	commitIndex uint64
 }
 
-// update begins, extends or ends the session. The protocol loop calls it with the
-// term, the commit index and whether the lease is held.
-func (l *leadership) update(term, index uint64, held bool) {
+// update begins, extends, suspends or ends the session. The protocol loop calls it
+// with the term, the commit index, whether this instance leads the term, and
+// whether it holds the lease.
+func (l *leadership) update(term, index uint64, leads, held bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.cancel == nil:
 	case term != l.term:
 		l.end(errTermEnded)
-	case !held:
+	case !leads:
 		l.end(errLeaseLost)
-	case l.ctx.Err() != nil:
+	// The watchdog timer doesn't advance while the machine is suspended.
+	case l.ctx.Err() != nil || clock.SinceBoot() > l.deadline+maxSuspension:
 		l.end(errLoopStalled)
 	}
+	l.lapsed = !held
 	switch {
 	case !held:
 	case l.cancel == nil:
 		l.begin(term, index)
 	default:
-		l.watchdog.Reset(leaderWatchdogTimeout)
+		l.watchdog.Reset(leaderWatchdogTimeout + maxSuspension)
 		l.deadline = clock.SinceBoot() + leaderWatchdogTimeout
 	}
 }
@@ -71,7 +78,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	l.ctx, l.cancel = ctx, cancel
 	l.term, l.commitIndex = term, index
-	l.watchdog = time.AfterFunc(leaderWatchdogTimeout, func() { cancel(errLoopStalled) })
+	l.watchdog = time.AfterFunc(leaderWatchdogTimeout+maxSuspension, func() { cancel(errLoopStalled) })
 	l.deadline = clock.SinceBoot() + leaderWatchdogTimeout
 	previous, done := l.runDone, make(chan struct{})
 	l.runDone = done
@@ -91,11 +98,29 @@
 	l.cancel = nil
 }
 
-// current returns the current session, false if this instance does not lead.
+// current returns the current session, false if this instance does not lead or the session is suspended.
 func (l *leadership) current() (leaderSession, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.cancel == nil || l.ctx.Err() != nil || clock.SinceBoot() > l.deadline {
+	if l.lapsed || clock.SinceBoot() > l.deadline {
+		return leaderSession{}, false
+	}
+	return l.session()
+}
+
+// in returns the session of a term, suspended or not, false if it has ended.
+func (l *leadership) in(term uint64) (leaderSession, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if term != l.term {
+		return leaderSession{}, false
+	}
+	return l.session()
+}
+
+// session returns the session, suspended or not; the caller holds l.mu.
+func (l *leadership) session() (leaderSession, bool) {
+	if l.cancel == nil || l.ctx.Err() != nil {
 		return leaderSession{}, false
 	}
 	return leaderSession{ctx: l.ctx, term: l.term, commitIndex: l.commitIndex}, true
@@ -123,8 +148,8 @@
 		n.metrics.leadingEnded(reason).Inc()
 		n.cfg.Logger.Log("event", "leading_ended", "term", term, "reason", reason)
 	}()
-	session, ok := n.leadership.current()
-	if !ok || session.term != term || n.machine.Wait(ctx, session.commitIndex) != nil {
+	session, ok := n.leadership.in(term)
+	if !ok || n.machine.Wait(ctx, session.commitIndex) != nil {
 		return
 	}
 	var wg sync.WaitGroup
@@ -135,6 +160,20 @@
 	wg.Wait()
 }
 
+// confirmLease reports whether this instance holds the leader lease in the term of
+// the session. While the session is suspended it waits, at most until ctx ends.
+func (n *Node) confirmLease(ctx context.Context, session leaderSession) bool {
+	for {
+		_, term, held := n.member.Load().readIndex(ctx)
+		if held {
+			return term == session.term
+		}
+		if _, ok := n.leadership.in(session.term); !ok || !clock.Sleep(ctx, leaseRetryDelay) {
+			return false
+		}
+	}
+}
+
 // maintainMembers promotes learners that have caught up to voters and removes
 // replaced or silent voters, one change at a time.
 func (n *Node) maintainMembers(ctx context.Context, term uint64) {
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -286,7 +286,7 @@
 		m.onChange(s)
 	}
 	index, held := m.protocol.ReadIndex()
-	m.leadership.update(s.Term, index, held)
+	m.leadership.update(s.Term, index, s.Role == quorum.RoleLeader, held)
 }
 
 // runOnLoop runs f on the protocol loop and waits for it.
--- a/ctrl/save.go
+++ b/ctrl/save.go
@@ -213,7 +213,7 @@
 	m.logger.Log("event", "disk_full", "id", m.id, "term", m.protocol.Status().Term, "err", err)
 	m.full.Store(true)
 	defer m.full.Store(false)
-	m.leadership.update(0, 0, false)
+	m.leadership.update(0, 0, false, false)
 	s := *m.status.Load()
 	s.Role, s.Leader = quorum.RoleFollower, ""
 	m.status.Store(&s)
--- a/ctrl/stall_test.go
+++ b/ctrl/stall_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +73,7 @@
 		disks := startSlow(c, role)
 		leader := c.leader()
 		registerWorker(c.nodes[leader], 0)
+		Eventually(role.begun.Load).Should(BeNumerically(">", 0))
 		var others []string
 		for name := range c.nodes {
 			if name != leader {
@@ -127,3 +131,71 @@
 		registerWorker(rest.nodes[rest.leader()], 2)
 	})
 })
+
+var _ = Describe("A pause of the protocol loop", func() {
+	stall := func(d time.Duration, nodes ...*ctrl.Node) *sync.WaitGroup {
+		var wg sync.WaitGroup
+		for _, n := range nodes {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				Expect(ctrl.StallLoop(n, d)).To(Succeed())
+			})
+		}
+		return &wg
+	}
+	// led starts three instances and returns them with the leader, once its role runs.
+	led := func() (*cluster, *countingRole, *ctrl.Node) {
+		c := newCluster("a", "b", "c")
+		role := &countingRole{}
+		startSlow(c, role)
+		leader := c.nodes[c.leader()]
+		registerWorker(leader, 0)
+		Eventually(role.begun.Load).Should(BeNumerically(">", 0))
+		return c, role, leader
+	}
+
+	// Guards against a leader role that loses all that it has in memory because of a pause in which no other leader was
+	// elected, and against answers that are refused although the lease is won back in the same term.
+	DescribeTable("suspends the leader's session and does not end it", func(d time.Duration, all bool) {
+		c, role, leader := led()
+		sessions, term := role.begun.Load(), leader.Status().Term
+		for range 3 {
+			paused := []*ctrl.Node{leader}
+			if all {
+				paused = slices.Collect(maps.Values(c.nodes))
+			}
+			answered := make(chan error, 1)
+			wg := stall(d, paused...)
+			go func() {
+				answered <- leader.WhileLeading(context.Background(), func(context.Context) error { return nil })
+			}()
+			wg.Wait()
+			Eventually(answered, time.Second).Should(Receive(BeNil()))
+			time.Sleep(200 * time.Millisecond)
+		}
+		Expect(role.begun.Load()).To(Equal(sessions))
+		Expect(leader.Status().Term).To(Equal(term))
+	},
+		Entry("of the leader for 300 ms", 300*time.Millisecond, false),
+		Entry("of all members for 900 ms", 900*time.Millisecond, true),
+	)
+
+	// Guards against two leaders that answer at the same time: one that is paused must refuse before another is elected,
+	// and may not go on in its term once it is.
+	It("that lasts until another leader is elected ends the session, and nothing is answered meanwhile", func() {
+		c, role, leader := led()
+		sessions, term := role.begun.Load(), leader.Status().Term
+		wg := stall(2*time.Second, leader)
+		time.Sleep(300 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		err := leader.WhileLeading(ctx, func(context.Context) error { return nil })
+		Expect(model.AsError(err).Code).To(Equal(model.CodeNoLeader))
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+		Eventually(role.begun.Load, 2*time.Second).Should(Equal(sessions+1), "another leads")
+		wg.Wait()
+		_, err = leader.ExecuteIn(context.Background(), term, state.RegisterWorker{Worker: worker(1)})
+		Expect(model.AsError(err).Outcome).To(Equal(model.OutcomeNotRun))
+		registerWorker(c.follower(), 2)
+	})
+})
