Watch gangs that an earlier leader has ordered to start

When the first member of a gang run was ordered to start is known only to the leader that ordered it. The next leader reported members as running that waited, and if another one was not heard from, the gang was never given up: the members ended alone.

A leader now watches a gang run from the first report of a member that it has not ordered to start. Members that are missing are ordered to start. If some are missing 1.5 s after the leader began, members at work would have reported resources in use, and the run is withdrawn.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"time"
 
 	"turmericroute/batch"
@@ -25,6 +26,9 @@
 	missing map[int]bool
 	// givenUp is set once a member has been withdrawn, so that the gang cannot form.
 	givenUp bool
+	// inherited is set once a member has reported that this leader has not ordered to start. It may have waited for the
+	// others for any time.
+	inherited bool
 }
 
 // gangRef returns the key of a gang run: that of its first member.
@@ -63,8 +67,12 @@
 	return len(l.forming) > 0 && l.forming[gangRef(id, run)] != nil
 }
 
-// noteGangReport records that a member reports its run. Work that it has done means that all members have joined.
-func (l *leaderState) noteGangReport(w *worker, r RunState) {
+// noteGangReport records that a member reports its run, first if it is its first report to this leader. Work that it has
+// done means that all members have joined.
+func (l *leaderState) noteGangReport(w *worker, r RunState, first bool, now time.Duration) {
+	if first {
+		l.noteInherited(r, now)
+	}
 	if len(l.forming) == 0 {
 		return
 	}
@@ -76,9 +84,38 @@
 	delete(f.missing, r.Task.Index)
 	if len(f.missing) == 0 || l.showsWork(w, r) {
 		delete(l.forming, ref)
+		l.formed[ref] = true
 	}
 }
 
+// noteInherited records the first report of a member that this leader has not ordered to start.
+func (l *leaderState) noteInherited(r RunState, now time.Duration) {
+	ref := gangRef(r.Task, r.Run)
+	if f := l.forming[ref]; f != nil && f.missing[r.Task.Index] || l.formed[ref] {
+		return
+	}
+	l.ledger.View(func(b *batch.State) {
+		j := b.Open[r.Task.Job]
+		if j == nil {
+			return
+		}
+		t := j.Task(r.Task)
+		if t != nil && t.Active && t.Run == r.Run && j.Spec.Steps[r.Task.Step].Gang {
+			l.formingOf(j, r.Task, r.Run, now).inherited = true
+		}
+	})
+}
+
+// forgetGangs drops the records of gang runs that have ended.
+func (l *leaderState) forgetGangs(b *batch.State) {
+	over := func(ref RunRef) bool {
+		j := b.Open[ref.Task.Job]
+		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
+	}
+	maps.DeleteFunc(l.forming, func(ref RunRef, _ *formingGang) bool { return over(ref) })
+	maps.DeleteFunc(l.formed, func(ref RunRef, _ bool) bool { return over(ref) })
+}
+
 // showsWork reports whether a member of a gang has done any work in its run. One that waits for the others reports the
 // progress and the checkpoint from which it resumes, and uses no resources.
 func (l *leaderState) showsWork(w *worker, r RunState) bool {
@@ -98,12 +135,24 @@
 // hasNotFormed reports whether a gang run must be given up because members are still missing: each member waits for
 // the others for Limits.GangTimeout at most, and the stop must reach it before. The given member is absent if its worker
 // has just reported without it.
+//
+// A new leader does not know for how long a member has waited that an earlier one has ordered to start. It gives the gang
+// run up as soon as it is certain that the gang is not at work.
 func (s *Scheduler) hasNotFormed(l *leaderState, id batch.TaskID, run int, absent bool, now time.Duration) bool {
 	if !l.isForming(id, run) || s.cfg.Limits.GangTimeout == 0 {
 		return false
 	}
 	f := l.forming[gangRef(id, run)]
-	return f.givenUp || now-f.since > s.formingLimit(l, absent || !f.mayHaveFormed(now))
+	switch {
+	case f.givenUp:
+		return true
+	case f.inherited:
+		// The members that have not reported may have joined under an earlier leader. Once their workers have had the time
+		// to report, any work would have been reported as well.
+		return now-l.since > workShownAfter && (absent || !f.mayHaveFormed(now))
+	default:
+		return now-f.since > s.formingLimit(l, absent || !f.mayHaveFormed(now))
+	}
 }
 
 // mayHaveFormed reports whether all members may have started without having shown work yet.
--- a/sched/forming_test.go
+++ b/sched/forming_test.go
@@ -121,3 +121,81 @@
 		Expect(f.heartbeat("w0").RetryAfterMS).To(Equal(1000))
 	})
 })
+
+var _ = Describe("a gang that was ordered to start by an earlier leader", func() {
+	// Guards against members that wait until their gang times out because a new leader did not know that they waited.
+	It("is given up if a member is not heard from", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w1")
+		f.changeLeader()
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+		f.advance(1600 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
+	It("is given up if a member is not heard from, also when it resumed from a checkpoint", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitRunning("j", 2)
+		f.heartbeatAll()
+		f.resume("j", "w1", "c1", 40)
+		f.changeLeader()
+		f.heartbeat("w1")
+		f.advance(1600 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
+	// Guards against a gang that is never given up because a member is ordered to start again and again.
+	It("is given up if the order to start a missing member is lost", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w1")
+		f.changeLeader()
+		f.heartbeat("w1")
+		Expect(f.heartbeat("w2").Starts).To(HaveLen(1))
+		f.workers["w2"].hb.Running = nil // the answer was lost
+		f.advance(1600 * time.Millisecond)
+		Expect(f.heartbeat("w2").Starts).To(BeEmpty())
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+		f.awaitRunning("j", 2)
+		Expect(f.workers["w1"].hb.Running[0].Run).To(Equal(2))
+	})
+
+	It("starts if no member has been started", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		Eventually(func() int { return f.runsOn("w1") + f.runsOn("w2") }).Should(Equal(2))
+		f.changeLeader()
+		f.heartbeatAll()
+		f.heartbeatAll()
+		f.advance(4 * time.Second)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+		Expect(f.running("j")).To(HaveLen(2))
+	})
+
+	It("goes on if all members report it, although it has only just begun", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitRunning("j", 2)
+		f.changeLeader()
+		f.heartbeat("w1")
+		f.advance(time.Second)
+		Expect(f.heartbeat("w2").Stops).To(BeEmpty())
+		f.advance(3 * time.Second)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+	})
+
+	It("goes on if it is at work, although a member is not heard from", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2", "w3")
+		f.submitGang("j", 3)
+		f.awaitRunning("j", 3)
+		f.workers["w1"].hb.Running[0].Gauge = 900
+		f.changeLeader()
+		f.heartbeat("w1")
+		f.heartbeat("w2") // reports no work of its own
+		f.advance(3 * time.Second)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+		Expect(f.heartbeat("w2").Stops).To(BeEmpty())
+	})
+})
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -104,8 +104,10 @@
 func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
 	changed := len(w.running) != len(w.hb.Running)
 	for _, r := range w.hb.Running {
-		l.noteGangReport(w, r)
-		if before, ok := w.running[r.Task]; ok && before.Run == r.Run {
+		before, ok := w.running[r.Task]
+		known := ok && before.Run == r.Run
+		l.noteGangReport(w, r, !known, now)
+		if known {
 			w.running[r.Task] = r
 			continue
 		}
--- a/sched/late_test.go
+++ b/sched/late_test.go
@@ -37,6 +37,8 @@
 	lateness time.Duration
 	// leaderless is set while no leader answers.
 	leaderless bool
+	// leadsUntil is the earliest time of the next change of leader.
+	leadsUntil time.Duration
 	events     simEvents
 	fleet      map[string]*simWorker
 	gangs      map[sched.RunRef]*simGang
@@ -320,6 +322,25 @@
 	})
 }
 
+// changeLeader ends the leader's term; another one without its memory follows after a while.
+func (sim *simulation) changeLeader() {
+	if sim.clock() < sim.leadsUntil {
+		return
+	}
+	sim.leaderless, sim.leadsUntil = true, sim.clock()+6*time.Second+time.Duration(sim.rand.IntN(4000))*time.Millisecond
+	sim.after(time.Duration(500+sim.rand.IntN(700))*time.Millisecond, func() {
+		sim.term++
+		sim.s = sched.New(sim.cfg)
+		sim.s.Begin(context.Background(), sim.term, sim.r)
+		sim.leaderless = false
+	})
+}
+
+func changeLeaderAndSilence(sim *simulation) {
+	sim.changeLeader()
+	sim.silenceOne()
+}
+
 var _ = Describe("gangs of many workers", func() {
 	// Guards against members that wait until their gang times out while the leader is late, or while members are
 	// withheld or silent.
@@ -350,5 +371,9 @@
 		Entry("with a leader that is a second late and workers that are silent", 300, 5*time.Second, time.Second, (*simulation).silenceOne),
 		Entry("with 4 s to form, a leader that is 600 ms late and workers that are silent", 300, 4*time.Second, 600*time.Millisecond, (*simulation).silenceOne),
 		Entry("with few workers, 3 s to form and a leader that is 300 ms late", 40, 3*time.Second, 300*time.Millisecond, (*simulation).silenceOne),
+		Entry("with leaders that change", 300, 5*time.Second, 300*time.Millisecond, (*simulation).changeLeader),
+		Entry("with leaders that change and 4 s to form", 300, 4*time.Second, 300*time.Millisecond, (*simulation).changeLeader),
+		Entry("with leaders that change and workers that are silent", 300, 5*time.Second, 300*time.Millisecond, changeLeaderAndSilence),
+		Entry("with few workers and leaders that change", 40, 3*time.Second, 300*time.Millisecond, (*simulation).changeLeader),
 	)
 })
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -93,6 +93,8 @@
 	heartbeatRate int
 	// forming holds the gang runs that are not known to be at work yet, by gangRef.
 	forming map[RunRef]*formingGang
+	// formed holds the gang runs that are known to be at work, by gangRef.
+	formed map[RunRef]bool
 	// preempting holds the runs that are being preempted, with the ID of the job that they make room for.
 	preempting map[RunRef]string
 	// maintainedAt holds the boot time at which the maintenance of each machine was ordered, until it is over.
@@ -171,7 +173,7 @@
 		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
+		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
 		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
 	}
 	s.mu.Lock()
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -76,7 +76,8 @@
 
 // expiredEnds returns the ends of runs whose leases have expired on any clock, or whose worker's incarnation is known
 // to have ended. They name the runs as of now, since a worker that reports again may get new runs before they are
-// committed. It also drops workers that have been silent for more than four times leaseExpiry.
+// committed. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
+// that have ended.
 func (s *Scheduler) expiredEnds(l *leaderState) []batch.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,6 +103,7 @@
 			}
 		}
 	})
+	l.ledger.View(l.forgetGangs)
 	for id, w := range l.workers {
 		if now-w.heardAt > 4*s.leaseExpiry() {
 			l.forgetWorker(id, w)
