Tell members to instances whose own seeds are down

Callers: a control machine that comes back without its disk stays outside, and an entry that is started again answers no_leader, for as long as all three of its seeds are down, although the members know the address of the one and other entries have the other as their seed.

Cause: members tell only their own seeds that are no members, and instances without a disk tell others only while they search for a leader themselves.

Fix: the leader also tells the members that don't reply, which may have lost their disks, and instances without a disk tell their seeds every 3 s.

--- a/ctrl/cluster_test.go
+++ b/ctrl/cluster_test.go
@@ -38,16 +38,20 @@
 	for _, name := range controls {
 		c.peers = append(c.peers, ctrl.Peer{Name: name, Address: freeAddress(), Control: true})
 	}
-	DeferCleanup(func() {
-		var wg sync.WaitGroup
-		for _, n := range c.nodes {
-			wg.Go(func() { n.Close(context.Background()) })
-		}
-		wg.Wait()
-	})
+	DeferCleanup(c.closeAll)
 	return c
 }
 
+// closeAll closes all instances.
+func (c *cluster) closeAll() {
+	var wg sync.WaitGroup
+	for _, n := range c.nodes {
+		wg.Go(func() { n.Close(context.Background()) })
+	}
+	wg.Wait()
+	clear(c.nodes)
+}
+
 // usedAddresses holds the addresses that freeAddress has returned.
 var usedAddresses sync.Map
 
--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -66,8 +66,10 @@
 	formTimeout = 5 * time.Second
 	// joinTimeout bounds one attempt to join as a learner, since the instance that is asked may be gone or deposed.
 	joinTimeout = time.Second
-	// announceInterval is how often a member sends the list of members to seeds that are not members.
-	announceInterval = time.Second
+	// announceInterval is how often a member sends the list of members to instances that may not know it;
+	// statelessAnnounceInterval is that of stateless instances, of which there are many.
+	announceInterval          = time.Second
+	statelessAnnounceInterval = 3 * time.Second
 	// membershipInterval is how often the leader checks whether the membership should change.
 	membershipInterval = 200 * time.Millisecond
 	// transferTimeout bounds a transfer of leadership.
--- a/ctrl/join_test.go
+++ b/ctrl/join_test.go
@@ -93,3 +93,45 @@
 		Eventually(func() (string, error) { return call(n, time.Second) }, waitTimeout).Should(Equal("asked " + successor))
 	})
 })
+
+var _ = Describe("an instance whose seeds are all down", func() {
+	unreachable := func() []ctrl.Peer {
+		a := freeAddress()
+		return []ctrl.Peer{{Name: a, Address: a, Control: true}}
+	}
+
+	// Guards against a control instance that has lost its disk and waits until one of its seeds is back, although the
+	// members know its address; until it joins, the loss of another disk isn't borne.
+	It("is admitted again by the members that know its address", func() {
+		c := newOpenCluster(3)
+		for i, s := range c.seeds {
+			c.startControl(s.Address, string(rune('a'+i)), true)
+		}
+		leader := c.leader()
+		var lost string
+		for _, s := range c.seeds {
+			if s.Name != leader {
+				lost = s.Name
+			}
+		}
+		c.close(lost)
+		c.seeds = unreachable()
+		c.startControl(lost, "new", false)
+		Eventually(func() string { return c.nodes[lost].Status().Role }, 4*time.Second, 10*time.Millisecond).Should(Or(Equal("learner"), Equal("follower")))
+	})
+
+	// Guards against an instance without a disk that answers no_leader while others that work have it as their seed.
+	It("finds the leader through an instance without a disk whose seed it is", func() {
+		c := newOpenCluster(3)
+		for i, s := range c.seeds {
+			c.startControl(s.Address, string(rune('a'+i)), true)
+		}
+		leader := c.leader()
+		a := freeAddress()
+		n, _ := c.startStateless(append(c.seeds, ctrl.Peer{Name: a, Address: a, Control: true})...)
+		Expect(call(n, waitTimeout)).To(Equal("asked " + leader))
+		time.Sleep(time.Second) // the search of n has ended
+		restarted := c.startStatelessAt(a, unreachable()...)
+		Expect(call(restarted, waitTimeout)).To(Equal("asked " + leader))
+	})
+})
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -100,6 +100,9 @@
 	n.server = newServer(n)
 	if n.cfg.Stateless {
 		n.wg.Go(n.serve)
+		if n.cfg.OpenMembership {
+			n.wg.Go(n.announceMembers)
+		}
 		n.cfg.Logger.Log("event", "caller_started", "name", n.cfg.Name, "address", n.cfg.Address, "seeds", len(n.seedPeers()))
 		return nil
 	}
--- a/ctrl/peers.go
+++ b/ctrl/peers.go
@@ -129,19 +129,43 @@
 	return list, index
 }
 
-// announceMembers sends the list of members to the seeds that are not members. Instances that know only these seeds,
-// for instance after a restart of the whole deployment, find the members through them.
+// announceMembers sends the list of members to instances that may not know them. They find the members through it even
+// if all their own seeds are down.
 func (n *Node) announceMembers() {
-	for clock.Sleep(n.ctx, announceInterval) {
-		if n.member.Load() == nil {
+	interval := announceInterval
+	if n.cfg.Stateless {
+		interval = statelessAnnounceInterval
+	}
+	for clock.Sleep(n.ctx, interval) {
+		if members, _ := n.knownMembers(); len(members) > 0 {
+			n.identifyPeers(n.ctx, n.announceTargets())
+		}
+	}
+}
+
+// announceTargets returns the seeds that are no members and, on the leader, the members that don't reply: they may have
+// lost their disks, and then know no member.
+func (n *Node) announceTargets() []Peer {
+	if n.cfg.Stateless {
+		return n.seedPeers()
+	}
+	m := n.member.Load()
+	if m == nil {
+		return nil
+	}
+	s := m.status.Load()
+	members := memberPeers(s.Membership)
+	targets := slices.DeleteFunc(n.seedPeers(), func(p Peer) bool {
+		return slices.ContainsFunc(members, func(m Peer) bool { return m.Name == p.Name })
+	})
+	for id, other := range s.Members {
+		member, ok := s.Membership.Find(id)
+		if !ok || id == s.ID || other.Active || slices.ContainsFunc(targets, func(p Peer) bool { return p.Name == member.Name }) {
 			continue
 		}
-		members := memberPeers(n.applier.membership())
-		others := slices.DeleteFunc(n.seedPeers(), func(p Peer) bool {
-			return slices.ContainsFunc(members, func(m Peer) bool { return m.Name == p.Name })
-		})
-		n.identifyPeers(n.ctx, others)
+		targets = append(targets, Peer{Name: member.Name, Address: member.Address, Control: true})
 	}
+	return targets
 }
 
 func memberPeers(m quorum.Membership) []Peer {
