Keep entries synced whose successors were replaced during their write

Cause: since syncs run beside the loop, entries of a write in progress may be replaced by a later leader. Only the last entry of a write was compared when it ended; if that was replaced, none of them counted as synced, and entries that were acknowledged were written again: a torn write of them would lose them from this disk, and compaction could pass what counted as synced. The last entry that still matches counts now.

Evidence: 'A write in progress whose last entries are replaced' fails before (the second write repeats entries 3 and 4) and passes; go test ./quorum passes.

--- a/quorum/log.go
+++ b/quorum/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 )
 
@@ -123,10 +124,13 @@
 	}
 }
 
-// stableTo records that the entry at index was synced, unless it has been replaced since.
-func (l *raftLog) stableTo(index, term uint64) {
-	if index > l.stable && l.matches(index, term) {
-		l.stable = index
+// stableTo records that entries were synced, up to the last one that has not been replaced since.
+func (l *raftLog) stableTo(entries []Entry) {
+	for _, e := range slices.Backward(entries) {
+		if l.matches(e.Index, e.Term) {
+			l.stable = max(l.stable, e.Index)
+			return
+		}
 	}
 }
 
--- a/quorum/ready.go
+++ b/quorum/ready.go
@@ -82,8 +82,8 @@
 	if k := len(r.Committed); k > 0 {
 		n.log.applied = max(n.log.applied, r.Committed[k-1].Index)
 	}
-	if k := len(r.Entries); k > 0 && n.pendingSnapshot == nil {
-		n.log.stableTo(r.Entries[k-1].Index, r.Entries[k-1].Term)
+	if n.pendingSnapshot == nil {
+		n.log.stableTo(r.Entries)
 	}
 	if r.HardState != nil {
 		n.syncedTerm = max(n.syncedTerm, r.HardState.Term)
