Keep what a leader knows when it regains its lease in its term

A leader whose lease lapses for a moment (leading_ended with lease_lost or loop_stalled) leads again in the same term, and began with nothing: all workers were unknown until their next heartbeat and nothing was placed, silent workers got a further lease, preemptions were forgotten, and gangs that formed counted as ordered by an earlier leader.

Nobody else can have led between two sessions of one term, so the memory of the workers, gangs, stops, tickets and preemptions still holds. The state of a session (context, wake-ups) is now apart from this memory, which the next session of the term takes over; the doc comment of memory says why that is safe. Starts in flight are dropped when the placement loop ends, and everything counts as changed in the ledger. After a panic the memory is not used again, also if the panic was in a call of an earlier session. A worker counts as silent for a broken gang only since the session began, as it could reach no leader before. A former leader holds the memory until it leads again.

--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -21,6 +21,13 @@
 // Begin starts a term without the goroutines of Lead.
 func (s *Scheduler) Begin(ctx context.Context, term uint64, r state.Replica) { s.begin(ctx, term, r) }
 
+// End ends the session that Begin has begun.
+func (s *Scheduler) End() {
+	s.leader.end()
+	s.leader.ledger.DropChanges()
+	s.finish(s.leader)
+}
+
 // Commit is what becomes of the starts of a pass.
 type Commit int
 
--- a/sched/panic.go
+++ b/sched/panic.go
@@ -30,7 +30,7 @@
 	return s.refused.term == l.term && s.refused.workers[worker]
 }
 
-// recordPanic logs a panic with the subject of the call, and ends the leader's in-memory state.
+// recordPanic logs a panic with the subject of the call, and ends the session that works on the same memory.
 func (s *Scheduler) recordPanic(l *leaderState, c Call, v any) {
 	s.metrics.panics.Inc()
 	s.cfg.Logger.Log("event", "call_panicked", "subject", c.subject(), "term", l.term, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
@@ -42,7 +42,10 @@
 		}
 		s.refused.workers[c.Heartbeat.Worker] = true
 	}
-	l.end()
+	l.spoiled = true
+	if s.leader != nil && s.leader.memory == l.memory {
+		s.leader.end()
+	}
 }
 
 // subject returns what a call is about, for the log.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -47,6 +47,8 @@
 
 	mu     sync.Mutex
 	leader *leaderState
+	// former is the state of the latest session, nil once another one has begun.
+	former *leaderState
 	// refused holds the workers whose heartbeats are refused in a term, see answerSafely.
 	refused struct {
 		term    uint64
@@ -54,14 +56,34 @@
 	}
 }
 
-// leaderState is the in-memory state of a leader; it lasts for a term unless a call panics; its mutable fields are guarded by Scheduler.mu.
+// leaderState is the state of a leader for one session, in which it holds the leader lease without interruption.
 type leaderState struct {
 	ctx     context.Context
 	end     context.CancelFunc // ends ctx
 	term    uint64
 	replica state.Replica
 	ledger  *batch.Ledger
-	// since is the boot time at which the term started.
+	// began is the boot time at which the session began.
+	began time.Duration
+	// wake holds at most one request for a placement pass.
+	wake chan struct{}
+	// passDone is closed when the current placement pass has finished, its commit included, and is then replaced. It is
+	// guarded by Scheduler.mu.
+	passDone chan struct{}
+	*memory
+}
+
+// memory is what a leader knows beyond the ledger; its fields are guarded by Scheduler.mu.
+//
+// It lasts for a term, unless a call panics. A leader that regains its lease in the same term was never replaced, since a
+// majority has acknowledged it in that term and votes for a later one only afterwards. So the workers have had orders and
+// leases from nobody else meanwhile, and what it knows of them, of gangs, stops, tickets and preemptions still holds. What
+// was in flight has been settled: the goroutines of the earlier session have ended, and starts whose commit has failed
+// are not pending. Its calls may still be at work, on the same memory. Everything counts as changed in the ledger.
+type memory struct {
+	// spoiled is set when a call that worked on the memory has panicked.
+	spoiled bool
+	// since is the boot time at which the term's first session began.
 	since time.Duration
 	// pending holds the starts whose commit has not completed, pendingOn their tasks by worker.
 	pending   map[batch.TaskID]batch.Start
@@ -101,10 +123,6 @@
 	maintainedAt map[string]time.Duration
 	// tickets holds the tickets of each step, by stepName.
 	tickets map[string]*tickets
-	// wake holds at most one request for a placement pass.
-	wake chan struct{}
-	// passDone is closed when the current placement pass has finished, its commit included, and is then replaced.
-	passDone chan struct{}
 }
 
 // New returns a scheduler that is idle until Lead is called.
@@ -157,31 +175,45 @@
 	wg.Go(func() { s.adaptRate(l) })
 	wg.Wait()
 	l.ledger.DropChanges()
-	s.mu.Lock()
-	if s.leader == l {
-		s.leader = nil
-	}
-	s.mu.Unlock()
+	s.finish(l)
 	s.cfg.Logger.Log("event", "scheduling_ended", "term", term)
 }
 
-// begin starts a term, in which calls are answered.
+// begin starts a session, in which calls are answered.
 func (s *Scheduler) begin(ctx context.Context, term uint64, r state.Replica) *leaderState {
 	ctx, end := context.WithCancel(ctx)
 	l := &leaderState{
-		ctx: ctx, end: end, term: term, replica: r, ledger: r.Machine().Batch(), since: s.cfg.BootClock(),
-		pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
-		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
-		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{}, brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
+		ctx: ctx, end: end, term: term, replica: r, ledger: r.Machine().Batch(), began: s.cfg.BootClock(),
 		wake: make(chan struct{}, 1), passDone: make(chan struct{}),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leader = l
+	if f := s.former; f != nil && f.term == term && f.ledger == l.ledger && !f.spoiled {
+		l.memory = f.memory
+	} else {
+		l.memory = newMemory(l.began)
+	}
+	s.former, s.leader = nil, l
 	return l
 }
 
+func newMemory(since time.Duration) *memory {
+	return &memory{
+		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
+		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
+		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
+		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
+		brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
+	}
+}
+
+// finish ends a session once its goroutines have returned.
+func (s *Scheduler) finish(l *leaderState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader, s.former = nil, l
+}
+
 // current returns the state of the current term, or an error with CodeNoLeader while this instance does not lead.
 func (s *Scheduler) current() (*leaderState, *model.Error) {
 	s.mu.Lock()
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -60,7 +60,7 @@
 					continue
 				}
 				active++
-				if w := l.workers[t.Worker]; w != nil && now-w.heardAt >= l.silentAfter(w) {
+				if w := l.workers[t.Worker]; w != nil && now-max(w.heardAt, l.began) >= l.silentAfter(w) {
 					id := ref.Task
 					id.Index = i
 					ends = append(ends, batch.End{Task: id, Run: t.Run, Reason: batch.EndLost, Checkpoint: w.running[id].Checkpoint, MayHaveFailed: !known})
