Leave no data centre a majority of the voters

Callers: after one control machine was replaced by another one of its data centre's neighbours, the loss of one data centre, which the deployment is to bear, stops all commits, and with its disks acknowledged entries are gone.

Cause: the leader doesn't know where members run. The spare learner takes the place of a silent voter even if its data centre then has two of three voters, and nothing undoes that when the silent one is back. The first voters stay as they are as well.

The learner whose data centre has the fewest voters is added first; a silent voter is not replaced if a data centre would get a majority by it; and while one has a majority, a learner elsewhere is added and a voter of that data centre is then made a learner.

Open: while a lost voter is replaced, a data centre may hold a majority for a change or two. Where most of the machines are in one data centre, nothing better than the present size is sought.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -120,7 +120,7 @@
 		}
 		withDisk++
 		if i >= 0 && answers[i].GetFresh() {
-			fresh = append(fresh, quorum.Member{Name: p.Name, ID: answers[i].GetId(), Address: p.Address})
+			fresh = append(fresh, quorum.Member{Name: p.Name, ID: answers[i].GetId(), Address: p.Address, DataCentre: answers[i].GetDataCentre()})
 		}
 	}
 	if len(fresh) < withDisk {
@@ -170,7 +170,7 @@
 // It adopts the membership only after all others have persisted it; if it fails
 // midway, the next attempt finds the membership at one of them.
 func (n *Node) formCluster(ctx context.Context, id string, peers []quorum.Member) error {
-	m := quorum.Membership{Voters: []quorum.Member{{Name: n.cfg.Name, ID: id, Address: n.cfg.Address}}}
+	m := quorum.Membership{Voters: []quorum.Member{{Name: n.cfg.Name, ID: id, Address: n.cfg.Address, DataCentre: n.cfg.DataCentre}}}
 	for _, p := range peers {
 		if p.Name < n.cfg.Name {
 			return fmt.Errorf("waiting for %s to form the membership", p.Name)
@@ -239,7 +239,7 @@
 	if conn == nil {
 		return fmt.Errorf("join: %s cannot be reached", p.Name)
 	}
-	self := quorum.Member{Name: n.cfg.Name, ID: id, Address: n.cfg.Address}
+	self := quorum.Member{Name: n.cfg.Name, ID: id, Address: n.cfg.Address, DataCentre: n.cfg.DataCentre}
 	resp, err := wire.NewControlClient(conn).Join(ctx, &wire.JoinRequest{Member: memberToWire(self)})
 	switch {
 	case err != nil:
--- a/ctrl/convert.go
+++ b/ctrl/convert.go
@@ -26,11 +26,11 @@
 }
 
 func memberToWire(m quorum.Member) *wire.Member {
-	return &wire.Member{Name: m.Name, Id: m.ID, Address: m.Address}
+	return &wire.Member{Name: m.Name, Id: m.ID, Address: m.Address, DataCentre: m.DataCentre}
 }
 
 func memberFromWire(m *wire.Member) quorum.Member {
-	return quorum.Member{Name: m.GetName(), ID: m.GetId(), Address: m.GetAddress()}
+	return quorum.Member{Name: m.GetName(), ID: m.GetId(), Address: m.GetAddress(), DataCentre: m.GetDataCentre()}
 }
 
 func membershipToWire(m quorum.Membership) *wire.Membership {
--- a/ctrl/open.go
+++ b/ctrl/open.go
@@ -59,23 +59,44 @@
 	even := voters%2 == 0
 	// An odd number of voters has the same majority as the even number below it.
 	mayRemove := voters > 1 && !even || voters/2 > toleratedLosses
-	isReplaced := func(v quorum.Member) bool { return v.ID != s.ID && hasReplacement(s.Membership, caughtUp, v) }
-	if i := slices.IndexFunc(s.Membership.Voters, isReplaced); i >= 0 && mayRemove {
-		v := s.Membership.Voters[i]
-		return s.Membership.Without(v.ID), "remove lost voter " + v.Name
+	isLost := func(v quorum.Member) bool { return v.ID != s.ID && hasReplacement(s.Membership, caughtUp, v) }
+	for _, v := range s.Membership.Voters {
+		next := s.Membership.Without(v.ID)
+		if isLost(v) && mayRemove && !worsensSpread(s.Membership, next) {
+			return next, "remove lost voter " + v.Name
+		}
 	}
 	full := voters >= max(maxOpenVoters, 2*toleratedLosses+1)
 	tooFew := voters < 2*toleratedLosses
-	if len(caughtUp) > 0 && !full && (even || tooFew) {
-		return s.Membership.WithVoter(caughtUp[0]), "add voter " + caughtUp[0].Name
+	if l, ok := bestSpread(s.Membership, caughtUp); ok && !full && (even || tooFew) {
+		next := s.Membership.WithVoter(l)
+		// Two voters survive no failure at all, and a lost voter can be removed from an odd number only.
+		if tooFew || voters == 2 || slices.ContainsFunc(s.Membership.Voters, isLost) || !worsensSpread(s.Membership, next) {
+			return next, "add voter " + l.Name
+		}
 	}
 	for _, v := range s.Membership.Voters {
-		if silent[v.ID] && (len(caughtUp) > 0 || even) && mayRemove {
-			return s.Membership.Without(v.ID), "remove silent voter " + v.Name
+		if !silent[v.ID] || !mayRemove {
+			continue
+		}
+		next := s.Membership.Without(v.ID)
+		l, ok := bestSpread(next, caughtUp)
+		if even && !worsensSpread(s.Membership, next) || !even && ok && !worsensSpread(s.Membership, next.WithVoter(l)) {
+			return next, "remove silent voter " + v.Name
+		}
+	}
+	if v, ok := crowdedVoter(s); even && mayRemove && ok {
+		if next := s.Membership.WithLearner(v); !worsensSpread(s.Membership, next) {
+			return next, "demote voter " + v.Name
 		}
 	}
-	if len(caughtUp) > 1 && !full {
-		return s.Membership.WithVoter(caughtUp[0]), "add voter " + caughtUp[0].Name
+	if l, ok := bestSpread(s.Membership, caughtUp); ok && !even {
+		larger := s.Membership.WithVoter(l)
+		second, ok := bestSpread(larger, without(caughtUp, l))
+		grows := ok && !full && !worsensSpread(s.Membership, larger.WithVoter(second))
+		if grows || improvesSpread(s, larger) {
+			return larger, "add voter " + l.Name
+		}
 	}
 	return quorum.Membership{}, ""
 }
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -155,7 +155,7 @@
 	if s.n.cfg.OpenMembership {
 		s.n.learnMembers(req.GetMembers(), req.GetMembersIndex())
 	}
-	resp := &wire.IdentifyResponse{Name: s.n.cfg.Name, Id: id, Leader: s.n.leaderName()}
+	resp := &wire.IdentifyResponse{Name: s.n.cfg.Name, Id: id, Leader: s.n.leaderName(), DataCentre: s.n.cfg.DataCentre}
 	resp.Members, resp.MembersIndex = s.n.knownMembers()
 	// With open membership Bootstrap is set only at the first start: a disk that is empty later has lost its data.
 	resp.Fresh = id != "" && !dataLost && m == nil && (s.n.cfg.Bootstrap || !s.n.cfg.OpenMembership)
--- a/quorum/types.go
+++ b/quorum/types.go
@@ -29,6 +29,8 @@
 	ID string `json:"id"`
 	// Address is the gRPC address, host:port.
 	Address string `json:"address"`
+	// DataCentre is where the instance runs, empty if unknown; the protocol itself doesn't use it.
+	DataCentre string `json:"data_centre,omitempty"`
 }
 
 // Membership is a set of voters and learners; messages address members by ID.
