Elect a leader while each sync takes seconds

Found by the review. Cause: a candidate's timer ran while its own vote was being written, voters' timers while theirs were, and another election then needed another sync of all. Requests for votes left after the candidate's own sync, pre-votes waited for unrelated writes. Fix: a member begins no other election before its term and vote are on disk, and gives the others as long again. Pre-votes and their answers promise nothing and are sent at once; requests for votes are, too: a candidate's own vote counts only once it is synced, so one that crashes before has not voted.

The chaos and property tests of quorum, whose network now delivers these messages before the sync, pass.

--- a/ctrl/hang_test.go
+++ b/ctrl/hang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,4 +37,28 @@
 		Expect(role.begun.Load()).To(Equal(sessions))
 		Expect(leader.Status().Term).To(Equal(term))
 	})
+
+	// Guards against elections that never end while each of their steps takes as long as a sync: candidates and voters
+	// began another one before the disks had saved their votes.
+	It("of all members don't keep a leader from being elected", func() {
+		c := newCluster("a", "b", "c", "d", "e")
+		disks := startSlow(c, nil)
+		old := c.leader()
+		registerWorker(c.nodes[old], 0)
+		disks.set(2500 * time.Millisecond)
+		rest := &cluster{nodes: maps.Clone(c.nodes)}
+		delete(rest.nodes, old)
+		go c.nodes[old].Close(context.Background())
+		leads := func() bool {
+			for _, n := range rest.nodes {
+				if n.WhileLeading(context.Background(), func(context.Context) error { return nil }) == nil {
+					return true
+				}
+			}
+			return false
+		}
+		start := time.Now()
+		Eventually(leads, 30*time.Second, 20*time.Millisecond).Should(BeTrue())
+		GinkgoWriter.Println("another leader after", time.Since(start))
+	})
 })
--- a/ctrl/save.go
+++ b/ctrl/save.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// The leader's messages don't depend on its own disk: they are sent before its
-// sync, so that followers sync concurrently. All others are sent after it.
+// Messages that don't depend on this disk are sent before its sync, so that others
+// sync concurrently. All others are sent after it.
 const (
 	beforeSync = true
 	afterSync  = false
@@ -107,15 +107,8 @@
 
 func (m *member) send(messages []quorum.Message, before bool) {
 	for _, msg := range messages {
-		switch msg.Kind {
-		case quorum.MessageAppend, quorum.MessageHeartbeat, quorum.MessageSnapshot:
-			if before {
-				m.transport.Send(msg)
-			}
-		default:
-			if !before {
-				m.transport.Send(msg)
-			}
+		if quorum.SentBeforeSync(msg) == before {
+			m.transport.Send(msg)
 		}
 	}
 }
--- a/quorum/net_test.go
+++ b/quorum/net_test.go
@@ -204,7 +204,7 @@
 	h.pending = &r
 	early := w.rng.Intn(2) == 0
 	for _, m := range r.Messages {
-		if early && maySendBeforeSync(m) {
+		if early && quorum.SentBeforeSync(m) {
 			w.transmit(h, m)
 		}
 	}
@@ -216,7 +216,7 @@
 		h.disk.save(r)
 		h.pending = nil
 		for _, m := range r.Messages {
-			if !early || !maySendBeforeSync(m) {
+			if !early || !quorum.SentBeforeSync(m) {
 				w.transmit(h, m)
 			}
 		}
@@ -235,11 +235,6 @@
 	}
 }
 
-// maySendBeforeSync reports whether m may be sent before the sync.
-func maySendBeforeSync(m quorum.Message) bool {
-	return m.Kind == quorum.MessageAppend || m.Kind == quorum.MessageHeartbeat || m.Kind == quorum.MessageSnapshot
-}
-
 func (w *network) apply(h *host, r quorum.Ready) {
 	if r.Snapshot != nil {
 		h.applied, h.state = r.Snapshot.Index, binary.BigEndian.Uint64(r.Snapshot.Data)
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -29,6 +29,7 @@
 	pendingSnapshot *Snapshot // received and not yet returned by Ready
 	prevHardState   HardState // last returned by Ready
 	syncedTerm      uint64    // latest term that is on disk
+	syncedVote      string    // vote in syncedTerm that is on disk
 	readyPending    bool      // Ready returned work for which Advance was not called yet
 }
 
@@ -52,7 +53,7 @@
 		return nil, fmt.Errorf("new member %s: %w", cfg.ID, err)
 	}
 	n.prevHardState = HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
-	n.syncedTerm = n.term
+	n.syncedTerm, n.syncedVote = n.term, n.vote
 	n.becomeFollower(n.term, "")
 	n.resetTimer()
 	return n, nil
@@ -140,18 +141,23 @@
 		n.tickLeader()
 	case RoleLearner:
 	case RolePreCandidate, RoleCandidate:
-		if n.elapsed >= n.timeout {
+		if n.elapsed >= n.timeout && n.voteSynced() {
 			n.campaign(RolePreCandidate)
 		} else if n.elapsed%n.cfg.HeartbeatTicks == 0 {
 			n.requestVotes()
 		}
 	default:
-		if n.elapsed >= n.timeout {
+		if n.elapsed >= n.timeout && n.voteSynced() {
 			n.campaign(RolePreCandidate)
 		}
 	}
 }
 
+// voteSynced reports whether the term and the vote are on disk. Until then this
+// member starts no other election: on slow disks, elections that each need a sync
+// would replace each other.
+func (n *Node) voteSynced() bool { return n.syncedTerm == n.term && n.syncedVote == n.vote }
+
 const (
 	// firstElections is the number of elections without a leader after which the timeout is doubled at each further
 	// one. Split votes end within them, so the back-off delays no election in a healthy network.
--- a/quorum/ready.go
+++ b/quorum/ready.go
@@ -14,8 +14,8 @@
 	// Entries must be appended and synced before Messages are sent; they
 	// replace all entries from their first index on.
 	Entries []Entry
-	// Messages may be lost in transit. Messages of kinds MessageAppend,
-	// MessageHeartbeat and MessageSnapshot may be sent before the sync.
+	// Messages may be lost in transit. Those for which SentBeforeSync returns true
+	// may be sent before the sync.
 	Messages []Message
 	// Committed entries must be applied in order.
 	Committed []Entry
@@ -53,14 +53,29 @@
 	return r, true
 }
 
+// SentBeforeSync reports whether a message may be sent before the sync that is due
+// with it: the messages of a leader, whose own disk counts like any other, and
+// pre-votes, which promise nothing. A candidate's own vote counts only once it is
+// synced, so its requests may be sent before as well; the others then sync at the
+// same time.
+func SentBeforeSync(m Message) bool {
+	switch m.Kind {
+	case MessageAppend, MessageHeartbeat, MessageSnapshot, MessagePreVote, MessagePreVoteReply, MessageVote:
+		return true
+	default:
+		return false
+	}
+}
+
 // Immediate returns the pending messages that depend on no sync, so that they can
-// be sent between Ready and Advance: a leader's heartbeats, and answers to
-// heartbeats in a term that is on disk. A slow sync then ends no lease.
+// be sent between Ready and Advance: a leader's heartbeats, answers to heartbeats
+// in a term that is on disk, pre-votes and requests for votes. A slow sync then
+// ends no lease and delays elections less.
 func (n *Node) Immediate() []Message {
 	var out []Message
 	n.messages = slices.DeleteFunc(n.messages, func(m Message) bool {
 		switch {
-		case m.Kind == MessageHeartbeat:
+		case m.Kind == MessageHeartbeat, m.Kind == MessagePreVote, m.Kind == MessagePreVoteReply, m.Kind == MessageVote:
 		case m.Kind == MessageHeartbeatReply && m.Term <= n.syncedTerm:
 			m.Index = n.log.last()
 		default:
@@ -85,8 +100,11 @@
 	if n.pendingSnapshot == nil {
 		n.log.stableTo(r.Entries)
 	}
-	if r.HardState != nil {
-		n.syncedTerm = max(n.syncedTerm, r.HardState.Term)
+	if hs := r.HardState; hs != nil && (hs.Term != n.syncedTerm || hs.Vote != n.syncedVote) {
+		n.syncedTerm, n.syncedVote = hs.Term, hs.Vote
+		if n.role != RoleLeader {
+			n.resetTimer() // the others need as long for their votes
+		}
 	}
 	if hs := r.HardState; n.role == RoleCandidate && hs != nil && hs.Term == n.term && hs.Vote == n.id {
 		n.votes[n.id] = true
