Count calls that wait at the same time as one towards a silent connection

What callers saw: a follower drops its connection to the leader, with all calls on it and its replies to heartbeats, because several calls wait for the same slow commit; each of the concurrent timeouts counted as a consecutive one. At scale the leader's lease goes. Fix: calls that were sent before the last counted timeout don't count, nor do those since which an answer or a reply has been received.

--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -36,10 +36,13 @@
 	changed chan struct{}
 	// unansweredSince is when the first of the requests without a reply was sent, lastRequestAt when the last was.
 	unansweredSince, lastRequestAt time.Time
-	// timeouts counts consecutive calls that timed out; callUnansweredSince is when the first call since the last answer
-	// was sent.
+	// timeouts counts consecutive calls that timed out, of those that waited at the same time one; the last was counted at
+	// timedOutAt. callUnansweredSince is when the first call since the last answer was sent.
 	timeouts            int
+	timedOutAt          time.Time
 	callUnansweredSince time.Time
+	// heardAt is when the last answer to a call, or reply to a message, was received.
+	heardAt time.Time
 	// patience counts the consecutive connections that were dropped as silent, up to maxPatience. Each doubles the silence
 	// that the next one may keep: a new connection costs an instance that is merely slow more than an answer.
 	patience int
@@ -228,13 +231,18 @@
 }
 
 // callTimedOut records a call that had no answer since it was sent; the second consecutive one drops the connection, later
-// ones if earlier connections were dropped as well. A call with little time left says nothing about the connection.
+// ones if earlier connections were dropped as well. A call with little time left says nothing about the connection, nor
+// does one that is slow while others are answered.
 func (l *link) callTimedOut(sentAt time.Time) {
 	if time.Since(sentAt) < minTimedOut {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.heardAt.After(sentAt) || l.timedOutAt.After(sentAt) {
+		return
+	}
+	l.timedOutAt = time.Now()
 	if l.timeouts++; l.timeouts > 1<<l.patience {
 		l.dropSilent()
 	}
@@ -254,14 +262,14 @@
 func (l *link) replyReceived() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unansweredSince, l.patience = time.Time{}, 0
+	l.unansweredSince, l.patience, l.heardAt = time.Time{}, 0, time.Now()
 }
 
 // callAnswered records a call that was answered in time.
 func (l *link) callAnswered() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unansweredSince, l.timeouts, l.callUnansweredSince, l.patience = time.Time{}, 0, time.Time{}, 0
+	l.unansweredSince, l.timeouts, l.callUnansweredSince, l.patience, l.heardAt = time.Time{}, 0, time.Time{}, 0, time.Now()
 }
 
 func (p *linkPool) dial(ctx context.Context, address string) (net.Conn, error) {
