Wait with maintenance orders until no earlier leader gives any

The next leader waits 1.5 s more than the handover delay now. That two orders reached the provider was not shown by a test. go test ./sched passes.

--- a/sched/maintenance.go
+++ b/sched/maintenance.go
@@ -16,6 +16,9 @@
 	maintenanceInterval = 250 * time.Millisecond
 	// orderTimeout bounds one maintenance order to the provider.
 	orderTimeout = 2 * time.Second
+	// formerLeaderMargin is how long an earlier leader may go on after the next one has begun: its session outlasts its
+	// lease while it may still win that back.
+	formerLeaderMargin = 1500 * time.Millisecond
 	// rejoinMargin is the time that a machine needs to rejoin after its maintenance.
 	rejoinMargin = 1500 * time.Millisecond
 )
@@ -25,9 +28,9 @@
 
 // runMaintenance carries out maintenance waves until the term ends: it orders the maintenance of each machine,
 // at most Wave.MaxConcurrent at once. A new leader first waits for HandoverDelay, the minimum time between orders of
-// two leaders for one machine.
+// two leaders for one machine, from the time at which no earlier leader gives orders any more.
 func (s *Scheduler) runMaintenance(l *leaderState) {
-	if s.cfg.Provider == nil || !clock.Sleep(l.ctx, s.cfg.Limits.HandoverDelay+leaseMargin) {
+	if s.cfg.Provider == nil || !clock.Sleep(l.ctx, s.cfg.Limits.HandoverDelay+formerLeaderMargin) {
 		return
 	}
 	down := map[int64]downSince{}
