--- a/ctrl/dial.go
+++ b/ctrl/dial.go
@@ -69,8 +69,8 @@
 	return t
 }
 
-// dialing is one dial of a connection.
-type dialing struct {
+// dialAttempt is one dial of a connection.
+type dialAttempt struct {
 	pool       *linkPool
 	startedAt  time.Time
 	accepted   chan struct{} // closed when the machine has accepted the connection
@@ -78,7 +78,7 @@
 }
 
 // dialContext connects and records that the machine has accepted the connection.
-func (d *dialing) dialContext(ctx context.Context, address string) (net.Conn, error) {
+func (d *dialAttempt) dialContext(ctx context.Context, address string) (net.Conn, error) {
 	c, err := d.pool.dial(ctx, address)
 	if err == nil {
 		d.acceptOnce.Do(func() { close(d.accepted) })
@@ -87,7 +87,7 @@
 }
 
 // waitReady waits until the connection can be used, and returns how the dial ended.
-func (d *dialing) waitReady(ctx context.Context, conn *grpc.ClientConn, timeouts dialTimeouts) dialResult {
+func (d *dialAttempt) waitReady(ctx context.Context, conn *grpc.ClientConn, timeouts dialTimeouts) dialResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timedOut := make(chan dialResult, 1)
@@ -111,7 +111,7 @@
 }
 
 // timeOut waits until a bound of the dial has passed or ctx ends, and returns what the dial was waiting for.
-func (d *dialing) timeOut(ctx context.Context, timeouts dialTimeouts) dialResult {
+func (d *dialAttempt) timeOut(ctx context.Context, timeouts dialTimeouts) dialResult {
 	select {
 	case <-d.accepted:
 	case <-time.After(timeouts.accept()):
@@ -127,7 +127,7 @@
 }
 
 // record counts the dial.
-func (d *dialing) record(r dialResult) {
+func (d *dialAttempt) record(r dialResult) {
 	d.pool.dials[r].Inc()
 	if r == dialConnected {
 		d.pool.dialSeconds.UpdateDuration(d.startedAt)
--- a/ctrl/link.go
+++ b/ctrl/link.go
@@ -128,7 +128,7 @@
 func (l *link) connectOnce(timeouts dialTimeouts) dialResult {
 	ctx, cancel := context.WithCancel(l.pool.ctx)
 	defer cancel()
-	d := &dialing{pool: l.pool, startedAt: time.Now(), accepted: make(chan struct{})}
+	d := &dialAttempt{pool: l.pool, startedAt: time.Now(), accepted: make(chan struct{})}
 	conn, err := grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(l.pool.credentials),
 		grpc.WithContextDialer(d.dialContext), grpc.WithStatsHandler(sendRecorder{}),
@@ -155,7 +155,7 @@
 }
 
 // logDial logs failed dials in a row at each doubling of their number, and the connection after them.
-func (l *link) logDial(d *dialing, r dialResult) {
+func (l *link) logDial(d *dialAttempt, r dialResult) {
 	if r == dialConnected {
 		if l.failedDials > 0 {
 			l.pool.logger.Log("event", "link_connected", "address", l.address, "failed_dials", l.failedDials, "after_ms", time.Since(l.failingSince).Milliseconds(), "dial_ms", time.Since(d.startedAt).Milliseconds())
