--- a/ctrl/members_test.go
+++ b/ctrl/members_test.go
@@ -237,6 +237,21 @@
 		})
 	})
 
+	// Guards against a membership that can elect no leader any more, once two disks are lost while a silent voter, which
+	// comes back with its disk, has been removed and its replacement doesn't vote yet.
+	It("keeps a majority when two disks are lost before a silent voter is replaced", func() {
+		m := quorum.Membership{Learners: []quorum.Member{{Name: "f", ID: "f1"}}}
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			m.Voters = append(m.Voters, quorum.Member{Name: name, ID: name + "1"})
+		}
+		s := quorum.Status{ID: "a1", Role: quorum.RoleLeader, Membership: m, Members: map[string]quorum.MemberStatus{
+			"b1": {Active: true}, "c1": {Active: true}, "d1": {Active: true}, "f1": {Active: true, CaughtUp: true},
+		}}
+		next, change := ctrl.NextOpenMembership(s, map[string]bool{"e1": true}, 2)
+		Expect(change).NotTo(BeEmpty())
+		Expect(len(next.Voters)-2).To(BeNumerically(">=", len(next.Voters)/2+1), change)
+	})
+
 	// Guards against a loss of acknowledged entries: both silent voters of five were removed, and the entries
 	// committed by the remaining three were gone with two disks.
 	It("keeps committed entries when two disks are lost after two voters were silent", func() {
