Wait for the end of a killed worker before it is started again in a test

Cause: the test started the worker's next life while the goroutines of the former one still ran, which records the end of its tasks last; a machine that restarts runs one life at a time, and the driver rightly takes the later life for the end of the former one.

--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -105,11 +105,13 @@
 
 func (s *cluster) startWorker(name, dc string, cfg fakes.WorkerConfig) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	s.kill[name] = cancel
+	ended := make(chan struct{})
+	s.kill[name] = func() { cancel(); <-ended }
 	cfg.Worker = model.Worker{Name: name, DataCentre: dc, Rack: dc + "-r1", Incarnation: fmt.Sprint(name, "-", time.Now().UnixNano()), Capacity: perWorker}
 	cfg.Addresses, cfg.Ledger, cfg.StepInterval = []string{s.server.Listener.Addr().String()}, s.ledger, 10*time.Millisecond
 	s.workers[name] = fakes.NewWorker(cfg)
-	go s.workers[name].Run(ctx)
+	w := s.workers[name]
+	go func() { defer close(ended); w.Run(ctx) }()
 }
 
 func (s *cluster) submit(id, team string, shape model.Shape, work float64, change func(*model.JobSpec)) {
