Give up an unreported run only when no order to start it can arrive

What callers may see: two runs of one task (TWICE). A member of a broken gang on a silent worker was given up 0.9 s after its last heartbeat; the worker accepts the answer to that heartbeat, and with it an order to start the run, for up to a second.

Evidence: sched 'doesn't restart while an order to start a silent member may still arrive' fails before (3 starts, 1 expected; 2 of 2 runs) and passes (2 of 2); go test ./sched ./batch ./platform and the linter pass.

--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -368,6 +368,28 @@
 		f.awaitRunning("j", 2)
 	})
 
+	// Guards against two runs of one task: the order to start a member is under way for up to a second while the run of its
+	// silent worker is given up and its gang starts again elsewhere.
+	It("doesn't restart while an order to start a silent member may still arrive", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
+		f.awaitRunning("j", 2)
+		delete(f.workers, "w2") // it has not reported the run that it was ordered to start
+		f.addWorkers("r1", "dc1", "w3")
+		f.workers["w1"].end(f.workers["w1"].hb.Running[0].Task, batch.EndGangBroken)
+		f.heartbeat("w1")
+		before := f.starts("j")
+		f.advance(950 * time.Millisecond)
+		for range 25 {
+			f.heartbeatAll()
+			time.Sleep(20 * time.Millisecond) // sweeps and passes run in real time
+		}
+		Expect(f.starts("j")).To(Equal(before))
+		f.advance(time.Second)
+		f.awaitRunning("j", 2)
+	})
+
 	// Guards against a gang that is started a third time after two failures: the silent member was the one that had
 	// failed, and its gang was restarted before it could report that.
 	It("is not restarted for its last attempt while the silent member may have failed", func() {
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -60,9 +60,9 @@
 					continue
 				}
 				active++
-				if w := l.workers[t.Worker]; w != nil && now-max(w.heardAt, l.began) >= l.silentAfter(w) {
-					id := ref.Task
-					id.Index = i
+				id := ref.Task
+				id.Index = i
+				if w := l.workers[t.Worker]; w != nil && now-max(w.heardAt, l.began) >= l.givenUpAfter(w, RunRef{Task: id, Run: t.Run}) {
 					ends = append(ends, batch.End{Task: id, Run: t.Run, Reason: batch.EndLost, Checkpoint: w.running[id].Checkpoint, MayHaveFailed: !known})
 				}
 			}
@@ -74,6 +74,15 @@
 	return ends
 }
 
+// givenUpAfter returns how long after its last heartbeat a worker is taken to have ended a run whose gang is broken. A run
+// that it has not reported may start until it would no longer accept the answer to that heartbeat.
+func (l *leaderState) givenUpAfter(w *worker, ref RunRef) time.Duration {
+	if w.running[ref.Task].Run == ref.Run {
+		return l.silentAfter(w)
+	}
+	return max(l.silentAfter(w), answerTimeout+leaseMargin)
+}
+
 // expiredEnds returns the ends of runs whose leases have expired on any clock, or whose worker's incarnation is known
 // to have ended. They name the runs as of now, since a worker that reports again may get new runs before they are
 // committed. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
