Say why a run is given up that its worker has not reported as ended

Each run that is given up now has a line with the reason, the silence of its worker and whether the worker ever reported it, and a counter by reason.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -95,7 +95,7 @@
 		l.room.markStale(hb.Worker)
 	}
 	var ends []batch.End
-	l.ledger.View(func(b *batch.State) { ends = l.reconcile(b, w, now) })
+	l.ledger.View(func(b *batch.State) { ends = s.reconcile(l, b, w, now) })
 	w.hb.Ended = nil
 	return ends, true
 }
@@ -147,7 +147,7 @@
 }
 
 // reconcile compares a worker's latest heartbeat with the ledger and returns the ends to commit.
-func (l *leaderState) reconcile(b *batch.State, w *worker, now time.Duration) []batch.End {
+func (s *Scheduler) reconcile(l *leaderState, b *batch.State, w *worker, now time.Duration) []batch.End {
 	var ends []batch.End
 	var endReported map[RunRef]bool
 	for _, e := range w.hb.Ended {
@@ -183,14 +183,17 @@
 		switch misses, reported := w.missedReports[ref]; {
 		case t.Incarnation != w.hb.Incarnation:
 			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndLost})
+			s.noteGivenUp(l, w.hb.Worker, ref, givenUpLaterLife, now)
 		case reported && misses+1 >= vanishedAfterMisses:
 			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndLost})
+			s.noteGivenUp(l, w.hb.Worker, ref, givenUpVanished, now)
 			delete(w.missedReports, ref)
 		case reported:
 			w.missedReports[ref] = misses + 1
 		case w.stopSeq[ref] != 0 && w.stopSeq[ref] < w.hb.Seq:
 			// The worker has received the stop and reports the run neither as running nor as ended: it never started.
 			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndNeverStarted})
+			s.noteGivenUp(l, w.hb.Worker, ref, givenUpNeverStarted, now)
 			delete(w.stopSeq, ref)
 		}
 	}
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -56,6 +56,11 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_ended_runs_total{how=%q}", reason))
 }
 
+// givenUpRuns returns the counter of runs that were given up for a reason.
+func (m schedulerMetrics) givenUpRuns(why givenUpReason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_given_up_runs_total{why=%q}", why))
+}
+
 // refusedJobs returns the counter of submissions refused with a code.
 func (m schedulerMetrics) refusedJobs(code model.Code) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_refused_jobs_total{code=%q}", code))
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -64,6 +64,7 @@
 				id.Index = i
 				if w := l.workers[t.Worker]; w != nil && now-max(w.heardAt, l.began) >= l.givenUpAfter(w, RunRef{Task: id, Run: t.Run}) {
 					ends = append(ends, batch.End{Task: id, Run: t.Run, Reason: batch.EndLost, Checkpoint: w.running[id].Checkpoint, MayHaveFailed: !known})
+					s.noteGivenUp(l, t.Worker, RunRef{Task: id, Run: t.Run}, givenUpGangBroken, now)
 				}
 			}
 			if active == 0 {
@@ -109,6 +110,11 @@
 					e.Checkpoint = w.running[t].Checkpoint
 				}
 				ends = append(ends, e)
+				why := givenUpLeaseExpired
+				if w != nil && w.gone {
+					why = givenUpLaterLife
+				}
+				s.noteGivenUp(l, id, RunRef{Task: t, Run: run}, why, now)
 			}
 		}
 	})
