Show two runs of one task in a soak whose workers hear of breaks only while connected

A worker that is cut off now hears of a break only afterwards, its member stays without work meanwhile, and a member that starts after the break waits for the others. Where there are many workers a fault hits a twentieth of them. A TWICE violation names the lease of the other worker.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,6 +22,8 @@
 	// only one disk may be lost at a time. It starts when all control machines have
 	// recovered: a replacement needs the others to catch up.
 	minDiskLossInterval = 8 * time.Second
+	// faultGroupShare is the inverse of the share of workers that one fault hits.
+	faultGroupShare = 20
 	// linkDelay is the delay added to a slow link in each direction.
 	linkDelay = 60 * time.Millisecond
 )
@@ -154,32 +156,51 @@
 	time.AfterFunc(d, func() { forOthers(func(b int) { c.restoreTraffic(a, b) }) })
 }
 
-// injectWorkerFault crashes, drains or disconnects a random worker; disconnection lasts d.
+// injectWorkerFault crashes, drains or disconnects random workers; disconnection lasts d.
 func (s *soak) injectWorkerFault(rnd *rand.Rand, d time.Duration) {
-	h := s.hosts[rnd.IntN(len(s.hosts))]
-	trySend := func(c chan struct{}) {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
+	hosts := s.faultGroup(rnd.IntN(len(s.hosts)))
+	name := fmt.Sprintf("worker %d", hosts[0].index)
+	if n := len(hosts); n > 1 {
+		name = fmt.Sprintf("workers %d to %d", hosts[0].index, hosts[n-1].index)
 	}
+	var do func(*host)
 	switch rnd.IntN(5) {
 	case 0:
-		s.logFault(0, "crash worker %d", h.index)
-		trySend(h.crash)
+		s.logFault(0, "crash %s", name)
+		do = func(h *host) { notify(h.crash) }
 	case 1:
-		s.logFault(s.bounds.drainTimeout+heartbeatTimeout, "drain worker %d", h.index)
-		trySend(h.drain)
+		s.logFault(s.bounds.drainTimeout+heartbeatTimeout, "drain %s", name)
+		do = func(h *host) { notify(h.drain) }
 	case 2:
-		s.logFault(d, "drop the heartbeats of worker %d for %v", h.index, d)
-		h.dropRequests.Store(true)
+		s.logFault(d, "drop the heartbeats of %s for %v", name, d)
+		do = func(h *host) { h.dropRequests.Store(true) }
 	case 3:
-		s.logFault(d, "drop the heartbeat responses to worker %d for %v", h.index, d)
-		h.dropResponses.Store(true)
+		s.logFault(d, "drop the heartbeat responses to %s for %v", name, d)
+		do = func(h *host) { h.dropResponses.Store(true) }
 	case 4:
-		s.logFault(d, "drop the heartbeats of worker %d for %v and crash it", h.index, d)
-		h.dropRequests.Store(true)
-		trySend(h.crash)
+		s.logFault(d, "drop the heartbeats of %s for %v and crash it", name, d)
+		do = func(h *host) {
+			h.dropRequests.Store(true)
+			notify(h.crash)
+		}
+	}
+	for _, h := range hosts {
+		do(h)
+	}
+	time.AfterFunc(d, func() {
+		for _, h := range hosts {
+			h.dropRequests.Store(false)
+			h.dropResponses.Store(false)
+		}
+	})
+}
+
+// faultGroup returns the hosts that a fault of workers hits: the given one, and where there are many its neighbours.
+func (s *soak) faultGroup(first int) []*host {
+	n := max(1, len(s.hosts)/faultGroupShare)
+	group := make([]*host, n)
+	for i := range group {
+		group[i] = s.hosts[(first+i)%len(s.hosts)]
 	}
-	time.AfterFunc(d, func() { h.dropRequests.Store(false); h.dropResponses.Store(false) })
+	return group
 }
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -195,7 +195,8 @@
 		l.recordViolationLocked("UNASKED: %s run %d on %s with checkpoint %q of another task", id, run, w.id, checkpoint)
 	}
 	for other, otherRun := range t.running {
-		l.recordViolationLocked("TWICE: %s run %d on %s while run %d is active on %s", id, run, w.id, otherRun.number, other.id)
+		l.recordViolationLocked("TWICE: %s run %d on %s while run %d, started %.3f s before, is active on %s, whose lease lasts for %d ms",
+			id, run, w.id, otherRun.number, time.Since(otherRun.startedAt).Seconds(), other.id, other.leaseLeft().Milliseconds())
 	}
 	for _, d := range t.doneRuns {
 		d.laterRun = fmt.Sprintf("run %d on %s at %.3f s", run, w.id, time.Since(l.startedAt).Seconds())
--- a/soak/task.go
+++ b/soak/task.go
@@ -39,6 +39,9 @@
 	if r.gang != nil {
 		s.gangMu.Lock()
 		defer s.gangMu.Unlock()
+		if r.gang.broken {
+			return time.Now().Add(idleInterval) // ended as soon as the worker hears of it
+		}
 		if r.gang.completeAt.IsZero() {
 			end = r.gang.createdAt.Add(s.bounds.gangTimeout)
 		} else {
@@ -105,14 +108,18 @@
 	return step, step.Need, ok
 }
 
-// joinGang adds a member on a worker to its gang and returns the gang.
+// joinGang adds a member on a worker to its gang and returns the gang. One that starts
+// after the gang has broken is not told so: it waits for the others in vain.
 func (s *soak) joinGang(w *worker, id batch.TaskID, run, size int) *gang {
 	s.gangMu.Lock()
 	defer s.gangMu.Unlock()
 	key := fmt.Sprintf("%s.%d run %d", id.Job, id.Step, run)
 	g := s.gangs[key]
-	if g == nil {
-		g = &gang{members: map[int]bool{}, workers: map[*worker]bool{}, size: size, createdAt: time.Now()}
+	switch late := g != nil && g.broken; {
+	case late:
+		return newGang(size)
+	case g == nil:
+		g = newGang(size)
 		s.gangs[key] = g
 	}
 	g.members[id.Index], g.workers[w] = true, true
@@ -123,6 +130,10 @@
 	return g
 }
 
+func newGang(size int) *gang {
+	return &gang{members: map[int]bool{}, workers: map[*worker]bool{}, size: size, createdAt: time.Now()}
+}
+
 // breakGang removes a run that did not end as done from its gang, if it has one, and
 // marks the gang as broken unless it is done.
 func (s *soak) breakGang(r *run, id batch.TaskID) {
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -63,10 +63,15 @@
 	// this worker. Orders to start it or an earlier one are refused.
 	lastRuns map[batch.TaskID]int
 	lease    time.Time // end of the lease
+	// leaseEnd is lease in Unix nanoseconds, for readers without mu.
+	leaseEnd atomic.Int64
 	draining time.Time // when draining began; zero when the worker does not drain
 	ended    bool
 }
 
+// leaseLeft returns how long the worker's lease still lasts; it is negative once that has ended.
+func (w *worker) leaseLeft() time.Duration { return time.Until(time.Unix(0, w.leaseEnd.Load())) }
+
 // pendingEnd is an end that the system has not acknowledged. Once the worker's lease
 // has expired it does not count: the run may have been given to another worker.
 type pendingEnd struct {
@@ -98,6 +103,9 @@
 	return resp, err //nolint:wrapcheck // RoundTrip forwards the error of the transport.
 }
 
+// cutOff reports whether the host's worker hears nothing of the system and of other workers.
+func (h *host) cutOff() bool { return h.dropRequests.Load() || h.dropResponses.Load() }
+
 // run runs one worker after the other until ctx ends.
 func (h *host) run(ctx context.Context, rnd *rand.Rand) {
 	id := fmt.Sprintf("w-%d-0", h.index)
@@ -226,7 +234,7 @@
 		switch {
 		case r.gang.done:
 			return batch.EndDone
-		case r.gang.broken:
+		case r.gang.broken && !w.host.cutOff():
 			return batch.EndGangBroken
 		case r.gang.completeAt.IsZero() && now.Sub(r.gang.createdAt) > s.bounds.gangTimeout:
 			return batch.EndGangIncomplete
@@ -235,6 +243,8 @@
 	switch {
 	case expired:
 		return batch.EndLeaseExpired
+	case r.gang != nil && r.gang.broken:
+		// The worker is cut off and has not heard of the break; the run stays, without work.
 	case r.resumedWork+r.worked(now) >= r.workTime:
 		if r.fails {
 			return batch.EndFailed
@@ -367,6 +377,7 @@
 		}
 		if until := sent.Add(lease); until.After(w.lease) {
 			w.lease = until
+			w.leaseEnd.Store(until.UnixNano())
 		}
 	}
 	for _, ref := range o.Stops {
