Take a silent member of a broken gang for ended only once its lease has expired

What callers may see: two runs of one task (TWICE). When a member of a gang reported that the gang had broken, members on workers that were silent for 0.9 s, or 1.3 s if they had not reported their run, counted as ended, and the gang started again. Neither is known then: the order to start a member may be carried out after the break, and a worker that is cut off does not hear of it and runs on.

A run is now over when its worker says so, has a later life, or when its lease has expired on any clock. A gang that loses a member with its worker waits 4.9 s in place of 0.9 s unless the machine reports a later life. What only the early end needed is gone; the ledger still reads it in logs of earlier versions.

Specs changed: 'restarts once a member reports the break and the others are silent' demanded the fault; in its place a gang restarts early when the machine of the silent member reports a later life. 'doesn't restart while an order to start a silent member may still arrive' is contained in the new table, which waits for the whole lease. 'counts a failure that a silent member reports after its gang was restarted' can't happen before the lease has expired, after which such a failure doesn't count; it now reports the failure before that. The simulation has leases and checks for second runs.

--- a/batch/change.go
+++ b/batch/change.go
@@ -32,7 +32,8 @@
 	Run        int       `json:"run"`
 	Reason     EndReason `json:"how"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
-	// MayHaveFailed means that a lost run may have failed: its worker is silent, and its lease has not expired.
+	// MayHaveFailed means that a lost run may have failed: its worker is silent, and its lease has not expired. Only logs
+	// of earlier versions contain it.
 	MayHaveFailed bool `json:"unsure,omitempty"`
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -79,11 +79,6 @@
 	return true
 }
 
-// NextFailureEndsJob reports whether one more failure of the gang of a task fails the job.
-func (j *Job) NextFailureEndsJob(id TaskID) bool {
-	return len(j.Rounds[id.Round][id.Step].FailedRuns)+1 >= j.MaxFailures
-}
-
 // complete reports whether all tasks of all rounds are done.
 func (j *Job) complete() bool {
 	for _, round := range j.Rounds {
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// givenUpReason is why a run counts as ended that its worker has not reported as ended.
+// givenUpReason is why a run counts as ended that its worker has not reported as ended. It follows from what the worker
+// says or from the end of its lease: that another member of the gang has ended does not show that this one has, which may
+// start after that, or run on where it does not hear of it.
 type givenUpReason string
 
 const (
@@ -13,8 +15,6 @@
 	givenUpVanished givenUpReason = "vanished"
 	// givenUpNeverStarted means that the worker has received a stop before it could start the run.
 	givenUpNeverStarted givenUpReason = "never_started"
-	// givenUpGangBroken means that another member has reported the end of the gang run.
-	givenUpGangBroken givenUpReason = "gang_broken"
 )
 
 // noteGivenUp counts and logs a run that is given up, with what the leader knows of its worker.
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -161,7 +161,7 @@
 		}
 		if changesLedger(b, &w.hb, e) {
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint})
-			l.recordGangBreak(b, ref, e.Reason)
+			delete(l.forming, gangRef(e.Task, e.Run))
 			if e.Reason == batch.EndFailed {
 				w.failedAt = append(w.failedAt, now)
 				l.room.markStale(w.hb.Worker)
@@ -200,22 +200,6 @@
 	return ends
 }
 
-// recordGangBreak records what the end of a member tells about its gang run: that another member ended first, or
-// that this member did.
-func (l *leaderState) recordGangBreak(b *batch.State, ref RunRef, reason batch.EndReason) {
-	if !b.Jobs[ref.Task.Job].Spec.Steps[ref.Task.Step].Gang {
-		return
-	}
-	ref.Task.Index = 0
-	delete(l.forming, ref)
-	switch reason {
-	case batch.EndGangBroken:
-		l.brokenGangs[ref] = true
-	case batch.EndFailed, batch.EndStopped, batch.EndLeaseExpired:
-		l.causeKnown[ref] = true
-	}
-}
-
 // vanishedAfterMisses is the number of consecutive heartbeats that must omit a reported run before it counts as
 // lost; a worker with many ends reports them over several heartbeats.
 const vanishedAfterMisses = 4
--- a/sched/late_test.go
+++ b/sched/late_test.go
@@ -43,9 +43,14 @@
 	fleet      map[string]*simWorker
 	gangs      map[sched.RunRef]*simGang
 	jobs       int
+	// silence is the longest time for which a worker is silent.
+	silence time.Duration
+	// running holds the worker of each active run.
+	running map[sched.RunRef]*simWorker
 	// formed counts the gang runs that have begun to work, alone the members that have waited in vain on workers that were
-	// heard from all the while, broken the gang runs that were stopped at work.
-	formed, alone, broken int
+	// heard from all the while, broken the gang runs that were stopped at work, twice the runs that started while another
+	// run of their task was active.
+	formed, alone, broken, twice int
 }
 
 // simWorker is a worker, and what its executor does.
@@ -59,6 +64,8 @@
 	// silentAt is when the worker was last silent, lostAt when an answer to it was last lost.
 	silentAt, lostAt time.Duration
 	beatAt           time.Duration
+	// leaseEnd is when the worker's lease ends, by its own clock.
+	leaseEnd time.Duration
 }
 
 type simRun struct {
@@ -96,6 +103,7 @@
 	sim := &simulation{
 		fixture: newIdleFixture(func(cfg *sched.Config) { cfg.Limits.GangTimeout, cfg.Logger = timeout, nil }),
 		rand:    rand.New(rand.NewPCG(seed, 2)), timeout: timeout, fleet: map[string]*simWorker{}, gangs: map[sched.RunRef]*simGang{},
+		silence: 4 * time.Second, running: map[sched.RunRef]*simWorker{},
 	}
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i)
@@ -187,7 +195,7 @@
 		hb.Running = append(hb.Running, state)
 	}
 	w.waiting = true
-	seq := hb.Seq
+	seq, sentAt := hb.Seq, sim.clock()
 	retry := func() {
 		if w.waiting && w.hb.Seq == seq {
 			w.waiting = false
@@ -220,7 +228,7 @@
 		sim.after(late-before, func() {
 			if w.waiting && w.hb.Seq == seq && sim.s == leader && !sim.leaderless && !lost {
 				w.waiting = false
-				sim.carryOut(w, a.Orders)
+				sim.carryOut(w, a.Orders, sentAt)
 			}
 		})
 	})
@@ -231,7 +239,8 @@
 	return sched.RunRef{Task: id, Run: run}
 }
 
-func (sim *simulation) carryOut(w *simWorker, o *sched.Orders) {
+func (sim *simulation) carryOut(w *simWorker, o *sched.Orders, sentAt time.Duration) {
+	sim.extendLease(w, sentAt+time.Duration(o.LeaseMS)*time.Millisecond)
 	w.hb.Ended = slices.DeleteFunc(w.hb.Ended, func(e sched.RunEnd) bool { return e.Number <= o.AckedThrough })
 	sim.beatIn(w, time.Duration(max(50, o.RetryAfterMS))*time.Millisecond)
 	for _, ref := range o.Stops {
@@ -244,10 +253,38 @@
 	}
 }
 
+// extendLease extends a worker's lease, at whose end all of its runs end.
+func (sim *simulation) extendLease(w *simWorker, end time.Duration) {
+	if end <= w.leaseEnd {
+		return
+	}
+	w.leaseEnd = end
+	sim.after(end-sim.clock(), func() {
+		if w.leaseEnd == end {
+			sim.endAll(w, batch.EndLeaseExpired, func(*simRun, *simGang) bool { return true })
+		}
+	})
+}
+
+// endAll ends the chosen runs of a worker.
+func (sim *simulation) endAll(w *simWorker, reason batch.EndReason, chosen func(*simRun, *simGang) bool) {
+	for id, r := range maps.Clone(w.runs) {
+		if w.runs[id] == r && chosen(r, sim.gangs[gangKey(id, r.run)]) {
+			sim.end(w, id, reason)
+		}
+	}
+}
+
 func (sim *simulation) start(w *simWorker, st sched.StartOrder) {
 	if r := w.runs[st.Task]; r != nil || st.Run <= w.highest[st.Task] {
 		return
 	}
+	for ref := range sim.running {
+		if ref.Task == st.Task {
+			sim.twice++
+		}
+	}
+	sim.running[sched.RunRef{Task: st.Task, Run: st.Run}] = w
 	key := gangKey(st.Task, st.Run)
 	g := sim.gangs[key]
 	if g == nil {
@@ -285,6 +322,7 @@
 func (sim *simulation) end(w *simWorker, id batch.TaskID, reason batch.EndReason) {
 	r := w.runs[id]
 	g := sim.gangs[gangKey(id, r.run)]
+	delete(sim.running, sched.RunRef{Task: id, Run: r.run})
 	delete(w.runs, id)
 	delete(g.members, id)
 	w.highest[id] = r.run
@@ -297,7 +335,9 @@
 		g.over = true
 		sim.broken++
 		for other, member := range maps.Clone(g.members) {
-			sim.end(member, other, batch.EndGangBroken)
+			if !member.silent {
+				sim.end(member, other, batch.EndGangBroken)
+			}
 		}
 	}
 }
@@ -309,15 +349,16 @@
 	sim.after(8*time.Second, func() { w.hb.Draining = false })
 }
 
-// silenceOne makes a worker silent for a while; its runs go on.
+// silenceOne makes a worker silent for a while; its runs go on, and it doesn't hear that gangs break.
 func (sim *simulation) silenceOne() {
 	w := sim.fleet[fmt.Sprintf("w%d", sim.rand.IntN(len(sim.fleet)))]
 	if w.silent {
 		return
 	}
 	w.silent = true
-	sim.after(time.Duration(1000+sim.rand.IntN(3000))*time.Millisecond, func() {
+	sim.after(time.Duration(1000+sim.rand.IntN(int(sim.silence.Milliseconds())-1000))*time.Millisecond, func() {
 		w.silent, w.silentAt, w.waiting = false, sim.clock(), false
+		sim.endAll(w, batch.EndGangBroken, func(_ *simRun, g *simGang) bool { return g.over })
 		sim.beat(w)
 	})
 }
@@ -359,7 +400,41 @@
 	sim.silenceOne()
 }
 
+// stopOne makes a run at work fail, and with it its gang.
+func (sim *simulation) stopOne() {
+	for _, id := range slices.Sorted(maps.Keys(sim.fleet)) {
+		w := sim.fleet[id]
+		for task, r := range w.runs {
+			if sim.gangs[gangKey(task, r.run)].formedAt != 0 && !w.silent {
+				sim.end(w, task, batch.EndStopped)
+				return
+			}
+		}
+	}
+}
+
 var _ = Describe("gangs of many workers", func() {
+	// Guards against two runs of one task: members of a gang that broke were given up while they could still start, or went
+	// on where their worker was cut off.
+	DescribeTable("have one run of each member at a time",
+		func(lateness time.Duration, disturb func(*simulation)) {
+			for seed := range uint64(5) {
+				sim := newSimulation(seed, 100, 5*time.Second)
+				sim.lateness, sim.silence = lateness, 9*time.Second
+				sim.every(300*time.Millisecond, sim.stopOne)
+				sim.every(400*time.Millisecond, func() { disturb(sim) })
+				sim.run(40 * time.Second)
+				fmt.Fprintf(GinkgoWriter, "seed %d: jobs %d, formed %d, broken %d, twice %d\n", seed, sim.jobs, sim.formed, sim.broken, sim.twice)
+				Expect(sim.broken).To(BeNumerically(">", 10))
+				Expect(sim.twice).To(BeZero(), "seed %d", seed)
+			}
+		},
+		Entry("with workers that are silent", 300*time.Millisecond, (*simulation).silenceOne),
+		Entry("with a leader that is a second late and workers that are silent", time.Second, (*simulation).silenceOne),
+		Entry("with leaders that change and workers that are silent", 600*time.Millisecond, changeLeaderAndSilence),
+		Entry("with a leader that loses its lease for a while and workers that are silent", 600*time.Millisecond, interruptLeaderAndSilence),
+	)
+
 	// Guards against members that wait until their gang times out while the leader is late, or while members are
 	// withheld or silent.
 	DescribeTable("form or are withdrawn in time",
@@ -375,9 +450,10 @@
 					sim.every(400*time.Millisecond, func() { disturb(sim) })
 				}
 				sim.run(40 * time.Second)
-				fmt.Fprintf(GinkgoWriter, "seed %d: jobs %d, formed %d, alone %d, broken %d\n", seed, sim.jobs, sim.formed, sim.alone, sim.broken)
+				fmt.Fprintf(GinkgoWriter, "seed %d: jobs %d, formed %d, alone %d, broken %d, twice %d\n", seed, sim.jobs, sim.formed, sim.alone, sim.broken, sim.twice)
 				Expect(sim.formed).To(BeNumerically(">", 20))
 				Expect(sim.alone).To(BeZero(), "seed %d, of %d that formed", seed, sim.formed)
+				Expect(sim.twice).To(BeZero(), "seed %d", seed)
 			}
 		},
 		Entry("with an idle leader", 300, 5*time.Second, time.Duration(0), nil),
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -213,9 +213,8 @@
 	return out
 }
 
-// prune drops the records of steps of closed jobs and of preempted runs that have ended.
+// prune drops the records of preempted runs that have ended.
 func (p *pass) prune() {
-	maps.DeleteFunc(p.l.causeKnown, func(ref RunRef, _ bool) bool { return p.state.Open[ref.Task.Job] == nil })
 	maps.DeleteFunc(p.l.preempting, func(ref RunRef, _ string) bool {
 		j := p.jobOf(ref)
 		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -352,44 +352,48 @@
 })
 
 var _ = Describe("a gang that breaks", func() {
-	// Guards against a gang that waits for the lease of a member whose worker has crashed, although the other members
-	// have reported at once that the gang run has ended.
-	It("restarts once a member reports the break and the others are silent, before their lease expires", func() {
+	// Guards against a gang that waits for the lease of a member whose worker has crashed and started again.
+	It("restarts once the worker of a silent member reports a later life, before its lease expires", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1", "w2")
 		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
 		f.awaitRunning("j", 2)
 		id := f.workers["w1"].hb.Running[0].Task
 		delete(f.workers, "w2")
-		f.addWorkers("r1", "dc1", "w3")
 		f.workers["w1"].end(id, batch.EndGangBroken)
 		f.heartbeat("w1")
-		f.advance(time.Second)
-		f.awaitRunning("j", 2)
-	})
-
-	// Guards against two runs of one task: the order to start a member is under way for up to a second while the run of its
-	// silent worker is given up and its gang starts again elsewhere.
-	It("doesn't restart while an order to start a silent member may still arrive", func() {
-		f := newFixture()
-		f.addWorkers("r1", "dc1", "w1", "w2")
-		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
-		f.awaitRunning("j", 2)
-		delete(f.workers, "w2") // it has not reported the run that it was ordered to start
 		f.addWorkers("r1", "dc1", "w3")
-		f.workers["w1"].end(f.workers["w1"].hb.Running[0].Task, batch.EndGangBroken)
-		f.heartbeat("w1")
-		before := f.starts("j")
-		f.advance(950 * time.Millisecond)
-		for range 25 {
-			f.heartbeatAll()
-			time.Sleep(20 * time.Millisecond) // sweeps and passes run in real time
-		}
-		Expect(f.starts("j")).To(Equal(before))
-		f.advance(time.Second)
+		f.workers["w3"].hb.Machine, f.workers["w3"].hb.Incarnation = "m-w2", 2
 		f.awaitRunning("j", 2)
 	})
 
+	// Guards against two runs of one task: a member counted as ended because another one had reported that the gang broke,
+	// but it had started after that, or its worker was cut off and did not hear of it.
+	DescribeTable("restarts only once the lease of a silent member has expired",
+		func(reported bool) {
+			f := newFixture()
+			f.addWorkers("r1", "dc1", "w1", "w2")
+			f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
+			f.awaitRunning("j", 2)
+			if reported {
+				f.heartbeatAll()
+			}
+			lease := time.Duration(f.workers["w2"].last.LeaseMS) * time.Millisecond
+			delete(f.workers, "w2") // it runs on
+			f.addWorkers("r1", "dc1", "w3")
+			f.workers["w1"].end(f.workers["w1"].hb.Running[0].Task, batch.EndGangBroken)
+			f.heartbeat("w1")
+			for range 3 {
+				f.advance(lease/3 - 750*time.Millisecond) // expectNoStart advances the clock by the rest
+				f.expectNoStart("j")
+			}
+			f.advance(time.Second)
+			f.awaitRunning("j", 2)
+		},
+		Entry("that has not reported its run", false),
+		Entry("that has reported its run", true),
+	)
+
 	// Guards against a gang that is started a third time after two failures: the silent member was the one that had
 	// failed, and its gang was restarted before it could report that.
 	It("is not restarted for its last attempt while the silent member may have failed", func() {
@@ -413,7 +417,7 @@
 		Expect(f.state("normal", "j")).To(Equal(sched.StateFailed))
 	})
 
-	It("counts a failure that a silent member reports after its gang was restarted", func() {
+	It("counts a failure that a silent member reports before its lease has expired", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1", "w2")
 		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 1000})
@@ -423,13 +427,14 @@
 		f.addWorkers("r1", "dc1", "w3")
 		f.workers["w1"].end(f.workers["w1"].hb.Running[0].Task, batch.EndGangBroken)
 		f.heartbeat("w1")
-		f.advance(time.Second)
-		f.awaitRunning("j", 2)
+		f.advance(3 * time.Second)
+		f.expectNoStart("j")
 		f.workers["w2"] = silent
 		silent.end(silent.hb.Running[0].Task, batch.EndFailed)
 		f.heartbeat("w2")
-		f.workers["w3"].end(f.workers["w3"].hb.Running[0].Task, batch.EndFailed)
-		f.heartbeat("w3")
+		f.awaitRunning("j", 2)
+		f.workers["w1"].end(f.workers["w1"].hb.Running[0].Task, batch.EndFailed)
+		f.heartbeat("w1")
 		Expect(f.state("normal", "j")).To(Equal(sched.StateFailed))
 	})
 })
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -107,10 +107,6 @@
 	ignoredLoggedAt time.Duration
 	// startedJobs holds the jobs of which a worker has reported a run.
 	startedJobs map[string]bool
-	// brokenGangs holds the gang runs, keyed by their first member, in which a member has ended because another did.
-	brokenGangs map[RunRef]bool
-	// causeKnown holds the gang runs, keyed by their first member, of which the member that ended first has reported.
-	causeKnown map[RunRef]bool
 	// heartbeatRate is how many heartbeats per second the leader asks for of all workers together.
 	heartbeatRate int
 	// forming holds the gang runs that are not known to be at work yet, by gangRef.
@@ -203,7 +199,6 @@
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
 		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
-		brokenGangs: map[RunRef]bool{}, causeKnown: map[RunRef]bool{},
 	}
 }
 
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -16,74 +16,17 @@
 	purgeBatch = 200
 )
 
-// sweep ends the runs of broken gangs on silent workers and those whose leases have expired, and purges old jobs,
-// until the term ends.
+// sweep ends the runs whose leases have expired, and purges old jobs, until the term ends.
 func (s *Scheduler) sweep(l *leaderState) {
 	for clock.Sleep(l.ctx, sweepInterval) {
-		for _, ends := range [][]batch.End{s.brokenGangEnds(l), s.expiredEnds(l)} {
-			if len(ends) > 0 {
-				_, err := l.commit(l.ctx, batch.Change{Ends: ends})
-				s.reportEnds(l, "", ends, err)
-			}
+		if ends := s.expiredEnds(l); len(ends) > 0 {
+			_, err := l.commit(l.ctx, batch.Change{Ends: ends})
+			s.reportEnds(l, "", ends, err)
 		}
 		s.purgeFinished(l)
 	}
 }
 
-// brokenGangEnds returns the ends of gang members on silent workers whose gang run is broken: another member has
-// reported that one of them ended, and when one ends, all do. If the member that ended first is not known, it may
-// be a silent one that has failed. The gang is then not restarted for its last attempt before the lease of the
-// silent member has expired.
-func (s *Scheduler) brokenGangEnds(l *leaderState) []batch.End {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.cfg.BootClock()
-	var ends []batch.End
-	l.ledger.View(func(b *batch.State) {
-		for ref := range l.brokenGangs {
-			j := b.Jobs[ref.Task.Job]
-			if j == nil {
-				delete(l.brokenGangs, ref)
-				continue
-			}
-			if j.State.Final() {
-				delete(l.brokenGangs, ref)
-				continue
-			}
-			known := l.causeKnown[ref]
-			if !known && j.NextFailureEndsJob(ref.Task) {
-				continue
-			}
-			active := 0
-			for i, t := range j.Rounds[ref.Task.Round][ref.Task.Step].Tasks {
-				if !t.Active || t.Run != ref.Run {
-					continue
-				}
-				active++
-				id := ref.Task
-				id.Index = i
-				if w := l.workers[t.Worker]; w != nil && now-max(w.heardAt, l.began) >= l.givenUpAfter(w, RunRef{Task: id, Run: t.Run}) {
-					ends = append(ends, batch.End{Task: id, Run: t.Run, Reason: batch.EndLost, Checkpoint: w.running[id].Checkpoint, MayHaveFailed: !known})
-					s.noteGivenUp(l, t.Worker, RunRef{Task: id, Run: t.Run}, givenUpGangBroken, now)
-				}
-			}
-			if active == 0 {
-				delete(l.brokenGangs, ref)
-			}
-		}
-	})
-	return ends
-}
-
-// givenUpAfter returns how long after its last heartbeat a worker is taken to have ended a run whose gang is broken. A run
-// that it has not reported may start until it would no longer accept the answer to that heartbeat.
-func (l *leaderState) givenUpAfter(w *worker, ref RunRef) time.Duration {
-	if w.running[ref.Task].Run == ref.Run {
-		return l.silentAfter(w)
-	}
-	return max(l.silentAfter(w), answerTimeout+leaseMargin)
-}
-
 // expiredEnds returns the ends of runs whose leases have expired on any clock, or whose worker's incarnation is known
 // to have ended. They name the runs as of now, since a worker that reports again may get new runs before they are
 // committed. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
