Never order a run to start whose end is not committed in time

When the commit of the ends that a heartbeat reports or shows took longer than 0.6 s, as on slow disks, the answer to the same heartbeat was written as if nothing were known of these runs: a run that had ended was ordered to start again, which only the worker's memory kept from running twice, and one that had never started was ordered to start although its end was on the way into the log, after which its successor started on another worker.

What a worker has said of a run, and the stop that it was sent, is now kept until the run's end is in the ledger.

Evidence: both specs of sched 'a run whose end is not committed in time' fail before (one start order each where none is due) and pass. go test ./sched passes.

--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -25,16 +25,34 @@
 	machine *state.Machine
 	index   uint64
 	wall    func() time.Time
+	// slow is set while ends are not committed in time; late holds them until they are.
+	slow bool
+	late []state.ChangeBatch
 }
 
 func (r *replica) Execute(_ context.Context, c state.Command) (state.Result, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.index++
 	b := c.(state.ChangeBatch)
 	b.Change.AtMS = r.wall().UnixMilli()
+	if r.slow && b.Change.Ends != nil {
+		r.late = append(r.late, b)
+		return state.Result{}, model.Unknown(model.CodeDeadline, "command was proposed but not applied in time")
+	}
+	r.index++
 	return r.machine.Apply(r.index, b), nil
 }
+
+// commitLate commits ends from now on in time, and those that were late.
+func (r *replica) commitLate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.late {
+		r.index++
+		r.machine.Apply(r.index, b)
+	}
+	r.slow, r.late = false, nil
+}
 func (r *replica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
 	return r.Execute(ctx, c)
 }
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -146,7 +146,8 @@
 	})
 }
 
-// reconcile compares a worker's latest heartbeat with the ledger and returns the ends to commit.
+// reconcile compares a worker's latest heartbeat with the ledger and returns the ends to commit. What is known of a run is
+// kept until its end is in the ledger: a commit may fail, and the run must not be ordered again meanwhile.
 func (s *Scheduler) reconcile(l *leaderState, b *batch.State, w *worker, now time.Duration) []batch.End {
 	var ends []batch.End
 	var endReported map[RunRef]bool
@@ -167,9 +168,9 @@
 				l.room.markStale(w.hb.Worker)
 			}
 		}
-		delete(w.missedReports, ref)
-		delete(w.stopSeq, ref)
+		w.missedReports[ref] = 0
 	}
+	w.forgetEnded(b.Runs[w.hb.Worker])
 	for id, run := range b.Runs[w.hb.Worker] {
 		ref := RunRef{Task: id, Run: run}
 		if r, ok := w.running[id]; ok && r.Run == run {
@@ -187,14 +188,12 @@
 		case reported && misses+1 >= vanishedAfterMisses:
 			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndLost})
 			s.noteGivenUp(l, w.hb.Worker, ref, givenUpVanished, now)
-			delete(w.missedReports, ref)
 		case reported:
 			w.missedReports[ref] = misses + 1
 		case w.stopSeq[ref] != 0 && w.stopSeq[ref] < w.hb.Seq:
 			// The worker has received the stop and reports the run neither as running nor as ended: it never started.
 			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndNeverStarted})
 			s.noteGivenUp(l, w.hb.Worker, ref, givenUpNeverStarted, now)
-			delete(w.stopSeq, ref)
 		}
 	}
 	return ends
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,8 +26,8 @@
 	checkAt time.Duration
 	// running holds the runs of the latest heartbeat.
 	running map[batch.TaskID]RunState
-	// missedReports holds the active runs that were reported as running, with the number of consecutive heartbeats
-	// that have omitted them since.
+	// missedReports holds the active runs that were reported, as running or ended, with the number of consecutive
+	// heartbeats that have omitted them since.
 	missedReports map[RunRef]int
 	// firstReports holds when and at which progress each run was first reported.
 	firstReports map[RunRef]firstReport
@@ -61,6 +62,13 @@
 	}
 }
 
+// forgetEnded drops what is known of runs that are neither active in the ledger nor reported as running.
+func (w *worker) forgetEnded(active map[batch.TaskID]int) {
+	over := func(ref RunRef) bool { return active[ref.Task] != ref.Run && w.running[ref.Task].Run != ref.Run }
+	maps.DeleteFunc(w.missedReports, func(ref RunRef, _ int) bool { return over(ref) })
+	maps.DeleteFunc(w.stopSeq, func(ref RunRef, _ int64) bool { return over(ref) })
+}
+
 // hasLabel reports whether the worker has a label; it returns true for the empty label.
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.hb.Labels, label)
