--- a/sched/lost_test.go
+++ b/sched/lost_test.go
@@ -195,6 +195,31 @@
 		f.expectUndisturbed()
 	})
 
+	// Guards against two runs of one task: heartbeats from before the start of a run, which arrived late at the next leader,
+	// counted as a sign that the run had never started.
+	It("keeps a run that late heartbeats from before its start omit at the next leader", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		w1 := f.workers["w1"]
+		late := []sched.Heartbeat{w1.hb, w1.hb}
+		late[0].Seq, late[1].Seq = 100, 101
+		w1.hb.Seq = 101
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60_000})
+		f.awaitRunning("j", 1)
+		f.changeLeader()
+		f.addWorkers("r2", "dc2", "w2")
+		Expect(f.setOutage("dc1", true)).To(Succeed())
+		for _, hb := range late {
+			Expect(f.call(sched.Call{Heartbeat: &hb}).err).NotTo(HaveOccurred())
+		}
+		delete(f.workers, "w1") // it is cut off and runs on
+		f.expectNoStart("j")
+		f.advance(time.Second)
+		f.expectNoStart("j")
+		f.advance(6 * time.Second)
+		f.awaitRunning("j", 1)
+	})
+
 	// Guards against ending a lease early: a worker that is cut off when the notice of a former life arrives goes on
 	// until its lease expires.
 	It("waits for the lease of a worker that is silent after a notice of leaving", func() {
