Count a worker's report only once it has heard of the present leader

What callers may see: two attempts of a job at work (the product's own interface). A new leader took the first report of a worker for its present state. One that arrived late, from before the start of a task, omitted the task, which then counted as gone by the worker's own word, and the job was placed again while the task ran.

A report counts only if it names the present leader's epoch; the worker sends it, in full, right after its first poll is answered.

Evidence: gang 'keeps a task that a late report from before its start omits at the next leader' fails before (no task runs, 2 expected; 2 of 2 runs) and passes. go test ./gang and the linter pass.

--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -74,16 +74,19 @@
 }
 
 // elect ends the current term and begins the next one with a new driver.
-func (s *cluster) elect() {
+func (s *cluster) elect() { s.driver.Store(s.newTerm()) }
+
+// newTerm ends the current term and begins the next one with the driver that it returns.
+func (s *cluster) newTerm() *gang.Driver {
 	if s.endTerm != nil {
 		s.endTerm()
 	}
 	s.term++
 	d := gang.New(gang.Config{Metrics: s.metrics})
-	s.driver.Store(d)
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.endTerm = cancel
 	go d.Lead(ctx, s.term, s.replica)
+	return d
 }
 
 func (s *cluster) patch(changes ...config.Change) {
@@ -193,6 +196,23 @@
 		Expect(s.job("a").Placement.Workers).NotTo(ContainElement(lost))
 	})
 
+	// Guards against two attempts at once: a report from before the start of a task, which arrived late at the next leader,
+	// counted as the worker's word that it does not have the task.
+	It("keeps a task that a late report from before its start omits at the next leader", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.submit("a", "large", gangShape, 1000, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+		worker, _ := s.replica.Machine().Worker(s.job("a").Placement.Workers[0])
+		next := s.newTerm()
+		Eventually(func() error {
+			_, err := next.Poll(s.ctx, model.PollRequest{Worker: worker, Epoch: s.term - 1, Seq: 1})
+			return err
+		}, "3s").Should(Succeed())
+		s.driver.Store(next)
+		Consistently(s.running("a"), "2s").Should(Equal(2))
+		Expect(s.job("a").Attempt).To(Equal(1))
+	})
+
 	It("reruns a gang without waiting for the lease when a restarted worker has lost its task", func() {
 		s.startWorkers(fakes.WorkerConfig{})
 		s.submit("a", "large", gangShape, 1000, nil)
--- a/gang/session.go
+++ b/gang/session.go
@@ -203,17 +203,18 @@
 	}
 	reconnected = w.silent || w.lastPoll.IsZero()
 	w.lastSeq, w.lastPoll, w.silent = req.Seq, now, false
-	if req.Epoch == term {
-		w.pending = slices.DeleteFunc(w.pending, func(c model.Command) bool { return c.Seq <= req.Done })
-	}
-	if req.Partial && (!w.complete || req.Epoch != term) {
-		// The report is a difference against the state of another leader or session.
+	if req.Epoch != term {
+		// The report may be a late one, from before what an earlier leader ordered. The worker reports again, in full.
 		w.complete = false
 		return nil, nil, reconnected
 	}
+	w.pending = slices.DeleteFunc(w.pending, func(c model.Command) bool { return c.Seq <= req.Done })
+	if req.Partial && !w.complete {
+		return nil, nil, reconnected // a difference against the state of another session
+	}
 	changed, gone = w.mergeReport(req)
 	w.complete = true
-	return changed, append(gone, w.missingTasks(req, term)...), reconnected
+	return changed, append(gone, w.missingTasks(req)...), reconnected
 }
 
 // mergeReport updates the known tasks from a poll and returns those that changed and those that are gone.
@@ -251,10 +252,10 @@
 
 // missingTasks returns the tasks that the worker does not have although it has
 // acknowledged their prepare commands, and stops tracking those commands.
-func (w *session) missingTasks(req model.PollRequest, term uint64) []model.TaskID {
+func (w *session) missingTasks(req model.PollRequest) []model.TaskID {
 	var gone []model.TaskID
 	for id, seq := range w.prepareSeq {
-		if _, has := w.tasks[id]; !has && req.Epoch == term && seq <= req.Done {
+		if _, has := w.tasks[id]; !has && seq <= req.Done {
 			gone = append(gone, id)
 			delete(w.prepareSeq, id)
 		}
