Keep a run whose worker refuses a repeated order to start it

What callers may see: two runs of one task (TWICE). A worker that has a run and gets the order to start it once more reports that order as refused; the refusal counted as the end of the run, and its successor started elsewhere. The scheduler repeats an order when a heartbeat omits the run, as one does that was written before the order was carried out.

A refusal of a run that the same heartbeat reports as running ends nothing.

Evidence: sched 'does not end the run when the worker refuses it' fails before (2 starts, 1 expected) and passes. go test ./sched and the linter pass.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -153,6 +153,9 @@
 	var endReported map[RunRef]bool
 	for _, e := range w.hb.Ended {
 		ref := RunRef{Task: e.Task, Run: e.Run}
+		if r, ok := w.running[e.Task]; ok && r.Run == e.Run && e.Reason == batch.EndRefused {
+			continue // a repeated order to start the run was refused, and the run goes on
+		}
 		if endReported == nil {
 			endReported = make(map[RunRef]bool, len(w.hb.Ended))
 		}
--- a/sched/orders_test.go
+++ b/sched/orders_test.go
@@ -65,3 +65,19 @@
 		Expect(f.state("normal", "j")).To(Equal(sched.StateSucceeded))
 	})
 })
+
+var _ = Describe("a repeated order to start a run", func() {
+	// Guards against two runs of one task: a worker that has the run refuses the order, which counted as the end of the run.
+	It("does not end the run when the worker refuses it", func() {
+		f := newFixture()
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60_000})
+		f.awaitRunning("j", 1)
+		w := f.workers[f.running("j")[taskID("j", 0, 0)]]
+		w.nextEnd++
+		w.hb.Ended = append(w.hb.Ended, sched.RunEnd{Number: w.nextEnd, Task: taskID("j", 0, 0), Run: 1, Reason: batch.EndRefused})
+		f.expectNoStart("j")
+		Expect(w.hb.Ended).To(BeEmpty()) // acknowledged
+		Expect(w.stopped).To(BeEmpty())
+	})
+})
