Pass on what a worker reports in a poll that it gives up

When a worker gave its poll up while the report was passed to the event loop, the report was dropped, but the worker's session had recorded it, so that no later report named the change again.

--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -32,6 +32,8 @@
 	kill    map[string]context.CancelFunc // by worker name, like workers
 	workers map[string]*fakes.Worker
 	metrics *metrics.Set
+	// abandoned is set while workers give up each poll before it is answered.
+	abandoned atomic.Bool
 }
 
 var perWorker = model.Resources{GPUs: 8, Cores: 32, MemoryMB: 65536}
@@ -65,7 +67,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	resp, err := s.replica.Poll(r.Context(), req)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if s.abandoned.Load() {
+		cancel()
+	}
+	resp, err := s.replica.Poll(ctx, req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -196,6 +203,19 @@
 		Expect(s.job("a").Placement.Workers).NotTo(ContainElement(lost))
 	})
 
+	// Guards against a job that stays in state stopping: what a worker reported in a poll that it gave up was recorded in its
+	// session, but not passed on.
+	It("learns what workers report in polls that they give up", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.abandoned.Store(true)
+		for i := range 5 {
+			id := fmt.Sprint("a", i)
+			s.submit(id, "large", gangShape, 0.1, nil)
+			Eventually(s.state(id), "5s").Should(Equal(model.JobDone))
+			Expect(s.job(id).Attempt).To(Equal(1))
+		}
+	})
+
 	// Guards against two attempts at once: a report from before the start of a task, which arrived late at the next leader,
 	// counted as the worker's word that it does not have the task.
 	It("keeps a task that a late report from before its start omits at the next leader", func() {
--- a/gang/poll.go
+++ b/gang/poll.go
@@ -30,10 +30,10 @@
 	w := l.sessions.get(req.Worker.Name)
 	changed, gone, reconnected := w.applyPoll(req, l.term, l.cfg.Now())
 	if reconnected {
-		l.sendEvent(ctx, workerConnected{worker: req.Worker.Name})
+		l.sendEvent(workerConnected{worker: req.Worker.Name})
 	}
 	if len(changed)+len(gone) > 0 {
-		l.sendEvent(ctx, workerReport{worker: req.Worker.Name, changed: changed, gone: gone})
+		l.sendEvent(workerReport{worker: req.Worker.Name, changed: changed, gone: gone})
 	}
 	deliverable := func(c model.Command) bool { return l.deliverable(req.Worker.DataCentre, c) }
 	if !w.needsFullReport() {
@@ -89,11 +89,11 @@
 	return model.NotRun(model.CodeInvalid, "worker %s is in rack %q, which data centre %s does not declare", w.Name, w.Rack, w.DataCentre)
 }
 
-// sendEvent passes an event to the event loop.
-func (l *leaderState) sendEvent(ctx context.Context, e event) {
+// sendEvent passes an event to the event loop, also after the worker has given the poll up: the session knows the report
+// by then, so that no later one would repeat it.
+func (l *leaderState) sendEvent(e event) {
 	select {
 	case l.events <- e:
-	case <-ctx.Done():
 	case <-l.ctx.Done():
 	}
 }
