--- a/sched/late_test.go
+++ b/sched/late_test.go
@@ -400,7 +400,7 @@
 	sim.silenceOne()
 }
 
-// stopOne makes a run at work fail, and with it its gang.
+// stopOne stops a run at work, which breaks its gang.
 func (sim *simulation) stopOne() {
 	for _, id := range slices.Sorted(maps.Keys(sim.fleet)) {
 		w := sim.fleet[id]
