Let a spec of a later life fail when the gang waits for the lease

Found in the last reading: 'restarts once the worker of a silent member reports a later life, before its lease expires' moved its clock past the lease while it waited, so it passed either way. The clock now stops after 3 s; the lease takes 4.5 s.

--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -43,6 +43,13 @@
 	return r.machine.Apply(r.index, b), nil
 }
 
+// delayEnds makes commits of ends late until commitLate is called.
+func (r *replica) delayEnds() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slow = true
+}
+
 // commitLate commits ends from now on in time, and those that were late.
 func (r *replica) commitLate() {
 	r.mu.Lock()
@@ -53,6 +60,7 @@
 	}
 	r.slow, r.late = false, nil
 }
+
 func (r *replica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
 	return r.Execute(ctx, c)
 }
--- a/sched/orders_test.go
+++ b/sched/orders_test.go
@@ -34,9 +34,7 @@
 		Expect(f.setOutage("dc1", true)).To(Succeed())
 		Expect(f.loseHeartbeat("w1").Stops).To(HaveLen(1))
 		Expect(f.setOutage("dc1", false)).To(Succeed())
-		f.r.mu.Lock()
-		f.r.slow = true
-		f.r.mu.Unlock()
+		f.r.delayEnds()
 		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
 		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
 		f.r.commitLate()
@@ -50,9 +48,7 @@
 		f.addWorkers("r1", "dc1", "w1")
 		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60_000})
 		f.awaitRunning("j", 1)
-		f.r.mu.Lock()
-		f.r.slow = true
-		f.r.mu.Unlock()
+		f.r.delayEnds()
 		f.workers["w1"].end(taskID("j", 0, 0), batch.EndDone)
 		for range 3 {
 			orders := f.heartbeat("w1")
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -364,7 +364,14 @@
 		f.heartbeat("w1")
 		f.addWorkers("r1", "dc1", "w3")
 		f.workers["w3"].hb.Machine, f.workers["w3"].hb.Incarnation = "m-w2", 2
-		f.awaitRunning("j", 2)
+		withinLease := f.now.Load() + int64(3*time.Second)
+		Eventually(func() int {
+			if f.now.Load() < withinLease {
+				f.advance(100 * time.Millisecond)
+			}
+			f.heartbeatAll()
+			return len(f.running("j"))
+		}, 5*time.Second, 20*time.Millisecond).Should(Equal(2))
 	})
 
 	// Guards against two runs of one task: a member counted as ended because another one had reported that the gang broke,
--- a/soak/task.go
+++ b/soak/task.go
@@ -130,6 +130,7 @@
 	return g
 }
 
+// newGang returns a gang of which no member has started.
 func newGang(size int) *gang {
 	return &gang{members: map[int]bool{}, workers: map[*worker]bool{}, size: size, createdAt: time.Now()}
 }
