Enforce the quotas of teams for stepped jobs

A team's maximum of cores, memory and accelerators was not read, so a team could start as much as there was room for.

Package quota decides, sched/quota.go keeps the use and asks it in placement passes and once more when a start order is written into an answer.

--- a/batch/catalog.go
+++ b/batch/catalog.go
@@ -54,6 +54,10 @@
 	// GuaranteedGPUs is the number of accelerators guaranteed to the team's jobs of priority 0.
 	GuaranteedGPUs int `json:"guaranteed_gpus"`
 	Priority       int `json:"priority"`
+	// Weight is the team's share when there is too little room, in relation to the weights of other teams; 0 means none.
+	Weight float64 `json:"weight,omitempty"`
+	// Maximum bounds what the team may have running; 0 means that a resource is not limited.
+	Maximum Resources `json:"maximum,omitzero"`
 }
 
 // Catalog is one version of the configuration that operators declare; it is immutable.
@@ -168,12 +172,24 @@
 	return Team{}, false
 }
 
-// Guarantee returns the number of accelerators guaranteed to a team, 0 if the team is unknown.
-func (c *Catalog) Guarantee(team string) int {
+// Team returns the team with the given name.
+func (c *Catalog) Team(name string) (Team, bool) {
 	for _, t := range c.Teams {
-		if t.Name == team {
-			return t.GuaranteedGPUs
+		if t.Name == name {
+			return t, true
 		}
 	}
-	return 0
+	return Team{}, false
+}
+
+// Guarantee returns the number of accelerators guaranteed to a team, 0 if the team is unknown.
+func (c *Catalog) Guarantee(team string) int {
+	t, _ := c.Team(team)
+	return t.GuaranteedGPUs
+}
+
+// Maximum returns what a team may have running, without a limit if the team is unknown.
+func (c *Catalog) Maximum(team string) Resources {
+	t, _ := c.Team(team)
+	return t.Maximum
 }
--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -96,6 +96,9 @@
 		if err == nil {
 			err = diffWaiting(kept.waiting, fresh.waiting)
 		}
+		if err == nil {
+			err = diffUse(s.leader, fresh)
+		}
 	})
 	return err
 }
@@ -129,6 +132,34 @@
 	return nil
 }
 
+// diffUse compares the kept use of all teams with a fresh count of the runs on all workers.
+func diffUse(l *leaderState, fresh pass) error {
+	kept, unrecorded := l.use, maps.Clone(l.use.unrecorded)
+	fresh.markUseStale()
+	use := newQuotaUse()
+	for id := range l.workers {
+		fresh.room.markStale(id)
+	}
+	for id := range fresh.room.stale {
+		for _, c := range fresh.countRuns(id) {
+			use.add(c.team, c.need)
+		}
+	}
+	clear(fresh.room.stale)
+	l.use.unrecorded = unrecorded
+	if !maps.Equal(kept.total, use.total) {
+		return fmt.Errorf("use of teams: kept %v, fresh %v", kept.total, use.total)
+	}
+	return nil
+}
+
+// Use returns what a team may have running.
+func (s *Scheduler) Use(team string) batch.Resources {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return batch.Resources(s.leader.use.total[team])
+}
+
 // Panics returns how many calls have panicked.
 func (s *Scheduler) Panics() uint64 { return s.metrics.panics.Get() }
 
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -155,14 +155,26 @@
 	return reply{a, err}
 }
 
-func (f *fixture) declare(version uint64) {
+func (f *fixture) declare(version uint64) { f.declareTeams(version, testTeam) }
+
+// testTeam is the team of the fixture, without a quota.
+var testTeam = batch.Team{Name: "team", Keys: []string{testKey}, GuaranteedGPUs: guarantee}
+
+// declareQuota declares the fixture's team with a quota.
+func (f *fixture) declareQuota(version uint64, maximum batch.Resources) {
+	t := testTeam
+	t.Maximum = maximum
+	f.declareTeams(version, t)
+}
+
+func (f *fixture) declareTeams(version uint64, teams ...batch.Team) {
 	queue := func(name string, priority int, advice *batch.Advice) batch.Queue {
 		return batch.Queue{Name: name, Host: testHost, Prefix: "/" + name + "/", Service: "svc", Priority: priority, MaxFailures: 2, Stretch: 3, TargetMS: 1000, Advice: advice}
 	}
 	Expect(f.call(sched.Call{Declare: &batch.Catalog{
 		Version: version, Source: []byte(fmt.Sprint(version)), Services: []batch.Service{{Name: "svc", AdmissionControl: true}},
 		Queues: []batch.Queue{queue("urgent", 0, nil), queue("normal", 1, nil), queue("advised", 1, &batch.Advice{})},
-		Teams:  []batch.Team{{Name: "team", Keys: []string{testKey}, GuaranteedGPUs: guarantee}},
+		Teams:  teams,
 	}}).err).To(Succeed())
 }
 
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -179,6 +179,7 @@
 		}
 	}
 	s.cfg.Logger.Log("event", "config_acknowledged", "version", c.Version, "before", current, "queues", len(c.Queues), "teams", len(c.Teams), "term", l.term)
+	s.logContradictions(&c)
 	l.triggerPass()
 	return Answer{}, nil
 }
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -30,6 +30,8 @@
 	*fixture
 	rand *rand.Rand
 	jobs int
+	// version is the version of the latest configuration.
+	version uint64
 }
 
 func (h *history) worker() string {
@@ -85,7 +87,7 @@
 }
 
 func (h *history) step() {
-	switch h.rand.IntN(15) {
+	switch h.rand.IntN(16) {
 	case 0, 1:
 		h.submitRandom()
 	case 2, 3, 4:
@@ -109,6 +111,9 @@
 		h.call(sched.Call{Leave: &sched.Leave{Worker: h.worker()}})
 	case 14:
 		h.regainLease()
+	case 15:
+		h.version++
+		h.declareQuota(h.version, batch.Resources{GPUs: []int{0, 4, 12, 24}[h.rand.IntN(4)], MemoryMB: h.rand.IntN(2) * 12000})
 	}
 	_, err := h.s.Pass([]sched.Commit{sched.InTime, sched.InTime, sched.InTime, sched.Late, sched.Never}[h.rand.IntN(5)])
 	Expect(err).NotTo(HaveOccurred())
@@ -135,7 +140,7 @@
 	// Guards against updates that are left out: placement would use room that is taken, or leave room unused.
 	It("are those that a fresh look gives, after random histories", func() {
 		for seed := range uint64(12) {
-			h := &history{fixture: newIdleFixture(), rand: rand.New(rand.NewPCG(seed, 1))}
+			h := &history{fixture: newIdleFixture(), rand: rand.New(rand.NewPCG(seed, 1)), version: 1}
 			h.addWorkers("r1", "dc1", "w1", "w2", "w3")
 			h.addWorkers("r2", "dc2", "w4", "w5")
 			for i := range 400 {
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -42,6 +42,9 @@
 				s.orderStop(l, w, out, RunRef{Task: id, Run: run}, reason)
 				continue
 			}
+			if l.defersStart(b, hb.Worker, j, RunRef{Task: id, Run: run}) {
+				continue
+			}
 			order := StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: l.resumeCheckpoint(j, id), Ticket: l.ticket(id, hb.Worker, now)}
 			if bytesLeft -= order.encodedBytes(); bytesLeft < 0 && len(out.Starts) > 0 {
 				continue // with the next heartbeat
@@ -51,6 +54,7 @@
 				forming = true
 			}
 			out.Starts = append(out.Starts, order)
+			l.noteOrdered(hb.Worker, RunRef{Task: id, Run: run})
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
@@ -115,6 +119,8 @@
 		return "gang has not formed in time"
 	case needsTicket(b, j) && l.ticket(id, w.hb.Worker, now) == "":
 		return "ticket has expired"
+	case l.exceedsQuota(b, w.hb.Worker, j, ref):
+		return "quota of the team is exceeded"
 	}
 	return ""
 }
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -32,6 +32,8 @@
 	starts  []batch.Start
 	// reservedGangs counts the gangs that resources coming free were reserved for in this pass.
 	reservedGangs int
+	// budgets holds what the pass may still give to each team under its limit.
+	budgets map[string]*quotaBudget
 	// preemptSearches counts the searches for runs to preempt in this pass.
 	preemptSearches int
 }
@@ -42,7 +44,7 @@
 	l.passNumber++
 	p := &pass{
 		s: s, l: l, state: b, room: l.room, waiting: l.waiting, number: l.passNumber,
-		now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(),
+		now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(), budgets: map[string]*quotaBudget{},
 	}
 	changes := l.ledger.TakeChanges()
 	if changes.All {
@@ -59,6 +61,7 @@
 			p.waiting.touched[id] = true
 		}
 		clear(p.waiting.shapes)
+		p.markUseStale()
 	}
 	for id := range changes.Workers {
 		p.room.markStale(id)
@@ -66,8 +69,10 @@
 	for id := range changes.Jobs {
 		p.waiting.touched[id] = true
 	}
+	p.checkUnrecorded()
 	p.refreshRoom()
 	p.refreshWaiting()
+	p.wakeQuotaWaiters()
 	return p
 }
 
@@ -99,11 +104,11 @@
 		switch {
 		case p.isCandidate(w):
 			p.s.metrics.triedSteps.Inc()
-			if !p.placeStep(w) && isHeld {
+			if !p.placeStep(w) && isHeld && !w.quota.active {
 				p.hold(r)
 			}
 			w.fresh = false
-		case isHeld:
+		case isHeld && p.withinQuota(w):
 			p.hold(r)
 		}
 	}
@@ -154,6 +159,7 @@
 func (p *pass) hold(r reservation) {
 	p.l.reservations = append(p.l.reservations, r)
 	r.apply()
+	p.holdQuota(r)
 }
 
 // isCandidate reports whether a step may find a place in this pass.
--- a/sched/place.go
+++ b/sched/place.go
@@ -65,6 +65,10 @@
 
 // placeStep places waiting tasks of a step, and reports whether all of them have a place.
 func (p *pass) placeStep(w *waitingStep) bool {
+	if !p.withinQuota(w) {
+		p.awaitQuota(w)
+		return false
+	}
 	if w.job.Spec.Steps[w.first.Step].Gang {
 		return p.placeGang(w)
 	}
@@ -175,21 +179,27 @@
 		return false
 	}
 	tasks := p.waitingTasks(w)
+	inQuota := p.tasksWithinQuota(w)
 	r.count = 1 // each task is placed independently
 	remote := p.allowsRemote(&r, w.waited(p.now))
 	if w.shape.at(p.number).leastFailed[supplyNow][boolToInt(remote)] == 0 {
 		options := p.optionsFor(&r, remote)
-		for len(tasks) > 0 && len(options.list) > 0 {
+		for len(tasks) > 0 && inQuota > 0 && len(options.list) > 0 {
 			p.assign(options.list[0].workerView, tasks[0], w.job.Task(tasks[0]).Run+1)
 			p.updateFirst(&r, options)
 			tasks = tasks[1:]
+			inQuota--
 		}
 	}
 	if len(tasks) == 0 {
 		return true
 	}
+	if inQuota == 0 && !p.withinQuota(w) {
+		p.awaitQuota(w)
+		return false
+	}
 	w.shape.noteFailure(supplyNow, remote, 1)
-	r.count = len(tasks)
+	r.count = min(len(tasks), inQuota)
 	w.block(p.now)
 	p.preemptIfDue(&r)
 	p.scheduleRetry(&r)
@@ -299,4 +309,5 @@
 	p.starts = append(p.starts, start)
 	p.l.pending[id] = start
 	p.l.pendingOn[wv.id] = append(p.l.pendingOn[wv.id], id)
+	p.countStart(start)
 }
--- /dev/null
+++ b/sched/quota.go
@@ -0,0 +1,428 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericroute/batch"
+	"turmericroute/quota"
+)
+
+const (
+	// quotaRetryInterval is the longest time until a step that waits for its team's quota is tried again, whatever made
+	// the quota free.
+	quotaRetryInterval = time.Second
+	// quotaReclaimShare is the fraction of the reclaim time after which a guaranteed job that waits for its team's quota
+	// preempts other runs of the team. It leaves time to preempt runs of other teams after that.
+	quotaReclaimShare = 0.15
+)
+
+// quotaUse is what each team may have running: the runs that are active in the ledger, the pending starts, and what
+// workers report beyond those. Like the room it is updated where something changes.
+type quotaUse struct {
+	total map[string]quota.Amounts // by team
+	// counted holds the runs that are counted, by worker.
+	counted map[string][]countedRun
+	// unrecorded holds the workers that report runs that are not active in the ledger. These count until the lease of
+	// the worker has expired.
+	unrecorded map[string]bool
+	// eased holds the teams whose use has fallen since the last pass.
+	eased map[string]bool
+}
+
+// countedRun is a run that counts for the quota of its team.
+type countedRun struct {
+	ref  RunRef
+	team string
+	need quota.Amounts
+	// ordered is set once this leader has ordered the worker to start the run.
+	ordered bool
+}
+
+func newQuotaUse() *quotaUse {
+	return &quotaUse{total: map[string]quota.Amounts{}, counted: map[string][]countedRun{}, unrecorded: map[string]bool{}, eased: map[string]bool{}}
+}
+
+// markUseStale makes the pass count the runs of all workers anew.
+func (p *pass) markUseStale() {
+	for id := range p.state.Runs {
+		p.room.markStale(id)
+	}
+	for id := range p.l.use.counted {
+		p.room.markStale(id)
+	}
+}
+
+// checkUnrecorded marks the workers whose unrecorded runs have ended with the lease.
+func (p *pass) checkUnrecorded() {
+	for id := range p.l.use.unrecorded {
+		if w := p.l.workers[id]; w == nil || w.gone || p.now > w.leaseEnd {
+			p.room.markStale(id)
+		}
+	}
+}
+
+// refreshUse counts the runs of a worker anew.
+func (p *pass) refreshUse(id string) {
+	u := p.l.use
+	before := u.counted[id]
+	after := p.countRuns(id)
+	change := map[string]quota.Amounts{}
+	for _, c := range before {
+		change[c.team] = change[c.team].Minus(c.need)
+	}
+	for i := range after {
+		c := &after[i]
+		change[c.team] = change[c.team].Plus(c.need)
+		c.ordered = slices.ContainsFunc(before, func(old countedRun) bool { return old.ref == c.ref && old.ordered })
+	}
+	for team, more := range change {
+		if more.CPUMilli < 0 || more.MemoryMB < 0 || more.GPUs < 0 {
+			u.eased[team] = true
+		}
+		u.add(team, more)
+	}
+	if len(after) == 0 {
+		delete(u.counted, id)
+		return
+	}
+	u.counted[id] = after
+}
+
+func (u *quotaUse) add(team string, more quota.Amounts) {
+	next := u.total[team].Plus(more)
+	if next == (quota.Amounts{}) {
+		delete(u.total, team)
+		return
+	}
+	u.total[team] = next
+}
+
+// countRuns returns the runs on a worker that may be running.
+func (p *pass) countRuns(id string) []countedRun {
+	var out []countedRun
+	count := func(t batch.TaskID, run int) {
+		if j := p.state.Jobs[t.Job]; j != nil && t.Step < len(j.Spec.Steps) {
+			out = append(out, countedRun{ref: RunRef{Task: t, Run: run}, team: j.Team, need: quota.Amounts(j.Spec.Steps[t.Step].Need)})
+		}
+	}
+	runs := p.state.Runs[id]
+	for t, run := range runs {
+		count(t, run)
+	}
+	delete(p.l.use.unrecorded, id)
+	if w := p.l.workers[id]; w != nil && !w.gone && p.now <= w.leaseEnd {
+		for t, r := range w.running {
+			if runs[t] != r.Run {
+				count(t, r.Run)
+				p.l.use.unrecorded[id] = true
+			}
+		}
+	}
+	for _, t := range p.l.pendingOn[id] {
+		if run := p.l.pending[t].Run; runs[t] != run {
+			count(t, run)
+		}
+	}
+	return out
+}
+
+// countStart counts a run that the pass starts.
+func (p *pass) countStart(st batch.Start) {
+	j := p.state.Jobs[st.Task.Job]
+	c := countedRun{ref: RunRef{Task: st.Task, Run: st.Run}, team: j.Team, need: quota.Amounts(j.Spec.Steps[st.Task.Step].Need)}
+	p.l.use.counted[st.Worker] = append(p.l.use.counted[st.Worker], c)
+	p.l.use.add(c.team, c.need)
+}
+
+// find returns the record of a run on a worker, nil if the run is not counted.
+func (u *quotaUse) find(worker string, ref RunRef) *countedRun {
+	list := u.counted[worker]
+	i := slices.IndexFunc(list, func(c countedRun) bool { return c.ref == ref })
+	if i < 0 {
+		return nil
+	}
+	return &list[i]
+}
+
+// limitOf returns the limit of a team by the catalog in force; jobs without a team and those of a team that is no longer
+// declared have none.
+func limitOf(b *batch.State, team string) quota.Limit {
+	if team == "" {
+		return quota.Limit{}
+	}
+	return quota.Limit(b.Catalog.Maximum(team))
+}
+
+// exceedsQuota reports whether a run that was placed must be withdrawn, as its team has come above its limit since. A run
+// that this leader has ordered to start may be running already, and is left alone.
+func (l *leaderState) exceedsQuota(b *batch.State, worker string, j *batch.Job, ref RunRef) bool {
+	limit := limitOf(b, j.Team)
+	if !limit.Limited() || !limit.Exceeded(l.use.total[j.Team]) {
+		return false
+	}
+	c := l.use.find(worker, ref)
+	return c == nil || !c.ordered
+}
+
+// defersStart reports whether a start must not be ordered now although the run stands: a pass has not counted it yet, as
+// its commit came late, or the order is a repeated one while the team is above its limit.
+func (l *leaderState) defersStart(b *batch.State, worker string, j *batch.Job, ref RunRef) bool {
+	limit := limitOf(b, j.Team)
+	return limit.Limited() && (l.use.find(worker, ref) == nil || limit.Exceeded(l.use.total[j.Team]))
+}
+
+// noteOrdered records that a worker has been ordered to start a run.
+func (l *leaderState) noteOrdered(worker string, ref RunRef) {
+	if c := l.use.find(worker, ref); c != nil {
+		c.ordered = true
+	}
+}
+
+// logContradictions logs the teams whose quota is below their guarantee. The quota goes first.
+func (s *Scheduler) logContradictions(c *batch.Catalog) {
+	for _, t := range c.Teams {
+		if limit := quota.Limit(t.Maximum); !limit.Allows(quota.Amounts{}, quota.Amounts{GPUs: t.GuaranteedGPUs}) {
+			s.cfg.Logger.Log("event", "quota_below_guarantee", "version", c.Version, "team", t.Name, "guaranteed_gpus", t.GuaranteedGPUs, "maximum_gpus", t.Maximum.GPUs, "why", "the quota goes first")
+		}
+	}
+}
+
+// quotaWait is what a step waits for while its team may not use more.
+type quotaWait struct {
+	active   bool
+	since    time.Duration
+	shortage quota.Shortage
+	// behind is set if the quota has room, which is kept for a step of the team that ranks higher.
+	behind bool
+	logged bool
+}
+
+// reason returns why a step of a team waits.
+func (q *quotaWait) reason(team string) string {
+	if q.behind {
+		return "waits behind other work for the quota of team " + team
+	}
+	return q.shortage.Reason(team)
+}
+
+// quotaBudget is what one pass may still give to a team under its limit.
+type quotaBudget struct {
+	limit quota.Limit
+	// held is what is reserved for steps of the team that rank higher.
+	held quota.Amounts
+	// closed is set once a step of the team waits for the quota. Later ones may use half of the limit at most, or they
+	// would keep the resources from it that come free.
+	closed bool
+}
+
+// budget returns the budget of a job's team in this pass.
+func (p *pass) budget(j *batch.Job) *quotaBudget {
+	g := p.budgets[j.Team]
+	if g == nil {
+		g = &quotaBudget{limit: limitOf(p.state, j.Team)}
+		p.budgets[j.Team] = g
+	}
+	return g
+}
+
+// limitFor returns the limit that applies to a job in this pass.
+func (p *pass) limitFor(j *batch.Job) quota.Limit {
+	g := p.budget(j)
+	if !g.closed || p.guaranteed(j) {
+		return g.limit
+	}
+	half := g.limit
+	half.CPUMilli, half.MemoryMB, half.GPUs = half.CPUMilli/2, half.MemoryMB/2, half.GPUs/2
+	return half
+}
+
+// quotaNeed returns what must be free in the quota before any task of a step starts: the need of all tasks of a gang, or
+// that of one task.
+func quotaNeed(w *waitingStep) quota.Amounts {
+	step := &w.job.Spec.Steps[w.first.Step]
+	need := quota.Amounts(step.Need)
+	if step.Gang {
+		need = need.Times(step.Count)
+	}
+	return need
+}
+
+// quotaUsed returns what a team uses and what is reserved for it.
+func (p *pass) quotaUsed(j *batch.Job) quota.Amounts {
+	return p.l.use.total[j.Team].Plus(p.budget(j).held)
+}
+
+// withinQuota reports whether the quota of its team lets a step start, and otherwise records what it waits for.
+func (p *pass) withinQuota(w *waitingStep) bool {
+	g := p.budget(w.job)
+	if !g.limit.Limited() {
+		w.quota.active = false
+		return true
+	}
+	need, used := quotaNeed(w), p.quotaUsed(w.job)
+	limit := p.limitFor(w.job)
+	shortage, short := limit.Shortage(used, need)
+	if !short {
+		w.quota.active = false
+		return true
+	}
+	full, exhausted := g.limit.Shortage(used, need)
+	if exhausted {
+		shortage = full
+	}
+	if w.quota.shortage.Resource != shortage.Resource || w.quota.behind == exhausted {
+		w.quota.logged = false
+	}
+	if !w.quota.active {
+		w.quota.active, w.quota.since = true, p.now
+	}
+	w.quota.shortage, w.quota.behind = shortage, !exhausted
+	return false
+}
+
+// tasksWithinQuota returns how many tasks of a step the quota of its team lets start.
+func (p *pass) tasksWithinQuota(w *waitingStep) int {
+	return p.limitFor(w.job).Count(p.quotaUsed(w.job), quota.Amounts(w.job.Spec.Steps[w.first.Step].Need))
+}
+
+// awaitQuota lets a step wait for the quota of its team. It reserves no room and preempts no runs of other teams, which
+// would be in vain.
+func (p *pass) awaitQuota(w *waitingStep) {
+	p.retryAt(p.now + quotaRetryInterval)
+	g := p.budget(w.job)
+	_, impossible := g.limit.Shortage(quota.Amounts{}, quotaNeed(w))
+	if !w.quota.logged {
+		w.quota.logged = true
+		p.s.cfg.Logger.Log("event", "quota_waits", "task", w.first, "team", w.job.Team, "queue", w.job.Queue, "why", w.quota.reason(w.job.Team), "resource", w.quota.shortage.Resource, "impossible", impossible)
+	}
+	if impossible {
+		return
+	}
+	if !g.closed {
+		g.closed = true
+		p.preemptWithinTeam(w)
+	}
+}
+
+// wakeQuotaWaiters lets the pass try the steps of teams whose use has fallen.
+func (p *pass) wakeQuotaWaiters() {
+	eased := p.l.use.eased
+	if len(eased) == 0 {
+		return
+	}
+	for _, w := range p.waiting.steps {
+		if w.quota.active && eased[w.job.Team] {
+			w.fresh, p.waiting.anyFresh = true, true
+		}
+	}
+	clear(eased)
+}
+
+// holdQuota takes what is reserved for a step from the budget of its team.
+func (p *pass) holdQuota(r reservation) {
+	g := p.budget(r.step.job)
+	need := quota.Amounts(r.step.job.Spec.Steps[r.step.first.Step].Need)
+	for _, c := range r.chosen {
+		g.held = g.held.Plus(need.Times(c.count))
+	}
+}
+
+// preemptWithinTeam preempts runs of a step's own team that keep the step from its quota, if they may be preempted for it:
+// the guarantee of a team must not depend on how much else the team runs. Only full passes preempt.
+func (p *pass) preemptWithinTeam(w *waitingStep) {
+	if !p.full || p.priority(w.job) > 0 || p.now < w.nextPreemptAt || p.preemptSearches >= maxPreemptSearches {
+		return
+	}
+	p.retryAt(max(p.now+preemptRetryInterval, w.nextPreemptAt))
+	r, ok := p.newRequest(w)
+	if !ok {
+		return
+	}
+	due := p.guaranteed(w.job) && p.now-w.quota.since >= time.Duration(quotaReclaimShare*float64(p.s.cfg.Limits.Reclaim))
+	if !due && !p.canBeOnTime(w) {
+		return
+	}
+	p.preemptSearches++
+	w.nextPreemptAt = p.now + preemptRetryInterval
+	chosen, enough := p.teamVictims(&r)
+	if !enough || !due && totalCost(chosen) > maxPreemptCostShare*workOf(w.job) {
+		return
+	}
+	for _, v := range chosen {
+		for _, ref := range v.runs {
+			p.l.preempting[ref] = w.job.ID
+			p.s.cfg.Logger.Log("event", "run_preempted", "task", ref.Task, "run", ref.Run, "for", w.job.ID, "team", w.job.Team, "cost", v.cost, "why", "quota")
+		}
+	}
+}
+
+// canBeOnTime reports whether a job that starts once other runs have been stopped for it meets its objective.
+func (p *pass) canBeOnTime(w *waitingStep) bool {
+	due, ok := p.objective(w.job)
+	slack := time.Duration(due-p.nowMS-criticalPathMS(w.job, w.first.Round, true)) * time.Millisecond
+	return ok && slack >= p.s.cfg.Limits.StopGrace+2*p.l.longestInterval()
+}
+
+// teamVictims returns runs of the request's own team whose end lets the step start under the quota, those first that lose
+// the least work for what they free of the resource that is short. It returns false if there are not enough.
+func (p *pass) teamVictims(r *request) ([]*victim, bool) {
+	team, short := r.job.Team, r.quota.shortage.Resource
+	limit, need := p.budget(r.job).limit, quotaNeed(r.waitingStep)
+	used := p.quotaUsed(r.job)
+	for ref := range p.l.preempting {
+		if j := p.jobOf(ref); j != nil && j.Team == team {
+			used = used.Minus(quota.Amounts(j.Spec.Steps[ref.Task.Step].Need))
+		}
+	}
+	var chosen []*victim
+	for _, v := range p.preemptibleOf(r, short) {
+		if limit.Allows(used, need) {
+			break
+		}
+		chosen = append(chosen, v)
+		used = used.Minus(p.freedBy(v))
+	}
+	return chosen, limit.Allows(used, need)
+}
+
+// preemptibleOf returns the runs of the request's own team that may be preempted for it, in the order of the work that they
+// lose for each unit of a resource.
+func (p *pass) preemptibleOf(r *request, short quota.Resource) []*victim {
+	by := map[batch.TaskID]*victim{}
+	budget := stopBudget{p: p, left: map[batch.TaskID]int{}}
+	for _, list := range p.l.use.counted {
+		for _, c := range list {
+			j := p.jobOf(c.ref)
+			if c.team != r.job.Team || c.need.Of(short) == 0 || j == nil || !p.isActive(c.ref) || !p.preemptible(r, j, c.ref) || !budget.take(j, c.ref.Task) {
+				continue
+			}
+			key := c.ref.Task
+			if j.Spec.Steps[key.Step].Gang {
+				key.Index = -1
+			}
+			if by[key] == nil {
+				by[key] = p.newVictim(j, key)
+			}
+		}
+	}
+	list := make([]*victim, 0, len(by))
+	for _, v := range by {
+		list = append(list, v)
+	}
+	perUnit := func(v *victim) float64 { return v.cost / float64(max(1, p.freedBy(v).Of(short))) }
+	slices.SortFunc(list, func(a, b *victim) int { return cmp.Or(cmp.Compare(perUnit(a), perUnit(b)), compareTasks(a.key, b.key)) })
+	return list
+}
+
+// isActive reports whether a run is the active run of its task in the ledger.
+func (p *pass) isActive(ref RunRef) bool {
+	t := p.jobOf(ref).Task(ref.Task)
+	return t != nil && t.Active && t.Run == ref.Run
+}
+
+// freedBy returns what the end of a victim's runs frees of its team's quota.
+func (p *pass) freedBy(v *victim) quota.Amounts {
+	return quota.Amounts(p.state.Jobs[v.key.Job].Spec.Steps[v.key.Step].Need).Times(len(v.runs))
+}
--- a/sched/room.go
+++ b/sched/room.go
@@ -75,6 +75,7 @@
 	}
 	for id := range rm.stale {
 		p.refreshView(id)
+		p.refreshUse(id)
 	}
 	clear(rm.stale)
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -91,6 +91,8 @@
 	// room and waiting are what placement passes work on; they are updated where something changes.
 	room    *room
 	waiting *waitingSteps
+	// use is what each team may have running.
+	use *quotaUse
 	// reservations are the placements that are reserved until the next full pass.
 	reservations []reservation
 	passNumber   uint64
@@ -197,7 +199,7 @@
 	return &memory{
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
-		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
+		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), use: newQuotaUse(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
 		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
 	}
 }
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -18,6 +18,8 @@
 	blockedSince time.Duration
 	// nextPreemptAt is the boot time before which preemption for the step is not tried again.
 	nextPreemptAt time.Duration
+	// quota is set while the step waits for the quota of its team.
+	quota quotaWait
 }
 
 // block records that tasks of the step could not be placed.
@@ -194,7 +196,7 @@
 			}
 			w := &waitingStep{job: j, first: first, fresh: true}
 			if old := p.waiting.steps[first]; old != nil {
-				w.blocked, w.blockedSince, w.nextPreemptAt = old.blocked, old.blockedSince, old.nextPreemptAt
+				w.blocked, w.blockedSince, w.nextPreemptAt, w.quota = old.blocked, old.blockedSince, old.nextPreemptAt, old.quota
 			}
 			w.shape = p.shapeOf(j, first)
 			p.waiting.anyFresh = true
