Bound the cores and memory of a team in the own configuration

A team could be limited in accelerators only (max_gpus). max_cores and max_memory_mb bound the rest in the same way: validate refuses them below the guarantees, a submission that can never fit is refused as impossible, and the placement policy counts all three, with package quota. A waiting job says which of them is short.

--- a/config/config.go
+++ b/config/config.go
@@ -1,6 +1,9 @@
 package config
 
-import "turmericroute/model"
+import (
+	"turmericroute/model"
+	"turmericroute/quota"
+)
 
 // Config is one version of the operators' configuration; it must not be modified.
 type Config struct {
@@ -40,6 +43,9 @@
 	Guarantees []Guarantee `json:"guarantees,omitempty" yaml:"guarantees,omitempty"`
 	// MaxGPUs bounds the accelerators in use by the team, borrowed ones included; 0 means no bound.
 	MaxGPUs int `json:"max_gpus,omitempty" yaml:"max_gpus,omitempty"`
+	// MaxCores and MaxMemoryMB bound the cores and the memory in MiB in the same way.
+	MaxCores    int `json:"max_cores,omitempty" yaml:"max_cores,omitempty"`
+	MaxMemoryMB int `json:"max_memory_mb,omitempty" yaml:"max_memory_mb,omitempty"`
 	// DataCentres limits where the team's tasks and requests may run; empty means everywhere.
 	DataCentres []string `json:"data_centres,omitempty" yaml:"data_centres,omitempty"`
 	// Services names the upstream services that the team may call.
@@ -48,6 +54,11 @@
 	MaxRequests int `json:"max_requests,omitempty" yaml:"max_requests,omitempty"`
 }
 
+// Quota returns the most that the team may use at once.
+func (t Team) Quota() quota.Limit {
+	return quota.Limit{CPUMilli: 1000 * t.MaxCores, MemoryMB: t.MaxMemoryMB, GPUs: t.MaxGPUs}
+}
+
 // Guarantee is a shape that a team can run Count times concurrently at any time.
 type Guarantee struct {
 	Shape model.Shape `json:"shape" yaml:"shape"`
--- a/config/valid.go
+++ b/config/valid.go
@@ -29,7 +29,8 @@
 	maxGuaranteeCount = 1024 // per guarantee
 	maxDrainedWorkers = 8192
 	maxWeight         = 1e6
-	maxQuota          = 1 << 20 // accelerators or requests, per team
+	maxQuota          = 1 << 20 // accelerators, cores or requests, per team
+	maxMemoryQuotaMB  = 1 << 40 // 1 EiB, per team
 	maxSlots          = 4096    // also bounds connections, per executor
 )
 
@@ -135,6 +136,8 @@
 			v.faults.Add(key+".weight", "is %v, must be 0 to %v", t.Weight, maxWeight)
 		}
 		v.faults.CheckRange(key+".max_gpus", t.MaxGPUs, 0, maxQuota)
+		v.faults.CheckRange(key+".max_cores", t.MaxCores, 0, maxQuota)
+		v.faults.CheckRange(key+".max_memory_mb", t.MaxMemoryMB, 0, maxMemoryQuotaMB)
 		v.faults.CheckRange(key+".max_requests", t.MaxRequests, 0, maxQuota)
 		v.dataCentreRefs(key, t.DataCentres)
 		v.serviceRefs(key, t.Services)
@@ -156,7 +159,7 @@
 
 func (v *validator) guarantees(team string, t Team) {
 	v.checkCount(team+".guarantees", len(t.Guarantees), maxGuarantees)
-	total := 0
+	var total model.Resources
 	for i, g := range t.Guarantees {
 		key := fmt.Sprintf("%s.guarantees[%d]", team, i)
 		v.faults = append(v.faults, CheckShape(key+".shape", g.Shape)...)
@@ -167,10 +170,20 @@
 				v.faults.Add(fmt.Sprintf("%s.data_centres[%d]", key, j), "team %s may not use data centre %q", t.Name, dc)
 			}
 		}
-		total += max(0, min(g.Shape.Tasks, MaxTasks)) * max(0, min(g.Shape.GPUs, maxGPUs)) * max(1, min(g.Count, maxGuaranteeCount))
+		tasks := max(0, min(g.Shape.Tasks, MaxTasks)) * max(1, min(g.Count, maxGuaranteeCount))
+		total.GPUs += tasks * max(0, min(g.Shape.GPUs, maxGPUs))
+		total.Cores += tasks * max(0, min(g.Shape.Cores, maxCores))
+		total.MemoryMB += tasks * max(0, min(g.Shape.MemoryMB, maxMemoryMB))
 	}
-	if t.MaxGPUs > 0 && total > t.MaxGPUs {
-		v.faults.Add(team+".max_gpus", "is %d, but the guarantees need %d", t.MaxGPUs, total)
+	v.checkQuota(team+".max_gpus", t.MaxGPUs, total.GPUs)
+	v.checkQuota(team+".max_cores", t.MaxCores, total.Cores)
+	v.checkQuota(team+".max_memory_mb", t.MaxMemoryMB, total.MemoryMB)
+}
+
+// checkQuota adds a fault if a quota is less than what the guarantees of its team need.
+func (v *validator) checkQuota(key string, quota, guaranteed int) {
+	if quota > 0 && guaranteed > quota {
+		v.faults.Add(key, "is %d, but the guarantees need %d", quota, guaranteed)
 	}
 }
 
--- a/place/check.go
+++ b/place/check.go
@@ -8,6 +8,7 @@
 
 	"turmericroute/config"
 	"turmericroute/model"
+	"turmericroute/quota"
 )
 
 // MaxGangTasks is the largest number of tasks of a gang.
@@ -95,8 +96,9 @@
 		return fmt.Sprintf("a gang has 1 to %d tasks, not %d", MaxGangTasks, s.Tasks)
 	case s.GPUs < 0 || s.Cores < 0 || s.MemoryMB < 0 || s.GPUs+s.Cores+s.MemoryMB == 0:
 		return "a task needs some resource, and none below zero"
-	case t.MaxGPUs > 0 && s.TotalGPUs() > t.MaxGPUs:
-		return fmt.Sprintf("it needs %d accelerators, the quota of team %s is %d", s.TotalGPUs(), t.Name, t.MaxGPUs)
+	}
+	if short, ok := t.Quota().Shortage(quota.Amounts{}, taskAmount(s).times(s.Tasks).quota()); ok {
+		return fmt.Sprintf("it needs %s, the quota of team %s is %s", short.Resource.Format(short.Needed), t.Name, short.Resource.Format(short.Limit))
 	}
 	perTask, total, inRack, allowed := taskAmount(s), 0, 0, false
 	for _, dc := range cfg.DataCentres {
--- a/place/claim.go
+++ b/place/claim.go
@@ -36,7 +36,7 @@
 	if j.claim.moving = j.placed(); j.claim.moving {
 		p.movingGangs++
 	} else {
-		j.team.claimedGPUs += j.spec.Shape.TotalGPUs()
+		j.team.claimed = j.team.claimed.plus(j.total())
 	}
 }
 
@@ -49,7 +49,7 @@
 	if j.claim.moving {
 		p.movingGangs--
 	} else {
-		j.team.claimedGPUs -= j.spec.Shape.TotalGPUs()
+		j.team.claimed = j.team.claimed.minus(j.total())
 	}
 	j.claim = nil
 	p.claims = slices.DeleteFunc(p.claims, func(o *job) bool { return o == j })
@@ -61,7 +61,7 @@
 	if j.claim != nil && j.claim.moving {
 		j.claim.moving = false
 		p.movingGangs--
-		j.team.claimedGPUs += j.spec.Shape.TotalGPUs()
+		j.team.claimed = j.team.claimed.plus(j.total())
 	}
 }
 
@@ -114,7 +114,7 @@
 func (p *Policy) claimViable(j *job) bool {
 	stopping := func(o *job) bool { return o.state == jobStopping }
 	unresponsive := func(o *job) bool { return stopping(o) && !responsive(o) }
-	if j.claim.guaranteed && j.cell == nil || j.team.overQuota(0) > 0 && !slices.ContainsFunc(j.team.placed, stopping) {
+	if j.claim.guaranteed && j.cell == nil || j.team.exceedsQuota() && !slices.ContainsFunc(j.team.placed, stopping) {
 		return false
 	}
 	for _, w := range j.claim.workers {
@@ -139,7 +139,7 @@
 
 // claimReady reports whether the job of a claim can start now.
 func (p *Policy) claimReady(j *job) bool {
-	if j.team.overQuota(0) > 0 {
+	if j.team.exceedsQuota() {
 		return false
 	}
 	for i, w := range j.claim.workers {
@@ -162,15 +162,6 @@
 	return true
 }
 
-// overQuota returns by how many accelerators the team would exceed its quota with additional ones.
-// The result is negative below the quota, and 0 without a quota.
-func (t *team) overQuota(additional int) int {
-	if t.cfg.MaxGPUs <= 0 {
-		return 0
-	}
-	return t.usedGPUs + t.claimedGPUs + additional - t.cfg.MaxGPUs
-}
-
 // startGuaranteed starts a job that matches an unused cell, or begins to reclaim a placement for
 // it. It reports whether it did either.
 func (p *Policy) startGuaranteed(ds []Decision, j *job) ([]Decision, bool) {
@@ -191,7 +182,7 @@
 }
 
 func (p *Policy) startInCell(ds []Decision, j *job, c *cell) ([]Decision, bool) {
-	if j.team.overQuota(j.spec.Shape.TotalGPUs()) <= 0 {
+	if j.team.cfg.Quota().Allows(j.team.inUse().quota(), j.total().quota()) {
 		for _, moveUnusedCells := range []bool{false, true} {
 			placement := p.findCellPlacementFor(c, j, moveUnusedCells, nil, nil)
 			if placement != nil && p.tryCharge(j, c, placement) {
--- a/place/job.go
+++ b/place/job.go
@@ -229,17 +229,17 @@
 
 // team is the policy's record of a customer.
 type team struct {
-	name        string
-	index       int // order of first appearance
-	cfg         config.Team
-	configured  bool // the configuration in force names the team
-	cells       []*cell
-	queue       queue
-	placed      []*job // placed gangs, oldest first
-	usedGPUs    int    // accelerators in use
-	claimedGPUs int    // accelerators of claims of jobs that are not placed
-	borrowed    amount // use of gangs that are not charged to a cell
-	estimator   estimator
+	name       string
+	index      int // order of first appearance
+	cfg        config.Team
+	configured bool // the configuration in force names the team
+	cells      []*cell
+	queue      queue
+	placed     []*job // placed gangs, oldest first
+	used       amount // use of placed gangs
+	claimed    amount // claims of jobs that are not placed
+	borrowed   amount // use of gangs that are not charged to a cell
+	estimator  estimator
 }
 
 func (t *team) weight() float64 {
@@ -253,7 +253,7 @@
 // cell counts as a borrower.
 func (t *team) account(j *job, sign int) {
 	n := sign * j.spec.Shape.Tasks
-	t.usedGPUs += n * j.perTask.gpus
+	t.used = t.used.plus(j.perTask.times(n))
 	if j.cell == nil {
 		t.borrowed = t.borrowed.plus(j.perTask.times(n))
 	}
--- a/place/oracle_test.go
+++ b/place/oracle_test.go
@@ -215,8 +215,11 @@
 	g.workers, g.started = d.Placement.Workers, s.now
 	g.attempt++
 	s.step(place.JobStarted{ID: d.ID, Attempt: g.attempt})
-	if used := s.gpus(g.spec.Team); team.MaxGPUs > 0 && used > team.MaxGPUs && g.spec.Shape.GPUs > 0 {
-		s.t.Fatalf("team %s uses %d accelerators of its quota of %d", team.Name, used, team.MaxGPUs)
+	used, sh := s.used(g.spec.Team), g.spec.Shape
+	for _, r := range [...][3]int{{sh.GPUs, used.GPUs, team.MaxGPUs}, {sh.Cores, used.Cores, team.MaxCores}, {sh.MemoryMB, used.MemoryMB, team.MaxMemoryMB}} {
+		if need, inUse, quota := r[0], r[1], r[2]; quota > 0 && inUse > quota && need > 0 {
+			s.t.Fatalf("team %s uses %v, above its quota of %d", team.Name, used, quota)
+		}
 	}
 }
 
@@ -230,11 +233,14 @@
 	}
 }
 
-func (s *simulation) gpus(team string) int {
-	n := 0
+func (s *simulation) used(team string) model.Resources {
+	var n model.Resources
 	for _, g := range s.gangs {
 		if g.workers != nil && g.spec.Team == team {
-			n += g.spec.Shape.TotalGPUs()
+			sh := g.spec.Shape
+			n.GPUs += sh.Tasks * sh.GPUs
+			n.Cores += sh.Tasks * sh.Cores
+			n.MemoryMB += sh.Tasks * sh.MemoryMB
 		}
 	}
 	return n
--- a/place/prop_test.go
+++ b/place/prop_test.go
@@ -24,17 +24,23 @@
 
 func drawTeam(t *rapid.T, name string, dcs []string) config.Team {
 	team := config.Team{Name: name, Weight: float64(rapid.IntRange(0, 3).Draw(t, "weight"))}
-	total := 0
+	var total model.Resources
 	for range rapid.IntRange(0, 2).Draw(t, "guarantees") {
 		g := config.Guarantee{Shape: drawShape(t), Count: rapid.IntRange(0, 2).Draw(t, "count")}
 		if rapid.IntRange(0, 3).Draw(t, "restricted") == 0 {
 			g.DataCentres = []string{rapid.SampledFrom(dcs).Draw(t, "dc")}
 		}
-		total += g.Shape.TotalGPUs() * max(1, g.Count)
+		tasks := g.Shape.Tasks * max(1, g.Count)
+		total.GPUs += tasks * g.Shape.GPUs
+		total.Cores += tasks * g.Shape.Cores
+		total.MemoryMB += tasks * g.Shape.MemoryMB
 		team.Guarantees = append(team.Guarantees, g)
 	}
 	if rapid.IntRange(0, 2).Draw(t, "quota") == 0 {
-		team.MaxGPUs = max(4, total) + 2
+		team.MaxGPUs = max(4, total.GPUs) + 2
+	}
+	if rapid.IntRange(0, 3).Draw(t, "quota of cores and memory") == 0 {
+		team.MaxCores, team.MaxMemoryMB = max(8, total.Cores)+2, max(800, total.MemoryMB)+200
 	}
 	return team
 }
@@ -227,8 +233,8 @@
 		"team": func() {
 			i := rapid.IntRange(0, len(s.cfg.Teams)-1).Draw(s.t, "team")
 			team := drawTeam(s.t, s.cfg.Teams[i].Name, []string{s.cfg.DataCentres[0].Name})
-			if s.gpus(team.Name) > team.MaxGPUs {
-				team.MaxGPUs = 0
+			if u := s.used(team.Name); u.GPUs > team.MaxGPUs || u.Cores > team.MaxCores || u.MemoryMB > team.MaxMemoryMB {
+				team.MaxGPUs, team.MaxCores, team.MaxMemoryMB = 0, 0, 0
 			}
 			s.patch(config.Change{PutTeam: &team})
 		},
--- a/place/queue.go
+++ b/place/queue.go
@@ -164,8 +164,8 @@
 // tryBorrow starts a job in free resources, or else tries to free a placement by moving or
 // overtaking borrowers.
 func (p *Policy) tryBorrow(ds []Decision, j *job, failed map[fitKey]bool) []Decision {
-	if j.perTask.gpus > 0 && j.team.overQuota(j.spec.Shape.TotalGPUs()) > 0 {
-		j.reason = "the team's quota of accelerators is in use"
+	if s, short := j.quotaShortage(); short {
+		j.reason = s.Reason(j.team.name)
 		return ds
 	}
 	key := p.fitKeyOf(j)
--- a/place/victim.go
+++ b/place/victim.go
@@ -28,7 +28,7 @@
 	for _, includeUnresponsive := range []bool{false, true} {
 		quotaVictims, ok := p.quotaVictims(j)
 		if !ok {
-			j.reason = "the team's quota of accelerators is in use by its guaranteed jobs"
+			j.reason = "the team's quota is in use by its guaranteed jobs"
 			return ds, false
 		}
 		plans := p.reclaimPlans(j, c, quotaVictims, includeUnresponsive)
@@ -99,31 +99,31 @@
 // quotaVictims returns the borrowers of the job's own team that must stop for its quota. It reports
 // false if stopping them is not enough.
 func (p *Policy) quotaVictims(j *job) ([]*job, bool) {
-	over := j.team.overQuota(j.spec.Shape.TotalGPUs())
+	limit, used := j.team.cfg.Quota(), j.team.inUse().plus(j.total())
 	var borrowers, moving []*job
 	for _, v := range j.team.placed {
 		switch {
 		case v.state == jobStopping:
-			over -= v.spec.Shape.TotalGPUs()
+			used = used.minus(v.total())
 			if v.claim != nil {
 				moving = append(moving, v)
 			}
-		case p.preemptible(v) && v.perTask.gpus > 0:
+		case p.preemptible(v) && v.usesLimited():
 			borrowers = append(borrowers, v)
 		}
 	}
 	slices.SortStableFunc(borrowers, func(a, b *job) int { return cmp.Compare(a.lostWork(p.totalCapacity), b.lostWork(p.totalCapacity)) })
 	// A gang that is being moved would use the quota again.
 	for _, v := range moving {
-		if over+v.spec.Shape.TotalGPUs() > 0 {
+		if limit.Exceeded(used.plus(v.total()).quota()) {
 			p.cancelClaim(v)
 		}
 	}
 	n := 0
-	for ; over > 0 && n < len(borrowers); n++ {
-		over -= borrowers[n].spec.Shape.TotalGPUs()
+	for ; limit.Exceeded(used.quota()) && n < len(borrowers); n++ {
+		used = used.minus(borrowers[n].total())
 	}
-	return borrowers[:n], over <= 0
+	return borrowers[:n], !limit.Exceeded(used.quota())
 }
 
 // preemptible reports whether a gang is a running borrower on responsive workers, which may be
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -87,7 +87,7 @@
 	for _, r := range resources {
 		limit := Amounts(l).Of(r)
 		if limit > 0 && used.Of(r)+more.Of(r) > limit {
-			return Shortage{Resource: r, Used: used.Of(r), Limit: limit}, true
+			return Shortage{Resource: r, Used: used.Of(r), Needed: more.Of(r), Limit: limit}, true
 		}
 	}
 	return Shortage{}, false
@@ -95,23 +95,30 @@
 
 // Shortage is what keeps a team from using more of a resource.
 type Shortage struct {
-	Resource    Resource
-	Used, Limit int
+	Resource            Resource
+	Used, Needed, Limit int
 }
 
 // String returns for example "499 of 499 accelerators".
 func (s Shortage) String() string {
-	switch s.Resource {
-	case Cores:
-		return fmt.Sprintf("%s of %s cores", formatCores(s.Used), formatCores(s.Limit))
-	case Memory:
-		return fmt.Sprintf("%d of %d MB of memory", s.Used, s.Limit)
-	default:
-		return fmt.Sprintf("%d of %d accelerators", s.Used, s.Limit)
+	return fmt.Sprintf("%s of %s", s.Resource.number(s.Used), s.Resource.Format(s.Limit))
+}
+
+// Format returns an amount of the resource with its unit, for example "9.5 cores".
+func (r Resource) Format(n int) string {
+	unit := r.String()
+	if r == Memory {
+		unit = "MB of memory"
 	}
+	return r.number(n) + " " + unit
 }
 
-func formatCores(milli int) string { return strconv.FormatFloat(float64(milli)/1000, 'f', -1, 64) }
+func (r Resource) number(n int) string {
+	if r == Cores {
+		return strconv.FormatFloat(float64(n)/1000, 'f', -1, 64)
+	}
+	return strconv.Itoa(n)
+}
 
 // Reason returns why work of a team waits, for example "waits for the quota of team x: 499 of 499 accelerators".
 func (s Shortage) Reason(team string) string {
--- a/webapi/jobs.go
+++ b/webapi/jobs.go
@@ -9,6 +9,7 @@
 
 	"turmericroute/config"
 	"turmericroute/model"
+	"turmericroute/quota"
 	"turmericroute/state"
 )
 
@@ -84,8 +85,9 @@
 			return model.NotRun(model.CodeImpossible, "no data centre %s", dc)
 		}
 	}
-	if gpus := spec.Shape.TotalGPUs(); team.MaxGPUs > 0 && gpus > team.MaxGPUs {
-		return model.NotRun(model.CodeImpossible, "job requests %d accelerators, team %s may use %d", gpus, team.Name, team.MaxGPUs)
+	need := quota.Amounts{CPUMilli: 1000 * spec.Shape.Cores, MemoryMB: spec.Shape.MemoryMB, GPUs: spec.Shape.GPUs}.Times(spec.Shape.Tasks)
+	if s, short := team.Quota().Shortage(quota.Amounts{}, need); short {
+		return model.NotRun(model.CodeImpossible, "job requests %s, team %s may use %s", s.Resource.Format(s.Needed), team.Name, s.Resource.Format(s.Limit))
 	}
 	if a.CheckJob == nil {
 		return nil
