Let work with slack leave racks to more urgent work

Jobs with long objectives started as soon as they arrived and filled every rack with single tasks. Urgent gangs ran across racks, three times as long, or had runs stopped for them.

Package admit decides from state and time. Jobs of one priority are placed by what is lost if they wait. Queues without an objective now count as such, whereas their jobs ranked as those that gain nothing more.

--- a/batch/catalog.go
+++ b/batch/catalog.go
@@ -30,6 +30,9 @@
 	Advice *Advice `json:"advice,omitempty"`
 }
 
+// HasObjective reports whether the queue has an objective for its jobs.
+func (q Queue) HasObjective() bool { return q.Stretch > 0 || q.TargetMS > 0 }
+
 // Advice holds the timing of the policy service for a queue, in milliseconds.
 type Advice struct {
 	DecisionMS int `json:"decision_ms"`
--- a/batch/spec.go
+++ b/batch/spec.go
@@ -117,6 +117,9 @@
 	return false
 }
 
+// HasObjective reports whether an objective of the queue applies: the job runs once, at once, and ends by itself.
+func (s Spec) HasObjective() bool { return s.Rounds == 0 && !s.LongRunning() }
+
 // Validate returns all faults of the specification as one *model.Error, nil if there are none.
 func (s Spec) Validate() error {
 	var faults []string
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -9,9 +9,10 @@
 // supply names what a search for a place takes as free.
 type supply int
 
-// The supplies: what is free now, and what is expected to be free at each of the horizons.
+// The supplies: what is free now, that without the kept racks, and what is expected to be free at each of the horizons.
 const (
 	supplyNow supply = iota
+	supplyOutsideHeadroom
 	supplyHorizons
 	supplies = int(supplyHorizons) + len(horizons)
 )
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -30,6 +30,7 @@
 	if !ok {
 		return false
 	}
+	p.deferFor(&r)
 	chosen := p.fitNow(&r, p.allowsRemote(&r, w.waited(p.now)))
 	if chosen == nil {
 		w.block(p.now)
@@ -97,7 +98,7 @@
 
 // fitNow chooses workers for all tasks of a request from what is free now; it returns nil if they do not fit.
 func (p *pass) fitNow(r *request, remote bool) []allocation {
-	return p.fitOnce(r, supplyNow, remote, func(wv *workerView) batch.Resources { return wv.free.Minus(wv.reserved) })
+	return p.fitOnce(r, r.supply(), remote, func(wv *workerView) batch.Resources { return p.freeFor(r, wv) })
 }
 
 // fitOnce is fit, but fails at once if as many tasks of the shape have found no place before in this pass.
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -36,8 +36,8 @@
 	var a batch.Accept
 	var failure *model.Error
 	var existing *batch.Job
+	var q batch.Queue
 	l.ledger.View(func(b *batch.State) {
-		var q batch.Queue
 		var id string
 		q, a.Team, id, failure = resolve(b, c.JobRef)
 		if failure != nil {
@@ -75,6 +75,9 @@
 			return Answer{}, err
 		}
 		s.metrics.acceptedJobs.Inc()
+		if !res.Duplicate {
+			s.noteArrival(l, &a, q)
+		}
 		l.triggerPass()
 	}
 	return Answer{State: StatePending}, nil
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"turmericroute/admit"
 	"turmericroute/batch"
 	"turmericroute/model"
 )
@@ -61,6 +62,11 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_given_up_runs_total{why=%q}", why))
 }
 
+// deferredSteps returns the counter of steps of a queue that were deferred for a reason.
+func (m schedulerMetrics) deferredSteps(queue string, why admit.Reason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_deferred_steps_total{queue=%q,why=%q}", queue, why))
+}
+
 // refusedJobs returns the counter of submissions refused with a code.
 func (m schedulerMetrics) refusedJobs(code model.Code) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_refused_jobs_total{code=%q}", code))
--- /dev/null
+++ b/sched/overload.go
@@ -0,0 +1,175 @@
+package sched
+
+import (
+	"time"
+
+	"turmericroute/admit"
+	"turmericroute/batch"
+)
+
+// deferRetryInterval is the pause after which a deferred step is tried again although nothing has changed: the forecast
+// changes with time.
+const deferRetryInterval = 300 * time.Millisecond
+
+// overload is what a leader remembers for decisions under overload.
+type overload struct {
+	arrivals admit.Forecast
+	// headroom holds the headroom by the work that leaves it free.
+	headroom map[admit.Queue]*headroom
+}
+
+// headroom is the room that work of one queue leaves to more urgent work; it is valid in the pass with its number.
+type headroom struct {
+	pass uint64
+	load admit.Load
+	// racks are the kept racks by name.
+	racks map[string]bool
+}
+
+func newOverload() *overload { return &overload{headroom: map[admit.Queue]*headroom{}} }
+
+// admitJob returns what decisions under overload need to know of a job.
+func (p *pass) admitJob(j *batch.Job) admit.Job {
+	out := admit.Job{Priority: p.priority(j), Age: time.Duration(p.nowMS-j.AcceptedMS) * time.Millisecond}
+	if due, ok := p.objective(j); ok {
+		out.Objective = time.Duration(due-j.AcceptedMS) * time.Millisecond
+		out.Path = time.Duration(criticalPathMS(j, 0, true)) * time.Millisecond
+		out.Work = openWork(j)
+	}
+	return out
+}
+
+// openWork returns the estimated work of the tasks of a job's first round that are not done, in accelerators times time.
+func openWork(j *batch.Job) time.Duration {
+	sum := 0
+	for i := range j.Spec.Steps {
+		st := &j.Spec.Steps[i]
+		sum += (st.Count - j.Rounds[0][i].Done) * st.Need.GPUs * st.EstimateMS
+	}
+	return time.Duration(sum) * time.Millisecond
+}
+
+// noteArrival adds an accepted job to the forecast of its queue, if it has an objective.
+func (s *Scheduler) noteArrival(l *leaderState, a *batch.Accept, q batch.Queue) {
+	if !q.HasObjective() || !a.Spec.HasObjective() {
+		return
+	}
+	demands := make([]admit.Demand, len(a.Spec.Steps))
+	for i := range a.Spec.Steps {
+		st := &a.Spec.Steps[i]
+		demands[i] = admit.Demand{GPUs: st.Count * st.Need.GPUs, Duration: time.Duration(st.EstimateMS) * time.Millisecond}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.overload.arrivals.Note(s.cfg.BootClock(), admit.Queue{Service: a.Service, Priority: a.Priority}, demands)
+}
+
+// deferFor makes a request leave the headroom free if its job has slack that more urgent work needs. Guaranteed jobs
+// never do.
+func (p *pass) deferFor(r *request) {
+	if p.guaranteed(r.job) {
+		return
+	}
+	j := p.admitJob(r.job)
+	if j.Slack() <= 0 {
+		return
+	}
+	h := p.headroomFor(admit.Queue{Service: r.service, Priority: j.Priority})
+	d := admit.Decide(j, h.load)
+	if !d.Defer {
+		return
+	}
+	r.avoidRacks = h.racks
+	p.retryAt(p.now + min(d.Until, deferRetryInterval))
+	p.noteDeferred(r, j, h, d)
+}
+
+// noteDeferred logs and counts a deferred step once for each reason.
+func (p *pass) noteDeferred(r *request, j admit.Job, h *headroom, d admit.Decision) {
+	if r.deferredFor == d.Reason {
+		return
+	}
+	r.deferredFor = d.Reason
+	p.s.metrics.deferredSteps(r.job.Queue, d.Reason).Inc()
+	p.s.cfg.Logger.Log("event", "job_deferred", "job", r.job.ID, "step", r.first.Step, "queue", r.job.Queue, "priority", j.Priority, "why", d.Reason,
+		"until_ms", d.Until.Milliseconds(), "age_ms", j.Age.Milliseconds(), "objective_ms", j.Objective.Milliseconds(), "path_ms", j.Path.Milliseconds(),
+		"forecast_gpus", h.load.Forecast.GPUs, "gang_gpus", h.load.Forecast.Gang, "held_gpus", h.load.Held, "waiting_gpus", h.load.Waiting, "racks", len(h.racks))
+}
+
+// headroomFor returns the headroom that work of a queue leaves to more urgent work in this pass.
+func (p *pass) headroomFor(q admit.Queue) *headroom {
+	h := p.l.overload.headroom[q]
+	if h == nil {
+		h = &headroom{}
+		p.l.overload.headroom[q] = h
+	}
+	if h.pass == p.number {
+		return h
+	}
+	h.pass = p.number
+	h.load = admit.Load{Utilisation: p.room.utilisation(), Forecast: p.l.overload.arrivals.MoreUrgent(p.now, q.Service, q.Priority), Waiting: p.urgentWaiting(q)}
+	if h.load.Forecast.GPUs > 0 {
+		h.load.Held = p.urgentHeld(q)
+	}
+	h.racks = admit.KeepRacks(p.racksOf(q.Service, h.racks), h.load.Headroom(), h.load.Forecast.Gang)
+	return h
+}
+
+// urgentWaiting returns the accelerators that waiting steps with an objective that are more urgent than a queue need,
+// unless their jobs gain nothing more.
+func (p *pass) urgentWaiting(q admit.Queue) int {
+	n := 0
+	for _, w := range p.waiting.steps {
+		if p.priority(w.job) >= q.Priority || p.service(w.job) != q.Service {
+			continue
+		}
+		if j := p.admitJob(w.job); j.Objective > 0 && j.Value() != admit.None {
+			st := &w.job.Spec.Steps[w.first.Step]
+			n += (st.Count - w.job.Rounds[w.first.Round][w.first.Step].Done) * st.Need.GPUs
+		}
+	}
+	return n
+}
+
+// urgentHeld returns the accelerators that runs which are more urgent than a queue have.
+func (p *pass) urgentHeld(q admit.Queue) int {
+	n := 0
+	for _, wv := range p.room.list {
+		if wv.hb.Service != q.Service {
+			continue
+		}
+		for id := range p.state.Runs[wv.id] {
+			if j := p.state.Jobs[id.Job]; j != nil && p.priority(j) < q.Priority {
+				n += j.Spec.Steps[id.Step].Need.GPUs
+			}
+		}
+	}
+	return n
+}
+
+// racksOf returns the racks with workers of a service.
+func (p *pass) racksOf(service string, kept map[string]bool) []admit.Rack {
+	var out []admit.Rack
+	for _, rack := range p.room.racks {
+		if rack.list[0].hb.Service == service {
+			out = append(out, admit.Rack{Name: rack.name, Free: rack.freeGPUs, Kept: kept[rack.name]})
+		}
+	}
+	return out
+}
+
+// freeFor returns what is free on a worker for a request: nothing where the request leaves the headroom free.
+func (p *pass) freeFor(r *request, wv *workerView) batch.Resources {
+	if len(r.avoidRacks) > 0 && r.avoidRacks[wv.hb.Rack] {
+		return batch.Resources{}
+	}
+	return wv.free.Minus(wv.reserved)
+}
+
+// supply returns the supply that a request finds now. What deferred steps find no place for may still find one.
+func (r *request) supply() supply {
+	if len(r.avoidRacks) > 0 {
+		return supplyOutsideHeadroom
+	}
+	return supplyNow
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -91,6 +91,8 @@
 	count int
 	// ticket holds the ticket of each worker; nil if no ticket is needed.
 	ticket map[string]issuedTicket
+	// avoidRacks holds the racks that the request leaves to more urgent work now.
+	avoidRacks map[string]bool
 }
 
 // newRequest returns the request for a step; it returns false if the step needs tickets and has no valid ones.
@@ -174,10 +176,11 @@
 	if !ok {
 		return false
 	}
+	p.deferFor(&r)
 	tasks := p.waitingTasks(w)
 	r.count = 1 // each task is placed independently
 	remote := p.allowsRemote(&r, w.waited(p.now))
-	if w.shape.at(p.number).leastFailed[supplyNow][boolToInt(remote)] == 0 {
+	if w.shape.at(p.number).leastFailed[r.supply()][boolToInt(remote)] == 0 {
 		options := p.optionsFor(&r, remote)
 		for len(tasks) > 0 && len(options.list) > 0 {
 			p.assign(options.list[0].workerView, tasks[0], w.job.Task(tasks[0]).Run+1)
@@ -188,7 +191,7 @@
 	if len(tasks) == 0 {
 		return true
 	}
-	w.shape.noteFailure(supplyNow, remote, 1)
+	w.shape.noteFailure(r.supply(), remote, 1)
 	r.count = len(tasks)
 	w.block(p.now)
 	p.preemptIfDue(&r)
@@ -240,7 +243,7 @@
 func (p *pass) optionsFor(r *request, remote bool) *options {
 	o := &options{}
 	for _, wv := range p.searchList(r) {
-		if !remote && r.offDataRack(wv) || p.fitCount(r, wv, wv.free.Minus(wv.reserved)) < 1 {
+		if !remote && r.offDataRack(wv) || p.fitCount(r, wv, p.freeFor(r, wv)) < 1 {
 			continue
 		}
 		o.list = append(o.list, option{wv, r.cost(wv)})
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -3,57 +3,26 @@
 import (
 	"cmp"
 
+	"turmericroute/admit"
 	"turmericroute/batch"
 )
 
-// lateFactor is the multiple of its objective that a job may take before its result has no value left.
-const lateFactor = 3
-
-// objectiveStatus is whether a job can meet its objective if it runs from now on.
-type objectiveStatus int
-
-// The statuses in the order in which jobs of one priority are placed. Jobs with status missed come after those of all
-// priorities.
-const (
-	onTime objectiveStatus = iota // can still meet its objective
-	late                          // exceeds its objective, by a factor of at most lateFactor
-	missed                        // exceeds its objective by more than lateFactor; must run nevertheless
-)
-
 // rank is the sort key of a job in a placement pass.
 type rank struct {
 	// guaranteed jobs come first: the jobs whose runs are preempted for them must not take the resources back.
 	guaranteed bool
-	objective  objectiveStatus
-	priority   int
-	// dueMS is when the job misses its objective, or when it was accepted if it has none, in Unix milliseconds.
-	dueMS int64
+	job        admit.Job
 }
 
 // rank returns the rank of a job at the time of the pass.
 func (p *pass) rank(j *batch.Job) rank {
-	r := rank{guaranteed: p.guaranteed(j), priority: p.priority(j), dueMS: j.AcceptedMS}
-	due, ok := p.objective(j)
-	if !ok {
-		return r
-	}
-	left := criticalPathMS(j, 0, true)
-	r.dueMS = due
-	switch {
-	case p.nowMS+left <= due:
-		r.objective = onTime
-	case p.nowMS+left <= j.AcceptedMS+lateFactor*(due-j.AcceptedMS):
-		r.objective = late
-	default:
-		r.objective = missed
-	}
-	return r
+	return rank{guaranteed: p.guaranteed(j), job: p.admitJob(j)}
 }
 
 // objective returns when a job misses its objective, in Unix milliseconds; it returns false for jobs without one.
 func (p *pass) objective(j *batch.Job) (int64, bool) {
 	q, ok := p.state.Catalog.Queue(j.Queue)
-	if !ok || j.Spec.LongRunning() || j.Spec.Rounds > 0 {
+	if !ok || !q.HasObjective() || !j.Spec.HasObjective() {
 		return 0, false
 	}
 	return j.AcceptedMS + int64(q.Stretch*float64(criticalPathMS(j, 0, false))) + int64(q.TargetMS), true
@@ -62,10 +31,7 @@
 func compareRanks(a, b rank) int {
 	return cmp.Or(
 		cmp.Compare(boolToInt(!a.guaranteed), boolToInt(!b.guaranteed)),
-		cmp.Compare(boolToInt(a.objective == missed), boolToInt(b.objective == missed)),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.objective, b.objective),
-		cmp.Compare(a.dueMS, b.dueMS),
+		admit.Compare(a.job, b.job),
 	)
 }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -118,7 +118,8 @@
 	// maintainedAt holds the boot time at which the maintenance of each machine was ordered, until it is over.
 	maintainedAt map[string]time.Duration
 	// tickets holds the tickets of each step, by stepName.
-	tickets map[string]*tickets
+	tickets  map[string]*tickets
+	overload *overload
 }
 
 // New returns a scheduler that is idle until Lead is called.
@@ -199,6 +200,7 @@
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
 		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
+		overload: newOverload(),
 	}
 }
 
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericroute/admit"
 	"turmericroute/batch"
 )
 
@@ -18,6 +19,8 @@
 	blockedSince time.Duration
 	// nextPreemptAt is the boot time before which preemption for the step is not tried again.
 	nextPreemptAt time.Duration
+	// deferredFor is why the step was last deferred, empty if it never was.
+	deferredFor admit.Reason
 }
 
 // block records that tasks of the step could not be placed.
@@ -194,7 +197,7 @@
 			}
 			w := &waitingStep{job: j, first: first, fresh: true}
 			if old := p.waiting.steps[first]; old != nil {
-				w.blocked, w.blockedSince, w.nextPreemptAt = old.blocked, old.blockedSince, old.nextPreemptAt
+				w.blocked, w.blockedSince, w.nextPreemptAt, w.deferredFor = old.blocked, old.blockedSince, old.nextPreemptAt, old.deferredFor
 			}
 			w.shape = p.shapeOf(j, first)
 			p.waiting.anyFresh = true
