--- a/admit/job.go
+++ b/admit/job.go
@@ -11,7 +11,7 @@
 	// estimateAllowance multiplies the critical path where a job must not start too late, since callers' estimates
 	// are often too short.
 	estimateAllowance = 1.5
-	// A job that has waited for overdueFactor times its objective, and for minOverdue, goes before more urgent ones.
+	// A job is overdue once it has waited for overdueFactor times its objective, and for minOverdue.
 	overdueFactor = 10
 	minOverdue    = time.Minute
 )
@@ -38,6 +38,8 @@
 	Path time.Duration
 	// Work is the work left, in accelerators times time.
 	Work time.Duration
+	// Promoted is set for the job that Promotion has chosen.
+	Promoted bool
 }
 
 // Value returns what the job's result is still worth; it is Full without an objective.
@@ -61,14 +63,14 @@
 	return j.Objective - j.Age - time.Duration(estimateAllowance*float64(j.Path))
 }
 
-// Overdue reports whether a job has waited so long that it no longer gives way to more urgent ones.
+// Overdue reports whether a job has waited so long that Promotion may choose it.
 func (j Job) Overdue() bool {
 	return j.Objective > 0 && j.Age > max(minOverdue, overdueFactor*j.Objective)
 }
 
 // Compare orders jobs by what is lost if they wait: it is negative if a goes before b.
 func Compare(a, b Job) int {
-	if c := compareBools(a.Overdue(), b.Overdue()); c != 0 {
+	if c := compareBools(a.Promoted, b.Promoted); c != 0 {
 		return c
 	}
 	av, bv := a.Value(), b.Value()
