--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericroute/admit"
 	"turmericroute/batch"
 )
 
@@ -20,6 +21,8 @@
 	nextPreemptAt time.Duration
 	// quota is set while the step waits for the quota of its team.
 	quota quotaWait
+	// deferredFor is why the step was last deferred, empty if it never was.
+	deferredFor admit.Reason
 }
 
 // block records that tasks of the step could not be placed.
@@ -196,7 +199,8 @@
 			}
 			w := &waitingStep{job: j, first: first, fresh: true}
 			if old := p.waiting.steps[first]; old != nil {
-				w.blocked, w.blockedSince, w.nextPreemptAt, w.quota = old.blocked, old.blockedSince, old.nextPreemptAt, old.quota
+				w.blocked, w.blockedSince, w.nextPreemptAt = old.blocked, old.blockedSince, old.nextPreemptAt
+				w.quota, w.deferredFor = old.quota, old.deferredFor
 			}
 			w.shape = p.shapeOf(j, first)
 			p.waiting.anyFresh = true
