Count the work that ended runs have lost, by cause

An operator could not tell why work is thrown away: a run's end says how it ended, not for what, nor how much was lost. Package loss keeps the beginning and the checkpoints of active runs and tells at their committed end what is lost and why; a gang that breaks takes the cause of the first member that has one.

--- /dev/null
+++ b/loss/book_test.go
@@ -0,0 +1,104 @@
+package loss_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/batch"
+	"turmericroute/loss"
+)
+
+func key(index int) loss.Key { return loss.Key{Task: batch.TaskID{Job: "j", Index: index}, Run: 1} }
+
+// started returns a book with reported runs of n tasks that began at 0, and whose gang has formed after a second.
+func started(n int, gang bool) *loss.Book {
+	b := loss.NewBook()
+	for i := range n {
+		b.Order(key(i), gang, 0)
+		b.Report(key(i), "", 0)
+	}
+	if gang {
+		b.Form(key(0), time.Second)
+	}
+	return b
+}
+
+var _ = Describe("a run that ends", func() {
+	DescribeTable("loses what it has worked since its checkpoint",
+		func(e loss.End, stop loss.Cause, cause loss.Cause, lost float64) {
+			b := started(1, false)
+			b.Report(key(0), "c1", 2*time.Second)
+			b.Stop(key(0), false, stop)
+			e.Cores = 4
+			r, _ := b.End(key(0), e, 5*time.Second)
+			work, wait := r.Lost()
+			Expect(r.Cause).To(Equal(cause))
+			Expect(work).To(Equal(lost))
+			Expect(wait).To(BeZero())
+		},
+		Entry("done", loss.End{Reason: batch.EndDone, Counts: true}, loss.None, loss.None, 0.0),
+		Entry("failed", loss.End{Reason: batch.EndFailed}, loss.None, loss.Failed, 20.0),
+		Entry("preempted", loss.End{Reason: batch.EndStopped}, loss.Preempted(2, 0), loss.Cause("preempted_2_for_0"), 20.0),
+		Entry("preempted, with a checkpoint at the stop", loss.End{Reason: batch.EndStopped, Checkpoints: true, Checkpoint: "c2"}, loss.Preempted(2, 0), loss.Cause("preempted_2_for_0"), 0.0),
+		Entry("lost, with an earlier checkpoint", loss.End{Reason: batch.EndLost, Checkpoints: true}, loss.None, loss.WorkerLost, 12.0),
+		Entry("done twice", loss.End{Reason: batch.EndDone, Replaced: true}, loss.None, loss.Replaced, 20.0),
+		Entry("never started", loss.End{Reason: batch.EndNeverStarted}, loss.JobCancelled, loss.None, 0.0),
+	)
+
+	// Guards against an account that names only the symptom: the members of a broken gang say nothing of why it broke, and
+	// some report before the member that does.
+	It("takes the cause of the first member that tells it, for those before and after", func() {
+		b := started(3, true)
+		broken := loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}
+		r, resolved := b.End(key(1), broken, 3*time.Second)
+		Expect(r.Cause).To(Equal(loss.Unresolved))
+		Expect(resolved).To(BeEmpty())
+		r, resolved = b.End(key(0), loss.End{Reason: batch.EndFailed, Gang: true, Cores: 2}, 3*time.Second)
+		Expect(r.Cause).To(Equal(loss.Failed))
+		Expect(resolved).To(ConsistOf(loss.Resolved{Gang: key(0), Cause: loss.MemberFailed, Sum: loss.Sum{Runs: 1, CoreSeconds: 4}}))
+		r, _ = b.End(key(2), broken, 3*time.Second)
+		Expect(r.Cause).To(Equal(loss.MemberFailed))
+		Expect(b.Recent.Table(4 * time.Second)).To(Equal(loss.Table{
+			loss.Failed: {Runs: 1, CoreSeconds: 4}, loss.MemberFailed: {Runs: 2, CoreSeconds: 8}, loss.GangWait: {Runs: 3, CoreSeconds: 6},
+		}))
+		Expect(b.Recent.Table(2 * time.Minute)).To(BeEmpty())
+	})
+
+	// Guards against a gang whose lost member is never heard from again and leaves the cause open.
+	It("counts a broken gang without a cause as one that lost a member", func() {
+		b := started(2, true)
+		b.End(key(1), loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}, 3*time.Second)
+		none := func(loss.Key) bool { return false }
+		Expect(b.Prune(12*time.Second, none)).To(BeEmpty())
+		Expect(b.Prune(13*time.Second, none)).To(HaveLen(1))
+		Expect(b.Recent.Table(13 * time.Second)).To(HaveKeyWithValue(loss.MemberLost, loss.Sum{Runs: 1, CoreSeconds: 4}))
+	})
+
+	It("is not asked for its work before it is reported", func() {
+		b := loss.NewBook()
+		b.Order(key(0), false, 0)
+		_, _, ok := b.Worked(key(0), time.Second)
+		Expect(ok).To(BeFalse())
+		b.Report(key(0), "", time.Second)
+		b.Report(key(0), "c1", 2*time.Second)
+		held, unsaved, ok := b.Worked(key(0), 3*time.Second)
+		Expect([]any{held, unsaved, ok}).To(Equal([]any{3 * time.Second, time.Second, true}))
+	})
+})
+
+var _ = It("reads from logs what ended runs have lost", func() {
+	t := loss.Table{}
+	Expect(loss.ReadLog(strings.NewReader(`ts=1 event=run_ended how=broken cause=unresolved lost=4 waited=1 term=1 err=null
+ts=1 event=run_ended how=broken cause=unresolved lost=6 waited=0 term=1 err=null
+ts=1 event=run_ended how=done cause= lost=0 waited=0 term=1 err=null
+ts=1 event=run_ended how=failed cause=failed lost=7 waited=0 term=1 err="no quorum"
+ts=1 event=gang_loss_resolved task=j.0.0.0 run=1 cause=member_failed runs=2 lost=10 term=1
+`), t)).To(Succeed())
+	Expect(t).To(Equal(loss.Table{loss.MemberFailed: {Runs: 2, CoreSeconds: 10}, loss.GangWait: {Runs: 1, CoreSeconds: 1}}))
+	var out strings.Builder
+	Expect(t.Write(&out)).To(Succeed())
+	Expect(out.String()).To(MatchRegexp(`2 +10 +90.9% +member_failed`))
+})
--- /dev/null
+++ b/loss/log.go
@@ -0,0 +1,65 @@
+package loss
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// maxLineBytes bounds a line of a log; stack traces are the longest.
+const maxLineBytes = 1 << 20
+
+// ReadLog adds up the losses in the log of one or several instances. Ends whose commit has failed are logged again and
+// count once.
+func ReadLog(r io.Reader, t Table) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLineBytes)
+	for sc.Scan() {
+		f := fields(sc.Text())
+		switch f["event"] {
+		case "run_ended":
+			if f["err"] != "null" {
+				continue
+			}
+			if c := Cause(f["cause"]); c != None {
+				t.Add(c, 1, number(f["lost"]))
+			}
+			if wait := number(f["waited"]); wait > 0 {
+				t.Add(GangWait, 1, wait)
+			}
+		case "gang_loss_resolved":
+			runs, lost := int(number(f["runs"])), number(f["lost"])
+			t.Add(Unresolved, -runs, -lost)
+			t.Add(Cause(f["cause"]), runs, lost)
+		}
+	}
+	if err := sc.Err(); err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	return nil
+}
+
+// fields returns the fields of a line in logfmt that have no spaces in their values.
+func fields(line string) map[string]string {
+	if !strings.Contains(line, "event=run_ended") && !strings.Contains(line, "event=gang_loss_resolved") {
+		return nil
+	}
+	out := map[string]string{}
+	for _, f := range strings.Fields(line) {
+		if k, v, ok := strings.Cut(f, "="); ok {
+			out[k] = v
+		}
+	}
+	return out
+}
+
+// number returns a decimal number, 0 if it is none.
+func number(s string) float64 {
+	n, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/sched/forming.go
+++ b/sched/forming.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/loss"
 )
 
 const (
@@ -85,6 +86,7 @@
 	if len(f.missing) == 0 || l.showsWork(w, r) {
 		delete(l.forming, ref)
 		l.formed[ref] = true
+		l.losses.Form(loss.Key(ref), now)
 	}
 }
 
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/loss"
 )
 
 // heartbeat records a worker's heartbeat and answers it with orders.
@@ -104,6 +105,7 @@
 func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
 	changed := len(w.running) != len(w.hb.Running)
 	for _, r := range w.hb.Running {
+		l.losses.Report(loss.Key{Task: r.Task, Run: r.Run}, r.Checkpoint, now)
 		before, ok := w.running[r.Task]
 		known := ok && before.Run == r.Run
 		l.noteGangReport(w, r, !known, now)
@@ -170,6 +172,8 @@
 				w.failedAt = append(w.failedAt, now)
 				l.room.markStale(w.hb.Worker)
 			}
+		} else {
+			s.lossOfEnd(l, b, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint}, now)
 		}
 		w.missedReports[ref] = 0
 	}
@@ -229,9 +233,14 @@
 
 // reportEnds counts and logs ended runs and triggers a placement pass; err is the error of their commit.
 func (s *Scheduler) reportEnds(l *leaderState, worker string, ends []batch.End, err error) {
-	for _, e := range ends {
+	losses := make([]loss.Run, len(ends))
+	if err == nil {
+		losses = s.lossesOf(l, ends)
+	}
+	for i, e := range ends {
 		s.metrics.endedRuns(e.Reason).Inc()
-		s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", worker, "term", l.term, "err", err)
+		lost, waited := losses[i].Lost()
+		s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", worker, "cause", losses[i].Cause, "held_ms", losses[i].Held.Milliseconds(), "lost", lost, "waited", waited, "term", l.term, "err", err)
 	}
 	l.triggerPass()
 }
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"turmericroute/batch"
+	"turmericroute/loss"
 	"turmericroute/model"
 )
 
@@ -61,6 +62,12 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_given_up_runs_total{why=%q}", why))
 }
 
+// countLoss counts runs that lost work for a cause, and the core-seconds that they lost.
+func (m schedulerMetrics) countLoss(c loss.Cause, runs int, coreSeconds float64) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_lost_runs_total{cause=%q}", c)).Add(runs)
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf("turmericroute_sched_lost_core_seconds_total{cause=%q}", c)).Add(coreSeconds)
+}
+
 // refusedJobs returns the counter of submissions refused with a code.
 func (m schedulerMetrics) refusedJobs(code model.Code) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_refused_jobs_total{code=%q}", code))
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/loss"
 )
 
 // ordersFor returns the answer to a heartbeat; committed reports whether the ends that it reports are committed. The
@@ -39,7 +40,7 @@
 				if j.Spec.Steps[id.Step].Gang {
 					l.giveUpGang(j, id, run, now)
 				}
-				s.orderStop(l, w, out, RunRef{Task: id, Run: run}, reason)
+				s.orderStop(l, b, w, out, RunRef{Task: id, Run: run}, reason)
 				continue
 			}
 			order := StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: l.resumeCheckpoint(j, id), Ticket: l.ticket(id, hb.Worker, now)}
@@ -51,6 +52,7 @@
 				forming = true
 			}
 			out.Starts = append(out.Starts, order)
+			l.losses.Order(loss.Key{Task: id, Run: run}, j.Spec.Steps[id.Step].Gang, now)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
@@ -58,10 +60,10 @@
 			forming = forming || l.isForming(id, r.Run)
 			reason := s.stopReason(l, b, id, r.Run, now)
 			if j := b.Jobs[id.Job]; reason == "" && j != nil && s.leavesBeforeEnd(l, w, j, r, now) {
-				reason = "worker leaves before the run ends"
+				reason = stopLeaves
 			}
 			if reason != "" {
-				s.orderStop(l, w, out, RunRef{Task: id, Run: r.Run}, reason)
+				s.orderStop(l, b, w, out, RunRef{Task: id, Run: r.Run}, reason)
 			}
 		}
 		s.throttle(l, b, w, out, now)
@@ -85,10 +87,11 @@
 const startOverheadBytes = 100
 
 // orderStop adds a stop to the orders and records the heartbeat in whose answer it was first sent.
-func (s *Scheduler) orderStop(l *leaderState, w *worker, out *Orders, ref RunRef, reason string) {
+func (s *Scheduler) orderStop(l *leaderState, b *batch.State, w *worker, out *Orders, ref RunRef, reason string) {
 	out.Stops = append(out.Stops, ref)
 	if w.stopSeq[ref] == 0 {
 		w.stopSeq[ref] = w.hb.Seq
+		l.losses.Stop(loss.Key(ref), isGang(b, ref.Task), l.lossOfStop(b, ref, reason))
 		s.cfg.Logger.Log("event", "stop_ordered", "task", ref.Task, "run", ref.Run, "worker", w.hb.Worker, "seq", w.hb.Seq, "why", reason, "for", l.preempting[ref])
 	}
 }
@@ -98,21 +101,21 @@
 	ref := RunRef{Task: id, Run: run}
 	switch {
 	case w.stopSeq[ref] != 0:
-		return "withdrawn"
+		return stopWithdrawn
 	case j.State.Final():
-		return "job is " + string(j.State)
+		return stopJobFinal + string(j.State)
 	case j.Task(id).Done:
 		return "task is done"
 	case w.hb.Draining:
-		return "worker is draining"
+		return stopDraining
 	case b.OutOfService[w.hb.DataCentre]:
 		return "data centre is out of service"
 	case l.preempting[ref] != "":
-		return "preempted"
+		return stopPreempted
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
-		return "gang is incomplete"
+		return stopIncomplete
 	case s.hasNotFormed(l, id, run, true, now):
-		return "gang has not formed in time"
+		return stopNotFormed
 	case needsTicket(b, j) && l.ticket(id, w.hb.Worker, now) == "":
 		return "ticket has expired"
 	}
@@ -133,7 +136,7 @@
 func (s *Scheduler) stopReason(l *leaderState, b *batch.State, id batch.TaskID, run int, now time.Duration) string {
 	j := b.Jobs[id.Job]
 	if j == nil {
-		return "job is unknown"
+		return stopJobUnknown
 	}
 	t := j.Task(id)
 	switch {
@@ -142,15 +145,15 @@
 	case j.State == batch.JobSucceeded || t.Done && j.Spec.Steps[id.Step].Gang:
 		return "" // it ends by itself; stopping it could lose an end that counts for the whole gang
 	case j.State.Final():
-		return "job is " + string(j.State)
+		return stopJobFinal + string(j.State)
 	case t.Run != run || !t.Active:
-		return "run is not the active run of its task"
+		return stopReplaced
 	case l.preempting[RunRef{Task: id, Run: run}] != "":
-		return "preempted"
+		return stopPreempted
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
-		return "gang is incomplete"
+		return stopIncomplete
 	case s.hasNotFormed(l, id, run, false, now):
-		return "gang has not formed in time"
+		return stopNotFormed
 	}
 	return ""
 }
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -223,8 +223,11 @@
 
 func (p *pass) jobOf(ref RunRef) *batch.Job { return p.state.Jobs[ref.Task.Job] }
 
-func (p *pass) priority(j *batch.Job) int {
-	if q, ok := p.state.Catalog.Queue(j.Queue); ok {
+func (p *pass) priority(j *batch.Job) int { return priorityOf(p.state, j) }
+
+// priorityOf returns the current priority of a job's queue, or the one at the job's acceptance if the queue was removed.
+func priorityOf(b *batch.State, j *batch.Job) int {
+	if q, ok := b.Catalog.Queue(j.Queue); ok {
 		return q.Priority
 	}
 	return j.Priority
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -15,6 +15,7 @@
 
 	"turmericroute/batch"
 	"turmericroute/clock"
+	"turmericroute/loss"
 	"turmericroute/model"
 	"turmericroute/state"
 )
@@ -115,6 +116,9 @@
 	formed map[RunRef]bool
 	// preempting holds the runs that are being preempted, with the ID of the job that they make room for.
 	preempting map[RunRef]string
+	// losses tells what is lost with each run that ends; lossesPrunedAt is the boot time of its last pruning.
+	losses         *loss.Book
+	lossesPrunedAt time.Duration
 	// maintainedAt holds the boot time at which the maintenance of each machine was ordered, until it is over.
 	maintainedAt map[string]time.Duration
 	// tickets holds the tickets of each step, by stepName.
@@ -198,7 +202,7 @@
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
+		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
 	}
 }
 
@@ -322,11 +326,14 @@
 		Workers  map[string]dumpedWorker `json:"workers"`
 		Pending  int                     `json:"pending"`
 		Stopping map[string]string       `json:"stopping"`
+		// Lost is the work lost in the last minute by cause.
+		Lost loss.Table `json:"lost"`
 	}{Term: s.leader.term, Workers: map[string]dumpedWorker{}, Pending: len(s.leader.pending), Stopping: map[string]string{}}
 	now := s.cfg.BootClock()
 	for id, w := range maps.All(s.leader.workers) {
 		out.Workers[id] = dumpedWorker{Incarnation: w.hb.Incarnation, AgeMS: (now - w.heardAt).Milliseconds(), Running: len(w.running), Draining: w.hb.Draining, Gone: w.gone, Rack: w.hb.Rack}
 	}
+	out.Lost = s.leader.losses.Recent.Table(now)
 	for run, job := range s.leader.preempting {
 		out.Stopping[run.Task.String()] = job
 	}
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -62,6 +62,7 @@
 		}
 	})
 	l.ledger.View(l.forgetGangs)
+	l.ledger.View(func(b *batch.State) { s.pruneLosses(l, b, now) })
 	for id, w := range l.workers {
 		if now-w.heardAt > 4*s.leaseExpiry() {
 			l.forgetWorker(id, w)
