Fill the racks that have the least room first

Single tasks, and gangs that run on several racks anyway, took the worker where least stays free, on whatever rack. So a little of every rack was in use, and gangs that need one rack ran on several, three times as long.

The cost of a worker now has the free accelerators of its rack before what stays free on the worker itself; where no racks are declared, nothing changes.

The spec fails on the code before.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -156,9 +156,9 @@
 	return p.pack(r, free, best.list, false)
 }
 
-// pack places all tasks on the listed workers, best fit first, then flaky workers, if those may be used, and
-// for a serving step those with best-effort tasks last; it returns
-// nil if they do not fit.
+// pack places all tasks on the listed workers: those on the racks with the least room first, in a rack best fit first,
+// then flaky workers, if those may be used, and for a serving step those with best-effort tasks last. It returns nil if
+// the tasks do not fit.
 func (p *pass) pack(r *request, free func(*workerView) batch.Resources, workers []*workerView, flaky bool) []allocation {
 	var list []allocation
 	total := 0
@@ -177,7 +177,12 @@
 		return nil
 	}
 	slices.SortStableFunc(list, func(a, b allocation) int {
-		return cmp.Or(cmp.Compare(boolToInt(r.mixes(a.workerView)), boolToInt(r.mixes(b.workerView))), cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)), cmp.Compare(a.unused, b.unused))
+		return cmp.Or(
+			cmp.Compare(boolToInt(r.mixes(a.workerView)), boolToInt(r.mixes(b.workerView))),
+			cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)),
+			cmp.Compare(a.rack.freeGPUs, b.rack.freeGPUs),
+			cmp.Compare(a.unused, b.unused),
+		)
 	})
 	left := r.count
 	for i := range list {
--- a/sched/place.go
+++ b/sched/place.go
@@ -224,11 +224,12 @@
 // option is a worker that has room for a task, and its cost.
 type option struct {
 	*workerView
-	cost [4]int
+	cost [5]int
 }
 
 // options is a heap of the workers that have room for a task of a request, the cheapest first: workers without
-// best-effort tasks for a serving task, then those that are not flaky, then those on the rack of the data, then the best fit.
+// best-effort tasks for a serving task, then those that are not flaky, then those on the rack of the data, then those on
+// the rack with the least room, so that other racks stay free for gangs that need one, then the best fit.
 type options struct{ list []option }
 
 func (o *options) Len() int { return len(o.list) }
@@ -286,8 +287,8 @@
 	return r.step.DataRack != "" && wv.hb.Rack != r.step.DataRack
 }
 
-func (r *request) cost(wv *workerView) [4]int {
-	return [4]int{boolToInt(r.mixes(wv)), boolToInt(wv.flaky), boolToInt(r.offDataRack(wv)), leftover(wv.free, wv.hb.Capacity, r.need)}
+func (r *request) cost(wv *workerView) [5]int {
+	return [5]int{boolToInt(r.mixes(wv)), boolToInt(wv.flaky), boolToInt(r.offDataRack(wv)), wv.rack.freeGPUs, leftover(wv.free, wv.hb.Capacity, r.need)}
 }
 
 // leftover is the cost of a worker for best fit: the sum over all resources of what stays free after a task, in
--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -227,6 +229,25 @@
 		Expect(f.workers["w1"].stopped).To(BeEmpty())
 	})
 
+	// Guards against single tasks and gangs without a preferred rack that take a little room on every rack, after which no
+	// rack holds a whole gang.
+	DescribeTable("leaves a rack free for a gang that needs one",
+		func(st batch.Step) {
+			f := newFixture()
+			f.addWorkers("r1", "dc1", "w1", "w2", "w3")
+			f.addWorkers("r2", "dc1", "w4", "w5")
+			f.submit("normal", "first", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 60000, Gang: true, SameRack: true})
+			f.awaitRunning("first", 1)
+			f.submit("normal", "next", st)
+			f.awaitRunning("next", st.Count)
+			f.submit("normal", "gang", batch.Step{Count: 3, Need: gpus(8), EstimateMS: 60000, Gang: true, SameRack: true})
+			f.awaitRunning("gang", 3)
+			Expect(slices.Collect(maps.Values(f.running("gang")))).To(ConsistOf("w1", "w2", "w3"))
+		},
+		Entry("when single tasks come first", batch.Step{Count: 3, Need: gpus(2), EstimateMS: 60000}),
+		Entry("when a gang without a preferred rack comes first", batch.Step{Count: 3, Need: gpus(2), EstimateMS: 60000, Gang: true}),
+	)
+
 	It("preempts the runs that lose the least work, in a single rack for a gang that prefers one", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1", "w2")
