Order teams by their weights when there is too little room

A team's weight was not read: teams beyond their guarantees shared by chance. Package share keeps what each team uses and has used lately (dominant resource beyond the guarantee, decayed) and which jobs are beyond weight jobs a second. One key in the rank of a job takes both in; without weights it is zero.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,7 +36,8 @@
 	Memory
 )
 
-var resources = [...]Resource{Accelerators, Cores, Memory}
+// Resources returns all limited resources.
+func Resources() [3]Resource { return [...]Resource{Accelerators, Cores, Memory} }
 
 // Of returns the amount of a resource.
 func (a Amounts) Of(r Resource) int {
@@ -72,7 +73,7 @@
 		return 0
 	}
 	n := math.MaxInt
-	for _, r := range resources {
+	for _, r := range Resources() {
 		limit, each := Amounts(l).Of(r), need.Of(r)
 		if limit > 0 && each > 0 {
 			n = min(n, (limit-used.Of(r))/each)
@@ -84,7 +85,7 @@
 // Shortage returns the first resource of which a team that uses some amounts may not use so much more, and false if there
 // is none.
 func (l Limit) Shortage(used, more Amounts) (Shortage, bool) {
-	for _, r := range resources {
+	for _, r := range Resources() {
 		limit := Amounts(l).Of(r)
 		if limit > 0 && used.Of(r)+more.Of(r) > limit {
 			return Shortage{Resource: r, Used: used.Of(r), Needed: more.Of(r), Limit: limit}, true
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -71,6 +71,7 @@
 	}
 	p.checkUnrecorded()
 	p.refreshRoom()
+	p.refreshWeights(changes.All)
 	p.refreshWaiting()
 	p.wakeQuotaWaiters()
 	return p
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	due := p.guaranteed(r.job) && r.waited(p.now) >= time.Duration(reclaimWaitShare*float64(p.s.cfg.Limits.Reclaim))
-	if !due && !p.needsPreemption(r) {
+	if !due && (p.beyondRate(r.job) || !p.needsPreemption(r)) {
 		return false
 	}
 	if p.preempt(r, p.allowsRemote(r, r.waited(p.now))) {
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -341,7 +341,7 @@
 		return
 	}
 	due := p.guaranteed(w.job) && p.now-w.quota.since >= time.Duration(quotaReclaimShare*float64(p.s.cfg.Limits.Reclaim))
-	if !due && !p.canBeOnTime(w) {
+	if !due && (p.beyondRate(w.job) || !p.canBeOnTime(w)) {
 		return
 	}
 	p.preemptSearches++
--- a/sched/room.go
+++ b/sched/room.go
@@ -47,6 +47,8 @@
 	racks map[string]*rackRoom
 	// freeGPUs and totalGPUs sum up the accelerators of all usable workers.
 	freeGPUs, totalGPUs int
+	// capacity sums up all resources of the usable workers.
+	capacity batch.Resources
 	// leastNeed holds the least of each resource that any known task needs; withRoom counts the workers with that much.
 	leastNeed batch.Resources
 	needKnown bool
@@ -209,6 +211,7 @@
 	rack.freeGPUs += max(0, wv.free.GPUs)
 	rm.freeGPUs += max(0, wv.free.GPUs)
 	rm.totalGPUs += wv.declared.Capacity.GPUs
+	rm.capacity = rm.capacity.Plus(wv.declared.Capacity)
 	rm.noteRoom(wv, wv.free.Fits(rm.leastNeed))
 	rm.version++
 	rm.grown[wv] = true
@@ -230,6 +233,7 @@
 	rack.freeGPUs -= max(0, wv.free.GPUs)
 	rm.freeGPUs -= max(0, wv.free.GPUs)
 	rm.totalGPUs -= wv.declared.Capacity.GPUs
+	rm.capacity = rm.capacity.Minus(wv.declared.Capacity)
 	rm.noteRoom(wv, false)
 	wv.rack = nil
 	rm.version++
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -93,6 +93,8 @@
 	waiting *waitingSteps
 	// use is what each team may have running.
 	use *quotaUse
+	// weights orders the teams by their weights.
+	weights *weights
 	// reservations are the placements that are reserved until the next full pass.
 	reservations []reservation
 	passNumber   uint64
@@ -199,7 +201,7 @@
 	return &memory{
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
-		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), use: newQuotaUse(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
+		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), use: newQuotaUse(), weights: newWeights(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
 		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
 	}
 }
