--- a/admit/job.go
+++ b/admit/job.go
@@ -69,19 +69,26 @@
 }
 
 // Compare orders jobs by what is lost if they wait: it is negative if a goes before b.
-func Compare(a, b Job) int {
-	if c := compareBools(a.Promoted, b.Promoted); c != 0 {
-		return c
-	}
+func Compare(a, b Job) int { return cmp.Or(CompareValues(a, b), CompareUrgency(a, b)) }
+
+// CompareValues orders jobs by their priorities and by what their results are still worth.
+func CompareValues(a, b Job) int {
 	av, bv := a.Value(), b.Value()
-	switch c := cmp.Or(compareBools(av != None, bv != None), cmp.Compare(a.Priority, b.Priority), cmp.Compare(av, bv)); {
-	case c != 0:
-		return c
-	case av == Full:
+	return cmp.Or(
+		compareBools(a.Promoted, b.Promoted),
+		compareBools(av != None, bv != None),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(av, bv),
+	)
+}
+
+// CompareUrgency orders jobs that CompareValues takes for equal: those that can meet their objectives by their latest
+// starts, others by the work that they need.
+func CompareUrgency(a, b Job) int {
+	if a.Value() == Full {
 		return cmp.Compare(a.latestStart(), b.latestStart())
-	default:
-		return cmp.Compare(a.Work, b.Work)
 	}
+	return cmp.Compare(a.Work, b.Work)
 }
 
 // latestStart is the time from now to the job's latest start; a job without an objective counts from its acceptance.
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -12,11 +12,14 @@
 	// guaranteed jobs come first: the jobs whose runs are preempted for them must not take the resources back.
 	guaranteed bool
 	job        admit.Job
+	standing   standing
 }
 
 // rank returns the rank of a job at the time of the pass.
 func (p *pass) rank(j *batch.Job) rank {
-	return rank{guaranteed: p.guaranteed(j), job: p.admitJob(j)}
+	r := rank{guaranteed: p.guaranteed(j), job: p.admitJob(j)}
+	r.standing = p.standing(j, r.job.Value())
+	return r
 }
 
 // objective returns when a job misses its objective, in Unix milliseconds; it returns false for jobs without one.
@@ -31,7 +34,9 @@
 func compareRanks(a, b rank) int {
 	return cmp.Or(
 		cmp.Compare(boolToInt(!a.guaranteed), boolToInt(!b.guaranteed)),
-		admit.Compare(a.job, b.job),
+		admit.CompareValues(a.job, b.job),
+		compareStandings(a.standing, b.standing),
+		admit.CompareUrgency(a.job, b.job),
 	)
 }
 
