--- a/ctrl/convert.go
+++ b/ctrl/convert.go
@@ -1,6 +1,8 @@
 package ctrl
 
 import (
+	"time"
+
 	"turmericroute/model"
 	"turmericroute/quorum"
 	"turmericroute/wire"
@@ -95,6 +97,7 @@
 	}
 	return &wire.Failure{
 		Code: string(e.Code), Message: e.Message, Outcome: string(e.Outcome), Faults: e.Faults, Version: e.Version,
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
 	}
 }
 
@@ -105,5 +108,6 @@
 	return &model.Error{
 		Code: model.Code(f.GetCode()), Message: f.GetMessage(), Outcome: model.Outcome(f.GetOutcome()),
 		Faults: f.GetFaults(), Version: f.GetVersion(),
+		RetryAfter: time.Duration(f.GetRetryAfterMs()) * time.Millisecond,
 	}
 }
--- a/model/errors.go
+++ b/model/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
 // Outcome tells whether a request was carried out, as far as that is known.
@@ -57,6 +58,8 @@
 	Faults  []string `json:"faults,omitempty"`
 	// Version is the current configuration version if Code is CodeStaleVersion.
 	Version uint64 `json:"version,omitempty"`
+	// RetryAfter is the time after which the caller should repeat a request that was not run, 0 if that is not known.
+	RetryAfter time.Duration `json:"-"`
 }
 
 // Error returns the code, the message and the faults.
@@ -77,6 +80,25 @@
 	return &Error{Code: code, Outcome: OutcomeUnknown, Message: fmt.Sprintf(format, args...)}
 }
 
+// WithRetryAfter returns the error with the time after which the caller should repeat the request.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	out := *e
+	out.RetryAfter = d
+	return &out
+}
+
+// defaultRetryAfter is what callers are told if no time is known; a change of leader takes about as long.
+const defaultRetryAfter = time.Second
+
+// RetryAfterSeconds returns the value of the header Retry-After for the error, in whole seconds.
+func (e *Error) RetryAfterSeconds() int {
+	d := e.RetryAfter
+	if d <= 0 {
+		d = defaultRetryAfter
+	}
+	return int((d + time.Second - 1) / time.Second)
+}
+
 // InDoubtIf returns the error with OutcomeUnknown if an earlier attempt at the same request may have been carried out:
 // the refusal of a later one says nothing about it.
 func (e *Error) InDoubtIf(maybeExecuted bool) *Error {
--- a/webapi/body.go
+++ b/webapi/body.go
@@ -70,7 +70,7 @@
 		h.Set("WWW-Authenticate", "Bearer")
 	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h.Set("Retry-After", "1")
+		h.Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
 	w.WriteHeader(status)
 	w.Write(append(body, '\n'))
