Turn away submissions that certainly end too late

The leader refuses a submission if half of the work ahead of it, with all accelerators at work, ends too late for the job to end within three times its objective; never within a guarantee, and not before it has heard of all workers. The caller is told when to return. One overdue job at a time goes before more urgent ones.

--- a/admit/defer.go
+++ b/admit/defer.go
@@ -26,10 +26,11 @@
 // Load is the use of a service's accelerators as work of one priority sees it.
 type Load struct {
 	// Utilisation is the fraction of the accelerators that is in use.
-	Utilisation float64
+	Utilisation float64 `json:"utilisation"`
 	// Forecast is what more urgent queues need; Held is what their runs have, Waiting what their waiting steps need.
-	Forecast      Need
-	Held, Waiting int
+	Forecast Need `json:"forecast"`
+	Held     int  `json:"held_gpus"`
+	Waiting  int  `json:"waiting_gpus"`
 }
 
 // Headroom returns the accelerators to keep free for more urgent work.
--- a/admit/forecast.go
+++ b/admit/forecast.go
@@ -27,9 +27,9 @@
 // Need is the demand that is forecast.
 type Need struct {
 	// GPUs is the number of accelerators that the arrivals keep in use at once.
-	GPUs int
+	GPUs int `json:"gpus"`
 	// Gang is the mean number of accelerators that a step needs at once.
-	Gang int
+	Gang int `json:"gang_gpus"`
 }
 
 // Forecast predicts the demand of each queue from its recent arrivals; the zero value has seen none.
--- a/admit/returns.go
+++ b/admit/returns.go
@@ -1,9 +1,6 @@
 package admit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// backlogShare is the fraction of the estimated work ahead that a refusal counts on. Estimates may be too long, and
@@ -12,8 +9,8 @@
 	// minReturn and maxReturn bound the time after which a refused caller returns.
 	minReturn = time.Second
 	maxReturn = time.Minute
-	// returnSlot is the time for which returns are counted together; callers are told whole seconds.
-	returnSlot = time.Second
+	// minReturnInterval separates the returns of callers with little work.
+	minReturnInterval = 10 * time.Millisecond
 )
 
 // Room is the room that a submission would have.
@@ -44,47 +41,25 @@
 
 // Returns spreads the returns of refused callers over time by the work that they bring; the zero value knows of none.
 type Returns struct {
-	// told is the work that was told to return in each slot, by the slot's number.
-	told map[int64]time.Duration
+	// next is the boot time at which the work of all who were told to return will have been done.
+	next time.Duration
+	// capped counts the returns that were told although there is no room within maxReturn.
+	capped int
 }
 
-// Tell returns the time after which a caller with some work should return, at least wait from now if that is within
-// bounds. A slot takes as much work as the accelerators do in its time, or else a single caller.
+// Tell returns the time after which a caller with some work should return, at least wait from now. Each gets the time
+// at which the work of those who were told before is done. Where that is later than maxReturn, returns are spread over
+// the second half of that time.
 func (t *Returns) Tell(now, wait, work time.Duration, r Room) time.Duration {
-	if t.told == nil {
-		t.told = map[int64]time.Duration{}
-	}
-	current := int64(now / returnSlot)
-	for slot := range t.told {
-		if slot < current {
-			delete(t.told, slot)
-		}
-	}
-	room := time.Duration(r.GPUs) * returnSlot
-	wait = min(max(wait, minReturn), maxReturn)
-	first := int64(math.Ceil(float64(now+wait) / float64(returnSlot)))
-	last := int64((now + maxReturn) / returnSlot)
-	best := min(first, last)
-	for slot := best; slot <= last; slot++ {
-		if t.told[slot] == 0 || t.told[slot]+work <= room {
-			best = slot
-			break
-		}
-		if t.told[slot] < t.told[best] {
-			best = slot // all slots are full: the one with least work
-		}
+	at := max(t.next, now+max(wait, minReturn))
+	if at > now+maxReturn {
+		t.capped++
+		const half, stride = maxReturn / 2, 7 * time.Second // every second comes once in a round, neighbours far apart
+		return half + stride*time.Duration(t.capped)%half
 	}
-	t.told[best] += max(work, 1)
-	return time.Duration(best)*returnSlot - now
+	t.next = at + max(r.drain(work), minReturnInterval)
+	return at - now
 }
 
-// Told returns the work that callers who are still to return bring.
-func (t *Returns) Told(now time.Duration) time.Duration {
-	sum := time.Duration(0)
-	for slot, work := range t.told {
-		if slot >= int64(now/returnSlot) {
-			sum += work
-		}
-	}
-	return sum
-}
+// Told returns how long the work of the callers who are still to return takes.
+func (t *Returns) Told(now time.Duration) time.Duration { return max(0, t.next-now) }
--- a/batch/catalog.go
+++ b/batch/catalog.go
@@ -90,6 +90,21 @@
 	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == service })
 }
 
+// HasPriorities reports whether a service has queues with objectives and different priorities.
+func (c Catalog) HasPriorities(service string) bool {
+	first := -1
+	for i, q := range c.Queues {
+		switch {
+		case q.Service != service || !q.HasObjective():
+		case first < 0:
+			first = i
+		case q.Priority != c.Queues[first].Priority:
+			return true
+		}
+	}
+	return false
+}
+
 // Validate returns all faults of the catalog as one *model.Error, nil if there are none.
 func (c Catalog) Validate() error {
 	var faults []string
--- a/batch/job.go
+++ b/batch/job.go
@@ -61,6 +61,14 @@
 	Rounds [][]StepState `json:"rounds"`
 }
 
+// NewJob returns an accepted job of which nothing has run.
+func NewJob(a Accept, atMS int64) *Job {
+	return &Job{
+		ID: a.ID, Queue: a.Queue, Service: a.Service, Priority: a.Priority, MaxFailures: a.MaxFailures, Team: a.Team,
+		Spec: a.Spec, State: JobOpen, AcceptedMS: atMS, Rounds: newRounds(a.Spec),
+	}
+}
+
 // Task returns the task with the given ID, nil if the job has none.
 func (j *Job) Task(id TaskID) *Task {
 	if id.Round >= len(j.Rounds) || id.Step >= len(j.Rounds[id.Round]) || id.Index >= len(j.Rounds[id.Round][id.Step].Tasks) {
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -114,10 +114,7 @@
 	if overtaken := b.Overtaken(a.ID); overtaken != nil {
 		return Result{Failure: overtaken}
 	}
-	j := &Job{
-		ID: a.ID, Queue: a.Queue, Service: a.Service, Priority: a.Priority, MaxFailures: a.MaxFailures, Team: a.Team,
-		Spec: a.Spec, State: JobOpen, AcceptedMS: atMS, Rounds: newRounds(a.Spec),
-	}
+	j := NewJob(a, atMS)
 	b.Jobs[a.ID], b.Open[a.ID] = j, j
 	b.changes.markJob(j.ID)
 	return Result{State: j.State}
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -63,8 +63,11 @@
 			failure = model.AsError(err)
 		}
 	}
+	if failure == nil && existing == nil {
+		failure = s.refusal(l, &a)
+	}
 	if failure != nil {
-		s.cfg.Logger.Log("event", "job_refused", "path", c.Path, "code", failure.Code, "reason", failure.Message)
+		s.cfg.Logger.Log("event", "job_refused", "path", c.Path, "code", failure.Code, "reason", failure.Message, "retry_after_ms", failure.RetryAfter.Milliseconds())
 		s.metrics.refusedJobs(failure.Code).Inc()
 		return Answer{}, failure
 	}
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -20,6 +20,8 @@
 	refreshedWorkers, triedSteps *metrics.Counter
 	passSeconds                  *metrics.Summary
 	startSeconds                 *metrics.Histogram
+	// retryAfterSeconds holds the times after which refused callers were told to return.
+	retryAfterSeconds *metrics.Histogram
 }
 
 func newSchedulerMetrics(set *metrics.Set, s *Scheduler) schedulerMetrics {
@@ -41,14 +43,16 @@
 		s.leader.ledger.View(func(b *batch.State) { n = len(b.Open) })
 		return float64(n)
 	})
+	s.registerHeadroom(set)
 	return schedulerMetrics{
 		set: set, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		ignoredHeartbeats: set.GetOrCreateCounter("turmericroute_sched_ignored_heartbeats_total"),
 		acceptedJobs:      set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
 		panics:           set.GetOrCreateCounter("turmericroute_sched_panics_total"),
 		refreshedWorkers: set.GetOrCreateCounter("turmericroute_sched_refreshed_workers_total"), triedSteps: set.GetOrCreateCounter("turmericroute_sched_tried_steps_total"),
-		passSeconds:  set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
-		startSeconds: set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
+		passSeconds:       set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
+		startSeconds:      set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
+		retryAfterSeconds: set.GetOrCreateHistogram("turmericroute_sched_retry_after_seconds"),
 	}
 }
 
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -1,8 +1,12 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"turmericroute/admit"
 	"turmericroute/batch"
 )
@@ -13,7 +17,10 @@
 
 // overload is what a leader remembers for decisions under overload.
 type overload struct {
-	arrivals admit.Forecast
+	arrivals  admit.Forecast
+	promotion admit.Promotion
+	promoted  string
+	returns   admit.Returns
 	// headroom holds the headroom by the work that leaves it free.
 	headroom map[admit.Queue]*headroom
 }
@@ -28,6 +35,48 @@
 
 func newOverload() *overload { return &overload{headroom: map[admit.Queue]*headroom{}} }
 
+// dumpedHeadroom is the headroom that the work of one queue leaves to more urgent work.
+type dumpedHeadroom struct {
+	Service  string     `json:"service"`
+	Priority int        `json:"priority"`
+	Load     admit.Load `json:"load"`
+	Racks    []string   `json:"racks"`
+}
+
+// dumpedOverload is what the process dump shows of decisions under overload.
+type dumpedOverload struct {
+	Headroom  []dumpedHeadroom `json:"headroom"`
+	Promoted  string           `json:"promoted,omitempty"`
+	ReturnsMS int64            `json:"returns_ms"`
+}
+
+func (o *overload) dump(now time.Duration) dumpedOverload {
+	out := dumpedOverload{Promoted: o.promoted, ReturnsMS: o.returns.Told(now).Milliseconds()}
+	for q, h := range o.headroom {
+		out.Headroom = append(out.Headroom, dumpedHeadroom{Service: q.Service, Priority: q.Priority, Load: h.load, Racks: slices.Sorted(maps.Keys(h.racks))})
+	}
+	return out
+}
+
+// registerHeadroom registers the gauges of the headroom and of the demand that it is for.
+func (s *Scheduler) registerHeadroom(set *metrics.Set) {
+	largest := func(of func(admit.Load) int) func() float64 {
+		return func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n := 0
+			if s.leader != nil {
+				for _, h := range s.leader.overload.headroom {
+					n = max(n, of(h.load))
+				}
+			}
+			return float64(n)
+		}
+	}
+	set.GetOrCreateGauge("turmericroute_sched_headroom_gpus_count", largest(admit.Load.Headroom))
+	set.GetOrCreateGauge("turmericroute_sched_forecast_gpus_count", largest(func(l admit.Load) int { return l.Forecast.GPUs }))
+}
+
 // admitJob returns what decisions under overload need to know of a job.
 func (p *pass) admitJob(j *batch.Job) admit.Job {
 	out := admit.Job{Priority: p.priority(j), Age: time.Duration(p.nowMS-j.AcceptedMS) * time.Millisecond}
@@ -39,6 +88,22 @@
 	return out
 }
 
+// promoted returns the job that goes before more urgent ones as it is overdue, empty if there is none. Full passes choose
+// it, as quick ones do not look at all waiting steps.
+func (p *pass) promoted() string {
+	o := p.l.overload
+	if p.full {
+		o.promoted = o.promotion.Next(p.now, func(yield func(string, admit.Job) bool) {
+			for id, list := range p.waiting.byJob {
+				if !yield(id, p.admitJob(list[0].job)) {
+					return
+				}
+			}
+		})
+	}
+	return o.promoted
+}
+
 // openWork returns the estimated work of the tasks of a job's first round that are not done, in accelerators times time.
 func openWork(j *batch.Job) time.Duration {
 	sum := 0
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -198,9 +198,12 @@
 		rank rank
 	}
 	var list []ranked
+	promoted := p.promoted()
 	for _, w := range p.waiting.steps {
 		if chosen(w) {
-			list = append(list, ranked{w, p.rank(w.job)})
+			r := p.rank(w.job)
+			r.job.Promoted = w.job.ID == promoted
+			list = append(list, ranked{w, r})
 		}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
--- /dev/null
+++ b/sched/refuse.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"time"
+
+	"turmericroute/admit"
+	"turmericroute/batch"
+	"turmericroute/model"
+)
+
+// refusal returns the error for a submission that certainly cannot end while its result has value, nil if there is none.
+// A new leader refuses nothing before it has heard of all workers that have leases.
+func (s *Scheduler) refusal(l *leaderState, a *batch.Accept) *model.Error {
+	if !a.Spec.HasObjective() {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.BootClock()
+	if now-l.since <= s.leaseExpiry() {
+		return nil
+	}
+	var failure *model.Error
+	l.ledger.View(func(b *batch.State) {
+		if !b.Catalog.HasPriorities(a.Service) || l.withinGuarantee(b, a) {
+			return
+		}
+		p := &pass{s: s, l: l, state: b, room: l.room, waiting: l.waiting, now: now, nowMS: s.cfg.WallClock().UnixMilli()}
+		j := p.admitJob(batch.NewJob(*a, p.nowMS))
+		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j)}
+		wait, refuse := admit.Refuse(j, room)
+		if !refuse {
+			return
+		}
+		failure = model.NotRun(model.CodeOverloaded, "the job would end too late: %d s of work for all accelerators go before it", int((room.Ahead / time.Duration(room.GPUs)).Seconds())).
+			WithRetryAfter(l.overload.returns.Tell(now, wait, j.Work, room))
+		s.metrics.retryAfterSeconds.Update(failure.RetryAfter.Seconds())
+		s.cfg.Logger.Log("event", "job_turned_away", "job", a.ID, "queue", a.Queue, "priority", a.Priority, "objective_ms", j.Objective.Milliseconds(), "path_ms", j.Path.Milliseconds(),
+			"work_gpu_ms", j.Work.Milliseconds(), "ahead_gpu_ms", room.Ahead.Milliseconds(), "gpus", room.GPUs, "told_ms", l.overload.returns.Told(now).Milliseconds(), "retry_after_ms", failure.RetryAfter.Milliseconds())
+	})
+	return failure
+}
+
+// withinGuarantee reports whether a submitted job would be within its team's guarantee.
+func (l *leaderState) withinGuarantee(b *batch.State, a *batch.Accept) bool {
+	return a.Priority == 0 && a.Team != "" && l.waiting.demand[a.Team]+gpusOf(&a.Spec) <= b.Catalog.Guarantee(a.Team)
+}
+
+// gpusOfService returns the number of accelerators of the usable workers of a service.
+func (p *pass) gpusOfService(service string) int {
+	n := 0
+	for _, wv := range p.room.list {
+		if wv.hb.Service == service {
+			n += wv.declared.Capacity.GPUs
+		}
+	}
+	return n
+}
+
+// workAhead returns the work of the open jobs of a service that go before a job.
+func (p *pass) workAhead(service string, j admit.Job) time.Duration {
+	sum := time.Duration(0)
+	for _, other := range p.state.Open {
+		if p.service(other) != service {
+			continue
+		}
+		if o := p.admitJob(other); o.Objective > 0 && o.Value() != admit.None && o.Priority <= j.Priority {
+			sum += o.Work
+		}
+	}
+	return sum
+}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -324,8 +324,10 @@
 		Workers  map[string]dumpedWorker `json:"workers"`
 		Pending  int                     `json:"pending"`
 		Stopping map[string]string       `json:"stopping"`
+		Overload dumpedOverload          `json:"overload"`
 	}{Term: s.leader.term, Workers: map[string]dumpedWorker{}, Pending: len(s.leader.pending), Stopping: map[string]string{}}
 	now := s.cfg.BootClock()
+	out.Overload = s.leader.overload.dump(now)
 	for id, w := range maps.All(s.leader.workers) {
 		out.Workers[id] = dumpedWorker{Incarnation: w.hb.Incarnation, AgeMS: (now - w.heardAt).Milliseconds(), Running: len(w.running), Draining: w.hb.Draining, Gone: w.gone, Rack: w.hb.Rack}
 	}
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -156,7 +156,7 @@
 	old := ws.share[id]
 	var next teamShare
 	if j != nil && p.priority(j) == 0 {
-		next = teamShare{team: j.Team, gpus: gpusOf(j)}
+		next = teamShare{team: j.Team, gpus: gpusOf(&j.Spec)}
 	}
 	if next == old {
 		return
@@ -173,10 +173,10 @@
 }
 
 // gpusOf returns the number of accelerators that the largest step of a job needs at once.
-func gpusOf(j *batch.Job) int {
+func gpusOf(s *batch.Spec) int {
 	n := 0
-	for i := range j.Spec.Steps {
-		n = max(n, j.Spec.Steps[i].Count*j.Spec.Steps[i].Need.GPUs)
+	for i := range s.Steps {
+		n = max(n, s.Steps[i].Count*s.Steps[i].Need.GPUs)
 	}
 	return n
 }
