Handle the reports of a worker in the order of its polls

A worker has two polls at a time, each on a goroutine of its own. The session took their reports in order, but each goroutine then passed its changes on as an event. When the earlier one was slower, the event loop took a task that had failed as running. The session knew better, so no later report repeated the failure, and a stop changes nothing on the worker. The session now keeps the changes until the event loop takes them, in the order of the polls.

--- a/gang/event.go
+++ b/gang/event.go
@@ -11,12 +11,10 @@
 // event is a message from another goroutine to the event loop; its implementations are those in this file.
 type event interface{ event() }
 
-// workerReport carries the changes in a worker's report of its tasks.
+// workerReport says that a worker's session has changes in the worker's tasks.
 type workerReport struct {
 	worker  string
-	changed []model.TaskReport
-	// gone lists tasks that the worker was told to prepare and does not have.
-	gone []model.TaskID
+	session *session
 }
 
 // workerConnected reports a worker's first poll in this term, or its first after being silent.
@@ -39,7 +37,9 @@
 	now := l.cfg.Now()
 	switch e := e.(type) {
 	case workerReport:
-		l.applyReport(e, now)
+		for _, c := range e.session.takeChanges() {
+			l.applyReport(e.worker, c, now)
+		}
 	case workerConnected:
 		l.workerJoined(e.worker, now)
 	case commandResult:
--- a/gang/poll.go
+++ b/gang/poll.go
@@ -28,12 +28,12 @@
 		return model.PollResponse{}, err
 	}
 	w := l.sessions.get(req.Worker.Name)
-	changed, gone, reconnected := w.applyPoll(req, l.term, l.cfg.Now())
+	changed, reconnected := w.applyPoll(req, l.term, l.cfg.Now())
 	if reconnected {
 		l.sendEvent(workerConnected{worker: req.Worker.Name})
 	}
-	if len(changed)+len(gone) > 0 {
-		l.sendEvent(workerReport{worker: req.Worker.Name, changed: changed, gone: gone})
+	if changed {
+		l.sendEvent(workerReport{worker: req.Worker.Name, session: w})
 	}
 	deliverable := func(c model.Command) bool { return l.deliverable(req.Worker.DataCentre, c) }
 	if !w.needsFullReport() {
--- a/gang/report.go
+++ b/gang/report.go
@@ -26,12 +26,12 @@
 
 // applyReport updates the attempts from a worker's report and advances them. Tasks of no
 // current attempt are released on the worker.
-func (l *leaderState) applyReport(e workerReport, now time.Time) {
+func (l *leaderState) applyReport(worker string, c taskChanges, now time.Time) {
 	touched := map[string]*attempt{}
-	for _, t := range e.changed {
-		a := l.attemptOf(t.ID, e.worker)
+	for _, t := range c.changed {
+		a := l.attemptOf(t.ID, worker)
 		if a == nil {
-			l.sessions.get(e.worker).push(model.Command{Kind: model.CommandRelease, Task: t.ID})
+			l.sessions.get(worker).push(model.Command{Kind: model.CommandRelease, Task: t.ID})
 			continue
 		}
 		known := &a.tasks[t.ID.Index]
@@ -42,8 +42,8 @@
 		a.dirty = true
 		touched[t.ID.Job] = a
 	}
-	for _, id := range e.gone {
-		if a := l.attemptOf(id, e.worker); a != nil {
+	for _, id := range c.gone {
+		if a := l.attemptOf(id, worker); a != nil {
 			a.tasks[id.Index].state, a.tasks[id.Index].confirmedGone = taskLost, true
 			touched[id.Job] = a
 		}
--- a/gang/session.go
+++ b/gang/session.go
@@ -31,7 +31,16 @@
 	// complete reports whether tasks holds every task of the worker, so that a partial
 	// report can be merged into it.
 	complete bool
-	wake     chan struct{}
+	// changes holds the changes in the tasks that the event loop has not handled, in the order of the polls.
+	changes []taskChanges
+	wake    chan struct{}
+}
+
+// taskChanges are the changes in a worker's tasks that a poll reports.
+type taskChanges struct {
+	changed []model.TaskReport
+	// gone lists tasks that the worker no longer has, or was told to prepare and does not have.
+	gone []model.TaskID
 }
 
 // sessionShard maps worker names to sessions.
@@ -188,10 +197,10 @@
 	}
 }
 
-// applyPoll records a poll. It returns the reported tasks that changed, the tasks
-// that the worker no longer has, and whether this is the worker's first poll in
-// the term or its first after being silent. Polls that arrive out of order are ignored.
-func (w *session) applyPoll(req model.PollRequest, term uint64, now time.Time) (changed []model.TaskReport, gone []model.TaskID, reconnected bool) {
+// applyPoll records a poll and keeps the changes that it reports for takeChanges. It returns whether there are any, and
+// whether this is the worker's first poll in the term or its first after being silent. Polls that arrive out of order are
+// ignored.
+func (w *session) applyPoll(req model.PollRequest, term uint64, now time.Time) (changed, reconnected bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if req.Worker.Incarnation != w.incarnation {
@@ -199,22 +208,38 @@
 		w.incarnation, w.lastSeq, w.complete = req.Worker.Incarnation, 0, false
 	}
 	if req.Seq <= w.lastSeq {
-		return nil, nil, false
+		return false, false
 	}
 	reconnected = w.silent || w.lastPoll.IsZero()
 	w.lastSeq, w.lastPoll, w.silent = req.Seq, now, false
 	if req.Epoch != term {
 		// The report may be a late one, from before what an earlier leader ordered. The worker reports again, in full.
 		w.complete = false
-		return nil, nil, reconnected
+		return false, reconnected
 	}
 	w.pending = slices.DeleteFunc(w.pending, func(c model.Command) bool { return c.Seq <= req.Done })
 	if req.Partial && !w.complete {
-		return nil, nil, reconnected // a difference against the state of another session
+		return false, reconnected // a difference against the state of another session
 	}
-	changed, gone = w.mergeReport(req)
+	var c taskChanges
+	c.changed, c.gone = w.mergeReport(req)
 	w.complete = true
-	return changed, append(gone, w.missingTasks(req)...), reconnected
+	c.gone = append(c.gone, w.missingTasks(req)...)
+	if len(c.changed)+len(c.gone) == 0 {
+		return false, reconnected
+	}
+	w.changes = append(w.changes, c)
+	return true, reconnected
+}
+
+// takeChanges returns the changes since the last call. The event loop takes them from the session, since the goroutines
+// of two polls may pass their events on in another order, and an older state must not replace a newer one.
+func (w *session) takeChanges() []taskChanges {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := w.changes
+	w.changes = nil
+	return list
 }
 
 // mergeReport updates the known tasks from a poll and returns those that changed and those that are gone.
