Keep the end of a task that a worker has reported before it falls silent

Callers saw a job that stays in state stopping for good, with its workers taken, after its gang was cut off for 4 to 10 s just when a task had failed. Found while tracing the listed spec of gang.

When a worker was silent for 4 s, all its tasks but those that were done counted as lost, also one that had failed or been stopped. The worker reports an end once; after the silence it reported nothing new, and its lease did not expire any more, so the task never counted as ended. Ended tasks now keep their state. The new spec timed out in state stopping before.

--- a/gang/attempt.go
+++ b/gang/attempt.go
@@ -43,6 +43,11 @@
 	confirmedGone bool
 }
 
+// hasEnded reports whether the worker has reported the task's end.
+func (t *task) hasEnded() bool {
+	return t.state == model.TaskDone || t.state == model.TaskFailed || t.state == model.TaskStopped
+}
+
 // reclaimStep is the current step in the preemption of an attempt.
 type reclaimStep int
 
@@ -320,11 +325,7 @@
 
 // taskEnded reports whether a task can no longer run: its worker reported its end, or its lease has expired.
 func (l *leaderState) taskEnded(t task, now time.Time) bool {
-	switch t.state {
-	case model.TaskDone, model.TaskFailed, model.TaskStopped:
-		return true
-	}
-	if t.confirmedGone {
+	if t.hasEnded() || t.confirmedGone {
 		return true
 	}
 	lease := time.Duration(float64(model.TaskLease) * (1 + model.MaxClockDrift))
--- a/gang/report.go
+++ b/gang/report.go
@@ -105,7 +105,8 @@
 		for _, a := range l.attempts {
 			for i := range a.tasks {
 				t := &a.tasks[i]
-				if t.worker == name && t.state != model.TaskDone {
+				// A worker reports an ended task once, so the report holds beyond the silence.
+				if t.worker == name && !t.hasEnded() {
 					t.state = taskLost
 				}
 			}
