Stop at once what can't end on a worker that leaves

A run that saves no progress went on until shortly before its worker shut down, although its progress showed that it would not end in time. It is now stopped at the first report that shows that, and starts elsewhere earlier. The bound counts the percent that the report rounds off, so a run that may end in time goes on. The account takes the work of runs that an earlier leader has started from their progress.

--- a/loss/book.go
+++ b/loss/book.go
@@ -65,6 +65,9 @@
 	return g
 }
 
+// Known reports whether a start order or a report of a run has been recorded.
+func (b *Book) Known(k Key) bool { return b.runs[k] != nil }
+
 // Order records a start order of a run.
 func (b *Book) Order(k Key, isGang bool, now time.Duration) {
 	if w := b.runs[k]; w == nil || !w.reported {
--- a/loss/book_test.go
+++ b/loss/book_test.go
@@ -102,3 +102,17 @@
 	Expect(t.Write(&out)).To(Succeed())
 	Expect(out.String()).To(MatchRegexp(`2 +10 +90.9% +member_failed`))
 })
+
+// Guards against work that goes on in vain on a worker that leaves, and against stopping a run for a rounded figure.
+var _ = DescribeTable("the least remaining time of a run",
+	func(p loss.Progress, least time.Duration, endsIn bool) {
+		Expect(p.LeastRemaining()).To(Equal(least))
+		Expect(p.EndsIn(2 * time.Second)).To(Equal(endsIn))
+	},
+	Entry("half done", loss.Progress{Elapsed: time.Second, Percent: 49}, time.Second, true),
+	Entry("a fifth done", loss.Progress{Elapsed: time.Second, Percent: 19}, 4*time.Second, false),
+	Entry("taken over by a new leader", loss.Progress{Elapsed: time.Second, From: 40, Percent: 49}, 5*time.Second, false),
+	Entry("not begun", loss.Progress{Elapsed: 20 * time.Millisecond}, 1980*time.Millisecond, true),
+	Entry("just reported", loss.Progress{}, time.Duration(0), true),
+	Entry("done", loss.Progress{Elapsed: time.Second, Percent: 100}, time.Duration(0), true),
+)
--- a/loss/log.go
+++ b/loss/log.go
@@ -20,15 +20,11 @@
 		f := fields(sc.Text())
 		switch f["event"] {
 		case "run_ended":
-			if f["err"] != "null" {
-				continue
-			}
-			if c := Cause(f["cause"]); c != None {
-				t.Add(c, 1, number(f["lost"]))
-			}
-			if wait := number(f["waited"]); wait > 0 {
-				t.Add(GangWait, 1, wait)
+			if f["err"] == "null" {
+				addEnd(t, f)
 			}
+		case "late_end":
+			addEnd(t, f)
 		case "gang_loss_resolved":
 			runs, lost := int(number(f["runs"])), number(f["lost"])
 			t.Add(Unresolved, -runs, -lost)
@@ -41,9 +37,19 @@
 	return nil
 }
 
+// addEnd adds the end of a run.
+func addEnd(t Table, f map[string]string) {
+	if c := Cause(f["cause"]); c != None {
+		t.Add(c, 1, number(f["lost"]))
+	}
+	if wait := number(f["waited"]); wait > 0 {
+		t.Add(GangWait, 1, wait)
+	}
+}
+
 // fields returns the fields of a line in logfmt that have no spaces in their values.
 func fields(line string) map[string]string {
-	if !strings.Contains(line, "event=run_ended") && !strings.Contains(line, "event=gang_loss_resolved") {
+	if !strings.Contains(line, " lost=") {
 		return nil
 	}
 	out := map[string]string{}
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -105,7 +105,7 @@
 func (s *Scheduler) recordRuns(l *leaderState, w *worker, now time.Duration) bool {
 	changed := len(w.running) != len(w.hb.Running)
 	for _, r := range w.hb.Running {
-		l.losses.Report(loss.Key{Task: r.Task, Run: r.Run}, r.Checkpoint, now)
+		s.noteWork(l, r, now)
 		before, ok := w.running[r.Task]
 		known := ok && before.Run == r.Run
 		l.noteGangReport(w, r, !known, now)
@@ -173,7 +173,7 @@
 				l.room.markStale(w.hb.Worker)
 			}
 		} else {
-			s.lossOfEnd(l, b, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint}, now)
+			s.noteLateEnd(l, b, w, e, now)
 		}
 		w.missedReports[ref] = 0
 	}
--- a/sched/losses.go
+++ b/sched/losses.go
@@ -88,6 +88,32 @@
 	return r
 }
 
+// noteWork records that a run is reported as running. Of a run that this leader has not ordered to start, the work follows
+// from its progress, unless it may have resumed from a checkpoint.
+func (s *Scheduler) noteWork(l *leaderState, r RunState, now time.Duration) {
+	k := loss.Key{Task: r.Task, Run: r.Run}
+	if !l.losses.Known(k) && r.Percent > 0 {
+		l.ledger.View(func(b *batch.State) {
+			if j := b.Jobs[r.Task.Job]; j != nil && r.Task.Step < len(j.Spec.Steps) && !j.Spec.Steps[r.Task.Step].Checkpoints {
+				worked := time.Duration(r.Percent*j.Spec.Steps[r.Task.Step].EstimateMS) * time.Millisecond / 100
+				l.losses.Order(k, false, now-worked)
+			}
+		})
+	}
+	l.losses.Report(k, r.Checkpoint, now)
+}
+
+// noteLateEnd counts and logs what has been lost with a run whose end changes nothing, since another run has taken its
+// place or its job has ended.
+func (s *Scheduler) noteLateEnd(l *leaderState, b *batch.State, w *worker, e RunEnd, now time.Duration) {
+	r := s.lossOfEnd(l, b, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint}, now)
+	if r.Cause == loss.None {
+		return
+	}
+	lost, waited := r.Lost()
+	s.cfg.Logger.Log("event", "late_end", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", w.hb.Worker, "cause", r.Cause, "held_ms", r.Held.Milliseconds(), "lost", lost, "waited", waited, "term", l.term)
+}
+
 // lossesOf returns what has been lost with each of several runs whose ends are committed.
 func (s *Scheduler) lossesOf(l *leaderState, ends []batch.End) []loss.Run {
 	s.mu.Lock()
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -190,12 +190,16 @@
 )
 
 // leavesBeforeEnd reports whether a run must be stopped because its worker shuts down before the run is expected to
-// end. A stop keeps the progress of the run, whereas a task whose end as done is never reported runs again.
+// end. A stop keeps the progress of the run, whereas a task whose end as done is never reported runs again. A run that
+// saves no progress and certainly does not end in time is stopped at once: what it would still do is lost.
 func (s *Scheduler) leavesBeforeEnd(l *leaderState, w *worker, j *batch.Job, r RunState, now time.Duration) bool {
 	if !w.hb.Draining || j.State.Final() {
 		return false
 	}
 	left := time.Duration(w.hb.DrainLeftMS) * time.Millisecond
+	if !j.Spec.Steps[r.Task.Step].Checkpoints && !w.progress(r, now).EndsIn(left-leaveMargin) {
+		return true
+	}
 	if left > s.cfg.Limits.StopGrace+leaveHeartbeats*l.heartbeatInterval()+leaveMargin {
 		return false
 	}
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/loss"
 )
 
 // worker is the leader's record of one incarnation of a worker.
@@ -69,6 +70,15 @@
 	maps.DeleteFunc(w.stopSeq, func(ref RunRef, _ int64) bool { return over(ref) })
 }
 
+// progress returns how far a run that is reported has come since its first report.
+func (w *worker) progress(r RunState, now time.Duration) loss.Progress {
+	first, ok := w.firstReports[RunRef{Task: r.Task, Run: r.Run}]
+	if !ok {
+		return loss.Progress{}
+	}
+	return loss.Progress{Elapsed: now - first.at, From: first.percent, Percent: r.Percent}
+}
+
 // hasLabel reports whether the worker has a label; it returns true for the empty label.
 func (w *worker) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.hb.Labels, label)
