Preempt by the work that is lost, and drop preemptions that nobody needs

Three faults cost work. Runs were stopped although others would have made room as soon by themselves. And runs were still stopped for a job that had been cancelled or placed meanwhile.

Work now counts from the start order and for more the less remains of a run; room that comes free about as soon as a stop would free it is reserved instead; preemptions whose job no longer waits are dropped.

--- a/loss/progress.go
+++ b/loss/progress.go
@@ -10,12 +10,12 @@
 }
 
 // LeastRemaining returns the least time that the run still takes at its speed so far, given that its progress may be
-// almost a percent more than it reports.
+// almost a percent more than it reports. It is 0 for a run that has shown none, as it may report none at all.
 func (p Progress) LeastRemaining() time.Duration {
-	next := min(p.Percent+1, 100)
-	if p.Elapsed <= 0 || next <= p.From {
+	if p.Percent <= p.From {
 		return 0
 	}
+	next := min(p.Percent+1, 100)
 	return time.Duration(float64(p.Elapsed) * float64(100-next) / float64(next-p.From))
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -47,6 +47,7 @@
 	l.ledger.View(func(b *batch.State) {
 		p := s.newPass(l, b)
 		p.prune()
+		p.dropPreemptions()
 		p.run()
 		starts = p.starts
 	})
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/loss"
 )
 
 const (
@@ -33,6 +34,9 @@
 	if !due && !p.needsPreemption(r) {
 		return false
 	}
+	if p.holdIfFreeSoon(r) {
+		return true
+	}
 	if p.preempt(r, p.allowsRemote(r, r.waited(p.now))) {
 		return true
 	}
@@ -55,6 +59,48 @@
 	return chosen == nil || within > slack
 }
 
+// stopTime is about the time from a decision to stop a run until its resources are free.
+func (p *pass) stopTime() time.Duration { return p.s.cfg.Limits.StopGrace + p.l.longestInterval() }
+
+// holdIfFreeSoon reserves the placement of a job that becomes possible by itself about as soon as stopping others would
+// make room, and reports whether there is one.
+func (p *pass) holdIfFreeSoon(r *request) bool {
+	chosen, within := p.earliestPlacement(r, func(d time.Duration) bool { return p.allowsRemote(r, r.waited(p.now)+d) })
+	if chosen == nil || within > p.stopTime() {
+		return false
+	}
+	p.hold(reservation{step: r.waitingStep, need: r.need, chosen: chosen})
+	return true
+}
+
+// dropPreemptions ends the preemption of runs that make room for a job which no longer waits. A run that has been told to
+// stop stops, and with it its gang.
+func (p *pass) dropPreemptions() {
+	for ref, winner := range p.l.preempting {
+		if len(p.waiting.byJob[winner]) > 0 || p.toldToStop(ref) {
+			continue
+		}
+		delete(p.l.preempting, ref)
+		p.s.cfg.Logger.Log("event", "preemption_dropped", "task", ref.Task, "run", ref.Run, "for", winner, "why", "the job no longer waits")
+	}
+}
+
+// toldToStop reports whether a run, or a member of its gang, has been told to stop.
+func (p *pass) toldToStop(ref RunRef) bool {
+	j := p.jobOf(ref)
+	id := ref.Task
+	for i, t := range j.Rounds[id.Round][id.Step].Tasks {
+		if i != ref.Task.Index && !j.Spec.Steps[id.Step].Gang {
+			continue
+		}
+		id.Index = i
+		if w := p.l.workers[t.Worker]; w != nil && w.stopSeq[RunRef{Task: id, Run: t.Run}] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // preempt preempts the runs that lose the least work until a job can be placed, and reserves its placement; it
 // reports whether there is one.
 func (p *pass) preempt(r *request, remote bool) bool {
@@ -110,26 +156,32 @@
 // coresPerGPU is the number of cores that an accelerator counts as when lost work is compared.
 const coresPerGPU = 8
 
-// lostWork estimates the work in core-seconds that is lost if a run is stopped.
+// lostWork estimates the work in core-seconds that is lost if a run is stopped. It counts for more the less remains of the
+// run, since its resources come free by themselves the sooner.
 func (p *pass) lostWork(j *batch.Job, id batch.TaskID) float64 {
 	step := j.Spec.Steps[id.Step]
-	w := p.l.workers[j.Task(id).Worker]
-	if w == nil {
-		return 0
-	}
-	lost := unreportedWork
-	if first, ok := w.firstReports[RunRef{Task: id, Run: j.Task(id).Run}]; ok {
-		lost += p.now - first.at
+	held, unsaved, reported := p.l.losses.Worked(loss.Key{Task: id, Run: j.Task(id).Run}, p.now)
+	if !reported {
+		return stopWork.Seconds() * coresOf(step.Need)
 	}
+	lost := held
 	if step.Checkpoints {
-		lost = min(lost, time.Second) // the time since the last checkpoint
+		lost = min(unsaved, maxUnsavedWork)
+	}
+	done := 0.0
+	if w := p.l.workers[j.Task(id).Worker]; w != nil {
+		done = float64(w.running[id].Percent) / 100
 	}
-	return lost.Seconds() * coresOf(step.Need)
+	return (lost + stopWork).Seconds() * coresOf(step.Need) * (1 + done)
 }
 
-// unreportedWork is how long a run has been at work before it is reported, about. It keeps many runs that have just
-// started from looking cheaper than a few.
-const unreportedWork = 300 * time.Millisecond
+const (
+	// stopWork is for how long a run about holds its resources in vain while it stops and while it starts again. It keeps
+	// many runs that have just started from looking cheaper than a few.
+	stopWork = 200 * time.Millisecond
+	// maxUnsavedWork bounds the work that a run loses that saves its progress, as it does so when it stops.
+	maxUnsavedWork = 700 * time.Millisecond
+)
 
 // coresOf returns the processors and accelerators that a task needs, expressed in cores.
 func coresOf(n batch.Resources) float64 {
