Place by the speed and soundness of each worker

A quarter of a service's workers may be twice as fast as the others, and some fail whatever they start. A worker was only ranked last after two failures in 6 s, which the next leader did not know, and single tasks and gangs went on such workers for their last attempt.

Package fleet holds a model of each worker: its speed, from the rates of runs of the same step, and its soundness, from failures that the jobs do not explain. Workers that fail what they start get probes only, for a bounded share of a service. Gangs go on workers of like speed, urgent work on fast ones, last attempts on proven workers. The ledger keeps what the next leader must know at once with the end of a run.

--- a/batch/change.go
+++ b/batch/change.go
@@ -35,6 +35,8 @@
 	// MayHaveFailed means that a lost run may have failed: its worker is silent, and its lease has not expired. Only logs
 	// of earlier versions contain it.
 	MayHaveFailed bool `json:"unsure,omitempty"`
+	// Health is what the leader knows of the run's worker after the end, nil if that has not changed.
+	Health *Health `json:"health,omitempty"`
 }
 
 // LateFailure reports whether the end is the late report of a failure of t's unresolved run, which was recorded as
--- a/batch/ledger.go
+++ b/batch/ledger.go
@@ -33,6 +33,8 @@
 	// Tombstones holds the jobs that were cancelled before they were submitted, with the time of the latest
 	// cancellation in Unix milliseconds. They are never accepted.
 	Tombstones map[string]int64
+	// Health holds what a new leader needs to know of workers at once, by worker.
+	Health map[string]WorkerHealth
 	// changes records what Apply changes, nil while nobody asks.
 	changes *Changes
 }
@@ -48,6 +50,7 @@
 	return State{
 		OutOfService: map[string]bool{}, Jobs: map[string]*Job{}, Open: map[string]*Job{},
 		Runs: map[string]map[TaskID]int{}, Waves: map[int64]*Wave{}, Tombstones: map[string]int64{},
+		Health: map[string]WorkerHealth{},
 	}
 }
 
@@ -101,6 +104,7 @@
 				delete(b.Jobs, id)
 			}
 		}
+		b.dropOldHealth(c.AtMS)
 	case c.PurgeTombstonesBeforeMS != 0:
 		maps.DeleteFunc(b.Tombstones, func(_ string, atMS int64) bool { return atMS < c.PurgeTombstonesBeforeMS })
 	}
@@ -184,6 +188,7 @@
 		}
 		t := j.Task(s.Task)
 		t.Run, t.Active, t.Worker, t.Incarnation = s.Run, true, s.Worker, s.Incarnation
+		b.dropFormerHealth(s.Worker, s.Incarnation)
 		b.changes.markJob(j.ID)
 		b.changes.markWorker(s.Worker)
 		b.indexRun(s.Worker, s.Task, s.Run)
@@ -241,6 +246,9 @@
 	}
 	b.changes.markJob(j.ID)
 	b.changes.markWorker(t.Worker)
+	if e.Health != nil && t.Active {
+		b.recordHealth(t.Worker, t.Incarnation, *e.Health, atMS)
+	}
 	if t.Active {
 		t.Active = false
 		if e.MayHaveFailed {
@@ -316,15 +324,16 @@
 	OutOfService []string `json:"out,omitempty"`
 	Jobs         []*Job   `json:"jobs,omitempty"`
 	Waves        []*Wave  `json:"waves,omitempty"`
-	// Tombstones is encoded with sorted keys.
-	Tombstones map[string]int64 `json:"tombstones,omitempty"`
+	// Tombstones and Health are encoded with sorted keys.
+	Tombstones map[string]int64        `json:"tombstones,omitempty"`
+	Health     map[string]WorkerHealth `json:"health,omitempty"`
 }
 
 // EncodeSnapshot returns the state as JSON, in a deterministic order.
 func (l *Ledger) EncodeSnapshot() (json.RawMessage, error) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	snap := Snapshot{Catalog: l.state.Catalog, OutOfService: slices.Sorted(maps.Keys(l.state.OutOfService)), Tombstones: l.state.Tombstones}
+	snap := Snapshot{Catalog: l.state.Catalog, OutOfService: slices.Sorted(maps.Keys(l.state.OutOfService)), Tombstones: l.state.Tombstones, Health: l.state.Health}
 	for _, id := range slices.Sorted(maps.Keys(l.state.Jobs)) {
 		snap.Jobs = append(snap.Jobs, l.state.Jobs[id])
 	}
@@ -362,6 +371,7 @@
 		b.Waves[w.Number] = w
 	}
 	maps.Copy(b.Tombstones, snap.Tombstones)
+	maps.Copy(b.Health, snap.Health)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b.changes = l.state.changes
--- a/sched/advise.go
+++ b/sched/advise.go
@@ -179,7 +179,7 @@
 		need = r.count
 	}
 	for id := range r.ticket {
-		if wv := p.room.views[id]; wv != nil && !wv.flaky {
+		if wv := p.room.views[id]; wv != nil && !wv.standing.Failing && !wv.standing.Probation {
 			need -= p.fitCount(&r, wv, wv.free)
 		}
 	}
@@ -193,7 +193,7 @@
 	r.need, r.count = r.step.Reservation(), r.step.Count
 	t := p.l.tickets[stepName(w.first)]
 	list := slices.DeleteFunc(slices.Clone(p.room.list), func(wv *workerView) bool {
-		return !r.allowed(wv) || wv.flaky || t != nil && t.covers(wv, p.now)
+		return !r.allowed(wv) || wv.standing.Failing || t != nil && t.covers(wv, p.now)
 	})
 	fits := make(map[*workerView]int, len(list))
 	for _, wv := range list {
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -64,6 +64,7 @@
 			return false
 		case hb.Incarnation > other.hb.Incarnation && l.declares(hb.Service):
 			other.gone = true
+			l.fleet.Leave(id)
 			l.room.markStale(id)
 			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine)
 		}
@@ -128,6 +129,7 @@
 // forgetWorker drops the record of a worker.
 func (l *leaderState) forgetWorker(id string, w *worker) {
 	l.dropFromIndexes(w)
+	l.fleet.Leave(id)
 	delete(l.workers, id)
 	l.room.markStale(id)
 }
--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -67,6 +67,9 @@
 	return err
 }
 
+// ReviewHealth does what is due for the workers' health by time alone.
+func (s *Scheduler) ReviewHealth() { s.reviewHealth(s.leader) }
+
 // Visited returns how many workers have been refreshed and how many steps tried so far.
 func (s *Scheduler) Visited() (workers, steps uint64) {
 	return s.metrics.refreshedWorkers.Get(), s.metrics.triedSteps.Get()
@@ -101,14 +104,14 @@
 }
 
 func diffRooms(kept, fresh *room) error {
-	if kept.freeGPUs != fresh.freeGPUs || kept.totalGPUs != fresh.totalGPUs || len(kept.list) != len(fresh.list) || len(kept.racks) != len(fresh.racks) {
+	if kept.freeGPUs != fresh.freeGPUs || kept.totalGPUs != fresh.totalGPUs || len(kept.list) != len(fresh.list) || len(kept.racks) != len(fresh.racks) || len(kept.probation) != len(fresh.probation) {
 		return fmt.Errorf("kept %d of %d accelerators on %d workers in %d racks, fresh %d of %d on %d in %d",
 			kept.freeGPUs, kept.totalGPUs, len(kept.list), len(kept.racks), fresh.freeGPUs, fresh.totalGPUs, len(fresh.list), len(fresh.racks))
 	}
 	for i, a := range kept.list {
 		b := fresh.list[i]
-		if a.id != b.id || a.worker != b.worker || a.free != b.free || a.flaky != b.flaky || a.servingTasks != b.servingTasks || a.bestEffortTasks != b.bestEffortTasks || a.rack.name != b.rack.name {
-			return fmt.Errorf("worker %s: kept %+v flaky=%t, fresh %s %+v flaky=%t", a.id, a.free, a.flaky, b.id, b.free, b.flaky)
+		if a.id != b.id || a.worker != b.worker || a.free != b.free || a.standing != b.standing || a.servingTasks != b.servingTasks || a.bestEffortTasks != b.bestEffortTasks || a.rack.name != b.rack.name {
+			return fmt.Errorf("worker %s: kept %+v %+v, fresh %s %+v %+v", a.id, a.free, a.standing, b.id, b.free, b.standing)
 		}
 	}
 	for name, a := range kept.racks {
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -73,7 +73,7 @@
 	if j == nil || id.Step >= len(j.Spec.Steps) || j.Spec.Steps[id.Step].LongRunning {
 		return
 	}
-	left := p.s.remaining(wv.worker, j, r, p.now)
+	left := p.s.remaining(p.l, wv.worker, j, r, p.now)
 	need := j.Spec.Steps[id.Step].Reservation()
 	for i, horizon := range horizons {
 		if left <= horizon {
@@ -85,13 +85,15 @@
 // minProgress is the progress in percent from which the speed of a run can be extrapolated.
 const minProgress = 10
 
-// remaining estimates the remaining duration of a run from its progress, or else from the caller's estimate.
-func (s *Scheduler) remaining(w *worker, j *batch.Job, r RunState, now time.Duration) time.Duration {
+// remaining estimates the remaining duration of a run from its progress, or else from the caller's estimate and the speed
+// of the worker.
+func (s *Scheduler) remaining(l *leaderState, w *worker, j *batch.Job, r RunState, now time.Duration) time.Duration {
 	ref := RunRef{Task: r.Task, Run: r.Run}
 	if w.stopSeq[ref] != 0 {
 		return s.cfg.Limits.StopGrace
 	}
 	estimate := time.Duration(j.Spec.Steps[r.Task.Step].EstimateMS) * time.Millisecond
+	estimate = l.fleet.Expected(w.health, estimate)
 	first, ok := w.firstReports[ref]
 	if !ok || r.Percent <= first.percent || r.Percent < minProgress {
 		return estimate
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -30,13 +30,19 @@
 	if !ok {
 		return false
 	}
-	chosen := p.fitNow(&r, p.allowsRemote(&r, w.waited(p.now)))
+	r.provenOnly = lastAttempt(w.job, w.first) && p.waitsForProven(&r, w.first)
+	remote := p.allowsRemote(&r, w.waited(p.now))
+	chosen := p.fitNow(&r, remote)
 	if chosen == nil {
+		if r.provenOnly && p.fitsUnproven(r, remote) {
+			p.noteProvenWait(w.first)
+		}
 		w.block(p.now)
 		p.reserveOrPreempt(&r)
 		p.scheduleRetry(&r)
 		return false
 	}
+	delete(p.l.provenSince, w.first)
 	run := 0
 	for _, t := range w.job.Rounds[w.first.Round][w.first.Step].Tasks {
 		run = max(run, t.Run)
@@ -51,6 +57,12 @@
 	return true
 }
 
+// fitsUnproven reports whether a gang would fit now if it did not require proven workers.
+func (p *pass) fitsUnproven(r request, remote bool) bool {
+	r.provenOnly = false
+	return p.fit(&r, func(wv *workerView) batch.Resources { return wv.free.Minus(wv.reserved) }, remote) != nil
+}
+
 // allocation is a number of tasks on one worker.
 type allocation struct {
 	*workerView
@@ -133,20 +145,29 @@
 	return p.pack(r, free, p.room.list, true)
 }
 
-// fitRack places a gang on the rack with the least room that fits it whole, without flaky workers; it returns nil
-// if there is none.
+// fitRack places a gang on the rack with the least room that fits it whole, without failing workers; it returns nil if
+// there is none. A rack on whose fast workers an urgent gang fits goes first.
 func (p *pass) fitRack(r *request, free func(*workerView) batch.Resources) []allocation {
 	var best *rackRoom
-	least := 0
+	bestKey := [2]int{}
 	for _, rack := range p.room.racks {
-		n := 0
+		n, fast := 0, 0
 		for _, wv := range rack.list {
-			if !wv.flaky {
-				n += p.fitCount(r, wv, free(wv))
+			if wv.standing.Failing {
+				continue
+			}
+			fit := p.fitCount(r, wv, free(wv))
+			n += fit
+			if wv.standing.SpeedClass > 0 {
+				fast += fit
 			}
 		}
-		if n >= r.count && (best == nil || n < least || n == least && rack.name < best.name) {
-			best, least = rack, n
+		if n < r.count {
+			continue
+		}
+		key := [2]int{boolToInt(r.urgent && fast < r.count), n}
+		if c := slices.Compare(key[:], bestKey[:]); best == nil || c < 0 || c == 0 && rack.name < best.name {
+			best, bestKey = rack, key
 		}
 	}
 	if best == nil {
@@ -155,14 +176,13 @@
 	return p.pack(r, free, best.list, false)
 }
 
-// pack places all tasks on the listed workers, best fit first, then flaky workers, if those may be used, and
-// for a serving step those with best-effort tasks last; it returns
-// nil if they do not fit.
-func (p *pass) pack(r *request, free func(*workerView) batch.Resources, workers []*workerView, flaky bool) []allocation {
+// pack places all tasks on the listed workers, best fit first, then workers at risk to fail, if failing ones may be used,
+// and for a serving step those with best-effort tasks last; it returns nil if they do not fit.
+func (p *pass) pack(r *request, free func(*workerView) batch.Resources, workers []*workerView, failing bool) []allocation {
 	var list []allocation
 	total := 0
 	for _, wv := range workers {
-		if wv.flaky && !flaky {
+		if wv.standing.Failing && !failing {
 			continue
 		}
 		f := free(wv)
@@ -175,8 +195,14 @@
 	if total < r.count {
 		return nil
 	}
+	list = r.alike(list)
 	slices.SortStableFunc(list, func(a, b allocation) int {
-		return cmp.Or(cmp.Compare(boolToInt(r.mixes(a.workerView)), boolToInt(r.mixes(b.workerView))), cmp.Compare(boolToInt(a.flaky), boolToInt(b.flaky)), cmp.Compare(a.unused, b.unused))
+		return cmp.Or(
+			cmp.Compare(boolToInt(r.mixes(a.workerView)), boolToInt(r.mixes(b.workerView))),
+			cmp.Compare(r.risk(a.workerView), r.risk(b.workerView)),
+			cmp.Compare(a.standing.SpeedClass, b.standing.SpeedClass),
+			cmp.Compare(a.unused, b.unused),
+		)
 	})
 	left := r.count
 	for i := range list {
@@ -188,6 +214,41 @@
 	return list
 }
 
+// alike returns the allocations of like speed that suit a request best, since a gang is as slow as its slowest member:
+// for an urgent one the fastest workers that hold it, else the slowest ones that do, and all if there are none. Fast
+// workers that a slow member would hold up are left to others.
+func (r *request) alike(list []allocation) []allocation {
+	var count [2*maxSpeedClass + 1]int
+	mixed := false
+	for _, a := range list {
+		count[classIndex(a.workerView)] += a.count
+		mixed = mixed || classIndex(a.workerView) != classIndex(list[0].workerView)
+	}
+	if !mixed {
+		return list
+	}
+	fastest := -1 // the greatest class so that the workers of it and of faster ones hold the gang
+	sum := 0
+	for c := len(count) - 1; c >= 0 && fastest < 0; c-- {
+		if sum += count[c]; sum >= r.count {
+			fastest = c
+		}
+	}
+	keep := func(c int) bool { return c >= fastest }
+	if slowest := slices.IndexFunc(count[:], func(n int) bool { return n >= r.count }); !r.urgent && slowest >= 0 {
+		keep = func(c int) bool { return c == slowest }
+	}
+	return slices.DeleteFunc(list, func(a allocation) bool { return !keep(classIndex(a.workerView)) })
+}
+
+// maxSpeedClass bounds the classes of speed that are told apart, in both directions.
+const maxSpeedClass = 3
+
+// classIndex returns a worker's class of speed as an index.
+func classIndex(wv *workerView) int {
+	return max(-maxSpeedClass, min(maxSpeedClass, wv.standing.SpeedClass)) + maxSpeedClass
+}
+
 // reserveOrPreempt preempts other runs for a gang that could not be placed, or else reserves its earliest placement,
 // so that smaller jobs do not take the resources. Only full passes do so.
 func (p *pass) reserveOrPreempt(r *request) {
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -90,13 +90,19 @@
 	w.leaving, w.addressTaken = false, addressTaken
 	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
+	s.noteProfile(l, w, now)
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
 	if s.recordRuns(l, w, now) {
 		l.room.markStale(hb.Worker)
 	}
 	var ends []batch.End
-	l.ledger.View(func(b *batch.State) { ends = s.reconcile(l, b, w, now) })
+	l.ledger.View(func(b *batch.State) {
+		s.noteProgress(l, b, w, now)
+		ends = s.reconcile(l, b, w, now)
+	})
 	w.hb.Ended = nil
+	w.health.Heard(now)
+	s.refreshHealth(l)
 	return ends, true
 }
 
@@ -164,12 +170,9 @@
 			l.startedJobs[e.Task.Job] = true
 		}
 		if changesLedger(b, &w.hb, e) {
-			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint})
+			s.noteEnd(l, b, w, e, now)
+			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint, Health: l.changedHealth(b, w)})
 			delete(l.forming, gangRef(e.Task, e.Run))
-			if e.Reason == batch.EndFailed {
-				w.failedAt = append(w.failedAt, now)
-				l.room.markStale(w.hb.Worker)
-			}
 		}
 		w.missedReports[ref] = 0
 	}
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -124,13 +124,6 @@
 	h.s.Begin(context.Background(), h.term, h.r)
 }
 
-// heartbeatSoon sends a heartbeat without waiting for a placement pass to answer it.
-func (h *history) heartbeatSoon(name string) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	h.heartbeatIn(ctx, name)
-}
-
 var _ = Describe("the kept room and waiting steps", func() {
 	// Guards against updates that are left out: placement would use room that is taken, or leave room unused.
 	It("are those that a fresh look gives, after random histories", func() {
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"turmericroute/batch"
+	"turmericroute/fleet"
 	"turmericroute/model"
 )
 
@@ -56,6 +58,11 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_ended_runs_total{how=%q}", reason))
 }
 
+// workerEvents returns the counter of decisions of a kind on workers that fail.
+func (m schedulerMetrics) workerEvents(kind fleet.EventKind) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_worker_events_total{kind=%q}", strings.TrimPrefix(string(kind), "worker_")))
+}
+
 // givenUpRuns returns the counter of runs that were given up for a reason.
 func (m schedulerMetrics) givenUpRuns(why givenUpReason) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_given_up_runs_total{why=%q}", why))
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/fleet"
 )
 
 // ordersFor returns the answer to a heartbeat; committed reports whether the ends that it reports are committed. The
@@ -105,6 +106,8 @@
 		return "task is done"
 	case w.hb.Draining:
 		return "worker is draining"
+	case w.health.Excludes(fleet.RunID{Task: id, Run: run}):
+		return "worker is on probation"
 	case b.OutOfService[w.hb.DataCentre]:
 		return "data centre is out of service"
 	case l.preempting[ref] != "":
@@ -190,7 +193,7 @@
 	if left > s.cfg.Limits.StopGrace+leaveHeartbeats*l.heartbeatInterval()+leaveMargin {
 		return false
 	}
-	return s.remaining(w, j, r, now) > left-leaveMargin
+	return s.remaining(l, w, j, r, now) > left-leaveMargin
 }
 
 // resumeCheckpoint returns the checkpoint from which a task resumes, "" if there is none. All members of a gang resume
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -213,8 +213,9 @@
 	return out
 }
 
-// prune drops the records of preempted runs that have ended.
+// prune drops the records of preempted runs and of jobs that have ended.
 func (p *pass) prune() {
+	maps.DeleteFunc(p.l.provenSince, func(id batch.TaskID, _ time.Duration) bool { return p.state.Open[id.Job] == nil })
 	maps.DeleteFunc(p.l.preempting, func(ref RunRef, _ string) bool {
 		j := p.jobOf(ref)
 		return j == nil || !j.Task(ref.Task).Active || j.Task(ref.Task).Run != ref.Run
--- a/sched/place.go
+++ b/sched/place.go
@@ -91,12 +91,21 @@
 	count int
 	// ticket holds the ticket of each worker; nil if no ticket is needed.
 	ticket map[string]issuedTicket
+	// proven reports whether a worker is proven now; with provenOnly no others may run the tasks.
+	proven     func(*workerView) bool
+	provenOnly bool
+	// urgent requests prefer fast workers, those with slack leave them to others.
+	urgent bool
+	// outbreak means that many workers of the service fail now, so that proven ones are preferred.
+	outbreak bool
 }
 
 // newRequest returns the request for a step; it returns false if the step needs tickets and has no valid ones.
 func (p *pass) newRequest(w *waitingStep) (request, bool) {
 	r := request{waitingStep: w, step: &w.job.Spec.Steps[w.first.Step], service: p.service(w.job)}
 	r.need, r.count = r.step.Reservation(), r.step.Count
+	r.proven = p.proven
+	r.urgent, r.outbreak = p.urgent(w.job), p.l.fleet.Outbreak(r.service)
 	if needsTicket(p.state, w.job) {
 		t := p.l.tickets[stepName(w.first)]
 		if t == nil || p.now >= t.validUntil {
@@ -107,9 +116,15 @@
 	return r, true
 }
 
-// allowed reports whether a worker may run tasks of the step, apart from its free resources: its service, label and
-// ticket match, and it has no serving tasks if the step is a best-effort one.
+// allowed reports whether a worker may run tasks of the step, apart from its free resources: it is not on probation, and
+// proven if it must be.
 func (r *request) allowed(wv *workerView) bool {
+	return !wv.standing.Probation && r.mayUse(wv) && (!r.provenOnly || r.proven(wv))
+}
+
+// mayUse reports whether a worker's service, label and ticket match the step's, and it has no serving tasks if the step is
+// a best-effort one.
+func (r *request) mayUse(wv *workerView) bool {
 	if wv.hb.Service != r.service || !wv.hasLabel(r.step.Label) {
 		return false
 	}
@@ -174,21 +189,18 @@
 	if !ok {
 		return false
 	}
-	tasks := p.waitingTasks(w)
 	r.count = 1 // each task is placed independently
 	remote := p.allowsRemote(&r, w.waited(p.now))
+	tasks, last := p.splitLastAttempts(w.job, p.probe(&r, p.waitingTasks(w)))
 	if w.shape.at(p.number).leastFailed[supplyNow][boolToInt(remote)] == 0 {
-		options := p.optionsFor(&r, remote)
-		for len(tasks) > 0 && len(options.list) > 0 {
-			p.assign(options.list[0].workerView, tasks[0], w.job.Task(tasks[0]).Run+1)
-			p.updateFirst(&r, options)
-			tasks = tasks[1:]
+		if tasks = p.assignTasks(&r, tasks, remote); len(tasks) > 0 {
+			w.shape.noteFailure(supplyNow, remote, 1)
 		}
 	}
+	tasks = append(tasks, p.placeLastAttempts(&r, last, remote)...)
 	if len(tasks) == 0 {
 		return true
 	}
-	w.shape.noteFailure(supplyNow, remote, 1)
 	r.count = len(tasks)
 	w.block(p.now)
 	p.preemptIfDue(&r)
@@ -196,6 +208,32 @@
 	return false
 }
 
+// assignTasks assigns tasks one by one to the cheapest workers that have room, and returns those that found none.
+func (p *pass) assignTasks(r *request, tasks []batch.TaskID, remote bool) []batch.TaskID {
+	if len(tasks) == 0 {
+		return nil
+	}
+	options := p.optionsFor(r, remote)
+	for len(tasks) > 0 && len(options.list) > 0 {
+		p.assign(options.list[0].workerView, tasks[0], r.job.Task(tasks[0]).Run+1)
+		p.updateFirst(r, options)
+		tasks = tasks[1:]
+	}
+	return tasks
+}
+
+// splitLastAttempts returns the tasks with and those without a further attempt.
+func (p *pass) splitLastAttempts(j *batch.Job, tasks []batch.TaskID) (others, last []batch.TaskID) {
+	for _, id := range tasks {
+		if lastAttempt(j, id) {
+			last = append(last, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	return others, last
+}
+
 // waitingTasks returns the tasks of a step that need a run.
 func (p *pass) waitingTasks(w *waitingStep) []batch.TaskID {
 	var out []batch.TaskID
@@ -211,11 +249,11 @@
 // option is a worker that has room for a task, and its cost.
 type option struct {
 	*workerView
-	cost [4]int
+	cost [5]int
 }
 
 // options is a heap of the workers that have room for a task of a request, the cheapest first: workers without
-// best-effort tasks for a serving task, then those that are not flaky, then those on the rack of the data, then the best fit.
+// best-effort tasks for a serving task, then sound ones, then those on the rack of the data, then those of a speed that suits, then the best fit.
 type options struct{ list []option }
 
 func (o *options) Len() int { return len(o.list) }
@@ -252,7 +290,7 @@
 // searchList returns the workers among which a task may find a place: those with new room if the step was blocked, since
 // there is none on the others.
 func (p *pass) searchList(r *request) []*workerView {
-	if !r.blocked || r.fresh || p.full {
+	if !r.blocked || r.fresh || p.full || r.provenOnly {
 		return p.room.list
 	}
 	return slices.SortedFunc(maps.Keys(p.room.grown), compareViews)
@@ -273,8 +311,29 @@
 	return r.step.DataRack != "" && wv.hb.Rack != r.step.DataRack
 }
 
-func (r *request) cost(wv *workerView) [4]int {
-	return [4]int{boolToInt(r.mixes(wv)), boolToInt(wv.flaky), boolToInt(r.offDataRack(wv)), leftover(wv.free, wv.hb.Capacity, r.need)}
+func (r *request) cost(wv *workerView) [5]int {
+	return [5]int{boolToInt(r.mixes(wv)), r.risk(wv), boolToInt(r.offDataRack(wv)), r.speedCost(wv), leftover(wv.free, wv.hb.Capacity, r.need)}
+}
+
+// risk ranks workers by how likely they are to fail a run.
+func (r *request) risk(wv *workerView) int {
+	switch {
+	case wv.standing.Failing:
+		return 3
+	case wv.standing.Suspect:
+		return 2
+	case r.outbreak && !r.proven(wv):
+		return 1
+	}
+	return 0
+}
+
+// speedCost is the lower the better a worker's speed suits the request.
+func (r *request) speedCost(wv *workerView) int {
+	if r.urgent {
+		return -wv.standing.SpeedClass
+	}
+	return wv.standing.SpeedClass
 }
 
 // leftover is the cost of a worker for best fit: the sum over all resources of what stays free after a task, in
--- a/sched/room.go
+++ b/sched/room.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/fleet"
 )
 
 // workerView is a usable worker and what is free on it.
@@ -19,7 +20,7 @@
 	free     batch.Resources
 	// reserved holds the resources that the current pass reserves for higher-ranked jobs.
 	reserved batch.Resources
-	flaky    bool
+	standing fleet.Standing
 	// hasRoom is whether the smallest known task fits.
 	hasRoom bool
 	// servingTasks and bestEffortTasks count the worker's tasks of both kinds, which placement mixes only where a serving task has no
@@ -42,9 +43,11 @@
 // room holds the usable workers and what is free on them. It is kept up to date where something changes, so that a
 // placement pass costs what has changed rather than what there is.
 type room struct {
-	list  []*workerView // by ID
-	views map[string]*workerView
-	racks map[string]*rackRoom
+	list []*workerView // by ID
+	// probation holds those that get probes only, by ID.
+	probation []*workerView
+	views     map[string]*workerView
+	racks     map[string]*rackRoom
 	// freeGPUs and totalGPUs sum up the accelerators of all usable workers.
 	freeGPUs, totalGPUs int
 	// leastNeed holds the least of each resource that any known task needs; withRoom counts the workers with that much.
@@ -88,7 +91,7 @@
 	}
 	w.checkAt = 0
 	if wv := p.room.views[id]; wv != nil {
-		if wv.flaky == w.flaky(p.now) && p.usable(w) {
+		if wv.standing == p.l.fleet.Standing(w.health, p.now) && p.usable(w) {
 			p.scheduleCheck(id, w)
 			return
 		}
@@ -97,11 +100,11 @@
 }
 
 // scheduleCheck schedules a check of a usable worker for the earliest time at which it becomes silent or ceases to be
-// flaky.
+// suspect.
 func (p *pass) scheduleCheck(id string, w *worker) {
 	at := w.heardAt + p.l.silentAfter(w)
-	if len(w.failedAt) > 0 {
-		at = min(at, w.failedAt[0]+failureWindow+1)
+	if until := w.health.SuspectUntil(); until >= p.now {
+		at = min(at, until+1)
 	}
 	if w.checkAt != 0 && w.checkAt <= at {
 		return
@@ -120,7 +123,7 @@
 		}
 		return
 	}
-	next := &workerView{worker: w, id: id, free: w.hb.Capacity, flaky: w.flaky(p.now)}
+	next := &workerView{worker: w, id: id, free: w.hb.Capacity, standing: p.l.fleet.Standing(w.health, p.now)}
 	p.allocateRuns(next)
 	p.scheduleCheck(id, w)
 	if old != nil && old.sameWorker(next) {
@@ -141,7 +144,7 @@
 // sameWorker reports whether two views differ only in what is free.
 func (wv *workerView) sameWorker(next *workerView) bool {
 	a, b := &wv.declared, &next.hb
-	return wv.worker == next.worker && wv.flaky == next.flaky && a.Rack == b.Rack && a.Service == b.Service && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+	return wv.worker == next.worker && wv.standing == next.standing && a.Rack == b.Rack && a.Service == b.Service && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
 }
 
 // allocateRuns allocates the resources of all tasks that are on a worker or are about to start there.
@@ -204,6 +207,10 @@
 	rm.list = slices.Insert(rm.list, i, wv)
 	i, _ = slices.BinarySearchFunc(rack.list, wv, compareViews)
 	rack.list = slices.Insert(rack.list, i, wv)
+	if wv.standing.Probation {
+		i, _ = slices.BinarySearchFunc(rm.probation, wv, compareViews)
+		rm.probation = slices.Insert(rm.probation, i, wv)
+	}
 	rm.views[wv.id] = wv
 	rack.freeGPUs += max(0, wv.free.GPUs)
 	rm.freeGPUs += max(0, wv.free.GPUs)
@@ -217,6 +224,9 @@
 	if i, ok := slices.BinarySearchFunc(rm.list, wv, compareViews); ok {
 		rm.list = slices.Delete(rm.list, i, i+1)
 	}
+	if i, ok := slices.BinarySearchFunc(rm.probation, wv, compareViews); ok {
+		rm.probation = slices.Delete(rm.probation, i, i+1)
+	}
 	rack := wv.rack
 	if i, ok := slices.BinarySearchFunc(rack.list, wv, compareViews); ok {
 		rack.list = slices.Delete(rack.list, i, i+1)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -15,6 +15,7 @@
 
 	"turmericroute/batch"
 	"turmericroute/clock"
+	"turmericroute/fleet"
 	"turmericroute/model"
 	"turmericroute/state"
 )
@@ -33,9 +34,6 @@
 	commitWait = 600 * time.Millisecond
 	// passWait bounds how long the answer to a heartbeat waits for a placement pass.
 	passWait = 60 * time.Millisecond
-	// A worker with flakyFailures failed runs within failureWindow is flaky, and placement avoids it.
-	failureWindow = 6 * time.Second
-	flakyFailures = 2
 	// maxOpenJobs bounds the accepted jobs that have not ended; further submissions are refused.
 	maxOpenJobs = 5000
 )
@@ -103,6 +101,8 @@
 	// ended.
 	workers              map[string]*worker
 	byAddress, byMachine workerIndex
+	// fleet is what is known of the speed and soundness of the workers.
+	fleet *fleet.Model
 	// ignoredLoggedAt is the boot time at which an ignored heartbeat was last logged.
 	ignoredLoggedAt time.Duration
 	// startedJobs holds the jobs of which a worker has reported a run.
@@ -117,6 +117,8 @@
 	preempting map[RunRef]string
 	// maintainedAt holds the boot time at which the maintenance of each machine was ordered, until it is over.
 	maintainedAt map[string]time.Duration
+	// provenSince holds since when last attempts wait for proven workers.
+	provenSince map[batch.TaskID]time.Duration
 	// tickets holds the tickets of each step, by stepName.
 	tickets map[string]*tickets
 }
@@ -197,8 +199,9 @@
 	return &memory{
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
-		heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
+		fleet: fleet.New(), heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
 		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, maintainedAt: map[string]time.Duration{},
+		provenSince: map[batch.TaskID]time.Duration{},
 	}
 }
 
@@ -316,6 +319,10 @@
 		Draining    bool   `json:"draining,omitempty"`
 		Gone        bool   `json:"gone,omitempty"`
 		Rack        string `json:"rack"`
+		// Health is the state that placement goes by, Speed the speed relative to the median worker.
+		Health   string  `json:"health"`
+		Failures int     `json:"failures_in_row,omitempty"`
+		Speed    float64 `json:"speed,omitempty"`
 	}
 	out := struct {
 		Term     uint64                  `json:"term"`
@@ -325,7 +332,11 @@
 	}{Term: s.leader.term, Workers: map[string]dumpedWorker{}, Pending: len(s.leader.pending), Stopping: map[string]string{}}
 	now := s.cfg.BootClock()
 	for id, w := range maps.All(s.leader.workers) {
-		out.Workers[id] = dumpedWorker{Incarnation: w.hb.Incarnation, AgeMS: (now - w.heardAt).Milliseconds(), Running: len(w.running), Draining: w.hb.Draining, Gone: w.gone, Rack: w.hb.Rack}
+		health := s.leader.fleet.Health(w.health)
+		out.Workers[id] = dumpedWorker{
+			Health: s.leader.fleet.State(w.health, now).String(), Failures: health.Failures, Speed: float64(health.SpeedPercent) / 100,
+			Incarnation: w.hb.Incarnation, AgeMS: (now - w.heardAt).Milliseconds(), Running: len(w.running), Draining: w.hb.Draining, Gone: w.gone, Rack: w.hb.Rack,
+		}
 	}
 	for run, job := range s.leader.preempting {
 		out.Stopping[run.Task.String()] = job
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -23,6 +23,7 @@
 			_, err := l.commit(l.ctx, batch.Change{Ends: ends})
 			s.reportEnds(l, "", ends, err)
 		}
+		s.reviewHealth(l)
 		s.purgeFinished(l)
 	}
 }
--- a/sched/victim.go
+++ b/sched/victim.go
@@ -116,8 +116,8 @@
 	racks := map[string][]*workerView{}
 	room := map[string]int{}
 	for _, wv := range usable {
-		if wv.flaky && r.step.SameRack && wv.hb.Rack != r.step.DataRack {
-			continue // fit places no gang that prefers a single rack on a flaky worker
+		if wv.standing.Failing && r.step.SameRack && wv.hb.Rack != r.step.DataRack {
+			continue // fit places no gang that prefers a single rack on a failing worker
 		}
 		racks[wv.hb.Rack] = append(racks[wv.hb.Rack], wv)
 		room[wv.hb.Rack] += p.fitCount(r, wv, wv.hb.Capacity)
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -221,7 +221,7 @@
 func (p *pass) shapeOf(j *batch.Job, first batch.TaskID) *shape {
 	st := &j.Spec.Steps[first.Step]
 	p.room.noteNeed(st.Reservation())
-	if st.PerWorker > 0 || needsTicket(p.state, j) {
+	if st.PerWorker > 0 || needsTicket(p.state, j) || st.Gang && lastAttempt(j, first) {
 		return &shape{}
 	}
 	key := shapeKey{
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/fleet"
 )
 
 // worker is the leader's record of one incarnation of a worker.
@@ -33,8 +34,8 @@
 	firstReports map[RunRef]firstReport
 	// stopSeq holds the sequence number of the heartbeat in whose answer a stop was first ordered.
 	stopSeq map[RunRef]int64
-	// failedAt holds the boot times of run failures within failureWindow.
-	failedAt []time.Duration
+	// health is what is known of the worker's speed and soundness, nil until its first heartbeat has been recorded.
+	health *fleet.Worker
 	// rates holds the rates of the best-effort tasks that have been throttled.
 	rates map[batch.TaskID]rate
 	// overTargetSince holds the boot time since when each serving task has exceeded its target latency.
@@ -74,13 +75,6 @@
 	return label == "" || slices.Contains(w.hb.Labels, label)
 }
 
-// flaky reports whether at least flakyFailures runs have failed on the worker within failureWindow, more often than
-// tasks fail by themselves.
-func (w *worker) flaky(now time.Duration) bool {
-	w.failedAt = slices.DeleteFunc(w.failedAt, func(at time.Duration) bool { return now-at > failureWindow })
-	return len(w.failedAt) >= flakyFailures
-}
-
 // declaresChange reports whether a heartbeat says something else about the worker itself than the latest one.
 func (w *worker) declaresChange(hb *Heartbeat) bool {
 	old := &w.hb
