Scale the work ahead of a submission by how fast work ends

A submission was refused by callers' estimates alone, and those may be ten times too long: with tasks that end after a hundredth of their estimates, a job was refused although the room came free at once.

The leader now compares the estimated work that ends with the time for which accelerators were in use, decayed, and divides the work ahead by that factor; estimates that are too short never make a refusal more likely.

The spec "the weights of teams divide the room over time" fails before (a submission is refused) and passes after; go test ./sched ./admit passes.

--- a/sched/pass.go
+++ b/sched/pass.go
@@ -71,6 +71,7 @@
 	}
 	p.checkUnrecorded()
 	p.refreshRoom()
+	p.l.overload.progress.Observe(p.now, p.room.totalGPUs-p.room.freeGPUs)
 	p.refreshWeights(changes.All)
 	p.refreshWaiting()
 	p.wakeQuotaWaiters()
