Count the use of teams only where a quota or a weight is declared

Without quotas and weights nothing is counted now, and the runs of a worker are counted again only where they have changed.

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -64,7 +64,7 @@
 			return false
 		case hb.Incarnation > other.hb.Incarnation && l.declares(hb.Service):
 			other.gone = true
-			l.room.markStale(id)
+			l.markRuns(id)
 			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine)
 		}
 	}
@@ -129,5 +129,5 @@
 func (l *leaderState) forgetWorker(id string, w *worker) {
 	l.dropFromIndexes(w)
 	delete(l.workers, id)
-	l.room.markStale(id)
+	l.markRuns(id)
 }
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -92,7 +92,7 @@
 	w.hb, w.heardAt = hb, now
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
 	if s.recordRuns(l, w, now) {
-		l.room.markStale(hb.Worker)
+		l.markRuns(hb.Worker)
 	}
 	var ends []batch.End
 	l.ledger.View(func(b *batch.State) { ends = s.reconcile(l, b, w, now) })
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -44,7 +44,7 @@
 	l.passNumber++
 	p := &pass{
 		s: s, l: l, state: b, room: l.room, waiting: l.waiting, number: l.passNumber,
-		now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(), budgets: map[string]*quotaBudget{},
+		now: s.cfg.BootClock(), nowMS: s.cfg.WallClock().UnixMilli(),
 	}
 	changes := l.ledger.TakeChanges()
 	if changes.All {
@@ -61,16 +61,16 @@
 			p.waiting.touched[id] = true
 		}
 		clear(p.waiting.shapes)
-		p.markUseStale()
+		p.markAllRuns()
 	}
 	for id := range changes.Workers {
-		p.room.markStale(id)
+		l.markRuns(id)
 	}
 	for id := range changes.Jobs {
 		p.waiting.touched[id] = true
 	}
-	p.checkUnrecorded()
 	p.refreshRoom()
+	p.refreshUse()
 	p.refreshWeights(changes.All)
 	p.refreshWaiting()
 	p.wakeQuotaWaiters()
--- a/sched/place.go
+++ b/sched/place.go
@@ -58,7 +58,7 @@
 	for _, st := range starts {
 		delete(l.pending, st.Task)
 		delete(l.pendingOn, st.Worker)
-		l.room.markStale(st.Worker)
+		l.markRuns(st.Worker)
 		l.waiting.touched[st.Task.Job] = true
 	}
 }
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,12 +22,18 @@
 // quotaUse is what each team may have running: the runs that are active in the ledger, the pending starts, and what
 // workers report beyond those. Like the room it is updated where something changes.
 type quotaUse struct {
-	total map[string]quota.Amounts // by team
+	// inForce is whether any team has a quota or a weight; without them nothing is counted.
+	inForce bool
+	total   map[string]quota.Amounts // by team
 	// counted holds the runs that are counted, by worker.
 	counted map[string][]countedRun
 	// unrecorded holds the workers that report runs that are not active in the ledger. These count until the lease of
 	// the worker has expired.
 	unrecorded map[string]bool
+	// spare is the room of a former record in counted, for the next one.
+	spare []countedRun
+	// stale holds the workers whose runs must be counted anew.
+	stale map[string]bool
 	// eased holds the teams whose use has fallen since the last pass.
 	eased map[string]bool
 }
@@ -41,53 +48,94 @@
 }
 
 func newQuotaUse() *quotaUse {
-	return &quotaUse{total: map[string]quota.Amounts{}, counted: map[string][]countedRun{}, unrecorded: map[string]bool{}, eased: map[string]bool{}}
+	return &quotaUse{total: map[string]quota.Amounts{}, counted: map[string][]countedRun{}, unrecorded: map[string]bool{}, stale: map[string]bool{}, eased: map[string]bool{}}
 }
 
-// markUseStale makes the pass count the runs of all workers anew.
-func (p *pass) markUseStale() {
+// markRuns makes the next pass look again at the runs of a worker, and at what is free on it.
+func (l *leaderState) markRuns(id string) {
+	l.room.markStale(id)
+	if l.use.inForce {
+		l.use.stale[id] = true
+	}
+}
+
+// markAllRuns makes the pass count the runs of all workers anew, also if nothing has been counted before.
+func (p *pass) markAllRuns() {
+	for id := range p.l.workers {
+		p.l.use.stale[id] = true
+	}
 	for id := range p.state.Runs {
-		p.room.markStale(id)
+		p.l.use.stale[id] = true
 	}
 	for id := range p.l.use.counted {
-		p.room.markStale(id)
+		p.l.use.stale[id] = true
 	}
 }
 
-// checkUnrecorded marks the workers whose unrecorded runs have ended with the lease.
-func (p *pass) checkUnrecorded() {
-	for id := range p.l.use.unrecorded {
+// refreshUse counts the runs of all workers anew on which they may have changed, or have ended with the lease.
+func (p *pass) refreshUse() {
+	inForce := hasWeights(&p.state.Catalog) || hasQuotas(&p.state.Catalog)
+	if !inForce && (p.l.use.inForce || len(p.l.use.stale) > 0) {
+		p.l.use = newQuotaUse()
+	}
+	u := p.l.use
+	if u.inForce = inForce; !inForce {
+		return
+	}
+	for id := range u.unrecorded {
 		if w := p.l.workers[id]; w == nil || w.gone || p.now > w.leaseEnd {
-			p.room.markStale(id)
+			u.stale[id] = true
 		}
 	}
+	for id := range u.stale {
+		p.recount(id)
+	}
+	if len(u.stale) > 0 {
+		u.stale = map[string]bool{} // clearing one that was large once costs as much each time
+	}
 }
 
-// refreshUse counts the runs of a worker anew.
-func (p *pass) refreshUse(id string) {
+// recount counts the runs of a worker anew.
+func (p *pass) recount(id string) {
 	u := p.l.use
 	before := u.counted[id]
-	after := p.countRuns(id)
-	change := map[string]quota.Amounts{}
-	for _, c := range before {
-		change[c.team] = change[c.team].Minus(c.need)
+	after := p.countRuns(id, before, u.spare[:0])
+	var change teamAmounts
+	for i := range before {
+		change.add(before[i].team, quota.Amounts{}.Minus(before[i].need))
 	}
 	for i := range after {
-		c := &after[i]
-		change[c.team] = change[c.team].Plus(c.need)
-		c.ordered = slices.ContainsFunc(before, func(old countedRun) bool { return old.ref == c.ref && old.ordered })
+		change.add(after[i].team, after[i].need)
 	}
-	for team, more := range change {
-		if more.CPUMilli < 0 || more.MemoryMB < 0 || more.GPUs < 0 {
-			u.eased[team] = true
+	for _, c := range change {
+		if c.more.CPUMilli < 0 || c.more.MemoryMB < 0 || c.more.GPUs < 0 {
+			u.eased[c.team] = true
 		}
-		u.add(team, more)
+		u.add(c.team, c.more)
 	}
 	if len(after) == 0 {
 		delete(u.counted, id)
 		return
 	}
-	u.counted[id] = after
+	u.counted[id], u.spare = after, before
+}
+
+// teamAmounts holds amounts by team; few teams have runs on one worker.
+type teamAmounts []teamAmount
+
+type teamAmount struct {
+	team string
+	more quota.Amounts
+}
+
+func (a *teamAmounts) add(team string, more quota.Amounts) {
+	for i := range *a {
+		if c := &(*a)[i]; c.team == team {
+			c.more = c.more.Plus(more)
+			return
+		}
+	}
+	*a = append(*a, teamAmount{team, more})
 }
 
 func (u *quotaUse) add(team string, more quota.Amounts) {
@@ -99,12 +147,15 @@
 	u.total[team] = next
 }
 
-// countRuns returns the runs on a worker that may be running.
-func (p *pass) countRuns(id string) []countedRun {
-	var out []countedRun
+// countRuns appends the runs on a worker that may be running to out. The records of runs that have been counted before are
+// kept.
+func (p *pass) countRuns(id string, before, out []countedRun) []countedRun {
 	count := func(t batch.TaskID, run int) {
-		if j := p.state.Jobs[t.Job]; j != nil && t.Step < len(j.Spec.Steps) {
-			out = append(out, countedRun{ref: RunRef{Task: t, Run: run}, team: j.Team, need: quota.Amounts(j.Spec.Steps[t.Step].Need)})
+		ref := RunRef{Task: t, Run: run}
+		if i := indexOfRun(before, ref); i >= 0 {
+			out = append(out, before[i])
+		} else if j := p.state.Jobs[t.Job]; j != nil && t.Step < len(j.Spec.Steps) {
+			out = append(out, countedRun{ref: ref, team: j.Team, need: quota.Amounts(j.Spec.Steps[t.Step].Need)})
 		}
 	}
 	runs := p.state.Runs[id]
@@ -128,8 +179,20 @@
 	return out
 }
 
+func indexOfRun(list []countedRun, ref RunRef) int {
+	for i := range list {
+		if list[i].ref == ref {
+			return i
+		}
+	}
+	return -1
+}
+
 // countStart counts a run that the pass starts.
 func (p *pass) countStart(st batch.Start) {
+	if !p.l.use.inForce {
+		return
+	}
 	j := p.state.Jobs[st.Task.Job]
 	c := countedRun{ref: RunRef{Task: st.Task, Run: st.Run}, team: j.Team, need: quota.Amounts(j.Spec.Steps[st.Task.Step].Need)}
 	p.l.use.counted[st.Worker] = append(p.l.use.counted[st.Worker], c)
@@ -139,11 +202,14 @@
 // find returns the record of a run on a worker, nil if the run is not counted.
 func (u *quotaUse) find(worker string, ref RunRef) *countedRun {
 	list := u.counted[worker]
-	i := slices.IndexFunc(list, func(c countedRun) bool { return c.ref == ref })
-	if i < 0 {
-		return nil
+	if i := indexOfRun(list, ref); i >= 0 {
+		return &list[i]
 	}
-	return &list[i]
+	return nil
+}
+
+func hasQuotas(c *batch.Catalog) bool {
+	return slices.ContainsFunc(c.Teams, func(t batch.Team) bool { return quota.Limit(t.Maximum).Limited() })
 }
 
 // limitOf returns the limit of a team by the catalog in force; jobs without a team and those of a team that is no longer
@@ -221,6 +287,9 @@
 func (p *pass) budget(j *batch.Job) *quotaBudget {
 	g := p.budgets[j.Team]
 	if g == nil {
+		if p.budgets == nil {
+			p.budgets = map[string]*quotaBudget{}
+		}
 		g = &quotaBudget{limit: limitOf(p.state, j.Team)}
 		p.budgets[j.Team] = g
 	}
@@ -256,6 +325,10 @@
 
 // withinQuota reports whether the quota of its team lets a step start, and otherwise records what it waits for.
 func (p *pass) withinQuota(w *waitingStep) bool {
+	if !p.l.use.inForce {
+		w.quota.active = false
+		return true
+	}
 	g := p.budget(w.job)
 	if !g.limit.Limited() {
 		w.quota.active = false
@@ -284,6 +357,9 @@
 
 // tasksWithinQuota returns how many tasks of a step the quota of its team lets start.
 func (p *pass) tasksWithinQuota(w *waitingStep) int {
+	if !p.l.use.inForce {
+		return math.MaxInt
+	}
 	return p.limitFor(w.job).Count(p.quotaUsed(w.job), quota.Amounts(w.job.Spec.Steps[w.first.Step].Need))
 }
 
@@ -322,6 +398,9 @@
 
 // holdQuota takes what is reserved for a step from the budget of its team.
 func (p *pass) holdQuota(r reservation) {
+	if !p.l.use.inForce {
+		return
+	}
 	g := p.budget(r.step.job)
 	need := quota.Amounts(r.step.job.Spec.Steps[r.step.first.Step].Need)
 	for _, c := range r.chosen {
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -26,16 +26,18 @@
 	guaranteed bool
 	objective  objectiveStatus
 	priority   int
-	standing   standing
+	// standing is lower for jobs that the weights of the teams put first, see pass.standing.
+	standing float64
 	// dueMS is when the job misses its objective, or when it was accepted if it has none, in Unix milliseconds.
 	dueMS int64
 }
 
 // rank returns the rank of a job at the time of the pass.
 func (p *pass) rank(j *batch.Job) rank {
-	r := rank{guaranteed: p.guaranteed(j), priority: p.priority(j), standing: p.standing(j, onTime), dueMS: j.AcceptedMS}
+	r := rank{guaranteed: p.guaranteed(j), priority: p.priority(j), dueMS: j.AcceptedMS}
 	due, ok := p.objective(j)
 	if !ok {
+		r.standing = p.standing(j, onTime)
 		return r
 	}
 	left := criticalPathMS(j, 0, true)
@@ -67,7 +69,7 @@
 		cmp.Compare(boolToInt(a.objective == missed), boolToInt(b.objective == missed)),
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.objective, b.objective),
-		compareStandings(a.standing, b.standing),
+		cmp.Compare(a.standing, b.standing),
 		cmp.Compare(a.dueMS, b.dueMS),
 	)
 }
--- a/sched/room.go
+++ b/sched/room.go
@@ -77,7 +77,6 @@
 	}
 	for id := range rm.stale {
 		p.refreshView(id)
-		p.refreshUse(id)
 	}
 	clear(rm.stale)
 }
--- a/sched/weights.go
+++ b/sched/weights.go
@@ -30,33 +30,33 @@
 // overuseFactor is the multiple of its share above which a team comes after others even if its jobs are due earlier.
 const overuseFactor = 1.1
 
-// standing is how a job ranks by the weight of its team: jobs beyond the rate that the weight allows come after the others,
-// then those of teams that use more than their share, and then the team comes first that uses least for its weight.
-type standing struct {
-	beyondRate, overuse bool
-	use                 float64
-}
-
-func compareStandings(a, b standing) int {
-	return cmp.Or(
-		cmp.Compare(boolToInt(a.beyondRate), boolToInt(b.beyondRate)),
-		cmp.Compare(boolToInt(a.overuse), boolToInt(b.overuse)),
-		cmp.Compare(a.use, b.use),
-	)
-}
+const (
+	// beyondRate and overuse are added to the use of a team so that its job comes after those to which they do not apply.
+	// No use reaches them: it is at most 1.5 for each unit of weight.
+	beyondRate = 1e12
+	overuse    = 1e9
+)
 
-// standing returns how a job ranks by the weight of its team. Jobs that can still meet their objectives go by these as long
-// as their teams are near their shares: they need the room now, and the shares hold over time.
-func (p *pass) standing(j *batch.Job, o objectiveStatus) standing {
+// standing returns how a job ranks by the weight of its team, the least first: jobs beyond the rate that the weight allows
+// come after the others, then those of teams that use more than their share, and then the team comes first that uses least
+// for its weight. Jobs that can still meet their objectives go by these as long as their teams are near their shares: they
+// need the room now, and the shares hold over time.
+func (p *pass) standing(j *batch.Job, o objectiveStatus) float64 {
 	if !p.l.weights.inForce {
-		return standing{}
+		return 0
 	}
 	use := p.l.weights.meter.Use(j.Team, weightOf(p.state, j.Team))
-	st := standing{beyondRate: p.beyondRate(j), overuse: use > overuseFactor*p.l.weights.fair}
+	rank := 0.0
 	if o != onTime {
-		st.use = use
+		rank = use
+	}
+	if use > overuseFactor*p.l.weights.fair {
+		rank += overuse
+	}
+	if p.beyondRate(j) {
+		rank += beyondRate
 	}
-	return st
+	return rank
 }
 
 // weightOf returns the weight of a team; teams without one and jobs without a team have weight 1.
