Count what runs and waits by team, queue and reason

Operators could not tell whether a team waits for its quota or for room, nor what it has running. Two gauges, one counter, the process dump and the log event quota_waits (once a step, resource and kind of wait) say so.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,8 +36,11 @@
 	Memory
 )
 
+// ResourceCount is the number of limited resources.
+const ResourceCount = 3
+
 // Resources returns all limited resources.
-func Resources() [3]Resource { return [...]Resource{Accelerators, Cores, Memory} }
+func Resources() [ResourceCount]Resource { return [...]Resource{Accelerators, Cores, Memory} }
 
 // Of returns the amount of a resource.
 func (a Amounts) Of(r Resource) int {
@@ -116,7 +119,7 @@
 
 func (r Resource) number(n int) string {
 	if r == Cores {
-		return strconv.FormatFloat(float64(n)/1000, 'f', -1, 64)
+		return strconv.FormatFloat(float64(n)/r.PerUnit(), 'f', -1, 64)
 	}
 	return strconv.Itoa(n)
 }
@@ -126,6 +129,14 @@
 	return fmt.Sprintf("waits for the quota of team %s: %s", team, s)
 }
 
+// PerUnit returns how many of an amount make up the unit in which the resource is shown: cores, MB or accelerators.
+func (r Resource) PerUnit() float64 {
+	if r == Cores {
+		return 1000
+	}
+	return 1
+}
+
 // String returns the name of the resource.
 func (r Resource) String() string {
 	switch r {
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -7,6 +7,7 @@
 
 	"turmericroute/batch"
 	"turmericroute/model"
+	"turmericroute/quota"
 )
 
 // schedulerMetrics are the metrics of the scheduler.
@@ -19,6 +20,9 @@
 	refreshedWorkers, triedSteps *metrics.Counter
 	passSeconds                  *metrics.Summary
 	startSeconds                 *metrics.Histogram
+	// gaugedTeams and gaugedWaits hold what the gauges by team have been set for; they are guarded by Scheduler.mu.
+	gaugedTeams map[string]bool
+	gaugedWaits map[waitingKey]bool
 }
 
 func newSchedulerMetrics(set *metrics.Set, s *Scheduler) schedulerMetrics {
@@ -41,7 +45,7 @@
 		return float64(n)
 	})
 	return schedulerMetrics{
-		set: set, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
+		set: set, gaugedTeams: map[string]bool{}, gaugedWaits: map[waitingKey]bool{}, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		ignoredHeartbeats: set.GetOrCreateCounter("turmericroute_sched_ignored_heartbeats_total"),
 		acceptedJobs:      set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
 		panics:           set.GetOrCreateCounter("turmericroute_sched_panics_total"),
@@ -51,6 +55,21 @@
 	}
 }
 
+// runningResources returns the gauge of what a team has running of a resource.
+func (m schedulerMetrics) runningResources(team string, r quota.Resource) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(fmt.Sprintf("turmericroute_sched_running_resources_count{team=%q,resource=%q}", team, r), nil)
+}
+
+// waitingSteps returns the gauge of the steps that wait for a reason.
+func (m schedulerMetrics) waitingSteps(key waitingKey) *metrics.Gauge {
+	return m.set.GetOrCreateGauge(fmt.Sprintf("turmericroute_sched_waiting_steps_count{team=%q,queue=%q,reason=%q}", key.team, key.queue, key.reason), nil)
+}
+
+// quotaWaits returns the counter of waits for the quota of a team.
+func (m schedulerMetrics) quotaWaits(team string, r quota.Resource) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_quota_waits_total{team=%q,resource=%q}", team, r))
+}
+
 // endedRuns returns the counter of runs that ended for a reason.
 func (m schedulerMetrics) endedRuns(reason batch.EndReason) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("turmericroute_sched_ended_runs_total{how=%q}", reason))
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -262,7 +262,8 @@
 	shortage quota.Shortage
 	// behind is set if the quota has room, which is kept for a step of the team that ranks higher.
 	behind bool
-	logged bool
+	// logged holds for which resources the wait has been logged, by whether it was behind another step.
+	logged [2][quota.ResourceCount]bool
 }
 
 // reason returns why a step of a team waits.
@@ -345,9 +346,6 @@
 	if exhausted {
 		shortage = full
 	}
-	if w.quota.shortage.Resource != shortage.Resource || w.quota.behind == exhausted {
-		w.quota.logged = false
-	}
 	if !w.quota.active {
 		w.quota.active, w.quota.since = true, p.now
 	}
@@ -369,8 +367,9 @@
 	p.retryAt(p.now + quotaRetryInterval)
 	g := p.budget(w.job)
 	_, impossible := g.limit.Shortage(quota.Amounts{}, quotaNeed(w))
-	if !w.quota.logged {
-		w.quota.logged = true
+	if logged := &w.quota.logged[boolToInt(w.quota.behind)][w.quota.shortage.Resource]; !*logged {
+		*logged = true
+		p.s.metrics.quotaWaits(w.job.Team, w.quota.shortage.Resource).Inc()
 		p.s.cfg.Logger.Log("event", "quota_waits", "task", w.first, "team", w.job.Team, "queue", w.job.Queue, "why", w.quota.reason(w.job.Team), "resource", w.quota.shortage.Resource, "impossible", impossible)
 	}
 	if impossible {
--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -327,6 +330,36 @@
 		Expect(f.running("own")).To(HaveLen(8))
 	})
 
+	// Guards against operators who cannot tell whether a team waits for its quota or for room.
+	It("is counted by its team, queue and reason", func() {
+		set := metrics.NewSet()
+		f := newFixture(func(cfg *sched.Config) { cfg.Metrics = set })
+		f.declareTeams(2, limited(2), otherTeam)
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", singles(3, 1))
+		f.submit("normal", "large", gangOf(4, 2))
+		f.awaitRunning("j", 2)
+		f.submitAs("other-key", "normal", "other", singles(9, 1))
+		f.awaitRunning("other", 6)
+		written := func() string {
+			f.advance(time.Second)
+			f.heartbeatAll()
+			var b strings.Builder
+			set.WritePrometheus(&b)
+			return b.String()
+		}
+		Eventually(written, 5*time.Second, 50*time.Millisecond).Should(And(
+			ContainSubstring(`turmericroute_sched_running_resources_count{team="team",resource="accelerators"} 2`),
+			ContainSubstring(`turmericroute_sched_running_resources_count{team="other",resource="cores"} 6`),
+			ContainSubstring(`turmericroute_sched_waiting_steps_count{team="team",queue="normal",reason="quota"} 2`),
+			ContainSubstring(`turmericroute_sched_waiting_steps_count{team="other",queue="normal",reason="room"} 1`),
+			ContainSubstring(`turmericroute_sched_quota_waits_total{team="team",resource="accelerators"} 2`),
+		))
+		dump, err := json.Marshal(f.s.Dump())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(dump)).To(ContainSubstring(`"waiting":{"normal: quota":2}`))
+	})
+
 	// Guards against room that idles for a job that may not use it.
 	It("reserves no room", func() {
 		f := newQuotaFixture(8, "w1", "w2")
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -103,6 +103,8 @@
 	fullPassAt, nextRetryAt time.Duration
 	// changedSinceFull is set if room or waiting steps have changed since the last full pass.
 	changedSinceFull bool
+	// gaugesDueAt is the boot time at which the gauges by team are set again.
+	gaugesDueAt time.Duration
 	// workers holds the workers that have sent a heartbeat, by ID; byAddress and byMachine find those that have not
 	// ended.
 	workers              map[string]*worker
@@ -211,6 +213,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leader, s.former = nil, l
+	s.setTeamGauges(teamCounts{})
 }
 
 // current returns the state of the current term, or an error with CodeNoLeader while this instance does not lead.
@@ -326,6 +329,7 @@
 		Workers  map[string]dumpedWorker `json:"workers"`
 		Pending  int                     `json:"pending"`
 		Stopping map[string]string       `json:"stopping"`
+		Teams    map[string]*dumpedTeam  `json:"teams"`
 	}{Term: s.leader.term, Workers: map[string]dumpedWorker{}, Pending: len(s.leader.pending), Stopping: map[string]string{}}
 	now := s.cfg.BootClock()
 	for id, w := range maps.All(s.leader.workers) {
@@ -334,5 +338,6 @@
 	for run, job := range s.leader.preempting {
 		out.Stopping[run.Task.String()] = job
 	}
+	s.leader.ledger.View(func(b *batch.State) { out.Teams = s.leader.dumpTeams(b, now) })
 	return out
 }
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -24,6 +24,7 @@
 			s.reportEnds(l, "", ends, err)
 		}
 		s.purgeFinished(l)
+		s.updateTeamGauges(l)
 	}
 }
 
