--- a/sched/claim.go
+++ b/sched/claim.go
@@ -65,7 +65,7 @@
 		case hb.Incarnation > other.hb.Incarnation && l.declares(hb.Service):
 			other.gone = true
 			l.fleet.Leave(id)
-			l.room.markStale(id)
+			l.markRuns(id)
 			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine)
 		}
 	}
@@ -131,5 +131,5 @@
 	l.dropFromIndexes(w)
 	l.fleet.Leave(id)
 	delete(l.workers, id)
-	l.room.markStale(id)
+	l.markRuns(id)
 }
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -94,7 +94,7 @@
 	s.noteProfile(l, w, now)
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
 	if s.recordRuns(l, w, now) {
-		l.room.markStale(hb.Worker)
+		l.markRuns(hb.Worker)
 	}
 	var ends []batch.End
 	l.ledger.View(func(b *batch.State) {
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -12,7 +12,8 @@
 	// guaranteed jobs come first: the jobs whose runs are preempted for them must not take the resources back.
 	guaranteed bool
 	job        admit.Job
-	standing   standing
+	// standing is lower for jobs that the weights of the teams put first, see pass.standing.
+	standing float64
 }
 
 // rank returns the rank of a job at the time of the pass.
@@ -35,7 +36,7 @@
 	return cmp.Or(
 		cmp.Compare(boolToInt(!a.guaranteed), boolToInt(!b.guaranteed)),
 		admit.CompareValues(a.job, b.job),
-		compareStandings(a.standing, b.standing),
+		cmp.Compare(a.standing, b.standing),
 		admit.CompareUrgency(a.job, b.job),
 	)
 }
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -25,6 +25,7 @@
 		}
 		s.reviewHealth(l)
 		s.purgeFinished(l)
+		s.updateTeamGauges(l)
 	}
 }
 
