Give up a gang that may have formed in time for a second stop

With few workers, a gang whose members had all been ordered to start was given up only when the stop needed to arrive at the first attempt: 2.2 s after the first order of 3 s. The answer with the stop was lost, and the worker asked again a second later, too late. This hit gangs whose last member was ordered to start 0.7 to 1.4 s after the first, so that the leader had to expect that they had formed. With many workers the same limit happened to leave a second, since their heartbeat interval is one. The limit now leaves time for a lost answer however many workers there are.

The new spec fails before.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -166,12 +166,12 @@
 }
 
 // formingLimit returns how long a gang may take to form. At least half of the time is left to the members, however long
-// the stop takes. A gang that certainly has not formed is given up so early that the stop may come with the answer to the
-// second heartbeat, both answers being as late as workers accept. One that may have begun to work gets more time to
-// report that.
+// the stop takes. The answer that carries the stop may be lost: its worker asks again after answerTimeout. A gang that
+// certainly has not formed is given up so early that the second answer may be as late as workers accept. One that may have
+// begun to work gets more time to report that.
 func (s *Scheduler) formingLimit(l *leaderState, certain bool) time.Duration {
 	timeout := s.cfg.Limits.GangTimeout
-	stopTime := l.longestInterval() + formingMargin
+	stopTime := l.heartbeatInterval() + answerTimeout + formingMargin
 	if certain {
 		stopTime = l.heartbeatInterval() + 2*answerTimeout
 	}
--- a/sched/forming_test.go
+++ b/sched/forming_test.go
@@ -103,6 +103,18 @@
 		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
 	})
 
+	// Guards against a member that waits alone because the answer that stops it is lost: its worker asks again a second
+	// later, and a gang whose last member was ordered to start late was given up too late for that.
+	It("is given up in time for a second stop when its last member has been ordered to start late and is not heard from", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w1")
+		f.advance(900 * time.Millisecond)
+		f.awaitStart("w2")
+		f.advance(650 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
 	// Guards against stops that arrive a second late: a member takes the room of its worker, and workers without room
 	// were asked for a heartbeat once a second.
 	It("is heard from often until all members have joined, however many workers there are", func() {
