Let the replacement of a silent voter vote before the voter is removed

Two disks lost in between leave two of four voters, although the silent one comes back with its disk. Now the learner is added first: of six voters four are left, the silent one among them, and that is a majority. Six need no more running voters than the four did for the same number of failures.

So a lost voter is removed from a full even number in any case, and a voter too many is demoted, first where most of them are, if necessary after a learner of another data centre has been added.

--- a/ctrl/open.go
+++ b/ctrl/open.go
@@ -59,14 +59,15 @@
 	even := voters%2 == 0
 	// An odd number of voters has the same majority as the even number below it.
 	mayRemove := voters > 1 && !even || voters/2 > toleratedLosses
+	most := max(maxOpenVoters, 2*toleratedLosses+1)
+	full := voters >= most
 	isLost := func(v quorum.Member) bool { return v.ID != s.ID && hasReplacement(s.Membership, caughtUp, v) }
 	for _, v := range s.Membership.Voters {
 		next := s.Membership.Without(v.ID)
-		if isLost(v) && mayRemove && !worsensSpread(s.Membership, next) {
+		if isLost(v) && mayRemove && (even && full || !worsensSpread(s.Membership, next)) {
 			return next, "remove lost voter " + v.Name
 		}
 	}
-	full := voters >= max(maxOpenVoters, 2*toleratedLosses+1)
 	tooFew := voters < 2*toleratedLosses
 	if l, ok := bestSpread(s.Membership, caughtUp); ok && !full && (even || tooFew) {
 		next := s.Membership.WithVoter(l)
@@ -80,16 +81,34 @@
 			continue
 		}
 		next := s.Membership.Without(v.ID)
-		l, ok := bestSpread(next, caughtUp)
-		if even && !worsensSpread(s.Membership, next) || !even && ok && !worsensSpread(s.Membership, next.WithVoter(l)) {
+		if even && !worsensSpread(s.Membership, next) {
 			return next, "remove silent voter " + v.Name
 		}
+		l, ok := bestSpread(next, caughtUp)
+		if even || !ok || worsensSpread(s.Membership, next.WithVoter(l)) {
+			continue
+		}
+		// The silent voter may keep its disk and count again after a loss of others, so its replacement votes first: of
+		// four voters that remain, too few would be left.
+		if larger := s.Membership.WithVoter(l); !worsensSpread(s.Membership, larger) {
+			return larger, "add voter " + l.Name
+		}
+		return next, "remove silent voter " + v.Name
+	}
+	if v, ok := surplusVoter(s); ok && mayRemove && (voters > most || even && len(s.Membership.Learners) == 0) {
+		return s.Membership.WithLearner(v), "demote voter " + v.Name
 	}
 	if v, ok := crowdedVoter(s); even && mayRemove && ok {
 		if next := s.Membership.WithLearner(v); !worsensSpread(s.Membership, next) {
 			return next, "demote voter " + v.Name
 		}
 	}
+	if l, ok := bestSpread(s.Membership, caughtUp); ok && even && voters > most {
+		// A voter of another data centre can be demoted then.
+		if larger := s.Membership.WithVoter(l); largestShare(larger) == largestShare(s.Membership) {
+			return larger, "add voter " + l.Name
+		}
+	}
 	if l, ok := bestSpread(s.Membership, caughtUp); ok && !even {
 		larger := s.Membership.WithVoter(l)
 		second, ok := bestSpread(larger, without(caughtUp, l))
--- a/ctrl/spread.go
+++ b/ctrl/spread.go
@@ -56,6 +56,20 @@
 	return quorum.Member{}, false
 }
 
+// surplusVoter returns the voter that the leader demotes when there are too many: the latest one of a data centre that has
+// most of them, false if the spread gets worse without any.
+func surplusVoter(s quorum.Status) (best quorum.Member, ok bool) {
+	for _, v := range slices.Backward(s.Membership.Voters) {
+		if v.ID == s.ID || worsensSpread(s.Membership, s.Membership.WithLearner(v)) {
+			continue
+		}
+		if !ok || votersIn(s.Membership, v) > votersIn(s.Membership, best) {
+			best, ok = v, true
+		}
+	}
+	return best, ok
+}
+
 // improvesSpread reports whether a data centre holds a majority of the voters, and fewer of them once one is demoted in
 // favour of the voter that is added.
 func improvesSpread(s quorum.Status, larger quorum.Membership) bool {
--- a/quorum/change.go
+++ b/quorum/change.go
@@ -10,9 +10,9 @@
 // ProposeMembership appends a membership to the leader's log and returns its
 // index and term. The membership is in force as soon as it is appended. Only one
 // voter may be added or removed at a time, so that any majorities of the old and
-// the new membership share a voter; learners may change freely. Remove a failed
-// voter before promoting its replacement, since four voters tolerate no more
-// failures than three.
+// the new membership share a voter; learners may change freely. Promote the
+// replacement of a silent voter before removing it if it may come back with its
+// disk: four voters tolerate no more failures than three, but it counts until then.
 func (n *Node) ProposeMembership(m Membership) (index, term uint64, err error) {
 	if err := n.checkMembershipChange(m); err != nil {
 		return 0, 0, fmt.Errorf("propose membership: %w", err)
