Sync a new segment with its first entries and its folder at the same time

The header and the entries are now one write, whose sync runs beside that of the folder; the write is valid once both have ended. A crash in between leaves a segment that is torn or not there, which the start cuts off or removes as before.

--- a/store/store.go
+++ b/store/store.go
@@ -244,10 +244,14 @@
 	if err := s.removeTorn(); err != nil {
 		return err
 	}
-	if err := s.rotate(); err != nil {
-		return s.failUnlessFull(err)
-	}
 	b = append(s.reset, b...)
+	if s.segmentFull() {
+		if err := s.startSegment(b); err != nil {
+			return s.failUnlessFull(err)
+		}
+		s.reset = nil
+		return nil
+	}
 	if _, err := s.dir.write(s.active, b); err != nil {
 		s.torn = true
 		return s.failUnlessFull(fmt.Errorf("append to log: %w", err))
@@ -300,26 +304,28 @@
 	return !errors.As(err, &failed) && (errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT))
 }
 
-// rotate starts a new segment when there is none or the last one is full. Names
-// of segments must increase, so a new segment is started only if the next index
-// is greater than the first index of the last segment.
-func (s *Store) rotate() error {
-	if n := len(s.segments); n > 0 {
-		last := s.segments[n-1]
-		if last.size < s.segmentBytes || s.nextIndex() <= last.first {
-			return nil
-		}
+// segmentFull reports whether there is no segment or the last one is full. Names of segments must increase, so a new
+// segment is started only if the next index is greater than the first index of the last segment.
+func (s *Store) segmentFull() bool {
+	if len(s.segments) == 0 {
+		return true
 	}
+	last := s.segments[len(s.segments)-1]
+	return last.size >= s.segmentBytes && s.nextIndex() > last.first
+}
+
+// startSegment starts a new segment with the records b.
+func (s *Store) startSegment(b []byte) error {
 	head, err := appendHardState(segmentHeader(s.nextIndex()), s.hs)
 	if err != nil {
 		return err
 	}
-	seg := segment{name: segmentName(s.nextIndex()), first: s.nextIndex(), size: int64(len(head))}
+	seg := segment{name: segmentName(s.nextIndex()), first: s.nextIndex(), size: int64(len(head) + len(b))}
 	f, err := os.OpenFile(s.dir.filePath(seg.name), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return fmt.Errorf("create segment: %w", err)
 	}
-	if err := s.writeHeader(f, head); err != nil {
+	if err := s.writeSegment(f, head, b); err != nil {
 		f.Close()
 		if isNoSpace(err) {
 			err = errors.Join(err, os.Remove(f.Name()))
@@ -334,14 +340,19 @@
 	return nil
 }
 
-func (s *Store) writeHeader(f *os.File, head []byte) error {
-	if _, err := s.dir.write(f, head); err != nil {
-		return fmt.Errorf("write segment header: %w", err)
+// writeSegment writes a new segment and syncs it and the folder at the same time, so that it takes no longer than any
+// other write where syncs are slow. Nothing that is written is valid before both have ended.
+func (s *Store) writeSegment(f *os.File, head, b []byte) error {
+	if _, err := s.dir.write(f, append(head, b...)); err != nil {
+		return fmt.Errorf("write segment: %w", err)
 	}
-	if err := s.dir.sync(f); err != nil {
-		return fmt.Errorf("sync segment header: %w", err)
+	folderSynced := make(chan error, 1)
+	go func() { folderSynced <- s.dir.syncFolder(s.dir.path) }()
+	err := s.dir.sync(f)
+	if err != nil {
+		err = fmt.Errorf("sync segment: %w", err)
 	}
-	return s.dir.syncFolder(s.dir.path)
+	return errors.Join(err, <-folderSynced)
 }
 
 // SaveMembership saves the membership at bootstrap or join.
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -7,7 +7,9 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -361,6 +363,29 @@
 		Expect(synced[:3]).To(Equal([]string{top, filepath.Join(top, "a"), filepath.Join(top, "a", "b")}))
 	})
 
+	// Guards against a write that takes three times as long as others because it starts a segment, whose header, folder and
+	// entries were synced one after the other.
+	It("syncs a new segment with its first entries and its folder at the same time", func() {
+		var syncs, running, together atomic.Int64
+		s, _, err := store.Open(store.Config{Dir: dir, SegmentBytes: 512, Sync: func(*os.File) error {
+			syncs.Add(1)
+			if running.Add(1) == 2 {
+				together.Add(1)
+			}
+			time.Sleep(100 * time.Millisecond)
+			running.Add(-1)
+			return nil
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		Expect(s.Save(nil, entries(1, 30, 1))).To(Succeed())
+		segments, before, atOnce := len(files(dir, ".seg")), syncs.Load(), together.Load()
+		Expect(s.Save(nil, entries(31, 31, 1))).To(Succeed())
+		Expect(files(dir, ".seg")).To(HaveLen(segments + 1))
+		Expect(syncs.Load() - before).To(BeEquivalentTo(2))
+		Expect(together.Load() - atOnce).To(BeEquivalentTo(1))
+	})
+
 	// Guards against retrying a failed sync: the retry may succeed although the kernel has dropped the dirty pages.
 	DescribeTable("rejects all writes after a failed sync",
 		func(failing string) {
