Bound the wait for room that is expected to come free by itself

A run that does not end when its progress said so would have kept a job of priority 0 from preempting for ever. The wait ends after the time of two stops. The account of a broken gang takes its cause also from members that the leader has never heard of as running, as after a change of leader.

--- a/loss/book.go
+++ b/loss/book.go
@@ -151,8 +151,9 @@
 func (b *Book) End(k Key, e End, now time.Duration) (Run, []Resolved) {
 	w := b.runs[k]
 	delete(b.runs, k)
-	if w == nil || !w.reported {
-		return Run{}, nil // it has done no work that is known of
+	known := w != nil && w.reported
+	if !known {
+		w = &work{beganAt: now}
 	}
 	r := Run{Cores: e.Cores, Held: now - w.beganAt}
 	var g *gang
@@ -167,6 +168,9 @@
 		r.Waited = g.waited(w, r)
 		resolved = g.note(k.gang(), r)
 	}
+	if !known {
+		r = Run{} // it has done no work that is known of
+	}
 	b.add(now, r, resolved)
 	return r, resolved
 }
--- a/loss/book_test.go
+++ b/loss/book_test.go
@@ -77,6 +77,18 @@
 		Expect(b.Recent.Table(13 * time.Second)).To(HaveKeyWithValue(loss.MemberLost, loss.Sum{Runs: 1, CoreSeconds: 4}))
 	})
 
+	// Guards against broken gangs without a cause after a change of leader: the run that broke the gang had ended before the
+	// new leader heard of it.
+	It("tells the cause of its gang even if it has never been reported as running", func() {
+		b := started(2, true)
+		b.End(key(1), loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}, 3*time.Second)
+		unknown := key(2)
+		r, resolved := b.End(unknown, loss.End{Reason: batch.EndLeaseExpired, Gang: true, Cores: 2}, 3*time.Second)
+		Expect(r).To(BeZero())
+		Expect(resolved).To(HaveLen(1))
+		Expect(resolved[0].Cause).To(Equal(loss.MemberLost))
+	})
+
 	It("is not asked for its work before it is reported", func() {
 		b := loss.NewBook()
 		b.Order(key(0), false, 0)
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -63,12 +63,18 @@
 func (p *pass) stopTime() time.Duration { return p.s.cfg.Limits.StopGrace + p.l.longestInterval() }
 
 // holdIfFreeSoon reserves the placement of a job that becomes possible by itself about as soon as stopping others would
-// make room, and reports whether there is one.
+// make room, and reports whether there is one. It does so for the time of two stops, as runs may not end when expected.
 func (p *pass) holdIfFreeSoon(r *request) bool {
+	if since := r.freeSoonSince; since != 0 && p.now-since > 2*p.stopTime() {
+		return false
+	}
 	chosen, within := p.earliestPlacement(r, func(d time.Duration) bool { return p.allowsRemote(r, r.waited(p.now)+d) })
 	if chosen == nil || within > p.stopTime() {
 		return false
 	}
+	if r.freeSoonSince == 0 {
+		r.freeSoonSince = p.now
+	}
 	p.hold(reservation{step: r.waitingStep, need: r.need, chosen: chosen})
 	return true
 }
--- a/sched/preempt_test.go
+++ b/sched/preempt_test.go
@@ -54,7 +54,7 @@
 	})
 
 	// Guards against a run that is stopped just before its end, for a job that starts no earlier for it.
-	It("does not stop runs that end as soon as a stop would make room", func() {
+	It("does not stop runs that end as soon as a stop would make room, but does if they do not end", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1")
 		f.submit("normal", "other", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 100_000})
@@ -66,8 +66,9 @@
 		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, EstimateMS: 10_000})
 		f.expectNoStart("j")
 		Expect(f.workers["w1"].stopped).To(BeEmpty())
-		f.workers["w1"].end(taskID("other", 0, 0), batch.EndDone)
+		f.advance(time.Second)
 		f.awaitRunning("j", 1)
+		Expect(f.workers["w1"].stopped).To(HaveLen(1))
 	})
 })
 
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -19,6 +19,9 @@
 	blockedSince time.Duration
 	// nextPreemptAt is the boot time before which preemption for the step is not tried again.
 	nextPreemptAt time.Duration
+	// freeSoonSince is the boot time since when the step waits for room that is expected to come free by itself, 0 if it
+	// has not.
+	freeSoonSince time.Duration
 	// quota is set while the step waits for the quota of its team.
 	quota quotaWait
 	// deferredFor is why the step was last deferred, empty if it never was.
@@ -199,7 +202,7 @@
 			}
 			w := &waitingStep{job: j, first: first, fresh: true}
 			if old := p.waiting.steps[first]; old != nil {
-				w.blocked, w.blockedSince, w.nextPreemptAt = old.blocked, old.blockedSince, old.nextPreemptAt
+				w.blocked, w.blockedSince, w.nextPreemptAt, w.freeSoonSince = old.blocked, old.blockedSince, old.nextPreemptAt, old.freeSoonSince
 				w.quota, w.deferredFor = old.quota, old.deferredFor
 			}
 			w.shape = p.shapeOf(j, first)
