--- a/loss/book.go
+++ b/loss/book.go
@@ -43,9 +43,9 @@
 
 // gang is what is known of a gang run.
 type gang struct {
-	// ordered is set if all members' waits are known, formedAt is when the last has joined.
-	ordered  bool
-	formedAt time.Duration
+	// orderedAt is when the latest member was ordered to start, 0 if an earlier leader has done so. formedAt is when the last
+	// member has joined.
+	orderedAt, formedAt time.Duration
 	// stop is the cause of the first stop of a member, cause that of the first end.
 	stop, cause Cause
 	// unresolved holds the members that have ended before the cause is known.
@@ -74,7 +74,7 @@
 		b.runs[k] = &work{beganAt: now}
 	}
 	if isGang {
-		b.gangOf(k).ordered = true
+		b.gangOf(k).orderedAt = now
 	}
 }
 
@@ -106,10 +106,15 @@
 	}
 }
 
-// Form records that all members of a gang run have joined.
+// Form records that all members of a gang run have joined, as is known now: the last one did with its start order.
 func (b *Book) Form(k Key, now time.Duration) {
-	if g := b.gangOf(k); g.formedAt == 0 {
-		g.formedAt = now
+	g := b.gangOf(k)
+	if g.formedAt != 0 {
+		return
+	}
+	g.formedAt = now
+	if g.orderedAt != 0 {
+		g.formedAt = g.orderedAt
 	}
 }
 
@@ -223,7 +228,7 @@
 // waited returns how long a member has waited for the others.
 func (g *gang) waited(w *work, r Run) time.Duration {
 	switch {
-	case !g.ordered || g.formedAt == 0 && r.Cause == None:
+	case g.orderedAt == 0 || g.formedAt == 0 && r.Cause == None:
 		return 0
 	case g.formedAt == 0:
 		return r.Held
--- a/loss/book_test.go
+++ b/loss/book_test.go
@@ -13,15 +13,16 @@
 
 func key(index int) loss.Key { return loss.Key{Task: batch.TaskID{Job: "j", Index: index}, Run: 1} }
 
-// started returns a book with reported runs of n tasks that began at 0, and whose gang has formed after a second.
+// started returns a book with reported runs of n tasks that began at 1 s, and whose gang has formed a second later.
 func started(n int, gang bool) *loss.Book {
 	b := loss.NewBook()
 	for i := range n {
-		b.Order(key(i), gang, 0)
-		b.Report(key(i), "", 0)
+		b.Order(key(i), gang, time.Second)
+		b.Report(key(i), "", time.Second)
 	}
 	if gang {
-		b.Form(key(0), time.Second)
+		b.Order(key(n), gang, 2*time.Second)
+		b.Form(key(0), 3*time.Second)
 	}
 	return b
 }
@@ -30,10 +31,10 @@
 	DescribeTable("loses what it has worked since its checkpoint",
 		func(e loss.End, stop loss.Cause, cause loss.Cause, lost float64) {
 			b := started(1, false)
-			b.Report(key(0), "c1", 2*time.Second)
+			b.Report(key(0), "c1", 3*time.Second)
 			b.Stop(key(0), false, stop)
 			e.Cores = 4
-			r, _ := b.End(key(0), e, 5*time.Second)
+			r, _ := b.End(key(0), e, 6*time.Second)
 			work, wait := r.Lost()
 			Expect(r.Cause).To(Equal(cause))
 			Expect(work).To(Equal(lost))
@@ -53,13 +54,13 @@
 	It("takes the cause of the first member that tells it, for those before and after", func() {
 		b := started(3, true)
 		broken := loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}
-		r, resolved := b.End(key(1), broken, 3*time.Second)
+		r, resolved := b.End(key(1), broken, 4*time.Second)
 		Expect(r.Cause).To(Equal(loss.Unresolved))
 		Expect(resolved).To(BeEmpty())
-		r, resolved = b.End(key(0), loss.End{Reason: batch.EndFailed, Gang: true, Cores: 2}, 3*time.Second)
+		r, resolved = b.End(key(0), loss.End{Reason: batch.EndFailed, Gang: true, Cores: 2}, 4*time.Second)
 		Expect(r.Cause).To(Equal(loss.Failed))
 		Expect(resolved).To(ConsistOf(loss.Resolved{Gang: key(0), Cause: loss.MemberFailed, Sum: loss.Sum{Runs: 1, CoreSeconds: 4}}))
-		r, _ = b.End(key(2), broken, 3*time.Second)
+		r, _ = b.End(key(2), broken, 4*time.Second)
 		Expect(r.Cause).To(Equal(loss.MemberFailed))
 		Expect(b.Recent.Table(4 * time.Second)).To(Equal(loss.Table{
 			loss.Failed: {Runs: 1, CoreSeconds: 4}, loss.MemberFailed: {Runs: 2, CoreSeconds: 8}, loss.GangWait: {Runs: 3, CoreSeconds: 6},
@@ -70,10 +71,10 @@
 	// Guards against a gang whose lost member is never heard from again and leaves the cause open.
 	It("counts a broken gang without a cause as one that lost a member", func() {
 		b := started(2, true)
-		b.End(key(1), loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}, 3*time.Second)
+		b.End(key(1), loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}, 4*time.Second)
 		none := func(loss.Key) bool { return false }
-		Expect(b.Prune(12*time.Second, none)).To(BeEmpty())
-		Expect(b.Prune(13*time.Second, none)).To(HaveLen(1))
+		Expect(b.Prune(13*time.Second, none)).To(BeEmpty())
+		Expect(b.Prune(14*time.Second, none)).To(HaveLen(1))
 		Expect(b.Recent.Table(13 * time.Second)).To(HaveKeyWithValue(loss.MemberLost, loss.Sum{Runs: 1, CoreSeconds: 4}))
 	})
 
@@ -81,9 +82,9 @@
 	// new leader heard of it.
 	It("tells the cause of its gang even if it has never been reported as running", func() {
 		b := started(2, true)
-		b.End(key(1), loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}, 3*time.Second)
+		b.End(key(1), loss.End{Reason: batch.EndGangBroken, Gang: true, Cores: 2}, 4*time.Second)
 		unknown := key(2)
-		r, resolved := b.End(unknown, loss.End{Reason: batch.EndLeaseExpired, Gang: true, Cores: 2}, 3*time.Second)
+		r, resolved := b.End(unknown, loss.End{Reason: batch.EndLeaseExpired, Gang: true, Cores: 2}, 4*time.Second)
 		Expect(r).To(BeZero())
 		Expect(resolved).To(HaveLen(1))
 		Expect(resolved[0].Cause).To(Equal(loss.MemberLost))
