Compute the rank of a job once in a pass

Ranks of waiting steps held all inputs and were computed anew in comparisons, and quick passes computed the headroom each time.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -14,11 +14,11 @@
 
 const second = time.Second
 
-var _ = Describe("Compare", func() {
+var _ = Describe("Rank", func() {
 	DescribeTable("places first what loses most by waiting",
 		func(first, second admit.Job) {
-			Expect(admit.Compare(first, second)).To(BeNumerically("<", 0))
-			Expect(admit.Compare(second, first)).To(BeNumerically(">", 0))
+			Expect(first.Rank().Compare(second.Rank())).To(BeNumerically("<", 0))
+			Expect(second.Rank().Compare(first.Rank())).To(BeNumerically(">", 0))
 		},
 		Entry("the more urgent", admit.Job{Objective: 9 * second, Path: second}, admit.Job{Priority: 1, Objective: 3 * second, Path: second}),
 		Entry("the one with less slack, although its objective is later", admit.Job{Objective: 9 * second, Path: 6 * second}, admit.Job{Objective: 4 * second, Path: second}),
@@ -142,7 +142,7 @@
 			for _, w := range waiting {
 				w.Promoted = w.id == promoted
 			}
-			slices.SortStableFunc(waiting, func(a, b *work) int { return admit.Compare(a.Job, b.Job) })
+			slices.SortStableFunc(waiting, func(a, b *work) int { return a.Rank().Compare(b.Rank()) })
 			blocked := false
 			waiting = slices.DeleteFunc(waiting, func(w *work) bool {
 				d := admit.Decide(w.Job, load)
--- a/admit/job.go
+++ b/admit/job.go
@@ -11,9 +11,9 @@
 	// estimateAllowance multiplies the critical path where a job must not start too late, since callers' estimates
 	// are often too short.
 	estimateAllowance = 1.5
-	// A job is overdue once it has waited for overdueFactor times its objective, and for minOverdue.
+	// A job is overdue once it has waited for overdueFactor times its objective, and for MinOverdue.
 	overdueFactor = 10
-	minOverdue    = time.Minute
+	MinOverdue    = time.Minute
 )
 
 // Value is what a job's result is still worth if it runs from now on.
@@ -65,40 +65,47 @@
 
 // Overdue reports whether a job has waited so long that Promotion may choose it.
 func (j Job) Overdue() bool {
-	return j.Objective > 0 && j.Age > max(minOverdue, overdueFactor*j.Objective)
+	return j.Objective > 0 && j.Age > max(MinOverdue, overdueFactor*j.Objective)
 }
 
-// Compare orders jobs by what is lost if they wait: it is negative if a goes before b.
-func Compare(a, b Job) int { return cmp.Or(CompareValues(a, b), CompareUrgency(a, b)) }
-
-// CompareValues orders jobs by their priorities and by what their results are still worth.
-func CompareValues(a, b Job) int {
-	av, bv := a.Value(), b.Value()
-	return cmp.Or(
-		compareBools(a.Promoted, b.Promoted),
-		compareBools(av != None, bv != None),
-		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(av, bv),
-	)
+// Rank is the place of a job in the order in which jobs start.
+type Rank struct {
+	promoted bool
+	value    Value
+	priority int
+	// key is the latest start from now of a job that can meet its objective, and else the work left.
+	key time.Duration
 }
 
-// CompareUrgency orders jobs that CompareValues takes for equal: those that can meet their objectives by their latest
-// starts, others by the work that they need.
-func CompareUrgency(a, b Job) int {
-	if a.Value() == Full {
-		return cmp.Compare(a.latestStart(), b.latestStart())
+// Rank returns the job's rank. Work matters only for jobs whose value is not Full.
+func (j Job) Rank() Rank {
+	r := Rank{promoted: j.Promoted, value: j.Value(), priority: j.Priority, key: j.Work}
+	switch {
+	case j.Objective == 0:
+		r.key = -j.Age // the earlier accepted first
+	case r.value == Full:
+		r.key = j.Slack()
 	}
-	return cmp.Compare(a.Work, b.Work)
+	return r
 }
 
-// latestStart is the time from now to the job's latest start; a job without an objective counts from its acceptance.
-func (j Job) latestStart() time.Duration {
-	if j.Objective == 0 {
-		return -j.Age
-	}
-	return j.Slack()
+// Compare orders ranks by what is lost if their jobs wait: it is negative if r goes before o.
+func (r Rank) Compare(o Rank) int { return cmp.Or(r.CompareValue(o), r.CompareUrgency(o)) }
+
+// CompareValue orders ranks by the priorities of their jobs and by what their results are still worth.
+func (r Rank) CompareValue(o Rank) int {
+	return cmp.Or(
+		compareBools(r.promoted, o.promoted),
+		compareBools(r.value != None, o.value != None),
+		cmp.Compare(r.priority, o.priority),
+		cmp.Compare(r.value, o.value),
+	)
 }
 
+// CompareUrgency orders ranks that CompareValue takes for equal: those of jobs that can meet their objectives by latest
+// start, others by the work left.
+func (r Rank) CompareUrgency(o Rank) int { return cmp.Compare(r.key, o.key) }
+
 // compareBools orders true before false.
 func compareBools(a, b bool) int {
 	switch {
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -25,9 +25,11 @@
 	headroom map[admit.Queue]*headroom
 }
 
-// headroom is the room that work of one queue leaves to more urgent work; it is valid in the pass with its number.
+// headroom is the room that work of one queue leaves to more urgent work; full passes compute it anew, quick ones when it
+// is older than passInterval.
 type headroom struct {
 	pass uint64
+	at   time.Duration
 	load admit.Load
 	// racks are the kept racks by name.
 	racks map[string]bool
@@ -77,31 +79,27 @@
 	set.GetOrCreateGauge("turmericroute_sched_forecast_gpus_count", largest(func(l admit.Load) int { return l.Forecast.GPUs }))
 }
 
-// admitJob returns what decisions under overload need to know of a job.
+// admitJob returns what decisions under overload need to know of a job, but for its work.
 func (p *pass) admitJob(j *batch.Job) admit.Job {
 	out := admit.Job{Priority: p.priority(j), Age: time.Duration(p.nowMS-j.AcceptedMS) * time.Millisecond}
 	if due, ok := p.objective(j); ok {
 		out.Objective = time.Duration(due-j.AcceptedMS) * time.Millisecond
 		out.Path = time.Duration(criticalPathMS(j, 0, true)) * time.Millisecond
-		out.Work = openWork(j)
 	}
 	return out
 }
 
-// promoted returns the job that goes before more urgent ones as it is overdue, empty if there is none. Full passes choose
-// it, as quick ones do not look at all waiting steps.
-func (p *pass) promoted() string {
+// promote chooses the job that goes before more urgent ones as it is overdue.
+func (p *pass) promote() {
 	o := p.l.overload
-	if p.full {
-		o.promoted = o.promotion.Next(p.now, func(yield func(string, admit.Job) bool) {
-			for id, list := range p.waiting.byJob {
-				if !yield(id, p.admitJob(list[0].job)) {
-					return
-				}
+	o.promoted = o.promotion.Next(p.now, func(yield func(string, admit.Job) bool) {
+		for id, list := range p.waiting.byJob {
+			j := list[0].job
+			if age := time.Duration(p.nowMS-j.AcceptedMS) * time.Millisecond; age > admit.MinOverdue && !yield(id, p.admitJob(j)) {
+				return
 			}
-		})
-	}
-	return o.promoted
+		}
+	})
 }
 
 // openWork returns the estimated work of the tasks of a job's first round that are not done, in accelerators times time.
@@ -168,14 +166,18 @@
 		h = &headroom{}
 		p.l.overload.headroom[q] = h
 	}
-	if h.pass == p.number {
+	if h.pass == p.number || !p.full && h.pass != 0 && p.now < h.at+passInterval {
 		return h
 	}
-	h.pass = p.number
+	h.pass, h.at = p.number, p.now
 	h.load = admit.Load{Utilisation: p.room.utilisation(), Forecast: p.l.overload.arrivals.MoreUrgent(p.now, q.Service, q.Priority), Waiting: p.urgentWaiting(q)}
 	if h.load.Forecast.GPUs > 0 {
 		h.load.Held = p.urgentHeld(q)
 	}
+	if h.load.Headroom() == 0 {
+		h.racks = nil
+		return h
+	}
 	h.racks = admit.KeepRacks(p.racksOf(q.Service, h.racks), h.load.Headroom(), h.load.Forecast.Gang)
 	return h
 }
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -99,6 +99,9 @@
 	if !p.chooseScope() {
 		return
 	}
+	if p.full {
+		p.promote()
+	}
 	held := p.releaseReservations()
 	for _, w := range p.rankedSteps(held) {
 		r, isHeld := held[w.first]
@@ -205,12 +208,9 @@
 		rank rank
 	}
 	var list []ranked
-	promoted := p.promoted()
 	for _, w := range p.waiting.steps {
 		if chosen(w) {
-			r := p.rank(w.job)
-			r.job.Promoted = w.job.ID == promoted
-			list = append(list, ranked{w, r})
+			list = append(list, ranked{w, p.rank(w.job)})
 		}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -11,15 +11,18 @@
 type rank struct {
 	// guaranteed jobs come first: the jobs whose runs are preempted for them must not take the resources back.
 	guaranteed bool
-	job        admit.Job
+	job        admit.Rank
 	standing   standing
 }
 
 // rank returns the rank of a job at the time of the pass.
 func (p *pass) rank(j *batch.Job) rank {
-	r := rank{guaranteed: p.guaranteed(j), job: p.admitJob(j)}
-	r.standing = p.standing(j, r.job.Value())
-	return r
+	a := p.admitJob(j)
+	a.Promoted = j.ID == p.l.overload.promoted
+	if a.Value() != admit.Full {
+		a.Work = openWork(j)
+	}
+	return rank{guaranteed: p.guaranteed(j), job: a.Rank(), standing: p.standing(j, a.Value())}
 }
 
 // objective returns when a job misses its objective, in Unix milliseconds; it returns false for jobs without one.
@@ -34,9 +37,9 @@
 func compareRanks(a, b rank) int {
 	return cmp.Or(
 		cmp.Compare(boolToInt(!a.guaranteed), boolToInt(!b.guaranteed)),
-		admit.CompareValues(a.job, b.job),
+		a.job.CompareValue(b.job),
 		compareStandings(a.standing, b.standing),
-		admit.CompareUrgency(a.job, b.job),
+		a.job.CompareUrgency(b.job),
 	)
 }
 
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -26,7 +26,9 @@
 			return
 		}
 		p := &pass{s: s, l: l, state: b, room: l.room, waiting: l.waiting, now: now, nowMS: s.cfg.WallClock().UnixMilli()}
-		j := p.admitJob(batch.NewJob(*a, p.nowMS))
+		submitted := batch.NewJob(*a, p.nowMS)
+		j := p.admitJob(submitted)
+		j.Work = openWork(submitted)
 		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j)}
 		wait, refuse := admit.Refuse(j, room)
 		if !refuse {
@@ -65,7 +67,7 @@
 			continue
 		}
 		if o := p.admitJob(other); o.Objective > 0 && o.Value() != admit.None && o.Priority <= j.Priority {
-			sum += o.Work
+			sum += openWork(other)
 		}
 	}
 	return sum
