--- a/sched/rank.go
+++ b/sched/rank.go
@@ -11,16 +11,19 @@
 type rank struct {
 	// guaranteed jobs come first: the jobs whose runs are preempted for them must not take the resources back.
 	guaranteed bool
-	job        admit.Job
+	job        admit.Rank
 	// standing is lower for jobs that the weights of the teams put first, see pass.standing.
 	standing float64
 }
 
 // rank returns the rank of a job at the time of the pass.
 func (p *pass) rank(j *batch.Job) rank {
-	r := rank{guaranteed: p.guaranteed(j), job: p.admitJob(j)}
-	r.standing = p.standing(j, r.job.Value())
-	return r
+	a := p.admitJob(j)
+	a.Promoted = j.ID == p.l.overload.promoted
+	if a.Value() != admit.Full {
+		a.Work = openWork(j)
+	}
+	return rank{guaranteed: p.guaranteed(j), job: a.Rank(), standing: p.standing(j, a.Value())}
 }
 
 // objective returns when a job misses its objective, in Unix milliseconds; it returns false for jobs without one.
@@ -35,9 +38,9 @@
 func compareRanks(a, b rank) int {
 	return cmp.Or(
 		cmp.Compare(boolToInt(!a.guaranteed), boolToInt(!b.guaranteed)),
-		admit.CompareValues(a.job, b.job),
+		a.job.CompareValue(b.job),
 		cmp.Compare(a.standing, b.standing),
-		admit.CompareUrgency(a.job, b.job),
+		a.job.CompareUrgency(b.job),
 	)
 }
 
