--- a/fleet/fault.go
+++ b/fleet/fault.go
@@ -18,12 +18,12 @@
 	suspectFor = 6 * time.Second
 	// faultyStepWorkers is the number of workers on which a step must have failed to be at fault itself.
 	faultyStepWorkers = 3
-	// outbreakWindow is the time within which early failures on outbreakWorkers workers, of outbreakSteps steps, are an
-	// outbreak, if they are at least outbreakShare of the runs that began, a gang counting as one.
+	// outbreakWindow is the time within which early failures on outbreakWorkers workers, of outbreakSteps steps, may be the
+	// beginning of an outbreak. They are one if they are at least outbreakShare of the runs placed, a gang counting as one.
 	outbreakWindow  = 3 * time.Second
 	outbreakWorkers = 3
 	outbreakSteps   = 2
-	outbreakShare   = 0.08
+	outbreakShare   = 0.06
 	// minBackoff and maxBackoff bound the time before a worker is probed, which doubles with each failed probe.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
@@ -94,40 +94,38 @@
 	failing map[*Worker]bool
 	// recent holds the early failures within outbreakWindow.
 	recent []recentFailure
-	// begun counts the runs that have begun in each of the latest seconds, the present one included.
-	begun [outbreakWindow/time.Second + 1]begunRuns
-	// outbreakSince is when the first failure of the present outbreak started; valid if outbreak is set.
-	outbreakSince time.Duration
-	outbreak      bool
+	// placed counts the runs that were placed in each of the latest seconds, the present one included.
+	placed [outbreakWindow/time.Second + 1]placedRuns
+	// wary is set while an outbreak may have begun, at waryFrom; runs that started before prove nothing then.
+	wary     bool
+	waryFrom time.Duration
+	outbreak bool
 }
 
-// begunRuns is the number of runs that have begun in a second since the start of the clock.
-type begunRuns struct {
+// placedRuns is the number of runs that were placed in a second since the start of the clock.
+type placedRuns struct {
 	second time.Duration
 	runs   int
 }
 
-// noteBegun counts a run that has begun, or a gang with its first member.
-func (s *service) noteBegun(id RunID, gang bool, now time.Duration) {
-	if gang && id.Task.Index > 0 {
-		return
-	}
+// notePlaced counts a run.
+func (s *service) notePlaced(now time.Duration) {
 	second := now / time.Second
-	b := &s.begun[int(second)%len(s.begun)]
-	if b.second != second {
-		*b = begunRuns{second: second}
+	n := &s.placed[int(second)%len(s.placed)]
+	if n.second != second {
+		*n = placedRuns{second: second}
 	}
-	b.runs++
+	n.runs++
 }
 
-// begunLately returns the number of runs that have begun within outbreakWindow.
-func (s *service) begunLately(now time.Duration) (n int) {
-	for _, b := range s.begun {
-		if now/time.Second-b.second <= outbreakWindow/time.Second {
-			n += b.runs
+// placedLately returns the number of runs that were placed within outbreakWindow.
+func (s *service) placedLately(now time.Duration) (sum int) {
+	for _, n := range s.placed {
+		if now/time.Second-n.second <= outbreakWindow/time.Second {
+			sum += n.runs
 		}
 	}
-	return n
+	return sum
 }
 
 type recentFailure struct {
@@ -175,7 +173,7 @@
 	if !w.sound || startedAt > w.soundAt {
 		w.sound, w.soundAt = true, startedAt
 	}
-	if n := len(w.streak); n > 0 && startedAt < w.streak[n-1].startedAt || n == 0 && w.inherited > 0 && startedAt <= w.joinedAt {
+	if n := len(w.streak); n > 0 && startedAt < w.streak[n-1].startedAt || n == 0 && w.inherited > 0 && startedAt < w.joinedAt {
 		return nil
 	}
 	if len(w.streak)+w.inherited > 0 {
@@ -192,7 +190,9 @@
 // noteFailure records a failed run and judges its worker.
 func (m *Model) noteFailure(w *Worker, id RunID, startedAt time.Duration, probe bool, now time.Duration) []Event {
 	f := failure{step: id.stepOf(), startedAt: startedAt, at: now, lasted: now - startedAt}
-	m.stepFor(id, now).failedOn[w.id] = true
+	st := m.stepFor(id, now)
+	st.failures++
+	st.failedOn[w.id] = true
 	if !f.early() && !probe && w.outlived(f) {
 		return nil
 	}
@@ -319,11 +319,8 @@
 		workers[f.worker], steps[f.step] = true, true
 		first = min(first, f.startedAt)
 	}
-	before := s.outbreak
-	s.outbreak = len(workers) >= outbreakWorkers && len(steps) >= outbreakSteps && float64(len(s.recent)) >= outbreakShare*float64(s.begunLately(now))
-	if s.outbreak && !before {
-		s.outbreakSince = first
-	}
+	s.wary, s.waryFrom = len(workers) >= outbreakWorkers && len(steps) >= outbreakSteps, first
+	s.outbreak = s.wary && float64(len(s.recent)) >= outbreakShare*float64(s.placedLately(now))
 }
 
 // countUnexplained counts the worker's failures in a row that are not those of their jobs. Several failures of one step
@@ -342,11 +339,11 @@
 	return n
 }
 
-// faulty reports whether the failures of a step are its own: it has failed on several workers, most of which fail
-// nothing else, and no run of it is sound.
+// faulty reports whether the failures of a step are its own: at least half of its runs have failed, on several workers,
+// most of which fail nothing else, and none is sound.
 func (m *Model) faulty(first batch.TaskID) bool {
 	st := m.steps[first]
-	if st == nil || st.soundRuns > 0 || len(st.failedOn) < faultyStepWorkers {
+	if st == nil || st.soundRuns > 0 || len(st.failedOn) < faultyStepWorkers || 2*st.failures < st.placed {
 		return false
 	}
 	others := 0
@@ -366,13 +363,13 @@
 		return Probation
 	case w.unexplained > 0 && (len(w.streak) == 0 || now-w.lastFailure().at <= suspectFor):
 		return Suspect
-	case w.sound && len(w.streak) == 0 && (!s.outbreak || w.soundAt >= s.outbreakSince):
+	case w.sound && len(w.streak) == 0 && (!s.wary || w.soundAt >= s.waryFrom):
 		return Proven
 	}
 	return Unproven
 }
 
-// Outbreak reports whether so many workers of a service fail now that only runs started since prove a worker.
+// Outbreak reports whether many workers of a service fail now.
 func (m *Model) Outbreak(name string) bool {
 	s := m.services[name]
 	return s != nil && s.outbreak
--- a/sched/health.go
+++ b/sched/health.go
@@ -27,7 +27,7 @@
 // noteProgress tells the fleet what a worker reports of its runs.
 func (s *Scheduler) noteProgress(l *leaderState, b *batch.State, w *worker, now time.Duration) {
 	for _, r := range w.hb.Running {
-		p := fleet.Progress{RunID: fleet.RunID{Task: r.Task, Run: r.Run}, Percent: r.Percent}
+		p := fleet.Progress{RunID: fleet.RunID{Task: r.Task, Run: r.Run}, Percent: r.Percent, Fresh: r.Checkpoint == ""}
 		if j := b.Jobs[r.Task.Job]; j != nil && r.Task.Step < len(j.Spec.Steps) {
 			p.Gang, p.Estimate = j.Spec.Steps[r.Task.Step].Gang, time.Duration(j.Spec.Steps[r.Task.Step].EstimateMS)*time.Millisecond
 		}
@@ -77,6 +77,16 @@
 	}
 }
 
+// logSpeed logs a change of a worker's class of speed.
+func (p *pass) logSpeed(old, next *workerView) {
+	if old.standing.SpeedClass == next.standing.SpeedClass {
+		return
+	}
+	speed := next.health.Speed()
+	p.s.cfg.Logger.Log("event", "worker_speed", "worker", next.id, "class", next.standing.SpeedClass, "before", old.standing.SpeedClass,
+		"factor", speed.Factor, "runs", speed.Runs, "spread", speed.Spread, "pace", p.l.fleet.Pace())
+}
+
 // lastAttempt reports whether a task or gang fails its job with one more failure.
 func lastAttempt(j *batch.Job, id batch.TaskID) bool {
 	if j.MaxFailures < 2 {
--- a/sched/place.go
+++ b/sched/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"turmericroute/batch"
+	"turmericroute/fleet"
 )
 
 // runPlacement runs placement passes, periodically and when triggered, until the term ends.
@@ -357,5 +358,6 @@
 	start := batch.Start{Task: id, Run: run, Worker: wv.id, Incarnation: wv.hb.Incarnation}
 	p.starts = append(p.starts, start)
 	p.l.pending[id] = start
+	p.l.fleet.Placed(wv.hb.Service, fleet.RunID{Task: id, Run: run}, p.state.Jobs[id.Job].Spec.Steps[id.Step].Gang, p.now)
 	p.l.pendingOn[wv.id] = append(p.l.pendingOn[wv.id], id)
 }
--- a/sched/room.go
+++ b/sched/room.go
@@ -131,6 +131,7 @@
 		return
 	}
 	if old != nil {
+		p.logSpeed(old, next)
 		p.room.remove(old)
 	}
 	p.room.insert(next)
