--- a/sched/room.go
+++ b/sched/room.go
@@ -133,6 +133,7 @@
 		return
 	}
 	if old != nil {
+		p.logSpeed(old, next)
 		p.room.remove(old)
 	}
 	p.room.insert(next)
