--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -224,25 +224,3 @@
 		Expect(returns.Tell(0, 0, second, room)).To(Equal(second))
 	})
 })
-
-var _ = Describe("the pace of work", func() {
-	// Guards against refusals that rest on callers' estimates alone, which may be ten times too long.
-	DescribeTable("is the estimated work that ends in the time that accelerators were in use",
-		func(estimate time.Duration, ends int, pace float64) {
-			var p admit.Progress
-			now := time.Second
-			p.Observe(now, 8)
-			for range ends {
-				now += time.Second
-				p.Observe(now, 8)
-				for range 8 {
-					p.Done(estimate)
-				}
-			}
-			Expect(p.Pace()).To(BeNumerically("~", pace, 0.1*pace))
-		},
-		Entry("with estimates ten times too long", 10*time.Second, 60, 10.0),
-		Entry("with estimates ten times too short, which never make a refusal more likely", 100*time.Millisecond, 60, 1.0),
-		Entry("with too few ends to tell", 10*time.Second, 2, 1.0),
-	)
-})
--- a/admit/returns.go
+++ b/admit/returns.go
@@ -17,15 +17,13 @@
 type Room struct {
 	// GPUs is the number of accelerators of the usable workers.
 	GPUs int
-	// Ahead is the estimated work, in accelerators times time, of running and waiting steps that go before the job.
+	// Ahead is the work, in accelerators times time, of running and waiting steps that go before the job.
 	Ahead time.Duration
-	// Pace is the factor by which work ends faster than its estimates say, at least 1; 0 means 1.
-	Pace float64
 }
 
 // drain returns how long all accelerators take for some work at once.
 func (r Room) drain(work time.Duration) time.Duration {
-	return time.Duration(float64(work) / float64(r.GPUs) / max(1, r.Pace))
+	return time.Duration(float64(work) / float64(r.GPUs))
 }
 
 // Refuse reports whether a submission certainly cannot end while its result has value, and else may be accepted. If it
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -17,8 +17,6 @@
 
 // overload is what a leader remembers for decisions under overload.
 type overload struct {
-	// progress tells how fast work ends compared with its estimates.
-	progress  admit.Progress
 	arrivals  admit.Forecast
 	promotion admit.Promotion
 	promoted  string
@@ -242,16 +240,3 @@
 	}
 	return supplyNow
 }
-
-// noteDone adds the end of a task, or of a whole gang, to what is known of estimates.
-func (l *leaderState) noteDone(j *batch.Job, id batch.TaskID) {
-	if j.Task(id).Done {
-		return
-	}
-	st := &j.Spec.Steps[id.Step]
-	gpus := st.Need.GPUs
-	if st.Gang {
-		gpus *= st.Count // one end stands for all members
-	}
-	l.overload.progress.Done(time.Duration(gpus*st.EstimateMS) * time.Millisecond)
-}
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -70,7 +70,6 @@
 		p.waiting.touched[id] = true
 	}
 	p.refreshRoom()
-	p.l.overload.progress.Observe(p.now, p.room.totalGPUs-p.room.freeGPUs)
 	p.refreshUse()
 	p.refreshWeights(changes.All)
 	p.refreshWaiting()
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -29,7 +29,7 @@
 		submitted := batch.NewJob(*a, p.nowMS)
 		j := p.admitJob(submitted)
 		j.Work = openWork(submitted)
-		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j), Pace: l.overload.progress.Pace()}
+		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j)}
 		wait, refuse := admit.Refuse(j, room)
 		if !refuse {
 			return
@@ -38,7 +38,7 @@
 			WithRetryAfter(l.overload.returns.Tell(now, wait, j.Work, room))
 		s.metrics.retryAfterSeconds.Update(failure.RetryAfter.Seconds())
 		s.cfg.Logger.Log("event", "job_turned_away", "job", a.ID, "queue", a.Queue, "priority", a.Priority, "objective_ms", j.Objective.Milliseconds(), "path_ms", j.Path.Milliseconds(),
-			"work_gpu_ms", j.Work.Milliseconds(), "ahead_gpu_ms", room.Ahead.Milliseconds(), "gpus", room.GPUs, "pace", room.Pace, "told_ms", l.overload.returns.Told(now).Milliseconds(), "retry_after_ms", failure.RetryAfter.Milliseconds())
+			"work_gpu_ms", j.Work.Milliseconds(), "ahead_gpu_ms", room.Ahead.Milliseconds(), "gpus", room.GPUs, "told_ms", l.overload.returns.Told(now).Milliseconds(), "retry_after_ms", failure.RetryAfter.Milliseconds())
 	})
 	return failure
 }
