Rest refusals and forecasts on what has ended, not on estimates alone

Callers' estimates may be off by ten times either way. With tasks of 60 s that end after 0.5 s, the spec of the weights of teams had a submission refused. The leader now measures the estimated work that ends in a unit of time by service. A refusal compares the work ahead with it, takes the sooner of that and of all accelerators at work, and needs some tens of recent ends; the forecast shrinks where more estimated work ends than the accelerators in use can do. Quick passes compute the headroom anew again but for what urgent runs hold, since a stale one let a second job take racks that were just kept.

go test ./sched ./batch ./admit passes, with the spec of the weights.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -47,6 +47,14 @@
 		Expect(f.MoreUrgent(45*second, "svc", 1)).To(Equal(admit.Need{}))
 	})
 
+	// Guards against racks that stand empty for estimates that are ten times too long.
+	It("is reduced where more estimated work ends than the accelerators in use can do", func() {
+		need := admit.Need{GPUs: 300, Gang: 20}
+		Expect(need.Calibrated(100, 1000)).To(Equal(admit.Need{GPUs: 30, Gang: 20}))
+		Expect(need.Calibrated(100, 50)).To(Equal(need))
+		Expect(need.Calibrated(100, 0)).To(Equal(need))
+	})
+
 	It("counts more urgent queues of the same service only", func() {
 		var f admit.Forecast
 		arrive(&f, 0, 20*second, 1)
@@ -174,16 +182,31 @@
 })
 
 var _ = Describe("a wave of submissions that cannot be served", func() {
-	room := admit.Room{GPUs: 100, Ahead: 100 * 40 * second}
+	room := admit.Room{GPUs: 100, Rate: 60, Ahead: 100 * 40 * second}
 	job := admit.Job{Objective: 5 * second, Path: 2 * second, Work: 50 * second}
 
 	It("is refused only where it certainly ends too late", func() {
 		_, refuse := admit.Refuse(job, room)
 		Expect(refuse).To(BeTrue())
-		_, refuse = admit.Refuse(job, admit.Room{GPUs: 100, Ahead: 100 * 25 * second}) // at half the estimate in time
+		_, refuse = admit.Refuse(job, admit.Room{GPUs: 100, Rate: 60, Ahead: 100 * 25 * second}) // at half the estimate in time
 		Expect(refuse).To(BeFalse())
 		_, refuse = admit.Refuse(admit.Job{Path: 2 * second}, room)
 		Expect(refuse).To(BeFalse(), "a job without an objective")
+		_, refuse = admit.Refuse(job, admit.Room{GPUs: 100, Ahead: room.Ahead})
+		Expect(refuse).To(BeFalse(), "too few ends are known")
+	})
+
+	// Guards against refusals that rest on estimates alone, which may be ten times too long.
+	It("is accepted where ends show that the work ahead takes less than estimated", func() {
+		var ended admit.Throughput
+		for i := range 300 {
+			ended.Note(time.Duration(i)*100*time.Millisecond, 40*second) // 10 a second
+		}
+		rate := ended.Rate(30 * second)
+		Expect(rate).To(BeNumerically("~", 400, 40))
+		_, refuse := admit.Refuse(job, admit.Room{GPUs: 100, Rate: rate, Ahead: room.Ahead})
+		Expect(refuse).To(BeFalse())
+		Expect(ended.Rate(90 * second)).To(BeZero())
 	})
 
 	// Guards against callers who return together, find no room and are refused again.
@@ -205,7 +228,7 @@
 					ahead += job.Work
 				}
 			}
-			_, refuse := admit.Refuse(job, admit.Room{GPUs: room.GPUs, Ahead: ahead})
+			_, refuse := admit.Refuse(job, admit.Room{GPUs: room.GPUs, Rate: room.Rate, Ahead: ahead})
 			Expect(refuse).To(BeFalse(), fmt.Sprint(at))
 		}
 	})
--- a/admit/returns.go
+++ b/admit/returns.go
@@ -17,19 +17,25 @@
 type Room struct {
 	// GPUs is the number of accelerators of the usable workers.
 	GPUs int
+	// Rate is the estimated work that has ended lately in a unit of time, 0 if that is not known.
+	Rate float64
 	// Ahead is the work, in accelerators times time, of running and waiting steps that go before the job.
 	Ahead time.Duration
 }
 
-// drain returns how long all accelerators take for some work at once.
+// Drain returns how long the work ahead takes.
+func (r Room) Drain() time.Duration { return r.drain(r.Ahead) }
+
+// drain returns how long some work takes, either with all accelerators at once, or at the rate at which work ends if
+// that is higher, as it is where estimates are too long.
 func (r Room) drain(work time.Duration) time.Duration {
-	return time.Duration(float64(work) / float64(r.GPUs))
+	return time.Duration(float64(work) / max(float64(r.GPUs), r.Rate))
 }
 
-// Refuse reports whether a submission certainly cannot end while its result has value, and else may be accepted. If it
-// cannot, it returns the time until the work ahead leaves enough time for the job's objective.
+// Refuse reports whether a submission certainly cannot end while its result has value, and else may be accepted. Nothing
+// is refused while the rate at which work ends is not known. If it cannot end in time, it returns the time until the work ahead leaves enough time for the job's objective.
 func Refuse(j Job, r Room) (wait time.Duration, refuse bool) {
-	if j.Objective == 0 || r.GPUs == 0 {
+	if j.Objective == 0 || r.GPUs == 0 || r.Rate == 0 {
 		return 0, false
 	}
 	start := r.drain(time.Duration(backlogShare * float64(r.Ahead)))
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -21,21 +21,25 @@
 	promotion admit.Promotion
 	promoted  string
 	returns   admit.Returns
+	// throughput holds the work that ends by service.
+	throughput map[string]*admit.Throughput
 	// headroom holds the headroom by the work that leaves it free.
 	headroom map[admit.Queue]*headroom
 }
 
-// headroom is the room that work of one queue leaves to more urgent work; full passes compute it anew, quick ones when it
-// is older than passInterval.
+// headroom is the room that work of one queue leaves to more urgent work; it is valid in the pass with its number. What
+// urgent runs hold is counted anew in full passes, and in quick ones when it is older than passInterval.
 type headroom struct {
-	pass uint64
-	at   time.Duration
-	load admit.Load
+	pass   uint64
+	heldAt time.Duration
+	load   admit.Load
 	// racks are the kept racks by name.
 	racks map[string]bool
 }
 
-func newOverload() *overload { return &overload{headroom: map[admit.Queue]*headroom{}} }
+func newOverload() *overload {
+	return &overload{headroom: map[admit.Queue]*headroom{}, throughput: map[string]*admit.Throughput{}}
+}
 
 // dumpedHeadroom is the headroom that the work of one queue leaves to more urgent work.
 type dumpedHeadroom struct {
@@ -166,13 +170,17 @@
 		h = &headroom{}
 		p.l.overload.headroom[q] = h
 	}
-	if h.pass == p.number || !p.full && h.pass != 0 && p.now < h.at+passInterval {
+	if h.pass == p.number {
 		return h
 	}
-	h.pass, h.at = p.number, p.now
-	h.load = admit.Load{Utilisation: p.room.utilisation(), Forecast: p.l.overload.arrivals.MoreUrgent(p.now, q.Service, q.Priority), Waiting: p.urgentWaiting(q)}
-	if h.load.Forecast.GPUs > 0 {
-		h.load.Held = p.urgentHeld(q)
+	h.pass = p.number
+	h.load.Utilisation, h.load.Waiting = p.room.utilisation(), p.urgentWaiting(q)
+	h.load.Forecast = p.l.overload.arrivals.MoreUrgent(p.now, q.Service, q.Priority)
+	if t := p.l.overload.throughput[q.Service]; t != nil {
+		h.load.Forecast = h.load.Forecast.Calibrated(p.room.totalGPUs-p.room.freeGPUs, t.Rate(p.now))
+	}
+	if h.load.Forecast.GPUs > 0 && (p.full || p.now >= h.heldAt+passInterval) {
+		h.load.Held, h.heldAt = p.urgentHeld(q), p.now
 	}
 	if h.load.Headroom() == 0 {
 		h.racks = nil
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -114,6 +114,13 @@
 	It("is accepted, then told when to return, and accepted by a new leader", func() {
 		f := newRacks()
 		settle(f)
+		f.submit("normal", "done", batch.Step{Count: 40, Need: gpus(1), EstimateMS: 4000})
+		f.pass()
+		for task, w := range f.running("done") {
+			f.workers[w].end(task, batch.EndDone)
+		}
+		f.pass()
+		Expect(f.state("normal", "done")).To(Equal(sched.StateSucceeded))
 		accepted := 0
 		for submit(f, fmt.Sprintf("j%d", accepted)) == nil {
 			accepted++
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -30,15 +30,18 @@
 		j := p.admitJob(submitted)
 		j.Work = openWork(submitted)
 		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j)}
+		if t := l.overload.throughput[a.Service]; t != nil {
+			room.Rate = t.Rate(now)
+		}
 		wait, refuse := admit.Refuse(j, room)
 		if !refuse {
 			return
 		}
-		failure = model.NotRun(model.CodeOverloaded, "the job would end too late: %d s of work for all accelerators go before it", int((room.Ahead / time.Duration(room.GPUs)).Seconds())).
+		failure = model.NotRun(model.CodeOverloaded, "the job would end too late: the work that goes before it takes about %d s", int(room.Drain().Seconds())).
 			WithRetryAfter(l.overload.returns.Tell(now, wait, j.Work, room))
 		s.metrics.retryAfterSeconds.Update(failure.RetryAfter.Seconds())
 		s.cfg.Logger.Log("event", "job_turned_away", "job", a.ID, "queue", a.Queue, "priority", a.Priority, "objective_ms", j.Objective.Milliseconds(), "path_ms", j.Path.Milliseconds(),
-			"work_gpu_ms", j.Work.Milliseconds(), "ahead_gpu_ms", room.Ahead.Milliseconds(), "gpus", room.GPUs, "told_ms", l.overload.returns.Told(now).Milliseconds(), "retry_after_ms", failure.RetryAfter.Milliseconds())
+			"work_gpu_ms", j.Work.Milliseconds(), "ahead_gpu_ms", room.Ahead.Milliseconds(), "gpus", room.GPUs, "ended_gpus", room.Rate, "told_ms", l.overload.returns.Told(now).Milliseconds(), "retry_after_ms", failure.RetryAfter.Milliseconds())
 	})
 	return failure
 }
@@ -72,3 +75,18 @@
 	}
 	return sum
 }
+
+// noteEnd counts the estimated work of a task that has ended as done; one end stands for a whole gang.
+func (l *leaderState) noteEnd(j *batch.Job, id batch.TaskID, service string, now time.Duration) {
+	st := &j.Spec.Steps[id.Step]
+	tasks := 1
+	if st.Gang {
+		tasks = st.Count
+	}
+	t := l.overload.throughput[service]
+	if t == nil {
+		t = &admit.Throughput{}
+		l.overload.throughput[service] = t
+	}
+	t.Note(now, time.Duration(tasks*st.Need.GPUs*st.EstimateMS)*time.Millisecond)
+}
