Count the work of a gang that has ended once

Each member of a gang reports its own end, and each end counted the work of all members. The rate at which work ends was too high by the width of the gang, so the forecast kept too little room.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -176,7 +176,7 @@
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint, Health: l.changedHealth(b, w)})
 			delete(l.forming, gangRef(e.Task, e.Run))
 			if e.Reason == batch.EndDone {
-				l.noteEnd(b.Jobs[e.Task.Job], e.Task, w.hb.Service, now)
+				l.noteDone(b.Jobs[e.Task.Job], e.Task, w.hb.Service, now)
 			}
 		} else {
 			s.noteLateEnd(l, b, w, e, now)
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -76,17 +76,13 @@
 	return sum
 }
 
-// noteEnd counts the estimated work of a task that has ended as done; one end stands for a whole gang.
-func (l *leaderState) noteEnd(j *batch.Job, id batch.TaskID, service string, now time.Duration) {
-	st := &j.Spec.Steps[id.Step]
-	tasks := 1
-	if st.Gang {
-		tasks = st.Count
-	}
+// noteDone counts the estimated work of a task that has ended as done. Each member of a gang reports its own end.
+func (l *leaderState) noteDone(j *batch.Job, id batch.TaskID, service string, now time.Duration) {
 	t := l.overload.throughput[service]
 	if t == nil {
 		t = &admit.Throughput{}
 		l.overload.throughput[service] = t
 	}
-	t.Note(now, time.Duration(tasks*st.Need.GPUs*st.EstimateMS)*time.Millisecond)
+	st := &j.Spec.Steps[id.Step]
+	t.Note(now, time.Duration(st.Need.GPUs*st.EstimateMS)*time.Millisecond)
 }
