Let the dearer run of a preemption spec run longer for certain

It is the spec's own race with the clock: lost work is measured from the first report of a run, and a run of each job was reported at the same time if the pass for the second job was faster than a round of heartbeats. Both racks then cost the same (26 or 19.5 core-seconds each in 9 of 9 traces), and the first was chosen. The clock now advances between both reports; the checks are the same.

--- a/sched/run_test.go
+++ b/sched/run_test.go
@@ -233,6 +233,8 @@
 		f.addWorkers("r2", "dc1", "w3", "w4")
 		f.submit("normal", "dear", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 100_000, DataRack: "r1"})
 		f.awaitRunning("dear", 1)
+		f.heartbeatAll()
+		f.advance(500 * time.Millisecond) // what is lost is measured from the first report of a run
 		f.submit("normal", "cheap", batch.Step{Count: 3, Need: gpus(8), EstimateMS: 100_000})
 		f.awaitRunning("cheap", 3)
 		for _, w := range f.workers {
