Judge deferral by the use of the service, and log each reason once

A service in little use beside a busy one would have deferred work. Steps that were deferred for two reasons by turns logged each change. The reasons are now kept with the step. go test ./sched ./admit and the linter pass.

--- a/admit/job.go
+++ b/admit/job.go
@@ -11,11 +11,13 @@
 	// estimateAllowance multiplies the critical path where a job must not start too late, since callers' estimates
 	// are often too short.
 	estimateAllowance = 1.5
-	// A job is overdue once it has waited for overdueFactor times its objective, and for MinOverdue.
+	// overdueFactor is the multiple of its objective after which a job may be overdue.
 	overdueFactor = 10
-	MinOverdue    = time.Minute
 )
 
+// MinOverdue is the least age of an overdue job.
+const MinOverdue = time.Minute
+
 // Value is what a job's result is still worth if it runs from now on.
 type Value int
 
@@ -63,7 +65,8 @@
 	return j.Objective - j.Age - time.Duration(estimateAllowance*float64(j.Path))
 }
 
-// Overdue reports whether a job has waited so long that Promotion may choose it.
+// Overdue reports whether a job has waited so long that Promotion may choose it: for overdueFactor times its objective,
+// and for MinOverdue.
 func (j Job) Overdue() bool {
 	return j.Objective > 0 && j.Age > max(MinOverdue, overdueFactor*j.Objective)
 }
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -153,10 +153,10 @@
 
 // noteDeferred logs and counts a deferred step once for each reason.
 func (p *pass) noteDeferred(r *request, j admit.Job, h *headroom, d admit.Decision) {
-	if r.deferredFor == d.Reason {
+	if slices.Contains(r.deferredFor, d.Reason) {
 		return
 	}
-	r.deferredFor = d.Reason
+	r.deferredFor = append(r.deferredFor, d.Reason)
 	p.s.metrics.deferredSteps(r.job.Queue, d.Reason).Inc()
 	p.s.cfg.Logger.Log("event", "job_deferred", "job", r.job.ID, "step", r.first.Step, "queue", r.job.Queue, "priority", j.Priority, "why", d.Reason,
 		"until_ms", d.Until.Milliseconds(), "age_ms", j.Age.Milliseconds(), "objective_ms", j.Objective.Milliseconds(), "path_ms", j.Path.Milliseconds(),
@@ -174,10 +174,11 @@
 		return h
 	}
 	h.pass = p.number
-	h.load.Utilisation, h.load.Waiting = p.room.utilisation(), p.urgentWaiting(q)
+	total, free := p.gpusOfService(q.Service)
+	h.load.Utilisation, h.load.Waiting = 1-float64(free)/float64(max(1, total)), p.urgentWaiting(q)
 	h.load.Forecast = p.l.overload.arrivals.MoreUrgent(p.now, q.Service, q.Priority)
 	if t := p.l.overload.throughput[q.Service]; t != nil {
-		h.load.Forecast = h.load.Forecast.Calibrated(p.room.totalGPUs-p.room.freeGPUs, t.Rate(p.now))
+		h.load.Forecast = h.load.Forecast.Calibrated(total-free, t.Rate(p.now))
 	}
 	if h.load.Forecast.GPUs > 0 && (p.full || p.now >= h.heldAt+passInterval) {
 		h.load.Held, h.heldAt = p.urgentHeld(q), p.now
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -29,7 +29,8 @@
 		submitted := batch.NewJob(*a, p.nowMS)
 		j := p.admitJob(submitted)
 		j.Work = openWork(submitted)
-		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j)}
+		room := admit.Room{Ahead: p.workAhead(a.Service, j)}
+		room.GPUs, _ = p.gpusOfService(a.Service)
 		if t := l.overload.throughput[a.Service]; t != nil {
 			room.Rate = t.Rate(now)
 		}
@@ -51,15 +52,15 @@
 	return a.Priority == 0 && a.Team != "" && l.waiting.demand[a.Team]+gpusOf(&a.Spec) <= b.Catalog.Guarantee(a.Team)
 }
 
-// gpusOfService returns the number of accelerators of the usable workers of a service.
-func (p *pass) gpusOfService(service string) int {
-	n := 0
+// gpusOfService returns the number of accelerators of the usable workers of a service, and how many of them are free.
+func (p *pass) gpusOfService(service string) (total, free int) {
 	for _, wv := range p.room.list {
-		if wv.hb.Service == service {
-			n += wv.declared.Capacity.GPUs
+		if wv.declared.Service == service {
+			total += wv.declared.Capacity.GPUs
+			free += max(0, wv.free.GPUs)
 		}
 	}
-	return n
+	return total, free
 }
 
 // workAhead returns the work of the open jobs of a service that go before a job.
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -21,8 +21,8 @@
 	nextPreemptAt time.Duration
 	// quota is set while the step waits for the quota of its team.
 	quota quotaWait
-	// deferredFor is why the step was last deferred, empty if it never was.
-	deferredFor admit.Reason
+	// deferredFor lists why the step has been deferred so far.
+	deferredFor []admit.Reason
 }
 
 // block records that tasks of the step could not be placed.
