--- a/fleet/fault.go
+++ b/fleet/fault.go
@@ -48,6 +48,9 @@
 	Probation
 )
 
+// States lists all states.
+var States = []State{Unproven, Proven, Suspect, Probation}
+
 // String returns the name of the state in logs and metrics.
 func (s State) String() string { return [...]string{"unproven", "proven", "suspect", "probation"}[s] }
 
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -150,11 +150,14 @@
 func (m *Model) Standing(w *Worker, now time.Duration) Standing {
 	state := m.State(w, now)
 	return Standing{
-		Probation: state == Probation, Suspect: state == Suspect, Failing: state == Suspect && w.unexplained >= maxFailures,
+		Probation: state == Probation, Suspect: state == Suspect, Failing: state == Suspect && w.Failing(),
 		SpeedClass: w.speed.Class(),
 	}
 }
 
+// Failing reports whether the worker has failed several runs in a row that their jobs do not explain.
+func (w *Worker) Failing() bool { return w.unexplained >= maxFailures }
+
 // SuspectUntil returns until when a worker is suspect, 0 if it is not or if time does not end that.
 func (w *Worker) SuspectUntil() time.Duration {
 	if w.out || w.unexplained == 0 || len(w.streak) == 0 {
--- a/sched/health.go
+++ b/sched/health.go
@@ -42,6 +42,25 @@
 func (s *Scheduler) noteEnd(l *leaderState, b *batch.State, w *worker, e RunEnd, now time.Duration) {
 	gang := b.Jobs[e.Task.Job].Spec.Steps[e.Task.Step].Gang
 	s.logHealth(l, l.fleet.End(w.health, fleet.RunID{Task: e.Task, Run: e.Run}, e.Reason, gang, now))
+	if speed := w.health.Speed(); speed.Known() {
+		s.metrics.workerSpeeds.Update(speed.Factor)
+	}
+}
+
+// countWorkers returns the number of workers that have not ended and are in a state.
+func (s *Scheduler) countWorkers(state fleet.State) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader == nil {
+		return 0
+	}
+	now := s.cfg.BootClock()
+	for _, w := range s.leader.workers {
+		if !w.gone && s.leader.fleet.State(w.health, now) == state {
+			n++
+		}
+	}
+	return n
 }
 
 // changedHealth returns the health of a worker for the ledger, nil if that has it.
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -21,6 +21,10 @@
 	refreshedWorkers, triedSteps *metrics.Counter
 	passSeconds                  *metrics.Summary
 	startSeconds                 *metrics.Histogram
+	// failingStarts counts the runs placed on workers after two failures in a row, probes included.
+	failingStarts *metrics.Counter
+	// workerSpeeds holds the speeds of the workers at the ends of runs.
+	workerSpeeds *metrics.Histogram
 }
 
 func newSchedulerMetrics(set *metrics.Set, s *Scheduler) schedulerMetrics {
@@ -42,14 +46,21 @@
 		s.leader.ledger.View(func(b *batch.State) { n = len(b.Open) })
 		return float64(n)
 	})
+	for _, state := range fleet.States {
+		set.GetOrCreateGauge(fmt.Sprintf("turmericroute_sched_workers_state_count{state=%q}", state), func() float64 {
+			return float64(s.countWorkers(state))
+		})
+	}
 	return schedulerMetrics{
 		set: set, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		ignoredHeartbeats: set.GetOrCreateCounter("turmericroute_sched_ignored_heartbeats_total"),
 		acceptedJobs:      set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
 		panics:           set.GetOrCreateCounter("turmericroute_sched_panics_total"),
 		refreshedWorkers: set.GetOrCreateCounter("turmericroute_sched_refreshed_workers_total"), triedSteps: set.GetOrCreateCounter("turmericroute_sched_tried_steps_total"),
-		passSeconds:  set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
-		startSeconds: set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
+		passSeconds:   set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
+		failingStarts: set.GetOrCreateCounter("turmericroute_sched_failing_worker_starts_total"),
+		workerSpeeds:  set.GetOrCreateHistogram("turmericroute_sched_worker_speed_ratio"),
+		startSeconds:  set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
 	}
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -92,8 +92,8 @@
 	count int
 	// ticket holds the ticket of each worker; nil if no ticket is needed.
 	ticket map[string]issuedTicket
-	// proven reports whether a worker is proven now; with provenOnly no others may run the tasks.
-	proven     func(*workerView) bool
+	pass   *pass
+	// provenOnly means that only proven workers may run the tasks.
 	provenOnly bool
 	// urgent requests prefer fast workers, those with slack leave them to others.
 	urgent bool
@@ -103,9 +103,8 @@
 
 // newRequest returns the request for a step; it returns false if the step needs tickets and has no valid ones.
 func (p *pass) newRequest(w *waitingStep) (request, bool) {
-	r := request{waitingStep: w, step: &w.job.Spec.Steps[w.first.Step], service: p.service(w.job)}
+	r := request{waitingStep: w, step: &w.job.Spec.Steps[w.first.Step], service: p.service(w.job), pass: p}
 	r.need, r.count = r.step.Reservation(), r.step.Count
-	r.proven = p.proven
 	r.urgent, r.outbreak = p.urgent(w.job), p.l.fleet.Outbreak(r.service)
 	if needsTicket(p.state, w.job) {
 		t := p.l.tickets[stepName(w.first)]
@@ -120,7 +119,7 @@
 // allowed reports whether a worker may run tasks of the step, apart from its free resources: it is not on probation, and
 // proven if it must be.
 func (r *request) allowed(wv *workerView) bool {
-	return !wv.standing.Probation && r.mayUse(wv) && (!r.provenOnly || r.proven(wv))
+	return !wv.standing.Probation && r.mayUse(wv) && (!r.provenOnly || r.pass.proven(wv))
 }
 
 // mayUse reports whether a worker's service, label and ticket match the step's, and it has no serving tasks if the step is
@@ -323,7 +322,7 @@
 		return 3
 	case wv.standing.Suspect:
 		return 2
-	case r.outbreak && !r.proven(wv):
+	case r.outbreak && !r.pass.proven(wv):
 		return 1
 	}
 	return 0
@@ -357,6 +356,9 @@
 	p.allocate(wv, id)
 	start := batch.Start{Task: id, Run: run, Worker: wv.id, Incarnation: wv.hb.Incarnation}
 	p.starts = append(p.starts, start)
+	if wv.health.Failing() {
+		p.s.metrics.failingStarts.Inc()
+	}
 	p.l.pending[id] = start
 	p.l.fleet.Placed(wv.hb.Service, fleet.RunID{Task: id, Run: run}, p.state.Jobs[id.Job].Spec.Steps[id.Step].Gang, p.now)
 	p.l.pendingOn[wv.id] = append(p.l.pendingOn[wv.id], id)
