--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -29,6 +29,10 @@
 	// gaugedTeams and gaugedWaits hold what the gauges by team have been set for; they are guarded by Scheduler.mu.
 	gaugedTeams map[string]bool
 	gaugedWaits map[waitingKey]bool
+	// failingStarts counts the runs placed on workers after two failures in a row, probes included.
+	failingStarts *metrics.Counter
+	// workerSpeeds holds the speeds of the workers at the ends of runs.
+	workerSpeeds *metrics.Histogram
 }
 
 func newSchedulerMetrics(set *metrics.Set, s *Scheduler) schedulerMetrics {
@@ -51,6 +55,11 @@
 		return float64(n)
 	})
 	s.registerHeadroom(set)
+	for _, state := range fleet.States {
+		set.GetOrCreateGauge(fmt.Sprintf("turmericroute_sched_workers_state_count{state=%q}", state), func() float64 {
+			return float64(s.countWorkers(state))
+		})
+	}
 	return schedulerMetrics{
 		set: set, gaugedTeams: map[string]bool{}, gaugedWaits: map[waitingKey]bool{}, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		ignoredHeartbeats: set.GetOrCreateCounter("turmericroute_sched_ignored_heartbeats_total"),
@@ -58,6 +67,8 @@
 		panics:           set.GetOrCreateCounter("turmericroute_sched_panics_total"),
 		refreshedWorkers: set.GetOrCreateCounter("turmericroute_sched_refreshed_workers_total"), triedSteps: set.GetOrCreateCounter("turmericroute_sched_tried_steps_total"),
 		passSeconds:       set.GetOrCreateSummary("turmericroute_sched_pass_seconds"),
+		failingStarts:     set.GetOrCreateCounter("turmericroute_sched_failing_worker_starts_total"),
+		workerSpeeds:      set.GetOrCreateHistogram("turmericroute_sched_worker_speed_ratio"),
 		startSeconds:      set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
 		retryAfterSeconds: set.GetOrCreateHistogram("turmericroute_sched_retry_after_seconds"),
 	}
