--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -275,6 +275,39 @@
 		Expect(f.s.Use("team").GPUs).To(BeNumerically("<=", max(6, started)))
 	})
 
+	// Guards against members that wait for others whose start is withdrawn, until they end by themselves.
+	It("withdraws a gang whole when it is lowered while the gang forms", func() {
+		f := newIdleFixture(func(cfg *sched.Config) { cfg.Limits.GangTimeout = 3 * time.Second })
+		f.declareTeams(2, limited(12), otherTeam)
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "gang", gangOf(12, 1))
+		f.place()
+		f.heartbeatsSoon("w1")
+		Expect(f.running("gang")).NotTo(BeEmpty())
+		f.declareTeams(3, limited(11), otherTeam)
+		f.heartbeatsSoon("w2")
+		f.heartbeatsSoon("w1")
+		Expect(f.running("gang")).To(BeEmpty())
+	})
+
+	// Guards against a repeated start order that starts a run above the limit, if the first one was lost.
+	It("holds back repeated start orders when it is lowered", func() {
+		f := newQuotaFixture(4, "w1")
+		f.submit("normal", "j", singles(4, 1))
+		f.place()
+		f.heartbeatsSoon("w1")
+		w := f.workers["w1"]
+		Expect(w.hb.Running).To(HaveLen(4))
+		w.hb.Running = w.hb.Running[:2] // two orders were lost
+		f.declareTeams(3, limited(1), otherTeam)
+		f.heartbeatsSoon("w1")
+		Expect(w.last.Starts).To(BeEmpty())
+		Expect(w.last.Stops).To(BeEmpty())
+		f.declareTeams(4, limited(4), otherTeam)
+		f.heartbeatsSoon("w1")
+		Expect(w.last.Starts).To(HaveLen(2))
+	})
+
 	// Guards against a new leader that orders what an earlier one has placed under a higher limit.
 	It("holds back the runs of an earlier leader when it was lowered before", func() {
 		f := newQuotaFixture(12, "w1", "w2")
