Leave out jobs that wait for a quota where room is kept or foretold

A job that waits for the quota of its team takes no room. It could still be promoted as overdue, and then kept others from being promoted for as long as it waited. It also counted as work ahead of other teams, whose submissions were turned away for it, and as urgent work for which others left room. The tests of the first two fail without the change; the third has none of its own.

--- a/sched/overload.go
+++ b/sched/overload.go
@@ -99,6 +99,9 @@
 	o.promoted = o.promotion.Next(p.now, func(yield func(string, admit.Job) bool) {
 		for id, list := range p.waiting.byJob {
 			j := list[0].job
+			if p.waiting.heldByQuota(id) {
+				continue // the promotion would be in vain, and kept from others
+			}
 			if age := time.Duration(p.nowMS-j.AcceptedMS) * time.Millisecond; age > admit.MinOverdue && !yield(id, p.admitJob(j)) {
 				return
 			}
@@ -195,7 +198,7 @@
 func (p *pass) urgentWaiting(q admit.Queue) int {
 	n := 0
 	for _, w := range p.waiting.steps {
-		if p.priority(w.job) >= q.Priority || p.service(w.job) != q.Service {
+		if w.quota.active || p.priority(w.job) >= q.Priority || p.service(w.job) != q.Service {
 			continue
 		}
 		if j := p.admitJob(w.job); j.Objective > 0 && j.Value() != admit.None {
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -381,6 +381,12 @@
 	}
 }
 
+// heldByQuota reports whether a job waits for nothing but the quota of its team.
+func (ws *waitingSteps) heldByQuota(job string) bool {
+	list := ws.byJob[job]
+	return len(list) > 0 && !slices.ContainsFunc(list, func(w *waitingStep) bool { return !w.quota.active })
+}
+
 // wakeQuotaWaiters lets the pass try the steps of teams whose use has fallen.
 func (p *pass) wakeQuotaWaiters() {
 	eased := p.l.use.eased
--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -1,7 +1,6 @@
 package sched_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -12,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"turmericroute/batch"
+	"turmericroute/model"
 	"turmericroute/sched"
 )
 
@@ -60,10 +60,8 @@
 // heartbeatsSoon sends heartbeats without waiting for passes.
 func (f *fixture) heartbeatsSoon(names ...string) {
 	GinkgoHelper()
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
 	for _, n := range names {
-		f.heartbeatIn(ctx, n)
+		f.heartbeatSoon(n)
 	}
 }
 
@@ -79,14 +77,6 @@
 	}
 }
 
-// succeedLeader makes a new scheduler, without in-memory state, lead in the next term.
-func (f *fixture) succeedLeader() {
-	f.s.End()
-	f.s = sched.New(f.cfg)
-	f.term++
-	f.s.Begin(context.Background(), f.term, f.r)
-}
-
 func singles(n, each int) batch.Step {
 	return batch.Step{Count: n, Need: gpus(each), EstimateMS: 60_000}
 }
@@ -179,7 +169,7 @@
 		f.submit("normal", "wave", singles(12, 1))
 		Expect(f.place()).To(Equal(map[string]int{"wave": 8}))
 		f.heartbeatsSoon("w1")
-		f.succeedLeader()
+		f.replaceLeader()
 		f.heartbeatsSoon("w2")
 		Expect(f.place()).To(BeEmpty())
 		f.heartbeatsSoon("w1")
@@ -315,7 +305,7 @@
 		f.place()
 		f.heartbeatsSoon("w1")
 		started := len(f.running("j"))
-		f.succeedLeader()
+		f.replaceLeader()
 		f.declareTeams(3, limited(4), otherTeam)
 		f.place()
 		f.heartbeatsSoon("w1", "w2")
@@ -426,4 +416,41 @@
 		Expect(f.running("other")).To(HaveLen(8))
 		Expect(f.running("filler")).To(HaveLen(8))
 	})
+
+	// Guards against a job that no configuration in force lets run, and that keeps overdue jobs from being promoted.
+	It("is not promoted when it is overdue", func() {
+		f := newQuotaFixture(4, "w1")
+		f.submit("normal", "never", gangOf(6, 1))
+		f.place()
+		f.advance(time.Hour)
+		f.place()
+		dump, err := json.Marshal(f.s.Dump())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(dump)).NotTo(ContainSubstring(`"promoted"`))
+	})
+
+	// Guards against submissions that are turned away for work that takes no room from them.
+	It("is not counted as work ahead of other teams", func() {
+		f := newRacks()
+		f.declareTeams(2, limited(2), otherTeam)
+		for range 14 {
+			f.advance(500 * time.Millisecond)
+			f.pass()
+		}
+		f.submitAs("other-key", "normal", "done", batch.Step{Count: 40, Need: gpus(1), EstimateMS: 4000})
+		f.pass()
+		for task, w := range f.running("done") {
+			f.workers[w].end(task, batch.EndDone)
+		}
+		f.pass()
+		wide := batch.Spec{Text: "t", Steps: []batch.Step{{Count: 32, Need: gpus(2), EstimateMS: 4000}}}
+		var err error
+		for i := 0; err == nil; i++ {
+			Expect(i).To(BeNumerically("<", 100))
+			err = f.call(sched.Call{Submit: &sched.Submit{JobRef: jobRef("normal", fmt.Sprintf("j%d", i)), Spec: wide}}).err
+			Expect(f.s.Pass(sched.InTime)).Error().NotTo(HaveOccurred())
+		}
+		Expect(model.AsError(err).Code).To(Equal(model.CodeOverloaded))
+		f.submitAs("other-key", "normal", "other", wide.Steps...)
+	})
 })
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -29,7 +29,7 @@
 		submitted := batch.NewJob(*a, p.nowMS)
 		j := p.admitJob(submitted)
 		j.Work = openWork(submitted)
-		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a.Service, j)}
+		room := admit.Room{GPUs: p.gpusOfService(a.Service), Ahead: p.workAhead(a, j)}
 		if t := l.overload.throughput[a.Service]; t != nil {
 			room.Rate = t.Rate(now)
 		}
@@ -62,11 +62,12 @@
 	return n
 }
 
-// workAhead returns the work of the open jobs of a service that go before a job.
-func (p *pass) workAhead(service string, j admit.Job) time.Duration {
+// workAhead returns the work of the open jobs of the same service that go before a submitted job. Jobs of other teams that
+// wait for their quota take no room from it.
+func (p *pass) workAhead(a *batch.Accept, j admit.Job) time.Duration {
 	sum := time.Duration(0)
 	for _, other := range p.state.Open {
-		if p.service(other) != service {
+		if p.service(other) != a.Service || other.Team != a.Team && p.waiting.heldByQuota(other.ID) {
 			continue
 		}
 		if o := p.admitJob(other); o.Objective > 0 && o.Value() != admit.None && o.Priority <= j.Priority {
--- a/sched/weights_test.go
+++ b/sched/weights_test.go
@@ -87,7 +87,7 @@
 			f.submitAs("other-key", "normal", "later", singles(2, 4))
 			f.onePass() // there are no workers yet
 			if newLeader {
-				f.succeedLeader()
+				f.replaceLeader()
 			}
 			f.addWorkers("r1", "dc1", "w1")
 			Expect(f.onePass()).To(Equal(map[string]int{"later": 2}))
