Bound how long a step gives way, whatever the slack of its job

The last of 42 tasks of a job was lost with its worker, and gave way for 22 s: by its estimate of 53 s, ten times too long, the job had over a minute of slack.

A step now gives way for 20 s at most, and for 3 s once a task of its job is done.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -69,12 +69,23 @@
 	load := admit.Load{Utilisation: 0.9, Forecast: admit.Need{GPUs: 100, Gang: 20}, Held: 60}
 
 	It("defers work with slack for forecast work, until its latest start", func() {
-		Expect(admit.Decide(job, load)).To(Equal(admit.Decision{Defer: true, Reason: admit.ForForecasts, Until: 11 * second}))
+		Expect(admit.Decide(job, 0, load)).To(Equal(admit.Decision{Defer: true, Reason: admit.ForForecasts, Until: 11 * second}))
+	})
+
+	// Guards against jobs with much slack by their estimates of which a last task, and so all that depends on it, gives way
+	// for most of a minute.
+	It("defers for a limited time, whatever the slack, and briefly once the job has begun", func() {
+		patient := admit.Job{Priority: 2, Objective: 160 * second, Path: 53 * second}
+		Expect(admit.Decide(patient, 19*second, load)).To(Equal(admit.Decision{Defer: true, Reason: admit.ForForecasts, Until: second}))
+		Expect(admit.Decide(patient, 20*second, load)).To(Equal(admit.Decision{Reason: admit.WaitedLong}))
+		patient.Begun = true
+		Expect(admit.Decide(patient, 2*second, load)).To(Equal(admit.Decision{Defer: true, Reason: admit.ForForecasts, Until: second}))
+		Expect(admit.Decide(patient, 3*second, load)).To(Equal(admit.Decision{Reason: admit.WaitedLong}))
 	})
 
 	DescribeTable("starts work",
 		func(j admit.Job, l admit.Load, why admit.Reason) {
-			Expect(admit.Decide(j, l)).To(Equal(admit.Decision{Reason: why}))
+			Expect(admit.Decide(j, 0, l)).To(Equal(admit.Decision{Reason: why}))
 		},
 		Entry("at its latest start", admit.Job{Priority: 2, Age: 11 * second, Objective: 20 * second, Path: 6 * second}, load, admit.LatestStart),
 		Entry("without an objective", admit.Job{Priority: 2, Path: 6 * second}, load, admit.NoObjective),
@@ -153,7 +164,7 @@
 			slices.SortStableFunc(waiting, func(a, b *work) int { return a.Rank().Compare(b.Rank()) })
 			blocked := false
 			waiting = slices.DeleteFunc(waiting, func(w *work) bool {
-				d := admit.Decide(w.Job, load)
+				d := admit.Decide(w.Job, w.Age, load)
 				if d.Defer {
 					Expect(w.Slack()).To(BeNumerically(">", 0), "deferred beyond its latest start")
 				}
--- a/admit/defer.go
+++ b/admit/defer.go
@@ -10,6 +10,13 @@
 // much room is idle.
 const minUtilisation = 0.6
 
+// maxDeferral and maxBegunDeferral bound how long a step gives way, whatever slack its job seems to have: estimates may be
+// ten times too long, and the work that a job has done waits with the rest of it.
+const (
+	maxDeferral      = 20 * time.Second
+	maxBegunDeferral = 3 * time.Second
+)
+
 // Reason is why a step may start or is deferred.
 type Reason string
 
@@ -17,6 +24,7 @@
 const (
 	NoObjective  Reason = "no_objective"
 	LatestStart  Reason = "latest_start"
+	WaitedLong   Reason = "waited_long"
 	LowUse       Reason = "low_use"
 	NoHeadroom   Reason = "no_headroom"
 	ForWaiting   Reason = "for_waiting"
@@ -44,22 +52,28 @@
 	Until time.Duration
 }
 
-// Decide decides whether a waiting step of a job leaves the headroom to more urgent work.
-func Decide(j Job, l Load) Decision {
+// Decide decides whether a step of a job that has waited for room leaves the headroom to more urgent work.
+func Decide(j Job, waited time.Duration, l Load) Decision {
 	slack := j.Slack()
+	left := maxDeferral - waited
+	if j.Begun {
+		left = maxBegunDeferral - waited
+	}
 	switch {
 	case j.Objective == 0:
 		return Decision{Reason: NoObjective}
 	case slack <= 0:
 		return Decision{Reason: LatestStart}
+	case left <= 0:
+		return Decision{Reason: WaitedLong}
 	case l.Utilisation < minUtilisation:
 		return Decision{Reason: LowUse}
 	case l.Headroom() == 0:
 		return Decision{Reason: NoHeadroom}
 	case l.Waiting >= l.Forecast.GPUs-l.Held:
-		return Decision{Defer: true, Reason: ForWaiting, Until: slack}
+		return Decision{Defer: true, Reason: ForWaiting, Until: min(slack, left)}
 	default:
-		return Decision{Defer: true, Reason: ForForecasts, Until: slack}
+		return Decision{Defer: true, Reason: ForForecasts, Until: min(slack, left)}
 	}
 }
 
--- a/admit/job.go
+++ b/admit/job.go
@@ -38,6 +38,8 @@
 	Objective time.Duration
 	// Path is the estimated time that the rest of its critical path takes.
 	Path time.Duration
+	// Begun is set once a task of the job is done.
+	Begun bool
 	// Work is the work left, in accelerators times time.
 	Work time.Duration
 	// Promoted is set for the job that Promotion has chosen.
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -145,7 +145,8 @@
 		return
 	}
 	h := p.headroomFor(admit.Queue{Service: r.service, Priority: j.Priority})
-	d := admit.Decide(j, h.load)
+	j.Begun = begun(r.job)
+	d := admit.Decide(j, r.waited(p.now), h.load)
 	if !d.Defer {
 		return
 	}
@@ -154,6 +155,11 @@
 	p.noteDeferred(r, j, h, d)
 }
 
+// begun reports whether a task of a job is done.
+func begun(j *batch.Job) bool {
+	return slices.ContainsFunc(j.Rounds[0], func(st batch.StepState) bool { return st.Done > 0 })
+}
+
 // noteDeferred logs and counts a deferred step once for each reason.
 func (p *pass) noteDeferred(r *request, j admit.Job, h *headroom, d admit.Decision) {
 	if slices.Contains(r.deferredFor, d.Reason) {
