Leave the protocol loop to its messages

Each answer to a heartbeat of a worker asks the loop whether the lease is held. While it was not, all callers asked again every 10 ms, and a turn of the loop went on for as long as any caller was waiting; the replies of the others, which would have won the lease back, were not read meanwhile. Callers of a suspended session now wait to be told, and a turn runs 256 calls at most.

That this was the cause in the soak at size is suspected: the soak was not played again, as others worked on the machine.

--- a/ctrl/config.go
+++ b/ctrl/config.go
@@ -77,6 +77,8 @@
 
 	// maxQueuedProposals bounds the proposals waiting for the protocol loop; further ones are refused.
 	maxQueuedProposals = 4096
+	// maxCallsPerTurn bounds the calls that one turn of the protocol loop runs.
+	maxCallsPerTurn = 256
 	// sendQueueSize and receiveQueueSize bound the queued protocol messages, sendQueueSize per member; further
 	// ones are dropped, which the protocol tolerates.
 	sendQueueSize    = 256
--- a/ctrl/export_test.go
+++ b/ctrl/export_test.go
@@ -109,3 +109,20 @@
 	_, err := n.addLearner(ctx, m)
 	return errorOrNil(err)
 }
+
+// Leadership exposes the sessions of a leader without a protocol loop, in term 1.
+type Leadership struct{ l *leadership }
+
+// NewLeadership returns a Leadership without a session.
+func NewLeadership() Leadership {
+	return Leadership{&leadership{run: func(context.Context, uint64) {}}}
+}
+
+// Update tells it whether the lease is held.
+func (l Leadership) Update(held bool) { l.l.update(1, 1, true, held) }
+
+// End ends the session.
+func (l Leadership) End() { l.l.update(1, 1, false, false) }
+
+// Suspended returns a channel that is closed at the end of the suspension, nil if there is none.
+func (l Leadership) Suspended() <-chan struct{} { return l.l.suspended(1) }
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -35,7 +35,9 @@
 	watchdog    *time.Timer
 	deadline    time.Duration // boot clock time until which the session is not suspended unless lapsed is set
 	lapsed      bool          // the lease was not held at the last update
-	runDone     chan struct{} // closed when the latest run has returned
+	// resumed is closed when the session is no longer suspended or has ended; nil unless a caller waits for that.
+	resumed chan struct{}
+	runDone chan struct{} // closed when the latest run has returned
 }
 
 // leaderSession is a period in which this instance leads one term.
@@ -70,6 +72,10 @@
 		l.watchdog.Reset(leaderWatchdogTimeout + maxSuspension)
 		l.deadline = clock.SinceBoot() + leaderWatchdogTimeout
 	}
+	if l.resumed != nil && (held || l.cancel == nil) {
+		close(l.resumed)
+		l.resumed = nil
+	}
 }
 
 // begin starts a session; run is called once that of the previous session has
@@ -108,6 +114,20 @@
 	return l.session()
 }
 
+// suspended returns a channel that is closed at the end of the suspension of a term's session, nil if it is not suspended
+// or has ended.
+func (l *leadership) suspended(term uint64) <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if term != l.term || l.cancel == nil || l.ctx.Err() != nil || !l.lapsed && clock.SinceBoot() <= l.deadline {
+		return nil
+	}
+	if l.resumed == nil {
+		l.resumed = make(chan struct{})
+	}
+	return l.resumed
+}
+
 // in returns the session of a term, suspended or not, false if it has ended.
 func (l *leadership) in(term uint64) (leaderSession, bool) {
 	l.mu.Lock()
@@ -161,9 +181,20 @@
 }
 
 // confirmLease reports whether this instance holds the leader lease in the term of
-// the session. While the session is suspended it waits, at most until ctx ends.
+// the session. While the session is suspended it waits, at most until ctx ends, and
+// leaves the protocol loop alone, which many callers would keep from winning the
+// lease back.
 func (n *Node) confirmLease(ctx context.Context, session leaderSession) bool {
 	for {
+		if resumed := n.leadership.suspended(session.term); resumed != nil {
+			select {
+			case <-resumed:
+			case <-session.ctx.Done():
+				return false
+			case <-ctx.Done():
+				return false
+			}
+		}
 		_, term, held := n.member.Load().readIndex(ctx)
 		if held {
 			return term == session.term
--- a/ctrl/member.go
+++ b/ctrl/member.go
@@ -225,9 +225,10 @@
 	}
 }
 
-// drainCalls runs the calls whose callers are waiting.
+// drainCalls runs calls whose callers are waiting. Further callers may come as fast as the loop serves them, while it
+// reads no message, so that the leader would lose its lease: the rest waits for the next turn.
 func (m *member) drainCalls() {
-	for {
+	for range maxCallsPerTurn {
 		select {
 		case f := <-m.calls:
 			m.deliverTicks()
