Stop runs of a team for its quota only if it does not come free in time

A job of priority 0 that waited for its team's quota had other runs of the team stopped, even if enough of them were about to end, and more of them than it needed where a larger one came last.

--- a/sched/quota.go
+++ b/sched/quota.go
@@ -17,6 +17,9 @@
 	// quotaReclaimShare is the fraction of the reclaim time after which a guaranteed job that waits for its team's quota
 	// preempts other runs of the team. It leaves time to preempt runs of other teams after that.
 	quotaReclaimShare = 0.15
+	// quotaWaitShare is the fraction of the reclaim time within which runs of the team must be expected to end for a
+	// guaranteed job to wait for them.
+	quotaWaitShare = 0.5
 )
 
 // quotaUse is what each team may have running: the runs that are active in the ledger, the pending starts, and what
@@ -424,11 +427,19 @@
 	if !ok {
 		return
 	}
-	due := p.guaranteed(w.job) && p.now-w.quota.since >= time.Duration(quotaReclaimShare*float64(p.s.cfg.Limits.Reclaim))
+	waited, reclaim := p.now-w.quota.since, float64(p.s.cfg.Limits.Reclaim)
+	due := p.guaranteed(w.job) && waited >= time.Duration(quotaReclaimShare*reclaim)
 	if !due && (p.beyondRate(w.job) || !p.canBeOnTime(w)) {
 		return
 	}
 	p.preemptSearches++
+	wait := p.slack(w)
+	if p.guaranteed(w.job) {
+		wait = max(wait, time.Duration(quotaWaitShare*reclaim)-waited)
+	}
+	if p.quotaFreeWithin(w, wait) {
+		return
+	}
 	w.nextPreemptAt = p.now + preemptRetryInterval
 	chosen, enough := p.teamVictims(&r)
 	if !enough || !due && totalCost(chosen) > maxPreemptCostShare*workOf(w.job) {
@@ -442,11 +453,40 @@
 	}
 }
 
+// slack returns how long a job can wait and still meet its objective, 0 if it has none or cannot.
+func (p *pass) slack(w *waitingStep) time.Duration {
+	due, ok := p.objective(w.job)
+	if !ok {
+		return 0
+	}
+	return max(0, time.Duration(due-p.nowMS-criticalPathMS(w.job, w.first.Round, true))*time.Millisecond)
+}
+
 // canBeOnTime reports whether a job that starts once other runs have been stopped for it meets its objective.
 func (p *pass) canBeOnTime(w *waitingStep) bool {
-	due, ok := p.objective(w.job)
-	slack := time.Duration(due-p.nowMS-criticalPathMS(w.job, w.first.Round, true)) * time.Millisecond
-	return ok && slack >= p.s.cfg.Limits.StopGrace+2*p.l.longestInterval()
+	return p.slack(w) >= p.s.cfg.Limits.StopGrace+2*p.l.longestInterval()
+}
+
+// quotaFreeWithin reports whether runs of a step's team are expected to end in time by themselves for the step to start.
+func (p *pass) quotaFreeWithin(w *waitingStep, d time.Duration) bool {
+	used := p.quotaUsed(w.job)
+	for id, list := range p.l.use.counted {
+		wk := p.l.workers[id]
+		for _, c := range list {
+			j := p.jobOf(c.ref)
+			if c.team != w.job.Team || wk == nil || j == nil || j.Spec.Steps[c.ref.Task.Step].LongRunning {
+				continue
+			}
+			r, reported := wk.running[c.ref.Task]
+			if !reported || r.Run != c.ref.Run {
+				r = RunState{Task: c.ref.Task, Run: c.ref.Run}
+			}
+			if p.s.remaining(p.l, wk, j, r, p.now) <= d {
+				used = used.Minus(c.need)
+			}
+		}
+	}
+	return p.budget(w.job).limit.Allows(used, quotaNeed(w))
 }
 
 // teamVictims returns runs of the request's own team whose end lets the step start under the quota, those first that lose
@@ -468,7 +508,20 @@
 		chosen = append(chosen, v)
 		used = used.Minus(p.freedBy(v))
 	}
-	return chosen, limit.Allows(used, need)
+	if !limit.Allows(used, need) {
+		return nil, false
+	}
+	// Victims that came first may not be needed beside larger ones; the costliest are dropped first.
+	slices.SortStableFunc(chosen, func(a, b *victim) int { return cmp.Compare(b.cost, a.cost) })
+	chosen = slices.DeleteFunc(chosen, func(v *victim) bool {
+		without := used.Plus(p.freedBy(v))
+		if !limit.Allows(without, need) {
+			return false
+		}
+		used = without
+		return true
+	})
+	return chosen, true
 }
 
 // preemptibleOf returns the runs of the request's own team that may be preempted for it, in the order of the work that they
