--- a/sched/place.go
+++ b/sched/place.go
@@ -224,6 +224,9 @@
 
 // splitLastAttempts returns the tasks with and those without a further attempt.
 func (p *pass) splitLastAttempts(j *batch.Job, tasks []batch.TaskID) (others, last []batch.TaskID) {
+	if !slices.ContainsFunc(tasks, func(id batch.TaskID) bool { return lastAttempt(j, id) }) {
+		return tasks, nil // spares most steps a copy
+	}
 	for _, id := range tasks {
 		if lastAttempt(j, id) {
 			last = append(last, id)
