--- a/sched/call.go
+++ b/sched/call.go
@@ -28,18 +28,6 @@
 	return c.Declare != nil || c.Catalog || c.Outage != nil || c.Wave != nil || c.WaveStatus != nil || c.ConfirmLeader
 }
 
-// fromCaller returns the job or queue that a caller names, nil if the call is of a worker or an operator.
-func (c Call) fromCaller() *JobRef {
-	switch {
-	case c.Submit != nil:
-		return &c.Submit.JobRef
-	case c.Show != nil:
-		return c.Show
-	default:
-		return c.Cancel
-	}
-}
-
 // readOnly reports whether the call changes nothing.
 func (c Call) readOnly() bool {
 	return c.Show != nil || c.Catalog || c.WaveStatus != nil || c.Ping || c.ConfirmLeader
--- a/sched/client.go
+++ b/sched/client.go
@@ -7,7 +7,6 @@
 	"time"
 	"unicode/utf8"
 
-	"turmericroute/admit"
 	"turmericroute/model"
 )
 
@@ -49,9 +48,6 @@
 	if call.readOnly() && e.Outcome == model.OutcomeUnknown {
 		e = model.NotRun(e.Code, "%s", e.Message) // a read has no effect that could be in doubt
 	}
-	if ref := call.fromCaller(); ref != nil && e.Code == model.CodeNoLeader && e.Outcome == model.OutcomeNotRun {
-		e = e.WithRetryAfter(admit.ReturnWithoutLeader(ref.Path))
-	}
 	return Answer{}, e
 }
 
