--- a/fleet/fault.go
+++ b/fleet/fault.go
@@ -372,6 +372,12 @@
 	return Unproven
 }
 
+// Wary reports whether runs that started before the latest failures prove no worker of a service now.
+func (m *Model) Wary(name string) bool {
+	s := m.services[name]
+	return s != nil && s.wary
+}
+
 // Outbreak reports whether many workers of a service fail now.
 func (m *Model) Outbreak(name string) bool {
 	s := m.services[name]
--- a/sched/health.go
+++ b/sched/health.go
@@ -135,10 +135,11 @@
 	return p.nowMS+left > due && p.nowMS+left/2 <= due
 }
 
-// holdsOnProven reports whether the proven workers could hold a request if they were empty.
+// holdsOnProven reports whether the proven workers could hold a request if they were empty. Soon after several workers
+// have failed none is proven, and those that may soon be count.
 func (p *pass) holdsOnProven(r *request) bool {
 	q := *r
-	q.provenOnly = true
+	q.provenOnly, q.orUnproven = true, p.l.fleet.Wary(r.service)
 	return p.fit(&q, func(wv *workerView) batch.Resources { return wv.hb.Capacity }, true) != nil
 }
 
--- a/sched/place.go
+++ b/sched/place.go
@@ -95,6 +95,8 @@
 	pass   *pass
 	// provenOnly means that only proven workers may run the tasks.
 	provenOnly bool
+	// orUnproven extends provenOnly to workers that may soon be proven.
+	orUnproven bool
 	// urgent requests prefer fast workers, those with slack leave them to others.
 	urgent bool
 	// outbreak means that many workers of the service fail now, so that proven ones are preferred.
@@ -119,7 +121,7 @@
 // allowed reports whether a worker may run tasks of the step, apart from its free resources: it is not on probation, and
 // proven if it must be.
 func (r *request) allowed(wv *workerView) bool {
-	return !wv.standing.Probation && r.mayUse(wv) && (!r.provenOnly || r.pass.proven(wv))
+	return !wv.standing.Probation && r.mayUse(wv) && (!r.provenOnly || r.pass.proven(wv) || r.orUnproven && !wv.standing.Suspect)
 }
 
 // mayUse reports whether a worker's service, label and ticket match the step's, and it has no serving tasks if the step is
