--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -186,6 +186,19 @@
 	Expect(f.call(sched.Call{Submit: &sched.Submit{JobRef: jobRef(queue, id), Spec: batch.Spec{Text: "text of " + id, Steps: steps}}}).err).To(Succeed())
 }
 
+// offer submits a job and reports whether it was accepted. It may only be refused for overload, with a time to return.
+func (f *fixture) offer(queue, id string, spec batch.Spec) bool {
+	err := f.call(sched.Call{Submit: &sched.Submit{JobRef: jobRef(queue, id), Spec: spec}}).err
+	if err == nil {
+		return true
+	}
+	e := model.AsError(err)
+	Expect(e.Code).To(Equal(model.CodeOverloaded))
+	Expect(e.Outcome).To(Equal(model.OutcomeNotRun))
+	Expect(e.RetryAfter).To(BeNumerically(">", 0))
+	return false
+}
+
 func (f *fixture) state(queue, id string) sched.JobState {
 	r := jobRef(queue, id)
 	return f.call(sched.Call{Show: &r}).State
