Keep a limit of one when the quota of a team is halved

While a step waits for its team's quota, lower-ranked steps may use half of the limit. Half of one accelerator was rounded to 0, which means no limit, so a team with a maximum of one accelerator could start any number. Found by reading; the spec of package quota can't be built on the code before. It rounds up now.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -60,6 +60,11 @@
 // Limited reports whether any resource is limited.
 func (l Limit) Limited() bool { return l != Limit{} }
 
+// Half returns half of the limit, rounded up: a limit of one must not become 0, which means none.
+func (l Limit) Half() Limit {
+	return Limit{CPUMilli: (l.CPUMilli + 1) / 2, MemoryMB: (l.MemoryMB + 1) / 2, GPUs: (l.GPUs + 1) / 2}
+}
+
 // Exceeded reports whether the use of any resource is above the limit.
 func (l Limit) Exceeded(used Amounts) bool { return !l.Allows(used, Amounts{}) }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -36,6 +36,11 @@
 		Entry("after another resource's limit was lowered", limit, quota.Amounts{GPUs: 9}, quota.Amounts{MemoryMB: 1}, 0),
 	)
 
+	// Guards against a team with a single accelerator whose lower-ranked work has no limit.
+	It("is still a limit when it is halved", func() {
+		Expect(quota.Limit{GPUs: 1, CPUMilli: 10000}.Half()).To(Equal(quota.Limit{GPUs: 1, CPUMilli: 5000}))
+	})
+
 	// Guards against a reason that does not say which limit to raise.
 	It("names the resource that is short", func() {
 		_, short := limit.Shortage(quota.Amounts{GPUs: 4}, quota.Amounts{GPUs: 4})
--- a/sched/quota.go
+++ b/sched/quota.go
@@ -117,9 +117,7 @@
 	if !g.closed || p.guaranteed(j) {
 		return g.limit
 	}
-	half := g.limit
-	half.CPUMilli, half.MemoryMB, half.GPUs = half.CPUMilli/2, half.MemoryMB/2, half.GPUs/2
-	return half
+	return g.limit.Half()
 }
 
 // quotaNeed returns what must be free in the quota before any task of a step starts: the need of all tasks of a gang, or
