Refuse no job whose earlier submission may still be committed

A submission whose commit had not come in time is answered as unknown, and its caller sends it again. The second one could be refused for overload, as not run and never to run, while the first was committed afterwards and ran. The bound on open jobs had the same fault.

The leader remembers for its term which submissions may still be committed, 20,000 at most, and refuses none of them for overload; beyond that number it refuses none at all.

--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -28,6 +28,8 @@
 	// slow is set while ends are not committed in time; late holds them until they are.
 	slow bool
 	late []state.ChangeBatch
+	// slowAccepts is set while acceptances of jobs are not committed in time.
+	slowAccepts bool
 }
 
 func (r *replica) Execute(_ context.Context, c state.Command) (state.Result, error) {
@@ -35,7 +37,7 @@
 	defer r.mu.Unlock()
 	b := c.(state.ChangeBatch)
 	b.Change.AtMS = r.wall().UnixMilli()
-	if r.slow && b.Change.Ends != nil {
+	if r.slow && b.Change.Ends != nil || r.slowAccepts && b.Change.Accept != nil {
 		r.late = append(r.late, b)
 		return state.Result{}, model.Unknown(model.CodeDeadline, "command was proposed but not applied in time")
 	}
@@ -50,6 +52,13 @@
 	r.slow = true
 }
 
+// delayAccepts makes commits of acceptances late, or ends that.
+func (r *replica) delayAccepts(late bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slowAccepts = late
+}
+
 // commitLate commits ends from now on in time, and those that were late.
 func (r *replica) commitLate() {
 	r.mu.Lock()
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -37,7 +37,9 @@
 	var failure *model.Error
 	var existing *batch.Job
 	var q batch.Queue
+	open := 0
 	l.ledger.View(func(b *batch.State) {
+		open = len(b.Open)
 		var id string
 		q, a.Team, id, failure = resolve(b, c.JobRef)
 		if failure != nil {
@@ -54,8 +56,6 @@
 			failure = model.NotRun(model.CodeInvalid, "job ID is missing")
 		case c.InvalidReason != "":
 			failure = model.NotRun(model.CodeInvalid, "%s", c.InvalidReason)
-		case len(b.Open) >= maxOpenJobs:
-			failure = model.NotRun(model.CodeOverloaded, "too many open jobs: %d", len(b.Open))
 		}
 	})
 	if failure == nil && existing == nil {
@@ -64,7 +64,7 @@
 		}
 	}
 	if failure == nil && existing == nil {
-		failure = s.refusal(l, &a)
+		failure = s.refusal(l, &a, open)
 	}
 	if failure != nil {
 		s.cfg.Logger.Log("event", "job_refused", "path", c.Path, "code", failure.Code, "reason", failure.Message, "retry_after_ms", failure.RetryAfter.Milliseconds())
@@ -72,7 +72,9 @@
 		return Answer{}, failure
 	}
 	if existing == nil {
+		s.noteSubmission(l, a.ID)
 		res, err := l.commit(ctx, batch.Change{Accept: &a})
+		s.noteOutcome(l, a.ID, err)
 		s.cfg.Logger.Log("event", "job_accepted", "job", a.ID, "queue", a.Queue, "team", a.Team, "priority", a.Priority, "steps", len(a.Spec.Steps), "known", res.Duplicate, "term", l.term, "err", err)
 		if err != nil {
 			return Answer{}, err
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -21,6 +21,8 @@
 	promotion admit.Promotion
 	promoted  string
 	returns   admit.Returns
+	// inDoubt counts the submissions of each job that may still be committed.
+	inDoubt map[string]int
 	// throughput holds the work that ends by service.
 	throughput map[string]*admit.Throughput
 	// headroom holds the headroom by the work that leaves it free.
@@ -38,7 +40,7 @@
 }
 
 func newOverload() *overload {
-	return &overload{headroom: map[admit.Queue]*headroom{}, throughput: map[string]*admit.Throughput{}}
+	return &overload{headroom: map[admit.Queue]*headroom{}, throughput: map[string]*admit.Throughput{}, inDoubt: map[string]int{}}
 }
 
 // dumpedHeadroom is the headroom that the work of one queue leaves to more urgent work.
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -121,6 +121,9 @@
 		}
 		f.pass()
 		Expect(f.state("normal", "done")).To(Equal(sched.StateSucceeded))
+		f.r.delayAccepts(true)
+		Expect(submit(f, "doubt").Outcome).To(Equal(model.OutcomeUnknown))
+		f.r.delayAccepts(false)
 		accepted := 0
 		for submit(f, fmt.Sprintf("j%d", accepted)) == nil {
 			accepted++
@@ -139,6 +142,7 @@
 		Expect(seconds).To(HaveLen(6))
 		r := jobRef("normal", "more0")
 		Expect(f.call(sched.Call{Show: &r}).err).To(HaveOccurred(), "a refused job is unknown")
+		Expect(submit(f, "doubt")).To(BeNil(), "its first submission may still be committed")
 
 		f.replaceLeader()
 		f.pass()
--- a/sched/refuse.go
+++ b/sched/refuse.go
@@ -9,15 +9,19 @@
 )
 
 // refusal returns the error for a submission that certainly cannot end while its result has value, nil if there is none.
-// A new leader refuses nothing before it has heard of all workers that have leases.
-func (s *Scheduler) refusal(l *leaderState, a *batch.Accept) *model.Error {
-	if !a.Spec.HasObjective() {
-		return nil
-	}
+// A new leader refuses nothing before it has heard of all workers that have leases. A job is not refused while an earlier
+// submission of it may still be committed: the refusal says that it never runs.
+func (s *Scheduler) refusal(l *leaderState, a *batch.Accept, open int) *model.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if l.overload.inDoubt[a.ID] > 0 || len(l.overload.inDoubt) >= maxInDoubt {
+		return nil
+	}
+	if open >= maxOpenJobs {
+		return model.NotRun(model.CodeOverloaded, "too many open jobs: %d", open)
+	}
 	now := s.cfg.BootClock()
-	if now-l.since <= s.leaseExpiry() {
+	if !a.Spec.HasObjective() || now-l.since <= s.leaseExpiry() {
 		return nil
 	}
 	var failure *model.Error
@@ -47,6 +51,28 @@
 	return failure
 }
 
+// maxInDoubt bounds the submissions that may still be committed; beyond it no job is refused for overload.
+const maxInDoubt = 20000
+
+// noteSubmission records that the acceptance of a job is about to be committed.
+func (s *Scheduler) noteSubmission(l *leaderState, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.overload.inDoubt[id]++
+}
+
+// noteOutcome records how the commit of a job's acceptance has ended. One whose outcome is unknown stays in doubt.
+func (s *Scheduler) noteOutcome(l *leaderState, id string, err error) {
+	if err != nil && model.AsError(err).Outcome != model.OutcomeNotRun {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.overload.inDoubt[id]--; l.overload.inDoubt[id] <= 0 {
+		delete(l.overload.inDoubt, id)
+	}
+}
+
 // withinGuarantee reports whether a submitted job would be within its team's guarantee.
 func (l *leaderState) withinGuarantee(b *batch.State, a *batch.Accept) bool {
 	return a.Priority == 0 && a.Team != "" && l.waiting.demand[a.Team]+gpusOf(&a.Spec) <= b.Catalog.Guarantee(a.Team)
