Log when a run is given up, recorded and reported again

run_given_up gets ordered, run_ended gets commit_ms and always its worker, given_up_run_reported is new, with a counter, and a histogram holds how long ends take to commit. A run is logged as given up once, no more at each heartbeat while its end can't be committed. No decision changes.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -1,6 +1,11 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"turmericroute/batch"
+	"turmericroute/loss"
+)
 
 // givenUpReason is why a run counts as ended that its worker has not reported as ended. It follows from what the worker
 // says or from the end of its lease: that another member of the gang has ended does not show that this one has, which may
@@ -17,13 +22,47 @@
 	givenUpNeverStarted givenUpReason = "never_started"
 )
 
+// givenUpRun is a run that the leader has given up, until its end is in the ledger.
+type givenUpRun struct {
+	worker string
+	// at is the boot time of the decision.
+	at time.Duration
+	// reported is set once the worker has reported the run as running since.
+	reported bool
+}
+
 // noteGivenUp counts and logs a run that is given up, with what the leader knows of its worker.
 func (s *Scheduler) noteGivenUp(l *leaderState, worker string, ref RunRef, why givenUpReason, now time.Duration) {
+	if l.givenUp[ref] != nil {
+		return // its end is proposed again
+	}
+	l.givenUp[ref] = &givenUpRun{worker: worker, at: now}
 	s.metrics.givenUpRuns(why).Inc()
 	silent, reported := now-l.since, false
 	if w := l.workers[worker]; w != nil {
 		_, reported = w.firstReports[ref]
 		silent = now - w.heardAt
 	}
-	s.cfg.Logger.Log("event", "run_given_up", "task", ref.Task, "run", ref.Run, "worker", worker, "why", why, "silent_ms", silent.Milliseconds(), "reported", reported, "term", l.term)
+	ordered := l.losses.Known(loss.Key(ref))
+	s.cfg.Logger.Log("event", "run_given_up", "task", ref.Task, "run", ref.Run, "worker", worker, "why", why, "silent_ms", silent.Milliseconds(), "ordered", ordered, "reported", reported, "term", l.term)
+}
+
+// noteGivenUpReport counts and logs the first report of a run as running that has been given up.
+func (s *Scheduler) noteGivenUpReport(l *leaderState, w *worker, ref RunRef, now time.Duration) {
+	g := l.givenUp[ref]
+	if g == nil || g.reported {
+		return
+	}
+	g.reported = true
+	s.metrics.givenUpReports.Inc()
+	s.cfg.Logger.Log("event", "given_up_run_reported", "task", ref.Task, "run", ref.Run, "worker", w.hb.Worker, "seq", w.hb.Seq, "given_up_ms", (now - g.at).Milliseconds(), "term", l.term)
+}
+
+// forgetGivenUp drops the given-up runs whose ends are in the ledger.
+func (l *leaderState) forgetGivenUp(b *batch.State) {
+	for ref, g := range l.givenUp {
+		if run, active := b.Runs[g.worker][ref.Task]; !active || run != ref.Run {
+			delete(l.givenUp, ref)
+		}
+	}
 }
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -18,9 +18,8 @@
 	committed := true
 	if len(ends) > 0 {
 		wait, cancel := context.WithTimeout(l.ctx, commitWait)
-		_, err := l.commit(wait, batch.Change{Ends: ends})
+		err := s.commitEnds(wait, l, hb.Worker, ends)
 		cancel()
-		s.reportEnds(l, hb.Worker, ends, err)
 		committed = err == nil
 		if committed {
 			s.awaitPass(ctx, l)
@@ -112,6 +111,7 @@
 	changed := len(w.running) != len(w.hb.Running)
 	for _, r := range w.hb.Running {
 		s.noteWork(l, r, now)
+		s.noteGivenUpReport(l, w, RunRef{Task: r.Task, Run: r.Run}, now)
 		before, ok := w.running[r.Task]
 		known := ok && before.Run == r.Run
 		l.noteGangReport(w, r, !known, now)
@@ -237,8 +237,20 @@
 	return t.Active || e.Reason == batch.EndDone && !t.Done && !j.State.Final()
 }
 
-// reportEnds counts and logs ended runs and triggers a placement pass; err is the error of their commit.
-func (s *Scheduler) reportEnds(l *leaderState, worker string, ends []batch.End, err error) {
+// commitEnds commits ends of runs, which are of one worker unless that is empty.
+func (s *Scheduler) commitEnds(ctx context.Context, l *leaderState, worker string, ends []batch.End) error {
+	start := s.cfg.BootClock()
+	_, err := l.commit(ctx, batch.Change{Ends: ends})
+	took := s.cfg.BootClock() - start
+	s.metrics.endCommitSeconds.Update(took.Seconds())
+	s.reportEnds(l, worker, ends, took, err)
+	return err
+}
+
+// reportEnds counts and logs ended runs and triggers a placement pass; err is the error of their commit, which took as long
+// as given.
+func (s *Scheduler) reportEnds(l *leaderState, worker string, ends []batch.End, took time.Duration, err error) {
+	workers := s.workersOf(l, worker, ends)
 	losses := make([]loss.Run, len(ends))
 	if err == nil {
 		losses = s.lossesOf(l, ends)
@@ -246,11 +258,25 @@
 	for i, e := range ends {
 		s.metrics.endedRuns(e.Reason).Inc()
 		lost, waited := losses[i].Lost()
-		s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", worker, "cause", losses[i].Cause, "held_ms", losses[i].Held.Milliseconds(), "lost", lost, "waited", waited, "term", l.term, "err", err)
+		s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", workers[i], "commit_ms", took.Milliseconds(), "cause", losses[i].Cause, "held_ms", losses[i].Held.Milliseconds(), "lost", lost, "waited", waited, "term", l.term, "err", err)
 	}
 	l.triggerPass()
 }
 
+// workersOf returns the worker of each of several runs: the given one, or those on which runs were given up if it is empty.
+func (s *Scheduler) workersOf(l *leaderState, worker string, ends []batch.End) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]string, len(ends))
+	for i, e := range ends {
+		out[i] = worker
+		if g := l.givenUp[RunRef{Task: e.Task, Run: e.Run}]; worker == "" && g != nil {
+			out[i] = g.worker
+		}
+	}
+	return out
+}
+
 // leave records a notice of leaving. The notice names no incarnation, so it may be a late one of a former life: it ends
 // no run and no lease, and only keeps further runs off the worker until its next heartbeat.
 func (s *Scheduler) leave(l *leaderState, id string) Answer {
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -26,6 +26,10 @@
 	startSeconds                 *metrics.Histogram
 	// retryAfterSeconds holds the times after which refused callers were told to return.
 	retryAfterSeconds *metrics.Histogram
+	// endCommitSeconds holds how long the ledger took to record ends of runs; givenUpReports counts the runs that their
+	// workers reported as running after they had been given up.
+	endCommitSeconds *metrics.Histogram
+	givenUpReports   *metrics.Counter
 	// gaugedTeams and gaugedWaits hold what the gauges by team have been set for; they are guarded by Scheduler.mu.
 	gaugedTeams map[string]bool
 	gaugedWaits map[waitingKey]bool
@@ -70,6 +74,8 @@
 		failingStarts:     set.GetOrCreateCounter("turmericroute_sched_failing_worker_starts_total"),
 		workerSpeeds:      set.GetOrCreateHistogram("turmericroute_sched_worker_speed_ratio"),
 		startSeconds:      set.GetOrCreateHistogram("turmericroute_sched_start_seconds"),
+		endCommitSeconds:  set.GetOrCreateHistogram("turmericroute_sched_end_commit_seconds"),
+		givenUpReports:    set.GetOrCreateCounter("turmericroute_sched_given_up_runs_reported_total"),
 		retryAfterSeconds: set.GetOrCreateHistogram("turmericroute_sched_retry_after_seconds"),
 	}
 }
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -20,8 +20,7 @@
 func (s *Scheduler) sweep(l *leaderState) {
 	for clock.Sleep(l.ctx, sweepInterval) {
 		if ends := s.expiredEnds(l); len(ends) > 0 {
-			_, err := l.commit(l.ctx, batch.Change{Ends: ends})
-			s.reportEnds(l, "", ends, err)
+			_ = s.commitEnds(l.ctx, l, "", ends)
 		}
 		s.reviewHealth(l)
 		s.purgeFinished(l)
@@ -63,6 +62,7 @@
 			}
 		}
 	})
+	l.ledger.View(l.forgetGivenUp)
 	l.ledger.View(l.forgetGangs)
 	l.ledger.View(func(b *batch.State) { s.pruneLosses(l, b, now) })
 	for id, w := range l.workers {
