Start no run that has been given up

Cause: the leader decides that a run is over before the ledger says so. Until the end is applied, the ledger still has the run, and only ends that a heartbeat shows were remembered.

A decision to give up a run is now final for the term, and kept by run, not by worker: the run is not ordered to start, a report of it is answered with a stop, its gang counts as incomplete, and its end is proposed until the ledger has it. A proposal that seems to have failed may still be committed, so the decision isn't taken back, and it survives a lost lease and a panic. The next leader needs none of this: it begins only once all entries of earlier terms are applied.

--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -28,6 +28,9 @@
 	s.finish(s.leader)
 }
 
+// Spoil makes the memory of the session unusable, as after a panic.
+func (s *Scheduler) Spoil() { s.leader.spoiled = true }
+
 // Commit is what becomes of the starts of a pass.
 type Commit int
 
@@ -59,12 +62,7 @@
 
 // Sweep ends runs whose leases have expired, and drops workers that have been silent for long.
 func (s *Scheduler) Sweep() error {
-	ends := s.expiredEnds(s.leader)
-	if len(ends) == 0 {
-		return nil
-	}
-	_, err := s.leader.commit(context.Background(), batch.Change{Ends: ends})
-	return err
+	return s.endExpired(s.leader)
 }
 
 // ReviewHealth does what is due for the workers' health by time alone.
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -70,6 +70,13 @@
 	r.slow, r.late = false, nil
 }
 
+// dropLate drops what was to be committed late, and commits ends from now on in time.
+func (r *replica) dropLate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slow, r.late = false, nil
+}
+
 func (r *replica) ExecuteIn(ctx context.Context, _ uint64, c state.Command) (state.Result, error) {
 	return r.Execute(ctx, c)
 }
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -22,21 +22,24 @@
 	givenUpNeverStarted givenUpReason = "never_started"
 )
 
-// givenUpRun is a run that the leader has given up, until its end is in the ledger.
+// givenUpRetry is how long after a proposal of the end of a given-up run that end is proposed again.
+const givenUpRetry = commitWait
+
+// givenUpRun is a run that the leader has given up, until its end is in the ledger. The decision is final: its proposal may
+// be committed at any time, also after it seems to have failed, so that the run must not start any more meanwhile.
 type givenUpRun struct {
 	worker string
-	// at is the boot time of the decision.
-	at time.Duration
+	end    batch.End
+	// at is the boot time of the decision, proposedAt that of the latest proposal of the end.
+	at, proposedAt time.Duration
 	// reported is set once the worker has reported the run as running since.
 	reported bool
 }
 
-// noteGivenUp counts and logs a run that is given up, with what the leader knows of its worker.
-func (s *Scheduler) noteGivenUp(l *leaderState, worker string, ref RunRef, why givenUpReason, now time.Duration) {
-	if l.givenUp[ref] != nil {
-		return // its end is proposed again
-	}
-	l.givenUp[ref] = &givenUpRun{worker: worker, at: now}
+// giveUp decides that a run on a worker has ended, and returns the end to commit.
+func (s *Scheduler) giveUp(l *leaderState, worker string, end batch.End, why givenUpReason, now time.Duration) batch.End {
+	ref := RunRef{Task: end.Task, Run: end.Run}
+	l.givenUp[ref] = &givenUpRun{worker: worker, end: end, at: now, proposedAt: now}
 	s.metrics.givenUpRuns(why).Inc()
 	silent, reported := now-l.since, false
 	if w := l.workers[worker]; w != nil {
@@ -45,6 +48,7 @@
 	}
 	ordered := l.losses.Known(loss.Key(ref))
 	s.cfg.Logger.Log("event", "run_given_up", "task", ref.Task, "run", ref.Run, "worker", worker, "why", why, "silent_ms", silent.Milliseconds(), "ordered", ordered, "reported", reported, "term", l.term)
+	return end
 }
 
 // noteGivenUpReport counts and logs the first report of a run as running that has been given up.
@@ -58,11 +62,19 @@
 	s.cfg.Logger.Log("event", "given_up_run_reported", "task", ref.Task, "run", ref.Run, "worker", w.hb.Worker, "seq", w.hb.Seq, "given_up_ms", (now - g.at).Milliseconds(), "term", l.term)
 }
 
-// forgetGivenUp drops the given-up runs whose ends are in the ledger.
-func (l *leaderState) forgetGivenUp(b *batch.State) {
+// unrecordedEnds drops the given-up runs whose ends are in the ledger, and returns the ends of the others that are to be
+// proposed again: they may have failed to reach the log.
+func (l *leaderState) unrecordedEnds(b *batch.State, now time.Duration) []batch.End {
+	var ends []batch.End
 	for ref, g := range l.givenUp {
 		if run, active := b.Runs[g.worker][ref.Task]; !active || run != ref.Run {
 			delete(l.givenUp, ref)
+			continue
+		}
+		if now-g.proposedAt >= givenUpRetry {
+			g.proposedAt = now
+			ends = append(ends, g.end)
 		}
 	}
+	return ends
 }
--- /dev/null
+++ b/sched/giveup_test.go
@@ -0,0 +1,118 @@
+package sched_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/batch"
+	"turmericroute/sched"
+)
+
+// sweepLate lets a sweep give up the runs of silent workers, whose ends are committed late.
+func (f *fixture) sweepLate() {
+	GinkgoHelper()
+	f.r.delayEnds()
+	Expect(f.s.Sweep()).NotTo(Succeed())
+}
+
+// placedOnSilent returns a fixture with a step that is placed on w1, which falls silent before it hears of that.
+func placedOnSilent(step batch.Step) *fixture {
+	GinkgoHelper()
+	f := newIdleFixture()
+	f.addWorkers("r1", "dc1", "w1")
+	f.submit("normal", "j", step)
+	Expect(f.s.Pass(sched.InTime)).To(HaveLen(step.Count))
+	f.advance(10 * time.Second)
+	return f
+}
+
+var _ = Describe("a run that is given up", func() {
+	step := batch.Step{Count: 2, Need: gpus(1), EstimateMS: 60_000}
+
+	// Guards against two runs of one task: the worker was heard again before the end of its run was committed, and was
+	// ordered to start it; the next run started elsewhere.
+	DescribeTable("is not ordered to start before its end is committed",
+		func(between func(f *fixture)) {
+			f := placedOnSilent(step)
+			f.sweepLate()
+			between(f)
+			for range 3 {
+				f.heartbeat("w1")
+				f.advance(100 * time.Millisecond)
+			}
+			f.r.commitLate()
+			Expect(f.s.Sweep()).To(Succeed())
+			f.addWorkers("r1", "dc1", "w2")
+			f.turn()
+			Expect(f.running("j")).To(HaveLen(2))
+			Expect(f.starts("j")).To(Equal(2))
+		},
+		Entry("by a leader that has heard the worker before", func(*fixture) {}),
+		Entry("by a leader that has forgotten the worker since", func(f *fixture) {
+			f.advance(20 * time.Second)
+			Expect(f.s.Sweep()).NotTo(Succeed())
+		}),
+		Entry("by a leader that regains its lease in the same term", func(f *fixture) {
+			f.s.End()
+			f.s.Begin(GinkgoT().Context(), f.term, f.r)
+		}),
+		Entry("by a leader that has lost its memory in the same term", func(f *fixture) {
+			f.s.Spoil()
+			f.s.End()
+			f.s.Begin(GinkgoT().Context(), f.term, f.r)
+		}),
+	)
+
+	// Guards against two runs of one task: as above, where this leader has never heard the worker.
+	It("is not ordered to start by a leader that hears the worker for the first time", func() {
+		f := placedOnSilent(step)
+		f.s = sched.New(f.cfg)
+		f.term++
+		f.s.Begin(GinkgoT().Context(), f.term, f.r)
+		f.advance(10 * time.Second)
+		f.sweepLate()
+		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
+		f.r.commitLate()
+		f.turn()
+		Expect(f.starts("j")).To(Equal(2))
+	})
+
+	// Guards against members that wait in vain for one that does not start.
+	It("keeps the other members of its gang from starting", func() {
+		f := newIdleFixture()
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 60_000})
+		Expect(f.s.Pass(sched.InTime)).To(HaveLen(2))
+		w3 := f.workers["w1"].hb
+		w3.Worker, w3.Incarnation = "w3", 2
+		Expect(f.call(sched.Call{Heartbeat: &w3}).err).NotTo(HaveOccurred()) // a later life on the machine of w1
+		f.sweepLate()
+		Expect(f.heartbeat("w2").Starts).To(BeEmpty())
+	})
+
+	// Guards against runs that are never ended, since their worker is heard again and the first proposal was lost.
+	It("ends when the first proposal of its end is lost", func() {
+		f := placedOnSilent(step)
+		f.sweepLate()
+		f.r.dropLate()
+		f.heartbeat("w1")
+		f.advance(time.Second)
+		Expect(f.s.Sweep()).To(Succeed())
+		f.heartbeat("w1")
+		f.turn()
+		Expect(f.running("j")).To(HaveLen(2))
+	})
+
+	// Guards against a run that goes on beside the next one, should its worker run it against all expectation.
+	It("is stopped when its worker reports it before its end is committed", func() {
+		f := newIdleFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", step)
+		f.turn()
+		f.advance(10 * time.Second)
+		f.sweepLate()
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(2))
+	})
+})
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -195,19 +195,17 @@
 			continue
 		}
 		switch misses, reported := w.missedReports[ref]; {
+		case l.givenUp[ref] != nil:
 		case t.Incarnation != w.hb.Incarnation:
-			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndLost})
-			s.noteGivenUp(l, w.hb.Worker, ref, givenUpLaterLife, now)
+			ends = append(ends, s.giveUp(l, w.hb.Worker, batch.End{Task: id, Run: run, Reason: batch.EndLost}, givenUpLaterLife, now))
 		case reported && misses+1 >= vanishedAfterMisses:
-			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndLost})
-			s.noteGivenUp(l, w.hb.Worker, ref, givenUpVanished, now)
+			ends = append(ends, s.giveUp(l, w.hb.Worker, batch.End{Task: id, Run: run, Reason: batch.EndLost}, givenUpVanished, now))
 		case reported:
 			w.missedReports[ref] = misses + 1
 		case w.stopSeq[ref] != 0 && w.stopSeq[ref] < w.hb.Seq && now-l.since > s.leaseExpiry():
 			// The worker has received the stop and reports the run neither as running nor as ended: it never started.
 			// Early in a term this may be a late heartbeat, from before a start that an earlier leader has ordered.
-			ends = append(ends, batch.End{Task: id, Run: run, Reason: batch.EndNeverStarted})
-			s.noteGivenUp(l, w.hb.Worker, ref, givenUpNeverStarted, now)
+			ends = append(ends, s.giveUp(l, w.hb.Worker, batch.End{Task: id, Run: run, Reason: batch.EndNeverStarted}, givenUpNeverStarted, now))
 		}
 	}
 	return ends
--- a/sched/losses.go
+++ b/sched/losses.go
@@ -18,6 +18,7 @@
 	stopLeaves       = "worker leaves before the run ends"
 	stopReplaced     = "run is not the active run of its task"
 	stopWithdrawn    = "withdrawn"
+	stopGivenUp      = "run has been given up"
 	stopJobCancelled = stopJobFinal + string(batch.JobCancelled)
 	stopJobFailed    = stopJobFinal + string(batch.JobFailed)
 )
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -32,19 +32,20 @@
 		for id, run := range b.Runs[hb.Worker] {
 			j := b.Jobs[id.Job]
 			t := j.Task(id)
+			ref := RunRef{Task: id, Run: run}
 			r, running := w.running[id]
-			_, seen := w.missedReports[RunRef{Task: id, Run: run}]
-			if t.Incarnation != hb.Incarnation || running && r.Run == run || seen {
+			_, seen := w.missedReports[ref]
+			if t.Incarnation != hb.Incarnation || running && r.Run == run || seen || l.givenUp[ref] != nil {
 				continue
 			}
 			if reason := s.startBlockReason(l, b, w, j, id, run, now); reason != "" {
 				if j.Spec.Steps[id.Step].Gang {
 					l.giveUpGang(j, id, run, now)
 				}
-				s.orderStop(l, b, w, out, RunRef{Task: id, Run: run}, reason)
+				s.orderStop(l, b, w, out, ref, reason)
 				continue
 			}
-			if l.defersStart(b, hb.Worker, j, RunRef{Task: id, Run: run}) {
+			if l.defersStart(b, hb.Worker, j, ref) {
 				continue
 			}
 			order := StartOrder{Task: id, Run: run, Text: j.Spec.Text, Checkpoint: l.resumeCheckpoint(j, id), Ticket: l.ticket(id, hb.Worker, now)}
@@ -56,7 +57,7 @@
 				forming = true
 			}
 			out.Starts = append(out.Starts, order)
-			l.noteOrdered(hb.Worker, RunRef{Task: id, Run: run})
+			l.noteOrdered(hb.Worker, ref)
 			l.losses.Order(loss.Key{Task: id, Run: run}, j.Spec.Steps[id.Step].Gang, now)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
@@ -131,10 +132,11 @@
 	return ""
 }
 
-// gangComplete reports whether the run is active for all members of its gang.
+// gangComplete reports whether the run is active for all members of its gang, and none of them is given up.
 func (l *leaderState) gangComplete(j *batch.Job, id batch.TaskID, run int) bool {
-	for _, t := range j.Rounds[id.Round][id.Step].Tasks {
-		if !t.Active || t.Run != run {
+	for i, t := range j.Rounds[id.Round][id.Step].Tasks {
+		id.Index = i
+		if !t.Active || t.Run != run || l.givenUp[RunRef{Task: id, Run: run}] != nil {
 			return false
 		}
 	}
@@ -157,6 +159,8 @@
 		return stopJobFinal + string(j.State)
 	case t.Run != run || !t.Active:
 		return stopReplaced
+	case l.givenUp[RunRef{Task: id, Run: run}] != nil:
+		return stopGivenUp
 	case l.preempting[RunRef{Task: id, Run: run}] != "":
 		return stopPreempted
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -199,10 +199,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if f := s.former; f != nil && f.term == term && f.ledger == l.ledger && !f.spoiled {
-		l.memory = f.memory
-	} else {
-		l.memory = newMemory(l.began)
+	l.memory = newMemory(l.began)
+	if f := s.former; f != nil && f.term == term && f.ledger == l.ledger {
+		if f.spoiled {
+			l.givenUp = f.givenUp // their ends may still be committed
+		} else {
+			l.memory = f.memory
+		}
 	}
 	s.former, s.leader = nil, l
 	return l
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -19,18 +19,24 @@
 // sweep ends the runs whose leases have expired, and purges old jobs, until the term ends.
 func (s *Scheduler) sweep(l *leaderState) {
 	for clock.Sleep(l.ctx, sweepInterval) {
-		if ends := s.expiredEnds(l); len(ends) > 0 {
-			_ = s.commitEnds(l.ctx, l, "", ends)
-		}
+		_ = s.endExpired(l) // proposed again by a later sweep
 		s.reviewHealth(l)
 		s.purgeFinished(l)
 		s.updateTeamGauges(l)
 	}
 }
 
-// expiredEnds returns the ends of runs whose leases have expired on any clock, or whose worker's incarnation is known
-// to have ended. They name the runs as of now, since a worker that reports again may get new runs before they are
-// committed. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
+// endExpired commits the ends of runs that can no longer be active. It returns the error of the commit.
+func (s *Scheduler) endExpired(l *leaderState) error {
+	ends := s.expiredEnds(l)
+	if len(ends) == 0 {
+		return nil
+	}
+	return s.commitEnds(l.ctx, l, "", ends)
+}
+
+// expiredEnds gives up the runs whose leases have expired on any clock, or whose worker's incarnation is known to have
+// ended, and returns their ends, and those of given-up runs that are not in the ledger yet. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
 // that have ended.
 func (s *Scheduler) expiredEnds(l *leaderState) []batch.End {
 	s.mu.Lock()
@@ -38,31 +44,33 @@
 	now := s.cfg.BootClock()
 	var ends []batch.End
 	l.ledger.View(func(b *batch.State) {
+		ends = l.unrecordedEnds(b, now)
 		for id, runs := range b.Runs {
 			w := l.workers[id]
 			if !s.dead(l, w, now) {
 				continue
 			}
-			silent := now - l.since
-			if w != nil {
-				silent = now - w.heardAt
-			}
-			s.cfg.Logger.Log("event", "worker_lost", "worker", id, "runs", len(runs), "silent_ms", silent.Milliseconds(), "seen", w != nil, "term", l.term)
+			lost := 0
 			for t, run := range runs {
+				if l.givenUp[RunRef{Task: t, Run: run}] != nil {
+					continue
+				}
 				e := batch.End{Task: t, Run: run, Reason: batch.EndLost}
 				if w != nil && w.running[t].Run == run {
 					e.Checkpoint = w.running[t].Checkpoint
 				}
-				ends = append(ends, e)
 				why := givenUpLeaseExpired
 				if w != nil && w.gone {
 					why = givenUpLaterLife
 				}
-				s.noteGivenUp(l, id, RunRef{Task: t, Run: run}, why, now)
+				ends = append(ends, s.giveUp(l, id, e, why, now))
+				lost++
+			}
+			if lost > 0 {
+				s.logLost(l, id, w, lost, now)
 			}
 		}
 	})
-	l.ledger.View(l.forgetGivenUp)
 	l.ledger.View(l.forgetGangs)
 	l.ledger.View(func(b *batch.State) { s.pruneLosses(l, b, now) })
 	for id, w := range l.workers {
@@ -74,6 +82,15 @@
 	return ends
 }
 
+// logLost logs the loss of a worker with some runs; w is nil for a worker that has sent this leader no heartbeat.
+func (s *Scheduler) logLost(l *leaderState, id string, w *worker, runs int, now time.Duration) {
+	silent := now - l.since
+	if w != nil {
+		silent = now - w.heardAt
+	}
+	s.cfg.Logger.Log("event", "worker_lost", "worker", id, "runs", runs, "silent_ms", silent.Milliseconds(), "seen", w != nil, "term", l.term)
+}
+
 // dead reports whether no run on a worker can still be active; w is nil for a worker that has sent this leader no
 // heartbeat.
 func (s *Scheduler) dead(l *leaderState, w *worker, now time.Duration) bool {
