--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -36,8 +36,8 @@
 }
 
 // expiredEnds gives up the runs whose leases have expired on any clock, or whose worker's incarnation is known to have
-// ended, and returns their ends, and those of given-up runs that are not in the ledger yet. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
-// that have ended.
+// ended. It returns their ends, and those of given-up runs that are to be proposed again. It also drops workers that have
+// been silent for more than four times leaseExpiry, and records of gang runs that have ended.
 func (s *Scheduler) expiredEnds(l *leaderState) []batch.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
