Place nothing before the starts of an earlier session are known

Callers saw: nothing yet.

Cause: a session that ends while the commit of a pass is under way takes its starts for failed. They may still be committed. The next session of the same term, after a regained lease or a call that panicked, read the ledger without them, gave their room to others, and both starts were committed and ordered. The first session of a term is not affected: it begins with all entries of earlier terms applied.

Evidence: the new specs of regain_test.go fail without this change in both cases: two runs of 8 accelerators on a worker that has 8.

A further session of a term now begins with an empty change that it waits for. Entries are applied in their order, so that the ledger then has all that was proposed before. Calls are refused as without a leader meanwhile, for the time of one commit.

go test ./sched ./state ./batch passes.

--- a/batch/change.go
+++ b/batch/change.go
@@ -45,7 +45,7 @@
 	return e.Reason == EndFailed && t.UnresolvedRun != 0 && e.Run == t.UnresolvedRun && (e.Run != t.Run || !t.Active)
 }
 
-// Change is a change of the ledger; apart from AtMS, exactly one field is set.
+// Change is a change of the ledger; apart from AtMS, at most one field is set.
 type Change struct {
 	Accept       *Accept       `json:"accept,omitempty"`
 	Cancel       *Cancel       `json:"cancel,omitempty"`
--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -31,6 +31,14 @@
 // Spoil makes the memory of the session unusable, as after a panic.
 func (s *Scheduler) Spoil() { s.leader.spoiled = true }
 
+// Panic ends the session as a call that panics does.
+func (s *Scheduler) Panic() {
+	s.mu.Lock()
+	l := s.leader
+	s.mu.Unlock()
+	s.recordPanic(l, Call{}, "unexpected")
+}
+
 // Commit is what becomes of the starts of a pass.
 type Commit int
 
--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -30,13 +30,25 @@
 	late []state.ChangeBatch
 	// slowAccepts is set while acceptances of jobs are not committed in time.
 	slowAccepts bool
+	// stallStarts is set while starts are proposed and not committed; stalled holds them until the next command is.
+	stallStarts bool
+	stalled     []state.ChangeBatch
 }
 
-func (r *replica) Execute(_ context.Context, c state.Command) (state.Result, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *replica) Execute(ctx context.Context, c state.Command) (state.Result, error) {
 	b := c.(state.ChangeBatch)
 	b.Change.AtMS = r.wall().UnixMilli()
+	if r.stall(b) {
+		<-ctx.Done()
+		return state.Result{}, model.Unknown(model.CodeDeadline, "command was proposed but not applied in time")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, earlier := range r.stalled {
+		r.index++
+		r.machine.Apply(r.index, earlier)
+	}
+	r.stalled = nil
 	if r.slow && b.Change.Ends != nil || r.slowAccepts && b.Change.Accept != nil {
 		r.late = append(r.late, b)
 		return state.Result{}, model.Unknown(model.CodeDeadline, "command was proposed but not applied in time")
@@ -45,6 +57,31 @@
 	return r.machine.Apply(r.index, b), nil
 }
 
+// stall keeps starts from being committed while stallStarts is set, and reports whether it does.
+func (r *replica) stall(b state.ChangeBatch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stallStarts || b.Change.Starts == nil {
+		return false
+	}
+	r.stalled = append(r.stalled, b)
+	return true
+}
+
+// setStallStarts stalls starts from now on, or ends that; those that are stalled are committed before the next command.
+func (r *replica) setStallStarts(stall bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stallStarts = stall
+}
+
+// stalledStarts returns how many proposals of starts are stalled.
+func (r *replica) stalledStarts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.stalled)
+}
+
 // delayEnds makes commits of ends late until commitLate is called.
 func (r *replica) delayEnds() {
 	r.mu.Lock()
--- a/sched/regain_test.go
+++ b/sched/regain_test.go
@@ -103,6 +103,38 @@
 		f.awaitRunning("next", 1)
 	})
 
+	// Guards against more runs on a worker than it has room for: starts of the earlier session were committed after the next
+	// one had given their room to others.
+	DescribeTable("leaves room to starts that the earlier session has proposed",
+		func(between func(f *fixture)) {
+			f := newFixture()
+			f.addWorkers("r1", "dc1", "w1")
+			now := time.Duration(f.now.Load())
+			Expect(f.offer("urgent", "later", batch.Spec{
+				Text: "t", Steps: []batch.Step{{Count: 1, Need: gpus(8), EstimateMS: 1000}}, Rounds: 1, FirstAtMS: (now + time.Second).Milliseconds(),
+			})).To(BeTrue())
+			f.r.setStallStarts(true)
+			f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 1000})
+			Eventually(f.r.stalledStarts).Should(Equal(1))
+			f.advance(time.Second)
+			between(f)
+			Eventually(func() int { f.heartbeat("w1"); return f.runsOn("w1") }).Should(Equal(1))
+			Consistently(func() int { f.heartbeat("w1"); return f.runsOn("w1") }, 300*time.Millisecond).Should(Equal(1))
+		},
+		Entry("when it regains its lease", func(f *fixture) {
+			f.stop()
+			<-f.ended
+			f.r.setStallStarts(false)
+			f.term--
+			f.lead()
+		}),
+		Entry("when it has lost its memory", func(f *fixture) {
+			f.r.setStallStarts(false)
+			f.s.Panic()
+			Eventually(func() error { return f.call(sched.Call{Ping: true}).err }).Should(Succeed())
+		}),
+	)
+
 	It("starts anew in another term", func() {
 		f := newFixture()
 		f.addWorkers("r1", "dc1", "w1")
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -35,6 +35,8 @@
 	commitWait = 600 * time.Millisecond
 	// passWait bounds how long the answer to a heartbeat waits for a placement pass.
 	passWait = 60 * time.Millisecond
+	// settleRetryDelay is the pause after an attempt to settle the proposals of an earlier session has failed.
+	settleRetryDelay = 50 * time.Millisecond
 	// maxOpenJobs bounds the accepted jobs that have not ended; further submissions are refused.
 	maxOpenJobs = 5000
 )
@@ -77,8 +79,9 @@
 // It lasts for a term, unless a call panics. A leader that regains its lease in the same term was never replaced, since a
 // majority has acknowledged it in that term and votes for a later one only afterwards. So the workers have had orders and
 // leases from nobody else meanwhile, and what it knows of them, of gangs, stops, tickets and preemptions still holds. What
-// was in flight has been settled: the goroutines of the earlier session have ended, and starts whose commit has failed
-// are not pending. Its calls may still be at work, on the same memory. Everything counts as changed in the ledger.
+// was in flight has been settled: the goroutines of the earlier session have ended, no starts are pending, and those that
+// were proposed are in the ledger. Its calls may still be at work, on the same memory. Everything counts as changed in the
+// ledger.
 type memory struct {
 	// spoiled is set when a call that worked on the memory has panicked.
 	spoiled bool
@@ -173,6 +176,11 @@
 
 // lead schedules jobs until ctx ends or the in-memory state can no longer be used.
 func (s *Scheduler) lead(ctx context.Context, term uint64, r state.Replica) {
+	if err := s.settle(ctx, term, r); err != nil {
+		s.cfg.Logger.Log("event", "scheduling_delayed", "term", term, "err", err)
+		clock.Sleep(ctx, settleRetryDelay)
+		return
+	}
 	l := s.begin(ctx, term, r)
 	defer l.end()
 	l.ledger.View(func(b *batch.State) {
@@ -190,6 +198,18 @@
 	s.cfg.Logger.Log("event", "scheduling_ended", "term", term)
 }
 
+// settle waits until the ledger has what an earlier session of the same term has proposed. The first session of a term
+// begins with all entries of earlier terms applied.
+func (s *Scheduler) settle(ctx context.Context, term uint64, r state.Replica) error {
+	s.mu.Lock()
+	first := s.former == nil || s.former.term != term
+	s.mu.Unlock()
+	if first {
+		return nil
+	}
+	return state.Settle(ctx, r, term) //nolint:wrapcheck // names what failed.
+}
+
 // begin starts a session, in which calls are answered.
 func (s *Scheduler) begin(ctx context.Context, term uint64, r state.Replica) *leaderState {
 	ctx, end := context.WithCancel(ctx)
--- a/state/replica.go
+++ b/state/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"turmericroute/model"
@@ -27,6 +28,15 @@
 	Status() ReplicaStatus
 }
 
+// Settle commits an empty change in a term, so that the local state includes all that this instance has proposed in the term
+// before. A proposal whose proposer has given up waiting may be committed at any time, which Barrier doesn't wait for.
+func Settle(ctx context.Context, r Replica, term uint64) error {
+	if _, err := r.ExecuteIn(ctx, term, ChangeBatch{}); err != nil {
+		return fmt.Errorf("settle earlier proposals: %w", err)
+	}
+	return nil
+}
+
 // ReplicaStatus describes one instance as a member of the replicated log.
 type ReplicaStatus struct {
 	Name string `json:"name"`
