Number commands to workers beyond the end of a session

Callers saw: nothing yet.

Cause: each session of a worker numbered its commands from 1, and a worker carries out a number once in an epoch. A leader that resumes its term, and one that has removed a worker after a minute of silence and hears it again, began anew with numbers that the worker had carried out: the worker left the commands out, and its acknowledgement of the earlier ones deleted them.

The driver now numbers all commands in one sequence. Workers need rising numbers only, and already skip those that never reach them.

--- a/gang/driver.go
+++ b/gang/driver.go
@@ -35,6 +35,8 @@
 	cfg     Config
 	metrics driverMetrics
 	leader  atomic.Pointer[leaderState]
+	// commandSeq is the number of the latest command to a worker.
+	commandSeq atomic.Uint64
 }
 
 // New returns a driver that is idle until Lead is called.
@@ -96,7 +98,7 @@
 func (d *Driver) Lead(ctx context.Context, term uint64, r state.Replica) {
 	l := &leaderState{
 		cfg: d.cfg, metrics: d.metrics, term: term, start: d.cfg.Now(), replica: r, ctx: ctx,
-		events: make(chan event, 4096), sessions: newSessions(),
+		events: make(chan event, 4096), sessions: newSessions(&d.commandSeq),
 		policy:   place.New(d.cfg.Place),
 		attempts: map[string]*attempt{}, waiting: map[string]bool{},
 		history: newAttemptHistory(), firstPreemption: map[string]time.Time{}, forecastSlot: make(chan struct{}, 1),
--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -90,12 +90,24 @@
 	}
 	s.term++
 	d := gang.New(gang.Config{Metrics: s.metrics})
-	ctx, cancel := context.WithCancel(s.ctx)
-	s.endTerm = cancel
-	go d.Lead(ctx, s.term, s.replica)
+	s.lead(d)
 	return d
 }
 
+// lead makes a driver lead until endTerm is called, which waits for its end.
+func (s *cluster) lead(d *gang.Driver) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	ended := make(chan struct{})
+	s.endTerm = func() { cancel(); <-ended }
+	go func() { defer close(ended); d.Lead(ctx, s.term, s.replica) }()
+}
+
+// resume makes the driver lead again in the same term, without the memory of before.
+func (s *cluster) resume() {
+	s.endTerm()
+	s.lead(s.driver.Load())
+}
+
 func (s *cluster) patch(changes ...config.Change) {
 	v := s.replica.Machine().Config().Version
 	p := config.Patch{ID: fmt.Sprint("patch-", v), BaseVersion: v, Changes: changes}
@@ -284,6 +296,33 @@
 		Expect(s.job("a").Attempt).To(Equal(1))
 	})
 
+	// Guards against commands that never arrive: the leader numbered them anew, and the worker took them for those that it
+	// had carried out before.
+	DescribeTable("sends commands that a worker takes for new ones",
+		func(between func()) {
+			s.startWorkers(fakes.WorkerConfig{})
+			for i := range 4 { // commands that the workers carry out before
+				id := fmt.Sprint("before-", i)
+				s.submit(id, "small", model.Shape{Tasks: 4, GPUs: 8}, 0.05, nil)
+				Eventually(s.state(id), "3s").Should(Equal(model.JobDone))
+			}
+			s.submit("a", "large", gangShape, 1000, nil)
+			Eventually(s.running("a"), "3s", "5ms").Should(Equal(2))
+			between()
+			_, err := s.replica.Execute(s.ctx, state.CancelJob{ID: "a"})
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(s.state("a"), "3s").Should(Equal(model.JobCancelled))
+		},
+		Entry("after it has resumed its term", func() { s.resume() }),
+		Entry("after the worker has been removed and has registered again", func() {
+			for _, w := range s.replica.Machine().Workers() {
+				_, err := s.replica.Execute(s.ctx, state.RemoveWorker{Name: w.Name, Incarnation: w.Incarnation})
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Eventually(s.replica.Machine().Workers, "3s").Should(HaveLen(4))
+		}),
+	)
+
 	It("loses no job when the leader changes at different moments of its start", func() {
 		s.startWorkers(fakes.WorkerConfig{})
 		for i := range 12 {
--- a/gang/export_test.go
+++ b/gang/export_test.go
@@ -1,6 +1,7 @@
 package gang
 
 import (
+	"sync/atomic"
 	"time"
 
 	"turmericroute/model"
@@ -10,7 +11,7 @@
 type Session struct{ s *session }
 
 // NewSession returns the session of a worker that has not polled.
-func NewSession(name string) Session { return Session{newSessions().get(name)} }
+func NewSession(name string) Session { return Session{newSessions(new(atomic.Uint64)).get(name)} }
 
 // Apply records a poll of the leader's term and reports whether it has changes.
 func (s Session) Apply(req model.PollRequest) bool {
--- a/gang/session.go
+++ b/gang/session.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"turmericroute/model"
@@ -23,7 +24,8 @@
 	// silent reports whether the event loop has been told that the worker stopped polling.
 	silent  bool
 	pending []model.Command
-	nextSeq uint64
+	// commandSeq numbers the commands of all sessions.
+	commandSeq *atomic.Uint64
 	// prepareSeq maps each task assigned to the worker in this term to the sequence number
 	// of its prepare command.
 	prepareSeq map[model.TaskID]uint64
@@ -50,10 +52,15 @@
 }
 
 // sessions holds the sessions of all workers, sharded by worker name.
-type sessions struct{ shards [sessionShards]*sessionShard }
+type sessions struct {
+	shards [sessionShards]*sessionShard
+	// commandSeq is the number of the latest command. A worker carries out no command whose number is not above those of
+	// the same epoch, so that the numbers rise beyond the end of a session.
+	commandSeq *atomic.Uint64
+}
 
-func newSessions() sessions {
-	var s sessions
+func newSessions(commandSeq *atomic.Uint64) sessions {
+	s := sessions{commandSeq: commandSeq}
 	for i := range s.shards {
 		s.shards[i] = &sessionShard{byName: map[string]*session{}}
 	}
@@ -74,7 +81,7 @@
 	w, ok := sh.byName[name]
 	if !ok {
 		w = &session{
-			worker:     model.Worker{Name: name},
+			worker: model.Worker{Name: name}, commandSeq: s.commandSeq,
 			prepareSeq: map[model.TaskID]uint64{}, tasks: map[model.TaskID]model.TaskReport{},
 			wake: make(chan struct{}, 1),
 		}
@@ -176,8 +183,7 @@
 func (w *session) push(c model.Command) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.nextSeq++
-	c.Seq = w.nextSeq
+	c.Seq = w.commandSeq.Add(1)
 	w.pending = append(w.pending, c)
 	switch c.Kind {
 	case model.CommandPrepare:
