Count placements of an earlier session in package gang

Callers saw: nothing yet.

Cause: a driver that resumed its term read the state while a placement of its earlier session could still be committed. When it was, the policy did not know of it: it took the workers for free and the job for one that waits or is gone.

A session first waits for what an earlier one of its term has proposed, as in package sched, and ends only when its own proposals have been answered.

--- a/gang/driver.go
+++ b/gang/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	leader  atomic.Pointer[leaderState]
 	// commandSeq is the number of the latest command to a worker.
 	commandSeq atomic.Uint64
+	// ledTerm is the term of the latest session; only Lead uses it.
+	ledTerm uint64
 }
 
 // New returns a driver that is idle until Lead is called.
@@ -65,6 +68,8 @@
 	ctx      context.Context
 	events   chan event
 	sessions sessions
+	// proposals counts the commands that are being committed.
+	proposals sync.WaitGroup
 
 	// mu guards the fields below; the event loop holds it while it handles an event.
 	mu     sync.Mutex
@@ -103,7 +108,7 @@
 		attempts: map[string]*attempt{}, waiting: map[string]bool{},
 		history: newAttemptHistory(), firstPreemption: map[string]time.Time{}, forecastSlot: make(chan struct{}, 1),
 	}
-	for r.Barrier(ctx) != nil {
+	for d.awaitState(ctx, term, r) != nil {
 		if ctx.Err() != nil {
 			return
 		}
@@ -113,10 +118,26 @@
 	defer d.leader.CompareAndSwap(l, nil)
 	d.cfg.Logger.Log("event", "lead_started", "term", term, "attempts", len(l.attempts), "waiting", len(l.waiting))
 	l.run(d.ticks(ctx))
+	l.proposals.Wait()
 	d.metrics.setWaiting(nil)
 	d.cfg.Logger.Log("event", "lead_ended", "term", term)
 }
 
+// awaitState waits until the state has all that was committed before, and all that an earlier session of the same term has
+// proposed: recover must not miss a placement that is committed afterwards.
+func (d *Driver) awaitState(ctx context.Context, term uint64, r state.Replica) error {
+	if d.ledTerm == term {
+		if err := state.Settle(ctx, r, term); err != nil {
+			return err //nolint:wrapcheck // names what failed.
+		}
+	}
+	if err := r.Barrier(ctx); err != nil {
+		return fmt.Errorf("await state: %w", err)
+	}
+	d.ledTerm = term
+	return nil
+}
+
 // ticks returns the channel that triggers the checks of deadlines.
 func (d *Driver) ticks(ctx context.Context) <-chan time.Time {
 	if d.cfg.Ticks != nil {
--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,65 @@
 	metrics *metrics.Set
 	// abandoned is set while workers give up each poll before it is answered.
 	abandoned atomic.Bool
+	stalled   stalledPlacements
+}
+
+// stalledPlacements holds placements that are proposed and not committed until the leader's next command is.
+type stalledPlacements struct {
+	mu   sync.Mutex
+	on   bool
+	held []state.Command
+}
+
+// stallingReplica is the replica of a leader whose placements may be stalled.
+type stallingReplica struct {
+	*fakes.Replica
+	stalled *stalledPlacements
+}
+
+func (r stallingReplica) ExecuteIn(ctx context.Context, term uint64, c state.Command) (state.Result, error) {
+	if r.stalled.hold(c) {
+		<-ctx.Done()
+		return state.Result{}, model.Unknown(model.CodeDeadline, "command was proposed but not applied in time")
+	}
+	for _, earlier := range r.stalled.take() {
+		if _, err := r.Replica.ExecuteIn(ctx, term, earlier); err != nil {
+			return state.Result{}, err
+		}
+	}
+	return r.Replica.ExecuteIn(ctx, term, c)
+}
+
+// hold keeps a placement from being committed while that is asked for, and reports whether it does.
+func (p *stalledPlacements) hold(c state.Command) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := c.(state.PlaceJob)
+	if ok = ok && p.on; ok {
+		p.held = append(p.held, c)
+	}
+	return ok
+}
+
+func (p *stalledPlacements) take() []state.Command {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.held
+	p.held = nil
+	return held
+}
+
+// set stalls placements from now on, or ends that.
+func (p *stalledPlacements) set(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.on = on
+}
+
+func (p *stalledPlacements) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.held)
 }
 
 var perWorker = model.Resources{GPUs: 8, Cores: 32, MemoryMB: 65536}
@@ -99,7 +159,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	ended := make(chan struct{})
 	s.endTerm = func() { cancel(); <-ended }
-	go func() { defer close(ended); d.Lead(ctx, s.term, s.replica) }()
+	go func() { defer close(ended); d.Lead(ctx, s.term, stallingReplica{s.replica, &s.stalled}) }()
 }
 
 // resume makes the driver lead again in the same term, without the memory of before.
@@ -323,6 +383,21 @@
 		}),
 	)
 
+	// Guards against jobs that are placed on workers that others hold: a placement of the earlier session was committed
+	// after the next one had read the state, and its resources were not counted.
+	It("counts a placement that it has proposed before it resumes its term", func() {
+		s.startWorkers(fakes.WorkerConfig{})
+		s.stalled.set(true)
+		s.submit("a", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
+		Eventually(s.stalled.count, "3s").Should(Equal(1))
+		s.endTerm()
+		s.stalled.set(false)
+		s.lead(s.driver.Load())
+		s.submit("b", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
+		Eventually(s.running("a"), "3s", "5ms").Should(Equal(4))
+		Consistently(func() int { return s.job("b").Attempt }, "1s").Should(BeZero())
+	})
+
 	It("loses no job when the leader changes at different moments of its start", func() {
 		s.startWorkers(fakes.WorkerConfig{})
 		for i := range 12 {
--- a/gang/event.go
+++ b/gang/event.go
@@ -53,13 +53,13 @@
 // execute proposes a command in this term without blocking the event loop; the result
 // arrives as a commandResult.
 func (l *leaderState) execute(c state.Command) {
-	go func() {
+	l.proposals.Go(func() {
 		res, err := l.replica.ExecuteIn(l.ctx, l.term, c)
 		select {
 		case l.events <- commandResult{command: c, result: res, err: err}:
 		case <-l.ctx.Done():
 		}
-	}()
+	})
 }
 
 // handleResult reverts the assumptions made for a command that was refused or not committed.
