Withdraw a gang as soon as a member reports its end

Callers saw: nothing yet.

Cause: when a member reported its end, the leader dropped the record of the gang that forms, with its time limit, and left the rest to the ledger: the gang counts as incomplete once the end is committed. While that commit is slow, the other members were neither stopped nor withdrawn, and members that had not been ordered to start were.

Evidence: two of the three new specs of forming_test.go fail without this change.

A gang that has not formed when a member ends is now given up at once, unless the member is done. The gang is incomplete in any case; that is only known earlier.

--- a/sched/forming.go
+++ b/sched/forming.go
@@ -63,6 +63,18 @@
 	l.formingOf(j, id, run, now).givenUp = true
 }
 
+// noteMemberEnd records the reported end of a run. A gang that has not formed by then cannot do so any more, unless it was
+// at work and is done; its members must know that before the end is committed, as each waits for the others.
+func (l *leaderState) noteMemberEnd(j *batch.Job, e RunEnd, now time.Duration) {
+	ref := gangRef(e.Task, e.Run)
+	switch {
+	case e.Reason == batch.EndDone:
+		delete(l.forming, ref)
+	case j.Spec.Steps[e.Task.Step].Gang && !l.formed[ref]:
+		l.giveUpGang(j, e.Task, e.Run, now)
+	}
+}
+
 // isForming reports whether the gang run of a task is not known to be at work.
 func (l *leaderState) isForming(id batch.TaskID, run int) bool {
 	return len(l.forming) > 0 && l.forming[gangRef(id, run)] != nil
--- a/sched/forming_test.go
+++ b/sched/forming_test.go
@@ -103,6 +103,46 @@
 		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
 	})
 
+	// Guards against a member that waits alone because another has ended: the leader took the gang for one that no longer
+	// forms, and stopped the member only once that end was committed.
+	It("is withdrawn from members that wait as soon as another has ended, before that is committed", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w1")
+		f.awaitStart("w2")
+		f.heartbeat("w1")
+		f.r.delayEnds()
+		w2 := f.workers["w2"]
+		w2.end(w2.hb.Running[0].Task, batch.EndRefused)
+		f.heartbeat("w2")
+		Expect(f.heartbeat("w1").Stops).To(HaveLen(1))
+	})
+
+	It("does not begin to start once a member has ended, before that is committed", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w2")
+		f.r.delayEnds()
+		w2 := f.workers["w2"]
+		w2.end(w2.hb.Running[0].Task, batch.EndRefused)
+		f.heartbeat("w2")
+		Expect(f.heartbeat("w1").Starts).To(BeEmpty())
+	})
+
+	It("is not withdrawn when a member has ended as done, before that is committed", func() {
+		f := newGangFixture(3*time.Second, "w1", "w2")
+		f.submitGang("j", 2)
+		f.awaitStart("w1")
+		f.awaitStart("w2")
+		f.heartbeat("w1")
+		f.r.delayEnds()
+		w2 := f.workers["w2"]
+		w2.end(w2.hb.Running[0].Task, batch.EndDone)
+		f.heartbeat("w2")
+		f.advance(2300 * time.Millisecond)
+		Expect(f.heartbeat("w1").Stops).To(BeEmpty())
+	})
+
 	// Guards against a member that waits alone because the answer that stops it is lost: its worker asks again a second
 	// later, and a gang whose last member was ordered to start late was given up too late for that.
 	It("is given up in time for a second stop when its last member has been ordered to start late and is not heard from", func() {
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -174,7 +174,7 @@
 		if changesLedger(b, &w.hb, e) {
 			s.noteEnd(l, b, w, e, now)
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint, Health: l.changedHealth(b, w)})
-			delete(l.forming, gangRef(e.Task, e.Run))
+			l.noteMemberEnd(b.Jobs[e.Task.Job], e, now)
 			if e.Reason == batch.EndDone {
 				l.noteDone(b.Jobs[e.Task.Job], e.Task, w.hb.Service, now)
 			}
