Register a worker again that is heard while it is being removed

Callers saw: nothing yet.

Cause: the leader decides to remove a worker that has been silent for a minute. A worker that was heard again before the removal was committed counted as registered, and got jobs. Then it was removed, and its jobs were stopped.

A poll of such a worker now registers it again first. The registration follows the removal in the log, and the worker gets no job before.

--- a/gang/driver_test.go
+++ b/gang/driver_test.go
@@ -35,20 +35,23 @@
 	metrics *metrics.Set
 	// abandoned is set while workers give up each poll before it is answered.
 	abandoned atomic.Bool
-	stalled   stalledPlacements
+	stalled   stalledCommands
+	// ahead is how far the drivers' clock is ahead, in nanoseconds.
+	ahead atomic.Int64
 }
 
-// stalledPlacements holds placements that are proposed and not committed until the leader's next command is.
-type stalledPlacements struct {
-	mu   sync.Mutex
-	on   bool
-	held []state.Command
+// stalledCommands holds commands that are proposed and not committed until the leader's next command is.
+type stalledCommands struct {
+	mu sync.Mutex
+	// chosen reports whether a command is to be stalled; nil stalls none.
+	chosen func(state.Command) bool
+	held   []state.Command
 }
 
-// stallingReplica is the replica of a leader whose placements may be stalled.
+// stallingReplica is the replica of a leader whose commands may be stalled.
 type stallingReplica struct {
 	*fakes.Replica
-	stalled *stalledPlacements
+	stalled *stalledCommands
 }
 
 func (r stallingReplica) ExecuteIn(ctx context.Context, term uint64, c state.Command) (state.Result, error) {
@@ -64,18 +67,18 @@
 	return r.Replica.ExecuteIn(ctx, term, c)
 }
 
-// hold keeps a placement from being committed while that is asked for, and reports whether it does.
-func (p *stalledPlacements) hold(c state.Command) bool {
+// hold keeps a command from being committed if it is chosen, and reports whether it does.
+func (p *stalledCommands) hold(c state.Command) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, ok := c.(state.PlaceJob)
-	if ok = ok && p.on; ok {
-		p.held = append(p.held, c)
+	if p.chosen == nil || !p.chosen(c) {
+		return false
 	}
-	return ok
+	p.held = append(p.held, c)
+	return true
 }
 
-func (p *stalledPlacements) take() []state.Command {
+func (p *stalledCommands) take() []state.Command {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	held := p.held
@@ -83,14 +86,14 @@
 	return held
 }
 
-// set stalls placements from now on, or ends that.
-func (p *stalledPlacements) set(on bool) {
+// set chooses the commands that are stalled from now on; nil ends that.
+func (p *stalledCommands) set(chosen func(state.Command) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.on = on
+	p.chosen = chosen
 }
 
-func (p *stalledPlacements) count() int {
+func (p *stalledCommands) count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.held)
@@ -149,7 +152,7 @@
 		s.endTerm()
 	}
 	s.term++
-	d := gang.New(gang.Config{Metrics: s.metrics})
+	d := gang.New(gang.Config{Metrics: s.metrics, Now: func() time.Time { return time.Now().Add(time.Duration(s.ahead.Load())) }})
 	s.lead(d)
 	return d
 }
@@ -387,17 +390,41 @@
 	// after the next one had read the state, and its resources were not counted.
 	It("counts a placement that it has proposed before it resumes its term", func() {
 		s.startWorkers(fakes.WorkerConfig{})
-		s.stalled.set(true)
+		s.stalled.set(func(c state.Command) bool { _, ok := c.(state.PlaceJob); return ok })
 		s.submit("a", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
 		Eventually(s.stalled.count, "3s").Should(Equal(1))
 		s.endTerm()
-		s.stalled.set(false)
+		s.stalled.set(nil)
 		s.lead(s.driver.Load())
 		s.submit("b", "small", model.Shape{Tasks: 4, GPUs: 8}, 1000, nil)
 		Eventually(s.running("a"), "3s", "5ms").Should(Equal(4))
 		Consistently(func() int { return s.job("b").Attempt }, "1s").Should(BeZero())
 	})
 
+	// Guards against a job that is placed on a worker whose removal is about to be committed, and is stopped for that.
+	It("places nothing on a worker that is heard again while its removal is under way", func() {
+		w := newScriptedWorker(s, "a")
+		var removing atomic.Bool
+		s.stalled.set(func(c state.Command) bool {
+			switch c.(type) {
+			case state.RemoveWorker:
+				removing.Store(true)
+				return true
+			case state.ExpireKeys: // proposed at the first tick
+				return true
+			}
+			return false
+		})
+		s.ahead.Store(int64(61 * time.Second))
+		Eventually(removing.Load, "3s").Should(BeTrue())
+		w.poll()
+		s.submit("j", "small", model.Shape{Tasks: 1, GPUs: 8}, 1000, nil)
+		w.await(model.CommandPrepare)
+		task := model.TaskReport{ID: model.TaskID{Job: "j", Attempt: 1}, State: model.TaskPrepared}
+		w.await(model.CommandStart, task)
+		Expect(s.job("j")).To(And(HaveField("State", model.JobRunning), HaveField("Attempt", 1)))
+	})
+
 	It("loses no job when the leader changes at different moments of its start", func() {
 		s.startWorkers(fakes.WorkerConfig{})
 		for i := range 12 {
--- a/gang/poll.go
+++ b/gang/poll.go
@@ -60,7 +60,7 @@
 	if err := checkRack(m.Config(), req.Worker); err != nil {
 		return err
 	}
-	if known, ok := m.Worker(req.Worker.Name); ok && known == req.Worker {
+	if known, ok := m.Worker(req.Worker.Name); ok && known == req.Worker && !l.sessions.get(req.Worker.Name).beingRemoved() {
 		return nil
 	}
 	res, err := l.replica.ExecuteIn(ctx, l.term, state.RegisterWorker{Worker: req.Worker})
--- a/gang/session.go
+++ b/gang/session.go
@@ -172,6 +172,14 @@
 	w.worker = worker
 }
 
+// beingRemoved reports whether the removal of the silent worker is under way. It must then register again: its removal may
+// be committed at any time.
+func (w *session) beingRemoved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent && w.worker.Incarnation == ""
+}
+
 // alive reports whether the worker has polled in this term and is not silent.
 func (w *session) alive() bool {
 	w.mu.Lock()
