Wait for machines whose maintenance may not be recorded

Callers saw: nothing yet.

Cause: a machine is recorded as started only after the provider has taken it down. When the leader was lost in between, the next one waited for the time between orders of two leaders, and then counted no machine as down. If another machine had less to lose by then, it was taken down as well.

Deployments whose machines are back within the time between orders of two leaders were safe.

A leader now orders nothing in the waves that it finds until any machine that an earlier leader can have taken down is back. Waves that begin later are not affected.

--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -30,9 +30,10 @@
 	late []state.ChangeBatch
 	// slowAccepts is set while acceptances of jobs are not committed in time.
 	slowAccepts bool
-	// stallStarts is set while starts are proposed and not committed; stalled holds them until the next command is.
-	stallStarts bool
-	stalled     []state.ChangeBatch
+	// stallStarts and stallProgress are set while starts, or the progress of waves, are proposed and not committed; stalled
+	// holds them until the next command is.
+	stallStarts, stallProgress bool
+	stalled                    []state.ChangeBatch
 }
 
 func (r *replica) Execute(ctx context.Context, c state.Command) (state.Result, error) {
@@ -57,11 +58,11 @@
 	return r.machine.Apply(r.index, b), nil
 }
 
-// stall keeps starts from being committed while stallStarts is set, and reports whether it does.
+// stall keeps a change from being committed that is to be stalled, and reports whether it does.
 func (r *replica) stall(b state.ChangeBatch) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.stallStarts || b.Change.Starts == nil {
+	if (!r.stallStarts || b.Change.Starts == nil) && (!r.stallProgress || b.Change.WaveProgress == nil) {
 		return false
 	}
 	r.stalled = append(r.stalled, b)
@@ -75,8 +76,18 @@
 	r.stallStarts = stall
 }
 
-// stalledStarts returns how many proposals of starts are stalled.
-func (r *replica) stalledStarts() int {
+// setStallProgress stalls the progress of waves from now on, or ends that and drops what is stalled, as an election may.
+func (r *replica) setStallProgress(stall bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stallProgress = stall
+	if !stall {
+		r.stalled = nil
+	}
+}
+
+// stalledCount returns how many proposals are stalled.
+func (r *replica) stalledCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return len(r.stalled)
--- a/sched/maintenance.go
+++ b/sched/maintenance.go
@@ -28,8 +28,13 @@
 
 // runMaintenance carries out maintenance waves until the term ends: it orders the maintenance of each machine,
 // at most Wave.MaxConcurrent at once. A new leader first waits for HandoverDelay, the minimum time between orders of
-// two leaders for one machine, from the time at which no earlier leader gives orders any more.
+// two leaders for one machine, from the time at which no earlier leader gives orders any more. In the waves that it finds
+// it orders nothing before the machines are back that an earlier leader may have taken down without recording that.
 func (s *Scheduler) runMaintenance(l *leaderState) {
+	orderFrom := map[int64]time.Duration{}
+	for _, w := range l.openWaves() {
+		orderFrom[w.Number] = s.cfg.BootClock() + formerLeaderMargin + s.cfg.Limits.MaintenanceTime + rejoinMargin
+	}
 	if s.cfg.Provider == nil || !clock.Sleep(l.ctx, s.cfg.Limits.HandoverDelay+formerLeaderMargin) {
 		return
 	}
@@ -43,7 +48,7 @@
 					down[w.Number][m] = s.cfg.BootClock()
 				}
 			}
-			s.advanceWave(l, w, down[w.Number])
+			s.advanceWave(l, w, down[w.Number], orderFrom[w.Number])
 		}
 	}
 }
@@ -62,8 +67,9 @@
 	return out
 }
 
-// advanceWave orders the maintenance of the next machines of a wave, and ends the wave once all are back.
-func (s *Scheduler) advanceWave(l *leaderState, w batch.Wave, down downSince) {
+// advanceWave orders the maintenance of the next machines of a wave from a boot time on, and ends the wave once all are
+// back.
+func (s *Scheduler) advanceWave(l *leaderState, w batch.Wave, down downSince, orderFrom time.Duration) {
 	now := s.cfg.BootClock()
 	inMaintenance := 0
 	for _, at := range down {
@@ -84,7 +90,7 @@
 		}
 		return
 	}
-	for inMaintenance < max(1, w.MaxConcurrent) {
+	for now >= orderFrom && inMaintenance < max(1, w.MaxConcurrent) {
 		// What may be taken down is looked at anew after each machine.
 		order := s.maintenanceOrder(l, waiting)
 		if len(order) == 0 {
--- a/sched/regain_test.go
+++ b/sched/regain_test.go
@@ -115,7 +115,7 @@
 			})).To(BeTrue())
 			f.r.setStallStarts(true)
 			f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(8), EstimateMS: 1000})
-			Eventually(f.r.stalledStarts).Should(Equal(1))
+			Eventually(f.r.stalledCount).Should(Equal(1))
 			f.advance(time.Second)
 			between(f)
 			Eventually(func() int { f.heartbeat("w1"); return f.runsOn("w1") }).Should(Equal(1))
--- a/sched/services_test.go
+++ b/sched/services_test.go
@@ -79,6 +79,25 @@
 		Expect(p.fences[1]).To(BeNumerically(">", p.fences[0]))
 	})
 
+	// Guards against more than the maximum at once: the leader that took one down was lost before it could record that.
+	It("wait under a new leader for machines whose maintenance may not be recorded", func() {
+		f.addWorkers("r1", "dc1", "w1", "w2")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(8), Label: "a", EstimateMS: 1000})
+		f.awaitRunning("j", 1)
+		busy := f.running("j")[taskID("j", 0, 0)]
+		f.r.setStallProgress(true)
+		wave("m-"+busy, "m-"+map[string]string{"w1": "w2", "w2": "w1"}[busy])
+		Eventually(f.r.stalledCount, 5*time.Second).Should(Equal(1))
+		f.r.setStallProgress(false)
+		f.changeLeader()
+		f.workers[busy].end(taskID("j", 0, 0), batch.EndDone)
+		f.heartbeatAll()
+		Consistently(p.ordered, 3*time.Second).Should(HaveLen(1))
+		f.advance(6 * time.Second)
+		f.heartbeatAll()
+		Eventually(p.ordered, 5*time.Second).Should(HaveLen(2))
+	})
+
 	// Guards against taking down more tasks of a long-running step at once than its MaxUnavailable.
 	It("leave a machine up while other tasks of a long-running step are unavailable", func() {
 		f.addWorkers("r1", "dc1", "w1", "w2")
