Play faults around the expiry of leases in the soak

The soak now cuts the workers of a data centre off for about that long, answers first, and once more soon after, and delays the links between control machines for some seconds by less than takes the lease away.

go test ./soak ./fault passes.

--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -78,6 +78,13 @@
 	p.rule = r
 }
 
+// SetDelay replaces the delay of the rule.
+func (p *Proxy) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rule.Delay = d
+}
+
 // CutForward forwards the next n bytes to the target and then closes the connection
 // that carried the last of them.
 func (p *Proxy) CutForward(n int) { p.setCut(forward, n) }
--- a/fault/proxy_test.go
+++ b/fault/proxy_test.go
@@ -73,6 +73,15 @@
 		Expect(time.Since(start)).To(BeNumerically(">=", 80*time.Millisecond))
 	})
 
+	// Guards against a change of the delay that ends another fault of the same link.
+	It("changes the delay without ending a drop", func() {
+		p.SetRule(fault.Rule{DropBack: true})
+		p.SetDelay(40 * time.Millisecond)
+		p.SetDelay(0)
+		_, err := sendAndReceive("hello")
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+	})
+
 	DescribeTable("silently drops data and forwards again after the rule ends", func(r fault.Rule) {
 		Expect(sendAndReceive("one")).To(Equal("one"))
 		p.SetRule(r)
--- a/soak/config.go
+++ b/soak/config.go
@@ -19,6 +19,8 @@
 	Controls, Entries, Workers int
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// NoExpiryFaults leaves out the faults around the expiry of leases, for seeds from before them.
+	NoExpiryFaults bool
 	// Calm is how long traffic goes on without faults after the recovery; no answer may be missing then.
 	Calm time.Duration
 	// Closing is the fault at the end; an empty one is drawn from the seed.
--- a/soak/export_test.go
+++ b/soak/export_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"turmericroute/batch"
@@ -118,6 +121,30 @@
 	x.s.checkCalmConfig(time.Now().Add(-ago), 7, "control-0")
 }
 
+// Cut is a cut of the links of one worker.
+type Cut struct{ h *host }
+
+// NewCut returns a cut that has begun.
+func NewCut(dir string, refuse bool, silence, back, again time.Duration) Cut {
+	s := &soak{cfg: Config{Dir: dir}, bounds: boundsByName[SmallBounds], ledger: newLedger(time.Second), transport: &http.Transport{}}
+	h := newHost(s, 0)
+	go s.cutWorkers(context.Background(), cut{hosts: []*host{h}, refuse: refuse, silence: silence, back: back, again: again})
+	for !h.cutOff() {
+		time.Sleep(time.Millisecond)
+	}
+	return Cut{h}
+}
+
+// Send sends a request of the worker that fails after a timeout.
+func (x Cut) Send(url string, timeout time.Duration) error {
+	resp, err := (&http.Client{Transport: x.h, Timeout: timeout}).Get(url)
+	if err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	resp.Body.Close()
+	return nil
+}
+
 // Violations returns all violations.
 func (x Calm) Violations() []string { return x.s.ledger.violations }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,7 +73,7 @@
 
 // logFault counts a fault of duration d, notes it in the ledger and appends it to faults.log.
 func (s *soak) logFault(d time.Duration, format string, args ...any) {
-	s.faults++
+	s.faults.Add(1)
 	s.ledger.noteDisruption(d)
 	line := fmt.Sprintf("ts=%s at_s=%.3f fault=%q\n", time.Now().UTC().Format(time.RFC3339Nano), time.Since(s.ledger.startedAt).Seconds(), fmt.Sprintf(format, args...))
 	f, err := os.OpenFile(filepath.Join(s.cfg.Dir, "faults.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,7 +44,7 @@
 	gangMu sync.Mutex
 	gangs  map[string]*gang // by job, step and run number
 
-	faults int // number of injected faults; used by one goroutine only
+	faults atomic.Int64 // number of injected faults
 
 	// calmSince is when the current calm began, in Unix nanoseconds; 0 outside of it.
 	calmSince atomic.Int64
@@ -99,7 +99,14 @@
 	}
 	wg.Go(func() { s.recordMetrics(soakCtx) })
 	sleep(ctx, warmUp)
+	faultCtx, stopFaults := context.WithCancel(ctx)
+	var expiryFaults sync.WaitGroup
+	if !cfg.NoExpiryFaults {
+		expiryFaults.Go(func() { s.injectExpiryFaults(faultCtx, newRand(expiryStream)) })
+	}
 	s.injectFaults(ctx, newRand(1))
+	stopFaults()
+	expiryFaults.Wait()
 	sleep(ctx, s.bounds.recovery)
 	s.keepCalm(ctx)
 	s.checkOutage(ctx)
@@ -107,7 +114,7 @@
 	stopTraffic()
 	callers.Wait()
 	s.checkCompletion(ctx)
-	r := Report{Seed: cfg.Seed, Faults: s.faults, Closing: cfg.Closing}
+	r := Report{Seed: cfg.Seed, Faults: int(s.faults.Load()), Closing: cfg.Closing}
 	s.reportLeaders(&r)
 	l.finalChecks(&r)
 	return r, ctx.Err() //nolint:wrapcheck // the error of the caller's context.
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -36,8 +36,8 @@
 	index int
 	dc    string
 	rack  string
-	// dropRequests drops heartbeats, dropResponses their responses.
-	dropRequests, dropResponses atomic.Bool
+	// dropRequests drops heartbeats, dropResponses their responses; refuseRequests makes heartbeats fail at once.
+	dropRequests, dropResponses, refuseRequests atomic.Bool
 	// starts counts the runs that started on the host.
 	starts atomic.Int64
 	// crash ends the current worker without notice, drain makes it drain and leave.
@@ -92,6 +92,9 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err() //nolint:wrapcheck // RoundTrip returns what a network without responses would.
 	}
+	if h.refuseRequests.Load() {
+		return nil, errRefused
+	}
 	if h.dropRequests.Load() {
 		return block()
 	}
@@ -104,7 +107,9 @@
 }
 
 // cutOff reports whether the host's worker hears nothing of the system and of other workers.
-func (h *host) cutOff() bool { return h.dropRequests.Load() || h.dropResponses.Load() }
+func (h *host) cutOff() bool {
+	return h.dropRequests.Load() || h.dropResponses.Load() || h.refuseRequests.Load()
+}
 
 // run runs one worker after the other until ctx ends.
 func (h *host) run(ctx context.Context, rnd *rand.Rand) {
