Count the runs of a worker that is heard after its lease for the quota again

A team could exceed its quota: runs that a worker reports beyond the ledger count until its lease expires, and did not count again when the worker was heard later with the same runs, since only other runs than before made the scheduler count anew.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -91,8 +91,9 @@
 	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
 	s.noteProfile(l, w, now)
+	lapsed := now > w.leaseEnd // its runs beyond the ledger no longer counted
 	w.leaseEnd = max(w.leaseEnd, now+s.leaseExpiry())
-	if s.recordRuns(l, w, now) {
+	if s.recordRuns(l, w, now) || lapsed {
 		l.markRuns(hb.Worker)
 	}
 	var ends []batch.End
--- a/sched/kept_test.go
+++ b/sched/kept_test.go
@@ -136,7 +136,7 @@
 var _ = Describe("the kept room and waiting steps", func() {
 	// Guards against updates that are left out: placement would use room that is taken, or leave room unused.
 	It("are those that a fresh look gives, after random histories", func() {
-		for seed := range uint64(12) {
+		for seed := range uint64(80) {
 			h := &history{fixture: newIdleFixture(), rand: rand.New(rand.NewPCG(seed, 1)), version: 1}
 			h.addWorkers("r1", "dc1", "w1", "w2", "w3")
 			h.addWorkers("r2", "dc2", "w4", "w5")
--- a/sched/quota_test.go
+++ b/sched/quota_test.go
@@ -41,6 +41,15 @@
 	Expect(f.call(sched.Call{Submit: &sched.Submit{JobRef: ref, Spec: batch.Spec{Text: "t", Steps: steps}}}).err).To(Succeed())
 }
 
+// heartbeatLost sends a worker's heartbeat, and loses the answer.
+func (f *fixture) heartbeatLost(name string) {
+	GinkgoHelper()
+	w := f.workers[name]
+	w.hb.Seq++
+	hb := w.hb
+	Expect(f.call(sched.Call{Heartbeat: &hb}).err).NotTo(HaveOccurred())
+}
+
 // place runs passes over 600 ms of clock time and returns how many runs they have started of each job.
 func (f *fixture) place() map[string]int {
 	GinkgoHelper()
@@ -333,6 +342,25 @@
 	})
 })
 
+var _ = Describe("the use of a team", func() {
+	// Guards against a team that exceeds its quota: the runs that a worker reports beyond the ledger no longer counted once its
+	// lease had expired, and not again when the worker was heard with the same runs.
+	It("counts the runs that a worker still reports when it is heard after its lease", func() {
+		f := newQuotaFixture(8, "w1")
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(4), EstimateMS: 60_000})
+		f.turn()
+		Expect(f.running("j")).To(HaveLen(1))
+		f.advance(10 * time.Second)
+		Expect(f.s.Sweep()).To(Succeed())
+		f.cancel("normal", "j")
+		f.place()
+		Expect(f.s.Use("team").GPUs).To(BeZero())
+		f.heartbeatLost("w1")
+		f.place()
+		Expect(f.s.Use("team").GPUs).To(Equal(4))
+	})
+})
+
 var _ = Describe("a job that waits for the quota of its team", func() {
 	// Guards against work of other teams that is stopped in vain.
 	It("preempts no runs of other teams", func() {
