Show by size of jobs how many ended in time

Callers of large jobs were served less often than others, and nothing said how much less: the log named neither the size nor the objective of a job, nor its end. `job_accepted` and `job_refused` now say tasks, work and objective, `job_ended` says state and time, and `bench sizes` adds up by queue and size the shares in time, runs a job, ends and losses by cause.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -28,7 +28,7 @@
 		Name: "bench", ShortUsage: "bench SUBCOMMAND [flags]",
 		ShortHelp:   "measures the system and prints key=value lines",
 		FlagSet:     flag.NewFlagSet("bench", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{capacityCommand(), daysCommand(), decideCommand(), instanceCommand(), lossCommand(), routeCommand(), soakCommand(), stateCommand()},
+		Subcommands: []*ffcli.Command{capacityCommand(), daysCommand(), decideCommand(), instanceCommand(), lossCommand(), routeCommand(), sizesCommand(), soakCommand(), stateCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
--- a/loss/log.go
+++ b/loss/log.go
@@ -17,7 +17,10 @@
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxLineBytes)
 	for sc.Scan() {
-		f := fields(sc.Text())
+		if !strings.Contains(sc.Text(), " lost=") {
+			continue
+		}
+		f := Fields(sc.Text())
 		switch f["event"] {
 		case "run_ended":
 			if f["err"] == "null" {
@@ -26,7 +29,7 @@
 		case "late_end":
 			addEnd(t, f)
 		case "gang_loss_resolved":
-			runs, lost := int(number(f["runs"])), number(f["lost"])
+			runs, lost := int(Number(f["runs"])), Number(f["lost"])
 			t.Add(Unresolved, -runs, -lost)
 			t.Add(Cause(f["cause"]), runs, lost)
 		}
@@ -40,18 +43,15 @@
 // addEnd adds the end of a run.
 func addEnd(t Table, f map[string]string) {
 	if c := Cause(f["cause"]); c != None {
-		t.Add(c, 1, number(f["lost"]))
+		t.Add(c, 1, Number(f["lost"]))
 	}
-	if wait := number(f["waited"]); wait > 0 {
+	if wait := Number(f["waited"]); wait > 0 {
 		t.Add(GangWait, 1, wait)
 	}
 }
 
-// fields returns the fields of a line in logfmt that have no spaces in their values.
-func fields(line string) map[string]string {
-	if !strings.Contains(line, " lost=") {
-		return nil
-	}
+// Fields returns the fields of a line in logfmt that have no spaces in their values.
+func Fields(line string) map[string]string {
 	out := map[string]string{}
 	for _, f := range strings.Fields(line) {
 		if k, v, ok := strings.Cut(f, "="); ok {
@@ -61,8 +61,8 @@
 	return out
 }
 
-// number returns a decimal number, 0 if it is none.
-func number(s string) float64 {
+// Number returns a decimal number, 0 if it is none.
+func Number(s string) float64 {
 	n, err := strconv.ParseFloat(s, 64)
 	if err != nil {
 		return 0
--- a/sched/jobs.go
+++ b/sched/jobs.go
@@ -66,8 +66,9 @@
 	if failure == nil && existing == nil {
 		failure = s.refusal(l, &a, open)
 	}
+	size := sizeOf(q, c.Spec)
 	if failure != nil {
-		s.cfg.Logger.Log("event", "job_refused", "path", c.Path, "code", failure.Code, "reason", failure.Message, "retry_after_ms", failure.RetryAfter.Milliseconds())
+		s.cfg.Logger.Log("event", "job_refused", "path", c.Path, "job", a.ID, "queue", q.Name, "tasks", size.tasks, "work", size.work, "objective_ms", size.objectiveMS, "code", failure.Code, "reason", failure.Message, "retry_after_ms", failure.RetryAfter.Milliseconds())
 		s.metrics.refusedJobs(failure.Code).Inc()
 		return Answer{}, failure
 	}
@@ -75,7 +76,7 @@
 		s.noteSubmission(l, a.ID)
 		res, err := l.commit(ctx, batch.Change{Accept: &a})
 		s.noteOutcome(l, a.ID, err)
-		s.cfg.Logger.Log("event", "job_accepted", "job", a.ID, "queue", a.Queue, "team", a.Team, "priority", a.Priority, "steps", len(a.Spec.Steps), "known", res.Duplicate, "term", l.term, "err", err)
+		s.cfg.Logger.Log("event", "job_accepted", "job", a.ID, "queue", a.Queue, "team", a.Team, "priority", a.Priority, "steps", len(a.Spec.Steps), "tasks", size.tasks, "work", size.work, "objective_ms", size.objectiveMS, "known", res.Duplicate, "term", l.term, "err", err)
 		if err != nil {
 			return Answer{}, err
 		}
@@ -88,6 +89,31 @@
 	return Answer{State: StatePending}, nil
 }
 
+// jobSize is what the log says of the size of a submitted job.
+type jobSize struct {
+	tasks int
+	// work is the estimated work of a round in core-seconds.
+	work float64
+	// objectiveMS is the time from submission to end that the queue aims for, in milliseconds; 0 if there is none.
+	objectiveMS int64
+}
+
+// sizeOf returns the size of a job, zeros if its specification is invalid.
+func sizeOf(q batch.Queue, spec batch.Spec) jobSize {
+	if spec.Validate() != nil {
+		return jobSize{}
+	}
+	j := &batch.Job{Spec: spec}
+	size := jobSize{work: workOf(j)}
+	for _, st := range spec.Steps {
+		size.tasks += st.Count * spec.RoundCount()
+	}
+	if q.HasObjective() && spec.HasObjective() {
+		size.objectiveMS = objectiveMS(q, j)
+	}
+	return size
+}
+
 // cancel cancels a job. One that is unknown is recorded too before the caller is told so, since its submission may
 // arrive later.
 func (s *Scheduler) cancel(ctx context.Context, l *leaderState, ref JobRef) (Answer, error) {
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -32,7 +32,12 @@
 	if !ok || !q.HasObjective() || !j.Spec.HasObjective() {
 		return 0, false
 	}
-	return j.AcceptedMS + int64(q.Stretch*float64(criticalPathMS(j, 0, false))) + int64(q.TargetMS), true
+	return j.AcceptedMS + objectiveMS(q, j), true
+}
+
+// objectiveMS returns the time from acceptance to end that a queue aims for, in milliseconds.
+func objectiveMS(q batch.Queue, j *batch.Job) int64 {
+	return int64(q.Stretch*float64(criticalPathMS(j, 0, false))) + int64(q.TargetMS)
 }
 
 func compareRanks(a, b rank) int {
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -112,6 +112,7 @@
 		}
 		for id := range l.startedJobs {
 			if b.Open[id] == nil {
+				s.logJobEnd(l, b.Jobs[id], id)
 				delete(l.startedJobs, id)
 			}
 		}
@@ -136,6 +137,14 @@
 	}
 }
 
+// logJobEnd logs the end of a job that has started in this term; j is nil if it is no longer known.
+func (s *Scheduler) logJobEnd(l *leaderState, j *batch.Job, id string) {
+	if j == nil {
+		return
+	}
+	s.cfg.Logger.Log("event", "job_ended", "job", id, "queue", j.Queue, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS, "reason", j.Reason, "term", l.term)
+}
+
 // tombstonePurgeDelay is how long old tombstones wait for others, so that many are deleted by one change.
 const tombstonePurgeDelay = 5 * time.Second
 
