Let gangs wait for a rack as long as they would lose elsewhere

Callers of large gangs got their results late more often than others. A gang that prefers one rack left it after 0.8 of its estimate and then took three times as long on several racks. That is too late for most objectives, and the gang keeps three times the room from others, the more so the larger it is: when room was short, gangs that had left their rack made it shorter.

A step now waits for its rack as long as it would lose elsewhere, which is the settings' `remote-penalty` (not read until now) less one times its estimate. To wait in vain then at most doubles the loss.

--- a/sched/config.go
+++ b/sched/config.go
@@ -24,6 +24,8 @@
 	HandoverDelay time.Duration
 	// MaintenanceTime is how long the maintenance of a machine takes.
 	MaintenanceTime time.Duration
+	// OffRackFactor is the factor by which a step takes longer off its preferred rack; 0 means defaultOffRackFactor.
+	OffRackFactor float64
 }
 
 // Adviser queries the policy service for the workers that may run a step.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// rackWaitShare bounds how long a step waits for its preferred rack before it runs elsewhere, as a fraction of
-	// its estimated duration. Elsewhere it takes a multiple of that duration.
-	rackWaitShare = 0.8
+	// defaultOffRackFactor is Limits.OffRackFactor where the settings give none.
+	defaultOffRackFactor = 3
 	// rackWaitReclaimShare bounds that wait for a guaranteed job, as a fraction of the reclaim time.
 	rackWaitReclaimShare = 0.6
 	// maxIdleRackWait bounds that wait while utilisation is below lowUtilisation.
@@ -72,9 +71,14 @@
 	unused int
 }
 
-// rackWait returns how long a step waits for its preferred rack.
+// rackWait returns how long a step waits for its preferred rack: as long as it would lose elsewhere, so that to wait in
+// vain at most doubles the loss. A gang that leaves its rack sooner also takes room from others for longer.
 func (p *pass) rackWait(r *request) time.Duration {
-	maxWait := time.Duration(rackWaitShare*float64(r.step.EstimateMS)) * time.Millisecond
+	factor := p.s.cfg.Limits.OffRackFactor
+	if factor == 0 {
+		factor = defaultOffRackFactor
+	}
+	maxWait := time.Duration((factor-1)*float64(r.step.EstimateMS)) * time.Millisecond
 	if p.guaranteed(r.job) {
 		maxWait = min(maxWait, time.Duration(rackWaitReclaimShare*float64(p.s.cfg.Limits.Reclaim)))
 	}
