Hold room for more waiting gangs where the room is large

Callers of large gangs got their results late, or too late to be of use, when more work came than there was room for. Room that comes free is held for the first gangs that find no place; for all others, smaller gangs that came later took it, worker by worker, so that a large gang never found a whole rack. It was held for three gangs, whatever the size of the room.

It is now held for up to ten, and beyond three only while they need no more than half of the accelerators, so that small rooms do not idle.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -15,9 +15,11 @@
 	rackWaitReclaimShare = 0.6
 	// maxIdleRackWait bounds that wait while utilisation is below lowUtilisation.
 	maxIdleRackWait = 1500 * time.Millisecond
-	// maxReservedGangs is the number of reservations in one pass above which only guaranteed gangs get further ones;
-	// more would idle the workers.
-	maxReservedGangs = 3
+	// maxReservedGangs bounds the reservations in one pass for gangs beyond a guarantee, as each takes a search. From
+	// minReservedGangs on they may take maxReservedShare of the accelerators together; more would idle the workers.
+	maxReservedGangs = 10
+	minReservedGangs = 3
+	maxReservedShare = 0.5
 	// lowUtilisation is the fraction of accelerators in use below which a gang beyond a guarantee gets no reservation
 	// and a step waits for a rack for maxIdleRackWait at most, so that no work is queued while most workers are idle.
 	lowUtilisation = 0.6
@@ -262,16 +264,26 @@
 	if !p.full || p.preemptIfDue(r) {
 		return
 	}
-	if !p.guaranteed(r.job) && (p.reservedGangs >= maxReservedGangs || p.room.utilisation() < lowUtilisation) {
+	if !p.guaranteed(r.job) && (!p.mayReserve(r) || p.room.utilisation() < lowUtilisation) {
 		return
 	}
 	waited := r.waited(p.now)
 	if chosen, _ := p.earliestPlacement(r, func(d time.Duration) bool { return p.allowsRemote(r, waited+d) }); chosen != nil {
 		p.reservedGangs++
+		p.reservedGPUs += r.count * r.need.GPUs
 		p.hold(reservation{step: r.waitingStep, need: r.need, chosen: chosen})
 	}
 }
 
+// mayReserve reports whether the reservations of this pass leave one to a gang beyond a guarantee.
+func (p *pass) mayReserve(r *request) bool {
+	if p.reservedGangs < minReservedGangs {
+		return true
+	}
+	share := float64(p.reservedGPUs+r.count*r.need.GPUs) / float64(max(1, p.room.totalGPUs))
+	return p.reservedGangs < maxReservedGangs && share <= maxReservedShare
+}
+
 // scheduleRetry makes a full pass due when time alone changes what may be done for a blocked step: it may run outside
 // its preferred rack, or runs may be preempted for it.
 func (p *pass) scheduleRetry(r *request) {
--- a/sched/pass.go
+++ b/sched/pass.go
@@ -30,8 +30,9 @@
 	now     time.Duration
 	nowMS   int64
 	starts  []batch.Start
-	// reservedGangs counts the gangs that resources coming free were reserved for in this pass.
-	reservedGangs int
+	// reservedGangs counts the gangs that resources coming free were reserved for in this pass, and reservedGPUs the
+	// accelerators that they need.
+	reservedGangs, reservedGPUs int
 	// budgets holds what the pass may still give to each team under its limit.
 	budgets map[string]*quotaBudget
 	// preemptSearches counts the searches for runs to preempt in this pass.
