Count an end once for throughput while its commit is late

Callers could be accepted in vain under overload: an end that a worker reports again, since its commit has not come within 0.6 s, counted as ended work at each report, so that the rate that refusals go by was too high.

--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -193,3 +193,13 @@
 	defer s.mu.Unlock()
 	return len(s.leader.waiting.shapes)
 }
+
+// EndedWork returns the estimated work of a service that has ended lately in a unit of time, in accelerators.
+func (s *Scheduler) EndedWork(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.leader.overload.throughput[service]; t != nil {
+		return t.Rate(s.cfg.BootClock())
+	}
+	return 0
+}
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -176,9 +176,10 @@
 			s.noteEnd(l, b, w, e, now)
 			ends = append(ends, batch.End{Task: e.Task, Run: e.Run, Reason: e.Reason, Checkpoint: e.Checkpoint, Health: l.changedHealth(b, w)})
 			l.noteMemberEnd(b.Jobs[e.Task.Job], e, now)
-			if e.Reason == batch.EndDone {
+			if e.Reason == batch.EndDone && !w.endNoted[ref] {
 				l.noteDone(b.Jobs[e.Task.Job], e.Task, w.hb.Service, now)
 			}
+			w.endNoted[ref] = true
 		} else {
 			s.noteLateEnd(l, b, w, e, now)
 		}
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -149,3 +149,23 @@
 		Expect(submit(f, "more0")).To(BeNil())
 	})
 })
+
+var _ = Describe("work that has ended", func() {
+	// Guards against jobs that are accepted in vain: an end that was reported again while its commit was late counted again.
+	It("counts once however often its end is reported", func() {
+		f := newRacks()
+		f.submit("normal", "done", batch.Step{Count: 40, Need: gpus(1), EstimateMS: 4000})
+		f.pass()
+		for task, w := range f.running("done") {
+			f.workers[w].end(task, batch.EndDone)
+		}
+		f.r.delayEnds()
+		f.heartbeatAll()
+		once := f.s.EndedWork("svc")
+		Expect(once).To(BeNumerically(">", 0))
+		for range 2 {
+			f.heartbeatAll()
+		}
+		Expect(f.s.EndedWork("svc")).To(Equal(once))
+	})
+})
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -31,6 +31,8 @@
 	// missedReports holds the active runs that were reported, as running or ended, with the number of consecutive
 	// heartbeats that have omitted them since.
 	missedReports map[RunRef]int
+	// endNoted holds the active runs whose ends the worker has reported.
+	endNoted map[RunRef]bool
 	// firstReports holds when and at which progress each run was first reported.
 	firstReports map[RunRef]firstReport
 	// stopSeq holds the sequence number of the heartbeat in whose answer a stop was first ordered.
@@ -59,7 +61,7 @@
 
 func newWorker() *worker {
 	return &worker{
-		running: map[batch.TaskID]RunState{}, missedReports: map[RunRef]int{}, firstReports: map[RunRef]firstReport{}, stopSeq: map[RunRef]int64{},
+		running: map[batch.TaskID]RunState{}, missedReports: map[RunRef]int{}, endNoted: map[RunRef]bool{}, firstReports: map[RunRef]firstReport{}, stopSeq: map[RunRef]int64{},
 		rates: map[batch.TaskID]rate{}, overTargetSince: map[batch.TaskID]time.Duration{},
 	}
 }
@@ -68,6 +70,7 @@
 func (w *worker) forgetEnded(active map[batch.TaskID]int) {
 	over := func(ref RunRef) bool { return active[ref.Task] != ref.Run && w.running[ref.Task].Run != ref.Run }
 	maps.DeleteFunc(w.missedReports, func(ref RunRef, _ int) bool { return over(ref) })
+	maps.DeleteFunc(w.endNoted, func(ref RunRef, _ bool) bool { return over(ref) })
 	maps.DeleteFunc(w.stopSeq, func(ref RunRef, _ int64) bool { return over(ref) })
 }
 
