Place no run while a worker reports an earlier one of its task

Callers could see a task run twice: a run that had been given up, and that its worker reported as running all the same, was told to stop, but the next one was placed as soon as the end was committed, not once the old one had stopped.

No worker that keeps its lease gets there. It waits until the worker no longer reports the run, has a later life, or its lease has expired. A task whose worker never stops it doesn't run again: once at most goes before soon.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -58,6 +58,7 @@
 		return
 	}
 	g.reported = true
+	l.noteLingering(ref.Task, w.hb.Worker)
 	s.metrics.givenUpReports.Inc()
 	s.cfg.Logger.Log("event", "given_up_run_reported", "task", ref.Task, "run", ref.Run, "worker", w.hb.Worker, "seq", w.hb.Seq, "given_up_ms", (now - g.at).Milliseconds(), "term", l.term)
 }
@@ -78,3 +79,31 @@
 	}
 	return ends
 }
+
+// noteLingering records that a worker reports a run of a task that should be over. The task gets no other run meanwhile.
+func (l *leaderState) noteLingering(id batch.TaskID, worker string) {
+	if l.lingers(id) {
+		return
+	}
+	l.lingering[id] = worker
+	l.waiting.touched[id.Job] = true
+}
+
+// lingers reports whether a worker reports a run of a task that should be over.
+func (l *leaderState) lingers(id batch.TaskID) bool {
+	_, ok := l.lingering[id]
+	return ok
+}
+
+// dropLingering drops the runs that their workers no longer report, or whose leases have expired.
+func (l *leaderState) dropLingering(now time.Duration) {
+	for id, worker := range l.lingering {
+		if w := l.workers[worker]; w != nil && !w.gone && now <= w.leaseEnd {
+			if _, ok := w.running[id]; ok {
+				continue
+			}
+		}
+		delete(l.lingering, id)
+		l.waiting.touched[id.Job] = true
+	}
+}
--- a/sched/giveup_test.go
+++ b/sched/giveup_test.go
@@ -115,4 +115,36 @@
 		f.sweepLate()
 		Expect(f.heartbeat("w1").Stops).To(HaveLen(2))
 	})
+
+	// Guards against two runs of one task: a worker reported the given-up run and was told to stop it, and the next run
+	// was placed while it was still stopping.
+	DescribeTable("has no successor while its worker reports it as running", func(between func(*fixture, *sched.Heartbeat)) {
+		f := newIdleFixture()
+		f.addWorkers("r1", "dc1", "w1")
+		f.submit("normal", "j", step)
+		f.turn()
+		f.advance(10 * time.Second)
+		f.sweepLate()
+		reported := f.workers["w1"].hb
+		reported.Seq++
+		Expect(f.call(sched.Call{Heartbeat: &reported}).Orders.Stops).To(HaveLen(2))
+		f.r.commitLate()
+		delete(f.workers, "w1")
+		f.addWorkers("r1", "dc1", "w2")
+		Expect(f.s.Pass(sched.InTime)).To(BeEmpty())
+		Expect(f.s.CheckKept()).To(Succeed())
+		between(f, &reported)
+		Expect(f.s.Pass(sched.InTime)).To(HaveLen(2))
+		Expect(f.s.CheckKept()).To(Succeed())
+	},
+		Entry("until the worker reports its end", func(f *fixture, hb *sched.Heartbeat) {
+			hb.Running, hb.Ended = nil, []sched.RunEnd{{Number: 1, Task: taskID("j", 0, 0), Run: 1, Reason: batch.EndStopped}, {Number: 2, Task: taskID("j", 0, 1), Run: 1, Reason: batch.EndStopped}}
+			hb.Seq++
+			Expect(f.call(sched.Call{Heartbeat: hb}).err).NotTo(HaveOccurred())
+		}),
+		Entry("until the lease of the worker has expired", func(f *fixture, _ *sched.Heartbeat) {
+			f.advance(10 * time.Second)
+			f.heartbeat("w2")
+		}),
+	)
 })
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -35,7 +35,7 @@
 			ref := RunRef{Task: id, Run: run}
 			r, running := w.running[id]
 			_, seen := w.missedReports[ref]
-			if t.Incarnation != hb.Incarnation || running && r.Run == run || seen || l.givenUp[ref] != nil {
+			if t.Incarnation != hb.Incarnation || running && r.Run == run || seen || l.givenUp[ref] != nil || l.lingers(id) {
 				continue
 			}
 			if reason := s.startBlockReason(l, b, w, j, id, run, now); reason != "" {
@@ -71,6 +71,9 @@
 			if reason != "" {
 				s.orderStop(l, b, w, out, RunRef{Task: id, Run: r.Run}, reason)
 			}
+			if reason == stopReplaced || reason == stopGivenUp {
+				l.noteLingering(id, hb.Worker)
+			}
 		}
 		s.throttle(l, b, w, out, now)
 	})
--- a/sched/place.go
+++ b/sched/place.go
@@ -77,14 +77,15 @@
 	return p.placeTasks(w)
 }
 
-// needsRun reports whether a task is not done and has no active or pending run.
+// needsRun reports whether a task is not done and has no active, pending or lingering run.
 func (p *pass) needsRun(j *batch.Job, id batch.TaskID) bool {
 	t := j.Task(id)
 	if t.Active || t.Done {
 		return false
 	}
 	_, pending := p.l.pending[id]
-	return !pending
+	_, lingers := p.l.lingering[id]
+	return !pending && !lingers
 }
 
 // request describes the tasks of a step that are to be placed.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -127,6 +127,8 @@
 	preempting map[RunRef]string
 	// givenUp holds the runs that were given up and whose ends are not in the ledger yet.
 	givenUp map[RunRef]*givenUpRun
+	// lingering holds the worker that reports a run of a task which is over by the ledger, or given up.
+	lingering map[batch.TaskID]string
 	// losses tells what is lost with each run that ends; lossesPrunedAt is the boot time of its last pruning.
 	losses         *loss.Book
 	lossesPrunedAt time.Duration
@@ -236,7 +238,7 @@
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		fleet: fleet.New(), heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), use: newQuotaUse(), weights: newWeights(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, givenUp: map[RunRef]*givenUpRun{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
+		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, givenUp: map[RunRef]*givenUpRun{}, lingering: map[batch.TaskID]string{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
 		provenSince: map[batch.TaskID]time.Duration{}, overload: newOverload(),
 	}
 }
--- a/sched/waiting.go
+++ b/sched/waiting.go
@@ -110,6 +110,7 @@
 // refreshWaiting brings the waiting steps of all jobs that may have changed up to date.
 func (p *pass) refreshWaiting() {
 	ws := p.waiting
+	p.l.dropLingering(p.now)
 	for id := range ws.scheduled {
 		ws.touched[id] = true
 	}
