Count given-up runs whose ends are committed late

An end that reached the ledger after the wait for its commit was over left no trace: run_ended had err set, and what the run had lost was not counted.

The entry "late" of the new spec fails without this change. go test ./sched passes.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -34,12 +34,14 @@
 	at, proposedAt time.Duration
 	// reported is set once the worker has reported the run as running since.
 	reported bool
+	// awaited is set while the commit of the end is waited for, counted once the loss of the run has been counted.
+	awaited, counted bool
 }
 
 // giveUp decides that a run on a worker has ended, and returns the end to commit.
 func (s *Scheduler) giveUp(l *leaderState, worker string, end batch.End, why givenUpReason, now time.Duration) batch.End {
 	ref := RunRef{Task: end.Task, Run: end.Run}
-	l.givenUp[ref] = &givenUpRun{worker: worker, end: end, at: now, proposedAt: now}
+	l.givenUp[ref] = &givenUpRun{worker: worker, end: end, at: now, proposedAt: now, awaited: true}
 	s.metrics.givenUpRuns(why).Inc()
 	silent, reported := now-l.since, false
 	if w := l.workers[worker]; w != nil {
@@ -65,16 +67,21 @@
 
 // unrecordedEnds drops the given-up runs whose ends are in the ledger, and returns the ends of the others that are to be
 // proposed again: they may have failed to reach the log.
-func (l *leaderState) unrecordedEnds(b *batch.State, now time.Duration) []batch.End {
+func (s *Scheduler) unrecordedEnds(l *leaderState, b *batch.State, now time.Duration) []batch.End {
 	var ends []batch.End
 	for ref, g := range l.givenUp {
-		if run, active := b.Runs[g.worker][ref.Task]; !active || run != ref.Run {
-			delete(l.givenUp, ref)
-			continue
-		}
-		if now-g.proposedAt >= givenUpRetry {
-			g.proposedAt = now
+		run, active := b.Runs[g.worker][ref.Task]
+		active = active && run == ref.Run
+		switch {
+		case g.awaited:
+		case active && now-g.proposedAt >= givenUpRetry:
+			g.proposedAt, g.awaited = now, true
 			ends = append(ends, g.end)
+		case !active:
+			if !g.counted {
+				s.noteEnded(l, g.worker, g.end, s.lossOfEnd(l, b, g.end, now), now-g.at, nil)
+			}
+			delete(l.givenUp, ref)
 		}
 	}
 	return ends
--- a/sched/giveup_test.go
+++ b/sched/giveup_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -147,4 +148,24 @@
 			f.heartbeat("w2")
 		}),
 	)
+
+	// Guards against ends that no line and no figure shows: those that reached the ledger after the wait for them was over.
+	DescribeTable("is counted as lost once its end is committed",
+		func(commit func(f *fixture)) {
+			set := metrics.NewSet()
+			f := newIdleFixture(func(cfg *sched.Config) { cfg.Metrics = set })
+			f.addWorkers("r1", "dc1", "w1")
+			f.submit("normal", "j", step)
+			f.turn()
+			f.advance(10 * time.Second)
+			commit(f)
+			Expect(f.s.Sweep()).To(Succeed())
+			Expect(set.GetOrCreateCounter(`turmericroute_sched_lost_runs_total{cause="worker_lost"}`).Get()).To(BeEquivalentTo(2))
+		},
+		Entry("in time", func(*fixture) {}),
+		Entry("late", func(f *fixture) {
+			f.sweepLate()
+			f.r.commitLate()
+		}),
+	)
 })
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -250,29 +250,38 @@
 // reportEnds counts and logs ended runs and triggers a placement pass; err is the error of their commit, which took as long
 // as given.
 func (s *Scheduler) reportEnds(l *leaderState, worker string, ends []batch.End, took time.Duration, err error) {
-	workers := s.workersOf(l, worker, ends)
 	losses := make([]loss.Run, len(ends))
+	workers := s.settleEnds(l, worker, ends, err == nil)
 	if err == nil {
 		losses = s.lossesOf(l, ends)
 	}
 	for i, e := range ends {
-		s.metrics.endedRuns(e.Reason).Inc()
-		lost, waited := losses[i].Lost()
-		s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", workers[i], "commit_ms", took.Milliseconds(), "cause", losses[i].Cause, "held_ms", losses[i].Held.Milliseconds(), "lost", lost, "waited", waited, "term", l.term, "err", err)
+		s.noteEnded(l, workers[i], e, losses[i], took, err)
 	}
 	l.triggerPass()
 }
 
-// workersOf returns the worker of each of several runs: the given one, or those on which runs were given up if it is empty.
-func (s *Scheduler) workersOf(l *leaderState, worker string, ends []batch.End) []string {
+// noteEnded counts and logs an ended run; took is how long its commit took, and err the error of that.
+func (s *Scheduler) noteEnded(l *leaderState, worker string, e batch.End, lost loss.Run, took time.Duration, err error) {
+	s.metrics.endedRuns(e.Reason).Inc()
+	work, wait := lost.Lost()
+	s.cfg.Logger.Log("event", "run_ended", "task", e.Task, "run", e.Run, "how", e.Reason, "worker", worker, "commit_ms", took.Milliseconds(), "cause", lost.Cause, "held_ms", lost.Held.Milliseconds(), "lost", work, "waited", wait, "term", l.term, "err", err)
+}
+
+// settleEnds returns the worker of each of several runs: the given one, or those on which runs were given up if it is empty.
+// The commit of their ends is no longer waited for.
+func (s *Scheduler) settleEnds(l *leaderState, worker string, ends []batch.End, committed bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]string, len(ends))
 	for i, e := range ends {
 		out[i] = worker
-		if g := l.givenUp[RunRef{Task: e.Task, Run: e.Run}]; worker == "" && g != nil {
-			out[i] = g.worker
+		g := l.givenUp[RunRef{Task: e.Task, Run: e.Run}]
+		if g == nil {
+			continue
 		}
+		out[i] = g.worker
+		g.awaited, g.counted = false, g.counted || committed
 	}
 	return out
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -225,6 +225,9 @@
 	if f := s.former; f != nil && f.term == term && f.ledger == l.ledger {
 		if f.spoiled {
 			l.givenUp = f.givenUp // their ends may still be committed
+			for _, g := range l.givenUp {
+				g.awaited = false
+			}
 		} else {
 			l.memory = f.memory
 		}
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -44,7 +44,7 @@
 	now := s.cfg.BootClock()
 	var ends []batch.End
 	l.ledger.View(func(b *batch.State) {
-		ends = l.unrecordedEnds(b, now)
+		ends = s.unrecordedEnds(l, b, now)
 		for id, runs := range b.Runs {
 			w := l.workers[id]
 			if !s.dead(l, w, now) {
