--- a/sched/export_test.go
+++ b/sched/export_test.go
@@ -31,6 +31,13 @@
 // Spoil makes the memory of the session unusable, as after a panic.
 func (s *Scheduler) Spoil() { s.leader.spoiled = true }
 
+// GivenUp returns how many runs are given up and not known to be in the ledger as ended.
+func (s *Scheduler) GivenUp() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.leader.givenUp)
+}
+
 // Panic ends the session as a call that panics does.
 func (s *Scheduler) Panic() {
 	s.mu.Lock()
--- a/sched/giveup_test.go
+++ b/sched/giveup_test.go
@@ -21,7 +21,7 @@
 // placedOnSilent returns a fixture with a step that is placed on w1, which falls silent before it hears of that.
 func placedOnSilent(step batch.Step) *fixture {
 	GinkgoHelper()
-	f := newIdleFixture()
+	f := newIdleFixture(func(cfg *sched.Config) { cfg.Metrics = metrics.NewSet() })
 	f.addWorkers("r1", "dc1", "w1")
 	f.submit("normal", "j", step)
 	Expect(f.s.Pass(sched.InTime)).To(HaveLen(step.Count))
@@ -94,13 +94,18 @@
 	})
 
 	// Guards against runs that are never ended, since their worker is heard again and the first proposal was lost.
-	It("ends when the first proposal of its end is lost", func() {
+	It("ends when the first proposal of its end is lost, and counts once", func() {
 		f := placedOnSilent(step)
 		f.sweepLate()
+		Expect(f.s.Sweep()).To(Succeed()) // proposes nothing so soon
 		f.r.dropLate()
 		f.heartbeat("w1")
 		f.advance(time.Second)
 		Expect(f.s.Sweep()).To(Succeed())
+		Expect(f.s.GivenUp()).To(Equal(2))
+		Expect(f.s.Sweep()).To(Succeed())
+		Expect(f.s.GivenUp()).To(BeZero())
+		Expect(f.cfg.Metrics.GetOrCreateCounter(`turmericroute_sched_given_up_runs_total{why="lease_expired"}`).Get()).To(BeEquivalentTo(2))
 		f.heartbeat("w1")
 		f.turn()
 		Expect(f.running("j")).To(HaveLen(2))
--- a/sched/late_test.go
+++ b/sched/late_test.go
@@ -481,7 +481,7 @@
 	// committed yet.
 	DescribeTable("have one run at a time",
 		func(disturb func(*simulation)) {
-			for seed := range uint64(5) {
+			for seed := range uint64(12) {
 				By(fmt.Sprint("seed ", seed))
 				sim := newSimulation(seed, 100, 5*time.Second)
 				sim.single = true
