--- a/sched/fixture_test.go
+++ b/sched/fixture_test.go
@@ -30,10 +30,10 @@
 	late []state.ChangeBatch
 	// slowAccepts is set while acceptances of jobs are not committed in time.
 	slowAccepts bool
-	// stallStarts and stallProgress are set while starts, or the progress of waves, are proposed and not committed; stalled
+	// stallStarts, stallEnds and stallProgress are set while starts, ends, or the progress of waves are proposed and not committed; stalled
 	// holds them until the next command is.
-	stallStarts, stallProgress bool
-	stalled                    []state.ChangeBatch
+	stallStarts, stallEnds, stallProgress bool
+	stalled                               []state.ChangeBatch
 }
 
 // errLate is the error of a command that is committed late.
@@ -65,7 +65,7 @@
 func (r *replica) stall(b state.ChangeBatch) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if (!r.stallStarts || b.Change.Starts == nil) && (!r.stallProgress || b.Change.WaveProgress == nil) {
+	if (!r.stallStarts || b.Change.Starts == nil) && (!r.stallEnds || b.Change.Ends == nil) && (!r.stallProgress || b.Change.WaveProgress == nil) {
 		return false
 	}
 	r.stalled = append(r.stalled, b)
@@ -79,6 +79,13 @@
 	r.stallStarts = stall
 }
 
+// setStallEnds stalls ends from now on, or ends that.
+func (r *replica) setStallEnds(stall bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stallEnds = stall
+}
+
 // setStallProgress stalls the progress of waves from now on, or ends that and drops what is stalled, as an election may.
 func (r *replica) setStallProgress(stall bool) {
 	r.mu.Lock()
--- a/sched/giveup_test.go
+++ b/sched/giveup_test.go
@@ -93,6 +93,24 @@
 		Expect(f.heartbeat("w2").Starts).To(BeEmpty())
 	})
 
+	// Guards against runs on other workers that restart late: the sweep waited for a commit without a limit.
+	It("keeps no other run from being given up while its end is not committed", func() {
+		f := placedOnSilent(step)
+		f.addWorkers("r1", "dc1", "w2")
+		f.submit("normal", "k", batch.Step{Count: 1, Need: gpus(1), EstimateMS: 60_000})
+		Expect(f.s.Pass(sched.InTime)).To(HaveLen(1))
+		f.r.setStallEnds(true)
+		swept := make(chan error, 1)
+		sweep := func() { swept <- f.s.Sweep() }
+		go sweep()
+		Eventually(swept, "5s").Should(Receive(HaveOccurred()))
+		f.advance(10 * time.Second)
+		go sweep()
+		Eventually(swept, "5s").Should(Receive(HaveOccurred()))
+		Expect(f.s.GivenUp()).To(Equal(3))
+		f.r.setStallEnds(false)
+	})
+
 	// Guards against runs that are never ended, since their worker is heard again and the first proposal was lost.
 	It("ends when the first proposal of its end is lost, and counts once", func() {
 		f := placedOnSilent(step)
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -26,13 +26,16 @@
 	}
 }
 
-// endExpired commits the ends of runs that can no longer be active. It returns the error of the commit.
+// endExpired commits the ends of runs that can no longer be active. It returns the error of the commit, for which it waits
+// no longer than heartbeats do, since the leases of other workers expire meanwhile.
 func (s *Scheduler) endExpired(l *leaderState) error {
 	ends := s.expiredEnds(l)
 	if len(ends) == 0 {
 		return nil
 	}
-	return s.commitEnds(l.ctx, l, "", ends)
+	ctx, cancel := context.WithTimeout(l.ctx, commitWait)
+	defer cancel()
+	return s.commitEnds(ctx, l, "", ends)
 }
 
 // expiredEnds gives up the runs whose leases have expired on any clock, or whose worker's incarnation is known to have
