Give up at once what a silent worker was never ordered to start

A gang with a member on a worker that fell silent between the placement and the start order began again only once the lease of that worker had expired, 4.9 s later, although nothing could run under that lease: the members that had started waited for 2.4 s, were withdrawn, and the rest was waiting. Large gangs meet this most, as they need many workers.

Only the leader of a term sends orders in it. A run that it has placed and never put into an answer has certainly not started, so it ends as never started 1.3 s after the worker was last heard (one lost answer and a margin), or once it is withdrawn; it is marked as given up, so that it is not ordered any more. Runs that an earlier leader has placed, that were ordered, or that were placed after the memory of the term was lost by a panic still wait for the lease. `run_given_up why=not_ordered` says which.

The first new spec failed before; the others fail if an order is not noted, or if a spoiled session counts.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -20,8 +20,15 @@
 	givenUpVanished givenUpReason = "vanished"
 	// givenUpNeverStarted means that the worker has received a stop before it could start the run.
 	givenUpNeverStarted givenUpReason = "never_started"
+	// givenUpNotOrdered means that this leader has placed the run and never ordered it, and will not: its worker is silent, or
+	// the run has been withdrawn.
+	givenUpNotOrdered givenUpReason = "not_ordered"
 )
 
+// notOrderedSilence is the least time for which a worker must be silent for the runs to be given up that it has not been ordered
+// to start. A worker whose answer was lost is heard again after answerTimeout.
+const notOrderedSilence = answerTimeout + 300*time.Millisecond
+
 // givenUpRetry is how long after a proposal of the end of a given-up run that end is proposed again.
 const givenUpRetry = commitWait
 
@@ -51,6 +58,29 @@
 	return end
 }
 
+// notOrderedEnds gives up the runs that this leader has placed and not ordered to start, if their worker is silent or they are
+// withdrawn, and returns their ends. Nobody else can have ordered them, so that they need not wait for a lease to expire.
+func (s *Scheduler) notOrderedEnds(l *leaderState, b *batch.State, now time.Duration) []batch.End {
+	var ends []batch.End
+	for ref, id := range l.notOrdered {
+		run, active := b.Runs[id][ref.Task]
+		if _, pending := l.pending[ref.Task]; pending {
+			continue
+		}
+		if !active || run != ref.Run || l.givenUp[ref] != nil {
+			delete(l.notOrdered, ref)
+			continue
+		}
+		w := l.workers[id]
+		if w == nil || w.stopSeq[ref] == 0 && now-w.heardAt < max(notOrderedSilence, l.silentAfter(w)) {
+			continue
+		}
+		delete(l.notOrdered, ref)
+		ends = append(ends, s.giveUp(l, id, batch.End{Task: ref.Task, Run: ref.Run, Reason: batch.EndNeverStarted}, givenUpNotOrdered, now))
+	}
+	return ends
+}
+
 // noteGivenUpReport counts and logs the first report of a run as running that has been given up.
 func (s *Scheduler) noteGivenUpReport(l *leaderState, w *worker, ref RunRef, now time.Duration) {
 	g := l.givenUp[ref]
--- a/sched/giveup_test.go
+++ b/sched/giveup_test.go
@@ -116,3 +116,64 @@
 		Expect(f.heartbeat("w1").Stops).To(HaveLen(2))
 	})
 })
+
+// placeOnSilent places a gang of two on two of four workers, one of which is silent from then on. It returns that worker once
+// the others have been heard for d.
+func (f *fixture) placeOnSilent(d time.Duration, before func(silent string)) string {
+	GinkgoHelper()
+	f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 60_000})
+	starts, err := f.s.Pass(sched.InTime)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(starts).To(HaveLen(2))
+	silent := starts[0].Worker
+	before(silent)
+	worker := f.workers[silent]
+	delete(f.workers, silent)
+	for range d / (200 * time.Millisecond) {
+		f.turn()
+		Expect(f.s.Sweep()).To(Succeed())
+	}
+	f.workers[silent] = worker
+	return silent
+}
+
+var _ = Describe("a gang that is placed on a worker which falls silent", func() {
+	const soon = 2 * time.Second // within the lease
+
+	// Guards against large gangs that wait for a lease under which nothing runs: one of their many workers falls silent between
+	// the placement and the order to start.
+	It("starts elsewhere soon if the worker has not been ordered to start its member", func() {
+		f := idleFleet(4)
+		silent := f.placeOnSilent(soon, func(string) {})
+		Expect(f.running("j")).To(HaveLen(2))
+		Expect(f.running("j")).NotTo(ContainElement(silent))
+		Expect(f.heartbeat(silent).Starts).To(BeEmpty())
+	})
+
+	// Guards against two runs of one task: a worker may have received an order although it is silent since.
+	DescribeTable("waits for the lease if the worker may have been ordered to start its member",
+		func(first func(f *fixture), before func(f *fixture, silent string)) {
+			f := idleFleet(4)
+			first(f)
+			f.placeOnSilent(soon, func(silent string) { before(f, silent) })
+			for _, w := range f.workers {
+				for _, s := range w.started {
+					Expect(s.Run).To(Equal(1))
+				}
+			}
+		},
+		Entry("by this leader", func(*fixture) {}, func(f *fixture, silent string) { f.heartbeatSoon(silent) }),
+		Entry("by an earlier one", func(*fixture) {}, func(f *fixture, _ string) {
+			f.s.End()
+			f.s, f.term = sched.New(f.cfg), f.term+1
+			f.s.Begin(GinkgoT().Context(), f.term, f.r)
+			f.turn()
+		}),
+		Entry("by a call that was at work when this leader lost its memory", func(f *fixture) {
+			f.s.Spoil()
+			f.s.End()
+			f.s.Begin(GinkgoT().Context(), f.term, f.r)
+			f.turn()
+		}, func(*fixture, string) {}),
+	)
+})
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -57,6 +57,7 @@
 				forming = true
 			}
 			out.Starts = append(out.Starts, order)
+			delete(l.notOrdered, ref)
 			l.noteOrdered(hb.Worker, ref)
 			l.losses.Order(loss.Key{Task: id, Run: run}, j.Spec.Steps[id.Step].Gang, now)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
--- a/sched/place.go
+++ b/sched/place.go
@@ -382,6 +382,9 @@
 		p.s.metrics.failingStarts.Inc()
 	}
 	p.l.pending[id] = start
+	if p.l.notOrdered != nil {
+		p.l.notOrdered[RunRef{Task: id, Run: run}] = wv.id
+	}
 	p.l.fleet.Placed(wv.hb.Service, fleet.RunID{Task: id, Run: run}, p.state.Jobs[id.Job].Spec.Steps[id.Step].Gang, p.now)
 	p.l.pendingOn[wv.id] = append(p.l.pendingOn[wv.id], id)
 	p.countStart(start)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -124,6 +124,9 @@
 	preempting map[RunRef]string
 	// givenUp holds the runs that were given up and whose ends are not in the ledger yet.
 	givenUp map[RunRef]*givenUpRun
+	// notOrdered holds the worker of each run that this leader has placed in this term and not ordered to start; nil if calls
+	// of an earlier session may still order runs on other memory.
+	notOrdered map[RunRef]string
 	// losses tells what is lost with each run that ends; lossesPrunedAt is the boot time of its last pruning.
 	losses         *loss.Book
 	lossesPrunedAt time.Duration
@@ -203,6 +206,7 @@
 	if f := s.former; f != nil && f.term == term && f.ledger == l.ledger {
 		if f.spoiled {
 			l.givenUp = f.givenUp // their ends may still be committed
+			l.notOrdered = nil
 		} else {
 			l.memory = f.memory
 		}
@@ -216,7 +220,7 @@
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		fleet: fleet.New(), heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), use: newQuotaUse(), weights: newWeights(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, givenUp: map[RunRef]*givenUpRun{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
+		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, givenUp: map[RunRef]*givenUpRun{}, notOrdered: map[RunRef]string{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
 		provenSince: map[batch.TaskID]time.Duration{}, overload: newOverload(),
 	}
 }
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -35,8 +35,8 @@
 	return s.commitEnds(l.ctx, l, "", ends)
 }
 
-// expiredEnds gives up the runs whose leases have expired on any clock, or whose worker's incarnation is known to have
-// ended, and returns their ends, and those of given-up runs that are not in the ledger yet. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
+// expiredEnds gives up the runs whose leases have expired on any clock, whose worker's incarnation is known to have ended, or
+// that were never ordered and will not be, and returns their ends, and those of given-up runs that are not in the ledger yet. It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs
 // that have ended.
 func (s *Scheduler) expiredEnds(l *leaderState) []batch.End {
 	s.mu.Lock()
@@ -44,7 +44,7 @@
 	now := s.cfg.BootClock()
 	var ends []batch.End
 	l.ledger.View(func(b *batch.State) {
-		ends = l.unrecordedEnds(b, now)
+		ends = append(l.unrecordedEnds(b, now), s.notOrderedEnds(l, b, now)...)
 		for id, runs := range b.Runs {
 			w := l.workers[id]
 			if !s.dead(l, w, now) {
