Let last attempts wait for proven workers while their jobs gain

Accepted jobs failed although they could be done, large gangs far more often than others: the last attempt of a task or gang waited 1.8 s for workers that are proven and then started on any, while a tenth of the workers failed what they started. A failure there ends the job; a job that waits is late, but gains until three times its objective. The last attempt now waits that long.

--- a/admit/job.go
+++ b/admit/job.go
@@ -67,6 +67,15 @@
 	return j.Objective - j.Age - time.Duration(estimateAllowance*float64(j.Path))
 }
 
+// LateSlack returns how long the job can wait and still gain, though late, if its estimates are somewhat too short. It is
+// negative once it gains nothing more, and 0 without an objective.
+func (j Job) LateSlack() time.Duration {
+	if j.Objective == 0 {
+		return 0
+	}
+	return LateFactor*j.Objective - j.Age - time.Duration(estimateAllowance*float64(j.Path))
+}
+
 // Overdue reports whether a job has waited so long that Promotion may choose it: for overdueFactor times its objective,
 // and for MinOverdue.
 func (j Job) Overdue() bool {
--- a/sched/health.go
+++ b/sched/health.go
@@ -7,7 +7,8 @@
 	"turmericroute/fleet"
 )
 
-// provenWait bounds how long the last attempt of a task waits for room on a proven worker while there is room elsewhere.
+// provenWait is how long the last attempt of a task waits at least for room on a proven worker while there is room
+// elsewhere.
 const provenWait = 1800 * time.Millisecond
 
 // noteProfile adds a worker to the fleet at its first heartbeat, with what the ledger holds of it, and keeps its profile.
@@ -143,18 +144,18 @@
 	return p.fit(&q, func(wv *workerView) batch.Resources { return wv.hb.Capacity }, true) != nil
 }
 
-// waitsForProven reports whether a last attempt must be on proven workers: it has not waited for them for long, and they
-// could hold it.
+// waitsForProven reports whether a last attempt must be on proven workers: it has not waited for them for long, or its job
+// still gains if it waits, and they could hold it. A failure would end the job, which then gains nothing.
 func (p *pass) waitsForProven(r *request, id batch.TaskID) bool {
 	since, waits := p.l.provenSince[id]
-	return (!waits || p.now-since < provenWait) && p.holdsOnProven(r)
+	return (!waits || p.now-since < provenWait || p.admitJob(r.job).LateSlack() > 0) && p.holdsOnProven(r)
 }
 
 // noteProvenWait records that a last attempt waits for proven workers while there is room on others.
 func (p *pass) noteProvenWait(id batch.TaskID) {
 	if _, ok := p.l.provenSince[id]; !ok {
 		p.l.provenSince[id] = p.now
-		p.s.cfg.Logger.Log("event", "last_attempt_waits", "task", id, "bound_ms", provenWait.Milliseconds())
+		p.s.cfg.Logger.Log("event", "last_attempt_waits", "task", id, "bound_ms", max(provenWait, p.admitJob(p.state.Jobs[id.Job]).LateSlack()).Milliseconds())
 	}
 	p.retryAt(p.now + passInterval)
 }
--- a/sched/health_test.go
+++ b/sched/health_test.go
@@ -154,6 +154,32 @@
 	})
 })
 
+var _ = Describe("the last attempt of a task", func() {
+	// Guards against jobs that fail although they could wait: after 1.8 s the last attempt started on a worker of which
+	// nothing was known, while many failed what they started, although its job could still end in time to be of use.
+	It("waits for a proven worker as long as its job still gains, and no longer", func() {
+		f := idleFleet(4)
+		f.label()
+		f.submit("normal", "proof", batch.Step{Count: 1, Need: gpus(8), Label: "only-w3", EstimateMS: 60_000})
+		f.turn()
+		f.work(1600*time.Millisecond, func(string) int { return 2 })
+		f.submit("normal", "j", batch.Step{Count: 1, Need: gpus(2), EstimateMS: 1000})
+		f.turn()
+		for _, name := range f.running("j") {
+			f.workers[name].end(taskID("j", 0, 0), batch.EndFailed)
+			f.heartbeatSoon(name)
+		}
+		for waited := time.Duration(0); waited < 9*time.Second; waited += 200 * time.Millisecond {
+			f.turn()
+			Expect(f.running("j")).To(BeEmpty(), waited.String())
+		}
+		for range 10 { // three objectives of 4 s, less the time that the task takes
+			f.turn()
+		}
+		Expect(f.running("j")).To(HaveLen(1))
+	})
+})
+
 var _ = Describe("workers of unlike speed", func() {
 	fast := func(name string) bool { return name >= "w6" }
 	percent := func(name string) int {
