--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -129,6 +129,9 @@
 	givenUp map[RunRef]*givenUpRun
 	// lingering holds the worker that reports a run of a task which is over by the ledger, or given up.
 	lingering map[batch.TaskID]string
+	// notOrdered holds the worker of each run that this leader has placed in this term and not ordered to start; nil if calls
+	// of an earlier session may still order runs on other memory.
+	notOrdered map[RunRef]string
 	// losses tells what is lost with each run that ends; lossesPrunedAt is the boot time of its last pruning.
 	losses         *loss.Book
 	lossesPrunedAt time.Duration
@@ -228,6 +231,7 @@
 			for _, g := range l.givenUp {
 				g.awaited = false
 			}
+			l.notOrdered = nil
 		} else {
 			l.memory = f.memory
 		}
@@ -241,7 +245,7 @@
 		since: since, pending: map[batch.TaskID]batch.Start{}, pendingOn: map[string][]batch.TaskID{},
 		workers: map[string]*worker{}, byAddress: workerIndex{}, byMachine: workerIndex{},
 		fleet: fleet.New(), heartbeatRate: initialHeartbeatRate, room: newRoom(), waiting: newWaitingSteps(), use: newQuotaUse(), weights: newWeights(), startedJobs: map[string]bool{}, tickets: map[string]*tickets{},
-		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, givenUp: map[RunRef]*givenUpRun{}, lingering: map[batch.TaskID]string{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
+		forming: map[RunRef]*formingGang{}, formed: map[RunRef]bool{}, preempting: map[RunRef]string{}, givenUp: map[RunRef]*givenUpRun{}, lingering: map[batch.TaskID]string{}, notOrdered: map[RunRef]string{}, losses: loss.NewBook(), maintainedAt: map[string]time.Duration{},
 		provenSince: map[batch.TaskID]time.Duration{}, overload: newOverload(),
 	}
 }
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -38,16 +38,16 @@
 	return s.commitEnds(ctx, l, "", ends)
 }
 
-// expiredEnds gives up the runs whose leases have expired on any clock, or whose worker's incarnation is known to have
-// ended. It returns their ends, and those of given-up runs that are to be proposed again. It also drops workers that have
-// been silent for more than four times leaseExpiry, and records of gang runs that have ended.
+// expiredEnds gives up the runs whose leases have expired on any clock, whose worker's incarnation is known to have ended, or
+// that were never ordered and will not be. It returns their ends, and those of given-up runs that are to be proposed again.
+// It also drops workers that have been silent for more than four times leaseExpiry, and records of gang runs that have ended.
 func (s *Scheduler) expiredEnds(l *leaderState) []batch.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.BootClock()
 	var ends []batch.End
 	l.ledger.View(func(b *batch.State) {
-		ends = s.unrecordedEnds(l, b, now)
+		ends = append(s.unrecordedEnds(l, b, now), s.notOrderedEnds(l, b, now)...)
 		for id, runs := range b.Runs {
 			w := l.workers[id]
 			if !s.dead(l, w, now) {
