Reply to members that the own log does not name yet

Cause: a member could only send to those that its own membership names. The leader had lost its disk before and joined with a new ID.

The first message of a stream now describes its sender, and a member can reply to whoever has a stream open to it.

--- a/ctrl/exchange.go
+++ b/ctrl/exchange.go
@@ -16,6 +16,10 @@
 type Transport interface {
 	// SetMembers sets the members that messages can be sent to.
 	SetMembers(m quorum.Membership)
+	// StreamOpened records that a member sends messages to this one, StreamClosed that it no longer does. It can be sent to
+	// meanwhile, also if it is not among the members: a log that is behind does not name a member that has joined since.
+	StreamOpened(m quorum.Member)
+	StreamClosed(id string)
 	// Send queues a message for the member m.To.
 	Send(m quorum.Message)
 	// ReplyReceived records that a member has replied to a message.
@@ -34,10 +38,15 @@
 	wg    sync.WaitGroup
 	mu    sync.Mutex
 	peers map[string]*sender
+	// members holds the IDs of the members, incoming the number of streams from each member.
+	members  map[string]bool
+	incoming map[string]int
+	closed   bool
 }
 
 // sender sends the queued messages for one member.
 type sender struct {
+	self   quorum.Member
 	link   *link
 	queue  chan *wire.QuorumMessage
 	cancel context.CancelFunc
@@ -45,35 +54,66 @@
 
 func newExchangeTransport(cfg Config, self string, l *linkPool) *exchangeTransport {
 	return &exchangeTransport{
-		cfg: cfg, self: self, links: l, peers: map[string]*sender{},
+		cfg: cfg, self: self, links: l, peers: map[string]*sender{}, members: map[string]bool{}, incoming: map[string]int{},
 		dropped: cfg.Metrics.GetOrCreateCounter(`turmericroute_ctrl_dropped_messages_total{direction="sent"}`),
 	}
 }
 
-// SetMembers starts streams to new members and closes those to removed ones.
+// SetMembers starts streams to new members and closes those to removed ones that send nothing themselves.
 func (x *exchangeTransport) SetMembers(m quorum.Membership) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	current := map[string]bool{}
+	x.members = map[string]bool{}
 	for _, list := range [][]quorum.Member{m.Voters, m.Learners} {
 		for _, member := range list {
-			current[member.ID] = true
-			if _, ok := x.peers[member.ID]; !ok && member.ID != x.self {
-				x.startSender(member)
-			}
+			x.members[member.ID] = true
+			x.ensureSender(member)
 		}
 	}
-	for id, s := range x.peers {
-		if !current[id] {
-			s.cancel()
-			delete(x.peers, id)
-		}
+	for id := range x.peers {
+		x.dropUnused(id)
+	}
+}
+
+// StreamOpened starts a stream to a member that sends messages to this one.
+func (x *exchangeTransport) StreamOpened(m quorum.Member) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.incoming[m.ID]++
+	x.ensureSender(m)
+}
+
+// StreamClosed closes the stream to a member that no longer sends messages to this one, unless it is among the members.
+func (x *exchangeTransport) StreamClosed(id string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.incoming[id]--; x.incoming[id] <= 0 {
+		delete(x.incoming, id)
+	}
+	x.dropUnused(id)
+}
+
+// ensureSender starts a stream to a member if there is none. The caller holds x.mu.
+func (x *exchangeTransport) ensureSender(m quorum.Member) {
+	if _, ok := x.peers[m.ID]; !ok && m.ID != x.self && !x.closed {
+		x.startSender(m)
+	}
+}
+
+// dropUnused closes the stream to an instance that is no member and sends nothing itself. The caller holds x.mu.
+func (x *exchangeTransport) dropUnused(id string) {
+	s := x.peers[id]
+	if s == nil || x.members[id] || x.incoming[id] > 0 {
+		return
 	}
+	s.cancel()
+	delete(x.peers, id)
 }
 
 func (x *exchangeTransport) startSender(m quorum.Member) {
 	ctx, cancel := context.WithCancel(x.links.ctx)
 	s := &sender{
+		self: quorum.Member{Name: x.cfg.Name, ID: x.self, Address: x.cfg.Address, DataCentre: x.cfg.DataCentre},
 		link: x.links.get(x.cfg.addressOf(m)), queue: make(chan *wire.QuorumMessage, sendQueueSize), cancel: cancel,
 	}
 	x.peers[m.ID] = s
@@ -108,6 +148,7 @@
 // Close ends all streams.
 func (x *exchangeTransport) Close() {
 	x.mu.Lock()
+	x.closed = true
 	for _, s := range x.peers {
 		s.cancel()
 	}
@@ -139,7 +180,9 @@
 	for first := true; ; first = false {
 		select {
 		case m := <-s.queue:
-			if !first {
+			if first {
+				m.Sender = memberToWire(s.self)
+			} else {
 				// All messages of a stream are between the same two members.
 				m.From, m.To = "", ""
 			}
--- a/ctrl/rejoin_test.go
+++ b/ctrl/rejoin_test.go
@@ -37,3 +37,24 @@
 		replaceDisk(c.follower().Status().Name)
 	})
 })
+
+var _ = Describe("an instance that was away while the leader lost its disk", func() {
+	// Guards against a member whose own log has only the leader's former ID, and which then has no way to reply to the leader.
+	It("catches up with the leader's new ID", func() {
+		c := newCluster("a", "b", "c", "d", "e")
+		c.start("a", "b", "c", "d", "e")
+		away := c.follower().Status().Name
+		c.close(away)
+		leader := c.follower().Status().Name
+		before := voterIDs(c.nodes[c.leader()])[leader]
+		c.close(leader)
+		Expect(os.RemoveAll(c.dataDir(leader))).To(Succeed())
+		c.start(leader)
+		Eventually(func() map[string]string { return voterIDs(c.nodes[c.leader()]) }, waitTimeout).Should(HaveKeyWithValue(leader, Not(Equal(before))))
+		for c.leader() != leader {
+			c.nodes[c.leader()].TransferLeadership(context.Background())
+		}
+		c.start(away)
+		Eventually(func() uint64 { return c.nodes[away].Machine().Applied() }, waitTimeout).Should(BeNumerically(">=", c.nodes[leader].Machine().Applied()))
+	})
+})
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -66,6 +66,12 @@
 // Exchange receives protocol messages from another member.
 func (s *server) Exchange(stream grpc.ClientStreamingServer[wire.QuorumMessage, wire.ExchangeSummary]) error {
 	var from, to string
+	var opened *member // that has been told of the stream
+	defer func() {
+		if opened != nil {
+			opened.transport.StreamClosed(from)
+		}
+	}()
 	for {
 		msg, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -79,6 +85,10 @@
 		}
 		// Messages addressed to an earlier identity of this instance are dropped.
 		if m := s.n.member.Load(); m != nil && to == m.id {
+			if sender := msg.GetSender(); opened == nil && sender.GetId() == from && from != "" {
+				opened = m
+				m.transport.StreamOpened(memberFromWire(sender))
+			}
 			msg.From, msg.To = from, to
 			m.receive(messageFromWire(msg))
 		}
