Let the clock of preemption specs go on

"preemption ends for runs that have not been told to stop when the job no longer waits" failed now and then: only full passes preempt, and none is due twice at one time of the spec's clock, which stood still. It waits for the same two runs as before, on a clock that goes on, and so does the spec beside it.

--- a/sched/preempt_test.go
+++ b/sched/preempt_test.go
@@ -21,6 +21,16 @@
 	return dump.Stopping
 }
 
+// awaitStopping waits until so many tasks are being preempted. The clock goes on, since only full passes preempt, and there
+// may have been one at its present time.
+func (f *fixture) awaitStopping(n int) {
+	GinkgoHelper()
+	Eventually(func() map[string]string {
+		f.advance(10 * time.Millisecond)
+		return f.stopping()
+	}).Should(HaveLen(n))
+}
+
 var _ = Describe("preemption", func() {
 	// Guards against work that is lost for nobody: the job was cancelled before the stop went out.
 	It("ends for runs that have not been told to stop when the job no longer waits", func() {
@@ -30,7 +40,7 @@
 		f.awaitRunning("other", 2)
 		f.heartbeatAll()
 		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, EstimateMS: 10_000})
-		Eventually(f.stopping).Should(HaveLen(2))
+		f.awaitStopping(2)
 		f.cancel("urgent", "j")
 		Eventually(f.stopping).Should(BeEmpty())
 		f.heartbeatAll()
@@ -45,7 +55,7 @@
 		f.awaitRunning("other", 2)
 		f.heartbeatAll()
 		f.submit("urgent", "j", batch.Step{Count: 1, Need: gpus(8), Gang: true, EstimateMS: 10_000})
-		Eventually(f.stopping).Should(HaveLen(2))
+		f.awaitStopping(2)
 		f.heartbeat("w1")
 		f.cancel("urgent", "j")
 		Consistently(f.stopping, 300*time.Millisecond).ShouldNot(BeEmpty())
