Remember the sender of a stream that opens before the member starts

The first message of a stream describes its sender; one that arrived before the member of this process had started was dropped with it, so that the stream back was never opened.

--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -66,6 +66,7 @@
 // Exchange receives protocol messages from another member.
 func (s *server) Exchange(stream grpc.ClientStreamingServer[wire.QuorumMessage, wire.ExchangeSummary]) error {
 	var from, to string
+	var sender *wire.Member
 	var opened *member // that has been told of the stream
 	defer func() {
 		if opened != nil {
@@ -81,11 +82,11 @@
 			return err //nolint:wrapcheck // a gRPC status.
 		}
 		if msg.GetFrom() != "" {
-			from, to = msg.GetFrom(), msg.GetTo()
+			from, to, sender = msg.GetFrom(), msg.GetTo(), msg.GetSender()
 		}
 		// Messages addressed to an earlier identity of this instance are dropped.
 		if m := s.n.member.Load(); m != nil && to == m.id {
-			if sender := msg.GetSender(); opened == nil && sender.GetId() == from && from != "" {
+			if opened == nil && sender.GetId() == from && from != "" {
 				opened = m
 				m.transport.StreamOpened(memberFromWire(sender))
 			}
