--- a/tally/table.go
+++ b/tally/table.go
@@ -8,6 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"turmericroute/admit"
 	"turmericroute/loss"
 )
 
@@ -60,7 +61,7 @@
 	for _, g := range groups {
 		losses := g.Losses()
 		fmt.Fprintf(tw, "%s\t%s\t%.0f to %.0f\t%d\t%.2f\t%.2f\t%.2f\t%s\t%.0f: %s\n", g.Queue, g.Name, g.Smallest, g.Largest, len(g.Jobs),
-			g.Share(1), g.Share(lateFactor), g.attempts(), formatEnds(g.Ends()), losses.Total(), formatLosses(losses))
+			g.Share(1), g.Share(admit.LateFactor), g.attempts(), formatEnds(g.Ends()), losses.Total(), formatLosses(losses))
 	}
 	if err := tw.Flush(); err != nil {
 		return fmt.Errorf("write table of jobs: %w", err)
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -16,9 +16,6 @@
 // maxLineBytes bounds a line of a log; stack traces are the longest.
 const maxLineBytes = 1 << 20
 
-// lateFactor is the number of objectives within which a job still has value.
-const lateFactor = 3
-
 // Job is what logs say of a job.
 type Job struct {
 	Queue string
