--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -25,8 +25,8 @@
 	givenUpNotOrdered givenUpReason = "not_ordered"
 )
 
-// notOrderedSilence is the least time for which a worker must be silent for the runs to be given up that it has not been ordered
-// to start. A worker whose answer was lost is heard again after answerTimeout.
+// notOrderedSilence is the least silence of a worker after which the runs that it was never ordered to start are given up.
+// A worker that has lost an answer is heard again after answerTimeout.
 const notOrderedSilence = answerTimeout + 300*time.Millisecond
 
 // givenUpRetry is how long after a proposal of the end of a given-up run that end is proposed again.
@@ -60,8 +60,8 @@
 	return end
 }
 
-// notOrderedEnds gives up the runs that this leader has placed and not ordered to start, if their worker is silent or they are
-// withdrawn, and returns their ends. Nobody else can have ordered them, so that they need not wait for a lease to expire.
+// notOrderedEnds gives up the runs that this leader has placed and never ordered to start, if their worker is silent or they
+// are withdrawn, and returns their ends. Only this leader sends orders in its term, so no lease needs to expire.
 func (s *Scheduler) notOrderedEnds(l *leaderState, b *batch.State, now time.Duration) []batch.End {
 	var ends []batch.End
 	for ref, id := range l.notOrdered {
