--- a/review/check/deploy.go
+++ b/review/check/deploy.go
@@ -120,15 +120,6 @@
 	return nil
 }
 
-// signal sends a signal to the machine's process.
-func (m *machine) signal(s syscall.Signal) error {
-	m.d.rec.note("%s gets signal %v", m.name, s)
-	if err := m.cmd.Process.Signal(s); err != nil {
-		return fmt.Errorf("signal %s: %w", m.name, err)
-	}
-	return nil
-}
-
 func (m *machine) settings() string {
 	class, disk, listen := "edge", "data-dir: null", ""
 	serves := `["edge", "control_plane"]`
@@ -217,6 +208,8 @@
 		}
 	}
 	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(d.dir)
+		if err := os.RemoveAll(d.dir); err != nil {
+			d.rec.note("the temporary folder stays: %v", err)
+		}
 	}
 }
