--- a/review/check/executor.go
+++ b/review/check/executor.go
@@ -14,8 +14,10 @@
 	answerTime = time.Second
 	// beatInterval is the time between heartbeats unless an answer names another one.
 	beatInterval = 1500 * time.Millisecond
-	// taskTime is how long each task works.
+	// taskTime is how long each task works unless a case says otherwise.
 	taskTime = time.Second
+	// workInterval is the time between two looks at what has ended.
+	workInterval = 50 * time.Millisecond
 )
 
 // taskRun is a run of a task on an executor.
@@ -31,6 +33,7 @@
 	machine string
 	rack    string
 	born    int64
+	work    time.Duration // how long each task works
 
 	mu       sync.Mutex
 	seq      int64
@@ -54,13 +57,19 @@
 }
 
 func (d *deployment) newExecutor(id, machine, rack string) *executor {
-	return &executor{d: d, id: id, machine: machine, rack: rack, born: time.Now().UnixMilli(), running: map[string]taskRun{}}
+	return &executor{d: d, id: id, machine: machine, rack: rack, born: time.Now().UnixMilli(), work: taskTime, running: map[string]taskRun{}}
 }
 
-// run sends heartbeats until ctx ends.
+// run works and sends heartbeats until ctx ends.
 func (e *executor) run(ctx context.Context) {
+	go func() {
+		for ctx.Err() == nil {
+			e.endRuns()
+			time.Sleep(workInterval)
+		}
+	}()
 	for i := 0; ctx.Err() == nil; i++ {
-		e.work()
+		e.endRuns()
 		wait, ok := e.beat(ctx, i)
 		if !ok {
 			e.next = ""
@@ -73,14 +82,14 @@
 	}
 }
 
-// work ends the tasks that are done, and all of them when the lease has expired.
-func (e *executor) work() {
+// endRuns ends the tasks that are done, and all of them when the lease has expired.
+func (e *executor) endRuns() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	lapsed := time.Now().After(e.leaseEnd)
 	for task, r := range e.running {
 		switch {
-		case time.Since(r.since) >= taskTime:
+		case time.Since(r.since) >= e.work:
 			e.end(task, r.run, "done")
 		case lapsed:
 			e.end(task, r.run, "lapsed")
@@ -100,7 +109,7 @@
 	e.seq++
 	running := [][]any{}
 	for task, r := range e.running {
-		percent := int(100 * time.Since(r.since) / taskTime)
+		percent := int(100 * time.Since(r.since) / e.work)
 		running = append(running, []any{task, r.run, "", min(percent, 99), 1000})
 	}
 	return map[string]any{
--- a/review/check/main.go
+++ b/review/check/main.go
@@ -23,7 +23,8 @@
 type caseFunc func(ctx context.Context, d *deployment) (broken string, err error)
 
 var cases = map[string]caseFunc{
-	"writer": writerCase,
+	"machine": machineCase,
+	"writer":  writerCase,
 }
 
 func main() { os.Exit(run()) }
