Sync what a start finds in the data folder before anything relies on it

A process that was killed may have left names and a tail of the last segment that were written and not synced. A loss of power then undid what had been acted on.

Open syncs the folder before it reads it, and the last segment, the only one that can have a tail that was not synced. That costs two syncs a start.

Test: "keeps what an earlier start has found", on a disk that keeps what was synced and draws the rest.

--- /dev/null
+++ b/store/power_test.go
@@ -0,0 +1,81 @@
+package store_test
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"turmericroute/quorum"
+	"turmericroute/store"
+)
+
+// contents is what a store holds.
+type contents struct {
+	Index, Term uint64 // of the latest snapshot, zero for none
+	Entries     []quorum.Entry
+	HardState   quorum.HardState
+}
+
+func recovered(rec store.Recovered) contents {
+	c := contents{HardState: rec.HardState, Entries: slices.Clip(rec.Entries)}
+	if rec.Snapshot != nil {
+		c.Index, c.Term = rec.Snapshot.Index, rec.Snapshot.Term
+	}
+	if len(c.Entries) == 0 {
+		c.Entries = nil
+	}
+	return c
+}
+
+// member uses a store as a member of a group does, and ends at random moments.
+type member struct {
+	disk  *disk
+	rng   *rand.Rand
+	store *store.Store
+	id    string
+	term  uint64
+	holds contents
+	// possible is what the store may hold if the process ends during the call in progress.
+	possible []contents
+}
+
+func newMember(dir string, seed uint64) *member {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	m := &member{disk: newDisk(dir, rng), rng: rng, term: 1}
+	s, rec, err := m.disk.open()
+	Expect(err).NotTo(HaveOccurred())
+	m.store, m.id = s, rec.ID
+	return m
+}
+
+var _ = Describe("a loss of power", func() {
+	// Guards against a start that relies on what a killed process has written and not synced.
+	It("keeps what an earlier start has found", func() {
+		for seed := range uint64(40) {
+			m := newMember(GinkgoT().TempDir(), seed)
+			Expect(m.store.Save(nil, entries(1, 10, 1))).To(Succeed())
+			m.disk.endAfter(0, false)
+			if seed%2 == 0 {
+				Expect(m.store.Save(&quorum.HardState{Term: 1, Vote: "a"}, entries(11, 12, 1))).To(MatchError(errEnded))
+			} else {
+				Expect(m.store.SaveSnapshot(snapshot(10, 1))).To(MatchError(errEnded))
+			}
+			Expect(m.store.Close()).To(Succeed())
+			var found contents
+			for i := range 2 {
+				m.disk.restart()
+				s, rec, err := m.disk.open()
+				Expect(err).NotTo(HaveOccurred())
+				if i > 0 {
+					Expect(recovered(rec)).To(Equal(found), "seed %d", seed)
+				}
+				found = recovered(rec)
+				Expect(s.Close()).To(Succeed())
+				m.disk.powerLost = true
+				m.disk.end()
+			}
+		}
+	})
+})
--- a/store/replay.go
+++ b/store/replay.go
@@ -112,7 +112,7 @@
 	return offset, nil
 }
 
-// readSegments replays all segments and truncates a torn write at the end of the last one.
+// readSegments replays all segments, truncates a torn write at the end of the last one and syncs it.
 func (d folder) readSegments() (*replay, error) {
 	names, err := d.names(segmentPrefix, segmentSuffix)
 	if err != nil {
@@ -134,8 +134,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := d.truncateSegment(name, valid, len(b)); err != nil {
-			return nil, err
+		if i == len(names)-1 {
+			if err := d.syncLastSegment(name, valid, len(b)); err != nil {
+				return nil, err
+			}
 		}
 		if valid > 0 {
 			seg.size = int64(valid)
@@ -145,11 +147,9 @@
 	return r, nil
 }
 
-// truncateSegment truncates a segment to its first valid bytes; a segment with none is removed.
-func (d folder) truncateSegment(name string, valid, size int) error {
-	if valid == size && valid > 0 {
-		return nil
-	}
+// syncLastSegment truncates the last segment to its first valid bytes and syncs
+// them, since a process that was killed may not have; a segment with none is removed.
+func (d folder) syncLastSegment(name string, valid, size int) error {
 	if valid == 0 {
 		if err := os.Remove(d.filePath(name)); err != nil {
 			return fmt.Errorf("remove unfinished segment: %w", err)
@@ -161,11 +161,13 @@
 		return fmt.Errorf("open segment: %w", err)
 	}
 	defer f.Close()
-	if err := f.Truncate(int64(valid)); err != nil {
-		return fmt.Errorf("truncate torn write: %w", err)
+	if valid < size {
+		if err := f.Truncate(int64(valid)); err != nil {
+			return fmt.Errorf("truncate torn write: %w", err)
+		}
 	}
 	if err := d.sync(f); err != nil {
-		return fmt.Errorf("sync truncated segment: %w", err)
+		return fmt.Errorf("sync last segment: %w", err)
 	}
 	return nil
 }
--- a/store/store.go
+++ b/store/store.go
@@ -114,7 +114,11 @@
 	if err := s.dir.removeTempFiles(); err != nil {
 		return rec, err
 	}
-	var err error
+	// A process that was killed may have left names that a loss of power would undo.
+	err := s.dir.syncFolder(s.dir.path)
+	if err != nil {
+		return rec, err
+	}
 	if rec.ID, err = s.dir.identity(); err != nil {
 		return rec, err
 	}
