Sync what is undone of refused writes before the next write

A write that a full disk refused leaves a part at the end of the last segment, or an unfinished segment. Both were removed without a sync. After a loss of power the part could be back behind a torn write, or in a segment that is no longer the last one, and the start called that damage.

The truncation and the folder are synced before the next write. That costs a sync for each write that the disk refuses, none otherwise.

Test: "finds what a refused write has left removed before the next write" fails without the change and passes with it.

--- a/store/power_test.go
+++ b/store/power_test.go
@@ -1,8 +1,12 @@
 package store_test
 
 import (
+	"errors"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
+	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -78,4 +82,39 @@
 			}
 		}
 	})
+
+	// Guards against a torn segment before the last one, which is damage, and against parts of an earlier write after a
+	// torn one.
+	It("finds what a refused write has left removed before the next write", func() {
+		var synced []int64 // sizes of the last segment at its syncs
+		var refused bool
+		dir := filepath.Join(GinkgoT().TempDir(), "data")
+		s, _, err := store.Open(store.Config{
+			Dir: dir,
+			Sync: func(f *os.File) error {
+				info, err := f.Stat()
+				if err == nil && !info.IsDir() {
+					synced = append(synced, info.Size())
+				}
+				return errors.Join(err, f.Sync())
+			},
+			Write: func(f *os.File, b []byte) (int, error) {
+				if refused {
+					n, err := f.Write(b[:len(b)/2])
+					return n, errors.Join(err, syscall.ENOSPC)
+				}
+				return f.Write(b)
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		Expect(s.Save(nil, entries(1, 9, 1))).To(Succeed())
+		whole := synced[len(synced)-1]
+		refused = true
+		Expect(s.Save(nil, entries(10, 19, 1))).To(MatchError(store.ErrNoSpace))
+		refused, synced = false, nil
+		Expect(s.Save(nil, entries(10, 19, 1))).To(Succeed())
+		Expect(synced).To(HaveLen(2))
+		Expect(synced[0]).To(Equal(whole))
+	})
 })
--- a/store/store.go
+++ b/store/store.go
@@ -269,6 +269,7 @@
 }
 
 // removeTorn removes what a refused write has left at the end of the last segment.
+// It is synced, since after a loss of power only the last segment may be torn.
 func (s *Store) removeTorn() error {
 	if !s.torn {
 		return nil
@@ -276,6 +277,9 @@
 	if err := s.active.Truncate(s.segments[len(s.segments)-1].size); err != nil {
 		return s.failUnlessFull(fmt.Errorf("truncate refused write: %w", err))
 	}
+	if err := s.dir.sync(s.active); err != nil {
+		return s.fail(fmt.Errorf("sync truncated segment: %w", err))
+	}
 	s.torn = false
 	return nil
 }
@@ -332,7 +336,8 @@
 	if err := s.writeSegment(f, head, b); err != nil {
 		f.Close()
 		if isNoSpace(err) {
-			err = errors.Join(err, os.Remove(f.Name()))
+			// The next segment may have another name, and only the last one may be torn.
+			err = errors.Join(err, os.Remove(f.Name()), s.dir.syncFolder(s.dir.path))
 		}
 		return err
 	}
