Keep data folders and quarantined files through a loss of power

- A folder that existed without an identity was taken for durable.
A process that is killed between creating it and syncing its parent leaves one that the next loss of power removes with all that was acknowledged.
The parent is now synced until there is an identity, and folders are created one by one.
- The quarantine folder was created and the identity moved into it before any sync.
If both were undone apart, a damaged disk seemed to be a new one, which may form a new cluster.
The quarantine folder is now synced first, and both folders after each step.
- A quarantine that a loss of power had interrupted was repeated by removing what it had moved so far.
Those files are now kept.

--- a/store/files.go
+++ b/store/files.go
@@ -73,26 +73,33 @@
 	return nil
 }
 
-// create creates the data folder if it does not exist, and syncs the parent of each folder that it creates.
+// create creates the data folder if it does not exist, and syncs the parent of each
+// folder that it creates. It also syncs the parent of the folder that exists already,
+// unless this disk has an identity: a process that was killed may have created it.
 func (d folder) create() error {
-	var parents []string // of the folders to create, innermost first
-	for path := d.path; ; path = filepath.Dir(path) {
-		if _, err := os.Stat(path); err == nil || path == filepath.Dir(path) {
-			break
-		}
-		parents = append(parents, filepath.Dir(path))
-	}
-	if len(parents) == 0 {
+	if _, err := os.Stat(d.filePath(identityName)); err == nil {
 		return nil
 	}
-	if err := os.MkdirAll(d.path, folderMode); err != nil {
-		return fmt.Errorf("create data folder: %w", err)
+	existing := d.path
+	var missing []string // innermost first
+	for ; existing != filepath.Dir(existing); existing = filepath.Dir(existing) {
+		if _, err := os.Stat(existing); err == nil {
+			break
+		}
+		missing = append(missing, existing)
 	}
-	for _, parent := range slices.Backward(parents) {
-		if err := d.syncFolder(parent); err != nil {
+	for _, path := range slices.Backward(missing) {
+		if err := os.Mkdir(path, folderMode); err != nil {
+			return fmt.Errorf("create data folder: %w", err)
+		}
+		if err := d.syncFolder(filepath.Dir(path)); err != nil {
 			return err
 		}
 	}
+	// Without permission to read the parent this process cannot have created the folder.
+	if err := d.syncFolder(filepath.Dir(existing)); err != nil && !errors.Is(err, fs.ErrPermission) {
+		return err
+	}
 	return nil
 }
 
@@ -198,41 +205,43 @@
 }
 
 // quarantine moves all files but the lock to the quarantine folder. The identity is
-// moved first: files without one are never read again.
+// moved first: files without one are never read again, but moved by the next start.
 func (d folder) quarantine() error {
-	quarantineDir := d.filePath(damagedName)
-	if err := os.RemoveAll(quarantineDir); err != nil {
-		return fmt.Errorf("remove previously quarantined files: %w", err)
-	}
-	if err := os.Mkdir(quarantineDir, folderMode); err != nil {
-		return fmt.Errorf("create quarantine folder: %w", err)
-	}
 	names, err := d.names("", "")
 	if err != nil {
 		return err
 	}
-	move := func(name string) error {
-		err := os.Rename(d.filePath(name), filepath.Join(quarantineDir, name))
-		if err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return fmt.Errorf("quarantine %s: %w", name, err)
+	quarantineDir := d.filePath(damagedName)
+	if slices.Contains(names, identityName) {
+		if err := os.RemoveAll(quarantineDir); err != nil {
+			return fmt.Errorf("remove previously quarantined files: %w", err)
 		}
-		return nil
 	}
-	if err := move(identityName); err != nil {
-		return err
+	if err := os.MkdirAll(quarantineDir, folderMode); err != nil {
+		return fmt.Errorf("create quarantine folder: %w", err)
 	}
+	// A folder that has lost its identity must not seem to be a new one.
 	if err := d.syncFolder(d.path); err != nil {
 		return err
 	}
+	isIdentity := func(name string) bool { return name == identityName }
+	if err := d.moveFiles(names, quarantineDir, isIdentity); err != nil {
+		return err
+	}
+	return d.moveFiles(names, quarantineDir, func(name string) bool { return !isIdentity(name) && name != lockName })
+}
+
+// moveFiles moves the chosen files to another folder and syncs both.
+func (d folder) moveFiles(names []string, to string, chosen func(name string) bool) error {
 	for _, n := range names {
-		if n == identityName || n == lockName {
+		if !chosen(n) {
 			continue
 		}
-		if err := move(n); err != nil {
-			return err
+		if err := os.Rename(d.filePath(n), filepath.Join(to, n)); err != nil {
+			return fmt.Errorf("move %s: %w", n, err)
 		}
 	}
-	return d.syncFolder(d.path)
+	return errors.Join(d.syncFolder(to), d.syncFolder(d.path))
 }
 
 func (d folder) hasQuarantine() (bool, error) {
--- a/store/power_test.go
+++ b/store/power_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -117,4 +118,39 @@
 		Expect(synced).To(HaveLen(2))
 		Expect(synced[0]).To(Equal(whole))
 	})
+
+	// Guards against a damaged folder that seems to be a new one, or its old identity without its files, when its files
+	// were moved away only in part.
+	It("leaves a discarded folder damaged or with a new identity", func() {
+		for seed := range uint64(200) {
+			By(fmt.Sprintf("seed %d", seed))
+			m := newMember(GinkgoT().TempDir(), seed)
+			damaged := "identity"
+			if seed%2 == 0 {
+				Expect(m.store.Save(nil, entries(1, 60, 1))).To(Succeed())
+				Expect(m.store.SaveSnapshot(snapshot(30, 1))).To(Succeed())
+				damaged = ".snap"
+			}
+			Expect(m.store.Close()).To(Succeed())
+			flipBit(files(m.disk.path, damaged)[0], 14)
+			m.disk.settle()
+			for range 3 {
+				m.disk.restart()
+				s, rec, err := m.disk.open()
+				if errors.Is(err, errEnded) {
+					continue
+				}
+				Expect(err).NotTo(HaveOccurred())
+				if rec.Damage == nil {
+					Expect(rec.ID).NotTo(Equal(m.id))
+					Expect(rec.Quarantined).To(BeTrue())
+					Expect(recovered(rec)).To(BeZero())
+				}
+				m.disk.endAfter(m.rng.IntN(6), true)
+				if err := s.Discard(); err != nil {
+					Expect(err).To(MatchError(errEnded))
+				}
+			}
+		}
+	})
 })
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -363,6 +363,21 @@
 		Expect(synced[:3]).To(Equal([]string{top, filepath.Join(top, "a"), filepath.Join(top, "a", "b")}))
 	})
 
+	// Guards against a data folder that is gone after a power loss, since the process that created it was killed before it
+	// had synced its parent.
+	It("syncs the parent of a folder that it finds without an identity", func() {
+		var synced []string
+		top := GinkgoT().TempDir()
+		Expect(os.Mkdir(filepath.Join(top, "a"), 0o700)).To(Succeed())
+		s, _, err := store.Open(store.Config{Dir: filepath.Join(top, "a"), Sync: func(f *os.File) error {
+			synced = append(synced, f.Name())
+			return f.Sync()
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		Expect(synced).To(ContainElement(top))
+	})
+
 	// Guards against a write that takes three times as long as others because it starts a segment, whose header, folder and
 	// entries were synced one after the other.
 	It("syncs a new segment with its first entries and its folder at the same time", func() {
