Accept every mix of removed segments after a loss of power

Cause: Compact removes several segments and did not sync the folder, so any of them may be back after a loss of power.

Each new segment starts with a record of the entry before it, by which stale segments are told from the log.

--- a/store/record.go
+++ b/store/record.go
@@ -16,6 +16,7 @@
 	recordEntry recordType = iota + 1
 	recordHardState
 	recordReset
+	recordStart
 )
 
 const (
@@ -35,8 +36,9 @@
 	errInvalid = errors.New("invalid record")
 )
 
-// record is a decoded record. A log reset uses the Index and Term of entry; a
-// hard state stores its commit index, term and vote in Index, Term and Data.
+// record is a decoded record. A log reset and the start of a segment use the
+// Index and Term of entry; a hard state stores its commit index, term and vote in
+// Index, Term and Data.
 type record struct {
 	typ   recordType
 	entry quorum.Entry
@@ -78,7 +80,7 @@
 	switch {
 	case length < recordFixedBytes, length > maxRecordBytes, size > len(b):
 		return record{}, 0, errInvalid
-	case t < recordEntry, t > recordReset, b[9] > byte(quorum.EntryMembership):
+	case t < recordEntry, t > recordStart, b[9] > byte(quorum.EntryMembership):
 		return record{}, 0, errInvalid
 	case recordSum(b[:size]) != binary.LittleEndian.Uint32(b[4:]):
 		return record{}, 0, errInvalid
@@ -95,6 +97,10 @@
 	return quorum.HardState{Term: r.entry.Term, Vote: string(r.entry.Data), Commit: r.entry.Index}
 }
 
+func (r record) position() position {
+	return position{index: r.entry.Index, term: r.entry.Term}
+}
+
 func segmentHeader(first uint64) []byte {
 	b := binary.LittleEndian.AppendUint64([]byte(segmentMagic), first)
 	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
