Keep a damaged data folder until a leader has admitted its successor

An instance with a damaged folder now takes a new ID in memory, joins under it, and replaces the folder once a membership that names the new ID has been committed, which no majority can do without a leader that works. Until then the files stay under their names and the instance is "joining"; it votes with neither ID. A join that finds its ID in a membership that is not committed yet waits for the commit. The line data_folder_damaged also gives the names of the files and the new ID, by which removed files that are back, missing files and damaged contents can be told apart, and data_folder_replaced follows.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -22,6 +22,7 @@
 // bootstrapState holds the identity and the initial membership of a control instance.
 type bootstrapState struct {
 	mu sync.Mutex
+	// id is the ID of the data folder, or the one that replaces it if it is damaged.
 	id string
 	// dataLost is set if earlier files on this disk were lost or damaged; such a disk never forms a new cluster.
 	dataLost   bool
@@ -40,14 +41,24 @@
 	return b.id, b.dataLost, b.membership
 }
 
+// id returns the ID of this disk, empty without the control role.
+func (n *Node) id() string {
+	id, _, _ := n.bootstrapState.get()
+	return id
+}
+
 // adoptMembership persists m unless this instance already has a membership, and
-// reports whether m is now its membership.
+// reports whether m is now its membership. A damaged data folder is replaced: that m
+// names the new ID shows that a majority works without the old one.
 func (n *Node) adoptMembership(m quorum.Membership) (bool, error) {
 	n.bootstrapState.mu.Lock()
 	defer n.bootstrapState.mu.Unlock()
 	if n.bootstrapState.membership != nil {
 		return n.bootstrapState.membership.Equal(m), nil
 	}
+	if err := n.replaceDamaged(n.bootstrapState.id); err != nil {
+		return false, err
+	}
 	if err := n.store.SaveMembership(m); err != nil {
 		return false, fmt.Errorf("save membership: %w", err)
 	}
@@ -267,9 +278,17 @@
 		if !ok || m == nil {
 			return quorum.Membership{}, notLeaderError()
 		}
-		current := m.status.Load().Membership
+		s := m.status.Load()
+		current := s.Membership
 		if _, ok := current.Find(joining.ID); ok {
-			return current, nil
+			if !s.Pending {
+				return current, nil
+			}
+			// An earlier attempt is not committed yet.
+			if !clock.Sleep(ctx, retryDelay) {
+				return quorum.Membership{}, model.Unknown(model.CodeDeadline, "membership was not committed in time")
+			}
+			continue
 		}
 		next := current
 		for _, l := range current.Learners {
--- a/ctrl/dump.go
+++ b/ctrl/dump.go
@@ -60,7 +60,7 @@
 
 // Dump returns the state of this instance for diagnosis; its JSON encoding has a stable order.
 func (n *Node) Dump() any {
-	d := nodeDump{Status: n.Status(), ID: n.recovered.ID, LinksReady: n.links.dump()}
+	d := nodeDump{Status: n.Status(), ID: n.id(), LinksReady: n.links.dump()}
 	if m := n.member.Load(); m != nil {
 		d.Protocol = m.status.Load()
 		d.Queues.Messages, d.Queues.Proposals = len(m.inbox), len(m.proposals)
--- a/ctrl/node.go
+++ b/ctrl/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,7 @@
 	bootstrapWG sync.WaitGroup // awaited before the member is stopped
 	closing     atomic.Bool
 
-	// store and recovered are set only with the control role.
+	// store and recovered are set only with the control role, and replaced under the lock of bootstrapState.
 	store     *store.Store
 	recovered store.Recovered
 	// member is nil without the control role and until a membership is known.
@@ -123,7 +124,7 @@
 		n.wg.Go(n.rejoinWhenRemoved)
 		n.wg.Go(n.announceMembers)
 	}
-	n.cfg.Logger.Log("event", "node_started", "name", n.cfg.Name, "address", n.cfg.Address, "id", n.recovered.ID, "applied", n.machine.Applied())
+	n.cfg.Logger.Log("event", "node_started", "name", n.cfg.Name, "address", n.cfg.Address, "id", n.id(), "applied", n.machine.Applied())
 	return nil
 }
 
@@ -131,13 +132,14 @@
 	n.server.Serve(countedListener{n.listener, n.links}) //nolint:errcheck // returns after Stop.
 }
 
-// openStore recovers the data folder. The files of a damaged folder are
-// quarantined and its identity is abandoned, so that votes and acknowledgements
-// that it may have lost are never relied on. While the disk has no space for a
-// new folder it waits.
+// openStore recovers the data folder. While the disk has no space for a new folder
+// it waits. An instance with a damaged folder does not vote, since the votes and
+// acknowledgements that it may have lost must not be relied on. It joins under a new
+// ID, and keeps the folder until then: if the folders of a majority are damaged, no
+// group is left to join, and what is on them is all there is.
 func (n *Node) openStore(ctx context.Context) error {
 	for {
-		s, rec, err := store.Open(store.Config{Dir: n.cfg.DataDir, Sync: n.cfg.sync, Write: n.cfg.write})
+		s, rec, err := n.openFolder("")
 		if errors.Is(err, store.ErrNoSpace) {
 			n.cfg.Logger.Log("event", "disk_full", "err", err)
 			if clock.Sleep(ctx, diskFullStartInterval) {
@@ -147,16 +149,43 @@
 		if err != nil {
 			return fmt.Errorf("open data folder: %w", err)
 		}
+		n.store, n.recovered = s, rec
 		if rec.Damage == nil {
-			n.store, n.recovered = s, rec
 			n.bootstrapState.set(rec)
 			return nil
 		}
-		n.cfg.Logger.Log("event", "data_folder_damaged", "id", rec.ID, "err", rec.Damage)
-		if err := s.Discard(); err != nil {
-			return fmt.Errorf("quarantine damaged files: %w", err)
+		newID, err := store.NewID()
+		if err != nil {
+			return errors.Join(err, s.Close())
 		}
+		n.bootstrapState.set(store.Recovered{ID: newID, Quarantined: true})
+		n.cfg.Logger.Log("event", "data_folder_damaged", "id", rec.ID, "new_id", newID, "err", rec.Damage, "files", strings.Join(rec.Files, " "))
+		return nil
+	}
+}
+
+func (n *Node) openFolder(newID string) (*store.Store, store.Recovered, error) {
+	return store.Open(store.Config{Dir: n.cfg.DataDir, ID: newID, Sync: n.cfg.sync, Write: n.cfg.write}) //nolint:wrapcheck // by the callers.
+}
+
+// replaceDamaged quarantines the files of a damaged data folder and starts a new one
+// with the given ID.
+func (n *Node) replaceDamaged(newID string) error {
+	if n.recovered.Damage == nil {
+		return nil
+	}
+	if err := n.store.Discard(); err != nil {
+		n.fail() // the next start goes on with it
+		return fmt.Errorf("quarantine damaged files: %w", err)
 	}
+	s, rec, err := n.openFolder(newID)
+	if err != nil {
+		n.fail()
+		return fmt.Errorf("open new data folder: %w", err)
+	}
+	n.cfg.Logger.Log("event", "data_folder_replaced", "id", n.recovered.ID, "new_id", rec.ID)
+	n.store, n.recovered = s, rec
+	return nil
 }
 
 // startMember starts the member with the recovered state.
--- a/ctrl/server.go
+++ b/ctrl/server.go
@@ -183,7 +183,7 @@
 func (s *server) Form(_ context.Context, req *wire.FormRequest) (*wire.FormResponse, error) {
 	id, dataLost, _ := s.n.bootstrapState.get()
 	m := membershipFromWire(req.GetMembership())
-	if _, ok := m.Find(id); !ok || dataLost || s.n.store == nil {
+	if _, ok := m.Find(id); !ok || dataLost || id == "" {
 		return &wire.FormResponse{}, nil
 	}
 	accepted, err := s.n.adoptMembership(m)
--- a/store/files.go
+++ b/store/files.go
@@ -252,9 +252,19 @@
 	return err == nil, nil
 }
 
-// identity returns the ID of the data folder, and generates one when there is
-// none. Existing files are then quarantined, since their owner is unknown.
-func (d folder) identity() (string, error) {
+// NewID returns a random identity for a disk.
+func NewID() (string, error) {
+	random := make([]byte, identityBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", fmt.Errorf("generate identity: %w", err)
+	}
+	return hex.EncodeToString(random), nil
+}
+
+// identity returns the ID of the data folder. If there is none, existing files are
+// quarantined, since their owner is unknown, and the folder gets the given ID, or a
+// random one if that is empty.
+func (d folder) identity(id string) (string, error) {
 	b, err := d.readChecksummed(identityName, identityMagic)
 	if err != nil || b != nil {
 		return string(b), err
@@ -268,10 +278,10 @@
 			return "", err
 		}
 	}
-	random := make([]byte, identityBytes)
-	if _, err := rand.Read(random); err != nil {
-		return "", fmt.Errorf("generate identity: %w", err)
+	if id == "" {
+		if id, err = NewID(); err != nil {
+			return "", err
+		}
 	}
-	id := hex.EncodeToString(random)
 	return id, d.writeChecksummed(identityName, identityMagic, []byte(id))
 }
--- a/store/store.go
+++ b/store/store.go
@@ -26,6 +26,8 @@
 type Config struct {
 	// Dir is the path of the data folder.
 	Dir string
+	// ID is the identity of a folder that has none; empty means a random one.
+	ID string
 	// SegmentBytes is the size at which a new segment is started; 0 means DefaultSegmentBytes.
 	SegmentBytes int64
 	// Sync syncs a file or folder to disk; nil means (*os.File).Sync.
@@ -36,7 +38,7 @@
 
 // Recovered is the state that Open found in the data folder.
 type Recovered struct {
-	// ID is the random identity of this disk, generated at the first start.
+	// ID is the identity of this disk, given or generated at the first start.
 	ID        string
 	HardState quorum.HardState
 	Snapshot  *quorum.Snapshot
@@ -49,6 +51,8 @@
 	// Damage reports any damage other than a torn write at the end of the log.
 	// The instance must then not vote and has to be restored from its peers.
 	Damage error
+	// Files are the names in a damaged folder.
+	Files []string
 	// Quarantined is true if the folder holds quarantined files of an earlier
 	// identity, so that the disk is not a new one.
 	Quarantined bool
@@ -57,6 +61,7 @@
 // Store is an open data folder.
 type Store struct {
 	dir          folder
+	newID        string // Config.ID
 	segmentBytes int64
 	lock         *os.File
 
@@ -87,7 +92,7 @@
 	if cfg.Write == nil {
 		cfg.Write = (*os.File).Write
 	}
-	s := &Store{dir: folder{path: cfg.Dir, syncFile: cfg.Sync, write: cfg.Write}, segmentBytes: cfg.SegmentBytes}
+	s := &Store{dir: folder{path: cfg.Dir, syncFile: cfg.Sync, write: cfg.Write}, newID: cfg.ID, segmentBytes: cfg.SegmentBytes}
 	if err := s.dir.create(); err != nil {
 		return nil, Recovered{}, noSpaceOr(err)
 	}
@@ -100,7 +105,12 @@
 	var damage *DamageError
 	if errors.As(err, &damage) {
 		s.failed = fmt.Errorf("store needs repair: %w", err)
-		return s, Recovered{ID: rec.ID, Damage: err}, nil
+		names, listErr := s.dir.names("", "")
+		if listErr != nil {
+			lock.Close()
+			return nil, Recovered{}, listErr
+		}
+		return s, Recovered{ID: rec.ID, Damage: err, Files: names}, nil
 	}
 	if err != nil {
 		lock.Close()
@@ -119,7 +129,7 @@
 	if err != nil {
 		return rec, err
 	}
-	if rec.ID, err = s.dir.identity(); err != nil {
+	if rec.ID, err = s.dir.identity(s.newID); err != nil {
 		return rec, err
 	}
 	if rec.Quarantined, err = s.dir.hasQuarantine(); err != nil {
@@ -501,9 +511,13 @@
 }
 
 // Discard quarantines the files of a damaged data folder and closes the store.
-// The next Open finds an empty folder and generates a new identity.
+// The next Open finds an empty folder and gives it a new identity.
 func (s *Store) Discard() error {
 	s.mu.Lock()
+	if errors.Is(s.failed, ErrClosed) {
+		s.mu.Unlock()
+		return ErrClosed
+	}
 	err := s.dir.quarantine()
 	s.mu.Unlock()
 	return errors.Join(err, s.Close())
