Send a refused request again only if a slow refusal would be in time

Cause: a refused request is sent again until the average latency no longer fits before its deadline. That average is of requests that ran, so it is 0 where none has, and the last attempt may begin just before the deadline. It is then cut off, and the outcome of a request that nobody ran is unknown. A caller with a key may not send it again.

Change: as much time must be left as the slowest refusal of the request took. The request is refused at once where it is not.

--- a/entry/fault_test.go
+++ b/entry/fault_test.go
@@ -65,6 +65,21 @@
 		Entry("an error", fakes.Behaviour{Mode: fakes.Fail}, 500, model.OutcomeDone, 1),
 	)
 
+	// Guards against an unknown outcome of requests that nobody has run: the last attempt began so late that the deadline
+	// came before the refusal.
+	It("that refuse slowly leave no attempt that the deadline cuts off", func() {
+		r := newFakeReplica()
+		u := startUpstream(r, "u1", "scl-1", fakes.Behaviour{Mode: fakes.Refuse, Delay: 500 * time.Millisecond})
+		s := newTestEntry(r, nil)
+		s.waitUsable(1)
+		for i := range 2 {
+			key := fmt.Sprint("k", i)
+			got := s.send(call{key: key, timeout: 1400 * time.Millisecond})
+			Expect([]any{got.err, got.status, got.outcome}).To(Equal([]any{nil, http.StatusServiceUnavailable, model.OutcomeNotRun}))
+			Expect(u.Ledger()[key].Started).To(BeZero())
+		}
+	})
+
 	// Guards against damage to large and chunked responses while they are copied, and against a wrong
 	// choice of which ones are recorded for a resend.
 	DescribeTable("that are complete arrive complete", func(behaviour fakes.Behaviour, recorded bool) {
--- a/entry/request.go
+++ b/entry/request.go
@@ -41,6 +41,8 @@
 	// attempts counts the attempts to send the request; executor names the last one chosen.
 	attempts int
 	executor string
+	// slowestRefusal is the longest time that an executor took to refuse the request.
+	slowestRefusal time.Duration
 }
 
 // newID returns a random ID of 128 bits in hexadecimal.
--- a/entry/send.go
+++ b/entry/send.go
@@ -24,6 +24,7 @@
 	// refused is set when the executor answered that it did not run the request.
 	refused bool
 	kind    route.ResultKind
+	took    time.Duration
 }
 
 // connTrace records which connection carries an attempt.
@@ -110,6 +111,7 @@
 	r := route.Result{Latency: clock.Now().Sub(ct.pickedAt)}
 	if f != nil {
 		cancel()
+		f.took = r.Latency
 		r.Kind = f.resultKind(ctx)
 		s.release(assignment, r)
 		return nil, f
@@ -223,6 +225,9 @@
 		case f != nil:
 			s.entry.metrics.countFailure(f)
 			cause, mayHaveRun = f, mayHaveRun || f.mayHaveRun
+			if f.refused {
+				q.slowestRefusal = max(q.slowestRefusal, f.took)
+			}
 		case !resp.unavailable() || q.key != "" || resp.rest != nil:
 			return resp.adjustOutcome(mayHaveRun), nil
 		default:
@@ -270,9 +275,10 @@
 }
 
 // fitsDeadline reports whether a request that is sent after the delay would, at the average latency,
-// end before its deadline. The caller holds the lock.
+// end before its deadline, and also if it is refused as slowly as before: an attempt that the
+// deadline cuts off leaves its outcome unknown. The caller holds the lock.
 func (s *service) fitsDeadline(q *request, delay time.Duration) bool {
-	return s.entry.cfg.Clock.Now().Add(delay + s.set.Latency()).Before(q.deadline)
+	return s.entry.cfg.Clock.Now().Add(delay + max(s.set.Latency(), q.slowestRefusal)).Before(q.deadline)
 }
 
 // forwardError returns the error for the caller. err says why no executor was chosen, cause why the
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -26,7 +26,7 @@
 	Fail
 	// Unavailable runs the request and responds with status 503 and no outcome header.
 	Unavailable
-	// Refuse does not run the request and responds with status 503 and outcome not_run.
+	// Refuse does not run the request and responds, after Delay, with status 503 and outcome not_run.
 	Refuse
 	// CutBody runs the request and closes the connection in the middle of the body.
 	CutBody
@@ -232,6 +232,9 @@
 		plan.startRequest(w, b)
 		defer plan.endRequest()
 	}
+	if b.Mode == Refuse && !u.waitDelay(r, b) {
+		return
+	}
 	if b.Mode == Refuse || n > u.cfg.Upstream.Slots {
 		u.refuse(w, key)
 		return
