End a worker for a later one on its machine only once it is silent

Cause: endFormerLives believed what somebody else says of a worker that is heard from. It even ignored the sound worker's own heartbeats from then on.

Change: a worker with a later one on its machine gets no new runs, and ends when it is silent (0.9 s and three heartbeats at least). One that is heard from keeps its lease and its runs. Events: worker_superseded, then worker_gone.

Cost: the runs of a machine that restarts within 0.9 s wait for the rest of it.

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -53,23 +53,39 @@
 	s.cfg.Logger.Log("event", "heartbeat_ignored", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "service", hb.Service, "address", hb.Address, "why", why)
 }
 
-// endFormerLives marks the earlier lives on the sender's machine as gone. It returns false if a later life on the
-// machine has ended the sender. An address is no identity: anyone may give it.
-func (s *Scheduler) endFormerLives(l *leaderState, hb *Heartbeat) bool {
+// noteMachine marks the earlier lives on the sender's machine as superseded, and returns the ID of a later one than the
+// sender that is heard from, "" if there is none. A machine has one life at a time, but anyone may say that a later one is
+// there: an earlier life that is heard from goes on with what it runs.
+func (s *Scheduler) noteMachine(l *leaderState, hb *Heartbeat, now time.Duration) (supersededBy string) {
 	for _, id := range l.byMachine[hb.Machine] {
 		other := l.workers[id]
 		switch {
 		case id == hb.Worker || other.gone:
 		case other.hb.Incarnation > hb.Incarnation && l.declares(other.hb.Service):
-			return false
+			if now-other.heardAt < l.silentAfter(other) {
+				supersededBy = id
+			}
 		case hb.Incarnation > other.hb.Incarnation && l.declares(hb.Service):
-			other.gone = true
-			l.fleet.Leave(id)
-			l.markRuns(id)
-			s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine)
+			if other.supersededBy == "" {
+				s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine, "silent_ms", (now - other.heardAt).Milliseconds())
+			}
+			other.supersededBy = hb.Worker
+			l.room.markStale(id)
+			s.endSuperseded(l, id, other, now)
 		}
 	}
-	return true
+	return supersededBy
+}
+
+// endSuperseded marks a worker as gone that is silent and whose machine has a later life.
+func (s *Scheduler) endSuperseded(l *leaderState, id string, w *worker, now time.Duration) {
+	if w.gone || w.supersededBy == "" || now-w.heardAt < l.silentAfter(w) {
+		return
+	}
+	w.gone = true
+	l.fleet.Leave(id)
+	l.markRuns(id)
+	s.cfg.Logger.Log("event", "worker_gone", "worker", id, "life", w.hb.Incarnation, "by", w.supersededBy, "machine", w.hb.Machine, "silent_ms", (now - w.heardAt).Milliseconds())
 }
 
 // noteAddress keeps new runs off earlier workers at the sender's address, and reports whether a later one that is heard
--- a/sched/giveup_test.go
+++ b/sched/giveup_test.go
@@ -88,6 +88,7 @@
 		f.addWorkers("r1", "dc1", "w1", "w2")
 		f.submit("normal", "j", batch.Step{Count: 2, Need: gpus(8), Gang: true, EstimateMS: 60_000})
 		Expect(f.s.Pass(sched.InTime)).To(HaveLen(2))
+		f.advance(time.Second) // w1 is silent for so long that its machine may have another life
 		w3 := f.workers["w1"].hb
 		w3.Worker, w3.Incarnation = "w3", 2
 		Expect(f.call(sched.Call{Heartbeat: &w3}).err).NotTo(HaveOccurred()) // a later life on the machine of w1
--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -60,8 +60,6 @@
 		return nil, false
 	case w != nil && hb.Incarnation == w.hb.Incarnation && (hb.Seq <= w.hb.Seq || w.gone):
 		return nil, false
-	case !s.endFormerLives(l, &hb):
-		return nil, false
 	case w != nil && hb.Incarnation > w.hb.Incarnation:
 		s.cfg.Logger.Log("event", "worker_reborn", "worker", hb.Worker, "life", hb.Incarnation, "before", w.hb.Incarnation)
 		l.forgetWorker(hb.Worker, w)
@@ -83,11 +81,11 @@
 	if w.leaving {
 		s.cfg.Logger.Log("event", "worker_stayed", "worker", hb.Worker, "life", hb.Incarnation, "seq", hb.Seq, "draining", hb.Draining)
 	}
-	addressTaken := l.noteAddress(&hb, now)
-	if w.leaving || addressTaken != w.addressTaken || w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
+	addressTaken, supersededBy := l.noteAddress(&hb, now), s.noteMachine(l, &hb, now)
+	if w.leaving || addressTaken != w.addressTaken || supersededBy != w.supersededBy || w.declaresChange(&hb) || now-w.heardAt >= l.silentAfter(w) {
 		l.room.markStale(hb.Worker)
 	}
-	w.leaving, w.addressTaken = false, addressTaken
+	w.leaving, w.addressTaken, w.supersededBy = false, addressTaken, supersededBy
 	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
 	s.noteProfile(l, w, now)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -122,6 +122,8 @@
 		return "worker is on probation"
 	case b.OutOfService[w.hb.DataCentre]:
 		return "data centre is out of service"
+	case w.supersededBy != "":
+		return "machine has a later life"
 	case l.preempting[ref] != "":
 		return stopPreempted
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
--- a/sched/sweep.go
+++ b/sched/sweep.go
@@ -46,6 +46,9 @@
 	defer s.mu.Unlock()
 	now := s.cfg.BootClock()
 	var ends []batch.End
+	for id, w := range l.workers {
+		s.endSuperseded(l, id, w, now)
+	}
 	l.ledger.View(func(b *batch.State) {
 		ends = append(s.unrecordedEnds(l, b, now), s.notOrderedEnds(l, b, now)...)
 		for id, runs := range b.Runs {
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -22,6 +22,9 @@
 	// leaving is set by a notice of leaving until the next heartbeat, addressTaken while a later worker at the same
 	// address is heard from. No run is placed on the worker meanwhile.
 	leaving, addressTaken bool
+	// supersededBy is the ID of a later worker on the same machine while that is heard from, or this one is silent. No run
+	// is placed or started on the worker meanwhile.
+	supersededBy string
 	// interval is the heartbeat interval that was last requested of the worker.
 	interval time.Duration
 	// checkAt is the boot time of the worker's next entry in room.checks, 0 if there is none.
@@ -61,8 +64,7 @@
 
 func newWorker() *worker {
 	return &worker{
-		running: map[batch.TaskID]RunState{}, missedReports: map[RunRef]int{}, endNoted: map[RunRef]bool{}, firstReports: map[RunRef]firstReport{}, stopSeq: map[RunRef]int64{},
-		rates: map[batch.TaskID]rate{}, overTargetSince: map[batch.TaskID]time.Duration{},
+		running: map[batch.TaskID]RunState{}, missedReports: map[RunRef]int{}, endNoted: map[RunRef]bool{}, firstReports: map[RunRef]firstReport{}, stopSeq: map[RunRef]int64{}, rates: map[batch.TaskID]rate{}, overTargetSince: map[batch.TaskID]time.Duration{},
 	}
 }
 
