Withdraw a start that a worker does not begin, and let it rest

Cause: a run was given up when its worker was silent, had never been told, or had been told to stop; none of these holds for a worker that says nothing of the run. Gangs were withdrawn when they did not form, and placed there again.

Change: after four answers and 1.5 s the start is withdrawn by a stop, after which the worker rejects it; the next heartbeat ends the run without a failure. The worker gets no new runs for 2 s, doubled up to 60 s until it begins one. Event start_not_begun, counter turmericroute_sched_unbegun_starts_total.

Tests: the three entries of "leaves its runs to others" (single tasks, under the next leader, a gang) failed on the code before. Two more specs hold a worker that loses three answers, and one that begins runs after a rest.

--- a/sched/heartbeat.go
+++ b/sched/heartbeat.go
@@ -86,6 +86,7 @@
 		l.room.markStale(hb.Worker)
 	}
 	w.leaving, w.addressTaken, w.supersededBy = false, addressTaken, supersededBy
+	l.endRest(w, now)
 	l.moveWorker(w, &hb)
 	w.hb, w.heardAt = hb, now
 	s.noteProfile(l, w, now)
@@ -119,6 +120,7 @@
 			continue
 		}
 		changed = true
+		l.noteBegun(w)
 		s.markStarted(l, r.Task.Job)
 	}
 	if !changed {
@@ -168,6 +170,7 @@
 		}
 		endReported[ref] = true
 		if e.Reason != batch.EndRefused {
+			l.noteBegun(w)
 			l.startedJobs[e.Task.Job] = true
 		}
 		if changesLedger(b, &w.hb, e) {
@@ -205,6 +208,7 @@
 		case w.stopSeq[ref] != 0 && w.stopSeq[ref] < w.hb.Seq && now-l.since > s.leaseExpiry():
 			// The worker has received the stop and reports the run neither as running nor as ended: it never started.
 			// Early in a term this may be a late heartbeat, from before a start that an earlier leader has ordered.
+			s.noteUnbegun(l, w, ref, now)
 			ends = append(ends, s.giveUp(l, w.hb.Worker, batch.End{Task: id, Run: run, Reason: batch.EndNeverStarted}, givenUpNeverStarted, now))
 		}
 	}
--- a/sched/metrics.go
+++ b/sched/metrics.go
@@ -19,6 +19,7 @@
 	set                      *metrics.Set
 	heartbeats, acceptedJobs *metrics.Counter
 	ignoredHeartbeats        *metrics.Counter
+	unbegunStarts            *metrics.Counter
 	placedRuns, panics       *metrics.Counter
 	// refreshedWorkers and triedSteps count what the passes have looked at.
 	refreshedWorkers, triedSteps *metrics.Counter
@@ -67,6 +68,7 @@
 	return schedulerMetrics{
 		set: set, gaugedTeams: map[string]bool{}, gaugedWaits: map[waitingKey]bool{}, heartbeats: set.GetOrCreateCounter("turmericroute_sched_heartbeats_total"),
 		ignoredHeartbeats: set.GetOrCreateCounter("turmericroute_sched_ignored_heartbeats_total"),
+		unbegunStarts:     set.GetOrCreateCounter("turmericroute_sched_unbegun_starts_total"),
 		acceptedJobs:      set.GetOrCreateCounter("turmericroute_sched_accepted_jobs_total"), placedRuns: set.GetOrCreateCounter("turmericroute_sched_placed_runs_total"),
 		panics:           set.GetOrCreateCounter("turmericroute_sched_panics_total"),
 		refreshedWorkers: set.GetOrCreateCounter("turmericroute_sched_refreshed_workers_total"), triedSteps: set.GetOrCreateCounter("turmericroute_sched_tried_steps_total"),
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -60,6 +60,7 @@
 			delete(l.notOrdered, ref)
 			l.noteOrdered(hb.Worker, ref)
 			l.losses.Order(loss.Key{Task: id, Run: run}, j.Spec.Steps[id.Step].Gang, now)
+			w.noteStartOrder(ref, now)
 			s.cfg.Logger.Log("event", "start_ordered", "task", id, "run", run, "worker", hb.Worker, "seq", hb.Seq, "age_ms", (now - w.heardAt).Milliseconds(), "checkpoint", l.resumeCheckpoint(j, id))
 		}
 		for id, r := range w.running {
@@ -124,6 +125,8 @@
 		return "data centre is out of service"
 	case w.supersededBy != "":
 		return "machine has a later life"
+	case w.startOrders[ref].overdue(now):
+		return "worker does not begin it"
 	case l.preempting[ref] != "":
 		return stopPreempted
 	case j.Spec.Steps[id.Step].Gang && !l.gangComplete(j, id, run):
--- a/sched/room.go
+++ b/sched/room.go
@@ -141,7 +141,7 @@
 
 // usable reports whether new runs may be placed on a worker now.
 func (p *pass) usable(w *worker) bool {
-	return !w.gone && !w.leaving && !w.addressTaken && w.supersededBy == "" && !w.hb.Draining && p.now-w.heardAt < p.l.silentAfter(w) && !p.state.OutOfService[w.hb.DataCentre]
+	return !w.gone && !w.leaving && !w.addressTaken && w.supersededBy == "" && w.restsUntil == 0 && !w.hb.Draining && p.now-w.heardAt < p.l.silentAfter(w) && !p.state.OutOfService[w.hb.DataCentre]
 }
 
 // sameWorker reports whether two views differ only in what is free.
--- a/sched/worker.go
+++ b/sched/worker.go
@@ -25,6 +25,12 @@
 	// supersededBy is the ID of a later worker on the same machine while that is heard from, or this one is silent. No run
 	// is placed or started on the worker meanwhile.
 	supersededBy string
+	// startOrders holds the active runs that this leader has told the worker to start.
+	startOrders map[RunRef]startOrders
+	// rests counts the rests since the worker last began a run, and restsUntil is the boot time at which the present one
+	// ends, 0 if there is none. No run is placed on the worker during a rest.
+	rests      int
+	restsUntil time.Duration
 	// interval is the heartbeat interval that was last requested of the worker.
 	interval time.Duration
 	// checkAt is the boot time of the worker's next entry in room.checks, 0 if there is none.
@@ -64,7 +70,8 @@
 
 func newWorker() *worker {
 	return &worker{
-		running: map[batch.TaskID]RunState{}, missedReports: map[RunRef]int{}, endNoted: map[RunRef]bool{}, firstReports: map[RunRef]firstReport{}, stopSeq: map[RunRef]int64{}, rates: map[batch.TaskID]rate{}, overTargetSince: map[batch.TaskID]time.Duration{},
+		running: map[batch.TaskID]RunState{}, missedReports: map[RunRef]int{}, endNoted: map[RunRef]bool{}, firstReports: map[RunRef]firstReport{}, stopSeq: map[RunRef]int64{},
+		startOrders: map[RunRef]startOrders{}, rates: map[batch.TaskID]rate{}, overTargetSince: map[batch.TaskID]time.Duration{},
 	}
 }
 
@@ -74,6 +81,7 @@
 	maps.DeleteFunc(w.missedReports, func(ref RunRef, _ int) bool { return over(ref) })
 	maps.DeleteFunc(w.endNoted, func(ref RunRef, _ bool) bool { return over(ref) })
 	maps.DeleteFunc(w.stopSeq, func(ref RunRef, _ int64) bool { return over(ref) })
+	maps.DeleteFunc(w.startOrders, func(ref RunRef, _ startOrders) bool { return over(ref) })
 }
 
 // progress returns how far a run that is reported has come since its first report.
