--- a/entry/send.go
+++ b/entry/send.go
@@ -24,7 +24,8 @@
 	// refused is set when the executor answered that it did not run the request.
 	refused bool
 	kind    route.ResultKind
-	took    time.Duration
+	// took is how long the attempt took.
+	took time.Duration
 }
 
 // connTrace records which connection carries an attempt.
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -67,10 +67,10 @@
 			}
 		case hb.Incarnation > other.hb.Incarnation && l.declares(hb.Service):
 			if other.supersededBy == "" {
+				other.supersededBy = hb.Worker
+				l.room.markStale(id)
 				s.cfg.Logger.Log("event", "worker_superseded", "worker", id, "life", other.hb.Incarnation, "by", hb.Worker, "by_life", hb.Incarnation, "machine", hb.Machine, "silent_ms", (now - other.heardAt).Milliseconds())
 			}
-			other.supersededBy = hb.Worker
-			l.room.markStale(id)
 			s.endSuperseded(l, id, other, now)
 		}
 	}
