Let workers of the soak begin nothing for a while

Nothing played a worker that is heard from and begins nothing beside kills, cuts and changes of leader, where withdrawing its starts could run a task twice.

--- a/cmd/bench/soak.go
+++ b/cmd/bench/soak.go
@@ -27,6 +27,7 @@
 	fs.IntVar(&cfg.Workers, "workers", 0, "number of workers, 0 for the default")
 	fs.DurationVar(&cfg.FaultDuration, "faulty", 0, "duration of fault injection, 0 for the default")
 	fs.BoolVar(&cfg.NoExpiryFaults, "no-expiry-faults", false, "leave out the faults around the expiry of leases, to play seeds from before them")
+	fs.BoolVar(&cfg.NoIdleFaults, "no-idle-faults", false, "leave out the faults of workers that begin nothing, to play seeds from before them")
 	fs.DurationVar(&cfg.Calm, "calm", 0, "duration of traffic without faults after the recovery, in which no answer may be missing")
 	closing := fs.String("closing", "", "fault of all machines at the end: none, kill or disks; empty draws it from the seed")
 	bounds := fs.String("bounds", string(soak.SmallBounds), "time bounds of the deployment: small or large")
--- a/soak/config.go
+++ b/soak/config.go
@@ -21,6 +21,8 @@
 	FaultDuration time.Duration
 	// NoExpiryFaults leaves out the faults around the expiry of leases, for seeds from before them.
 	NoExpiryFaults bool
+	// NoIdleFaults leaves out the faults of workers that begin nothing, for seeds from before them.
+	NoIdleFaults bool
 	// Calm is how long traffic goes on without faults after the recovery; no answer may be missing then.
 	Calm time.Duration
 	// Closing is the fault at the end; an empty one is drawn from the seed.
--- a/soak/run.go
+++ b/soak/run.go
@@ -100,13 +100,16 @@
 	wg.Go(func() { s.recordMetrics(soakCtx) })
 	sleep(ctx, warmUp)
 	faultCtx, stopFaults := context.WithCancel(ctx)
-	var expiryFaults sync.WaitGroup
+	var moreFaults sync.WaitGroup
 	if !cfg.NoExpiryFaults {
-		expiryFaults.Go(func() { s.injectExpiryFaults(faultCtx, newRand(expiryStream)) })
+		moreFaults.Go(func() { s.injectExpiryFaults(faultCtx, newRand(expiryStream)) })
+	}
+	if !cfg.NoIdleFaults {
+		moreFaults.Go(func() { s.injectIdleFaults(faultCtx, newRand(idleStream)) })
 	}
 	s.injectFaults(ctx, newRand(1))
 	stopFaults()
-	expiryFaults.Wait()
+	moreFaults.Wait()
 	sleep(ctx, s.bounds.recovery)
 	s.keepCalm(ctx)
 	s.checkOutage(ctx)
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -38,6 +38,8 @@
 	rack  string
 	// dropRequests drops heartbeats, dropResponses their responses; refuseRequests makes heartbeats fail at once.
 	dropRequests, dropResponses, refuseRequests atomic.Bool
+	// idle counts the faults that keep the host's workers from beginning runs.
+	idle atomic.Int64
 	// starts counts the runs that started on the host.
 	starts atomic.Int64
 	// crash ends the current worker without notice, drain makes it drain and leave.
@@ -410,6 +412,9 @@
 	if slices.ContainsFunc(w.ends, func(e pendingEnd) bool { return e.Task == st.Task && e.Run == st.Run }) {
 		return
 	}
+	if w.host.idle.Load() > 0 {
+		return
+	}
 	s := w.host.s
 	step, need, ok := s.stepOf(st.Task)
 	free := capacity
