Accept a folder that another instance creates at the same time

What operators saw: of instances on one machine that share a parent of their data folders, one could end at its first start with "create data folder: mkdir data: file exists", and the cluster did not form, since a first start waits for all control instances.

Between the look at what is missing and the creation another process may create the same folder, and that was taken for an error.

Change: a folder that exists meanwhile is accepted, and its name is synced like that of a folder that was created here. Found on the way: a folder that another process had created, but not yet synced, got the data folder's name synced in it before its own name was durable. The name of what exists is synced first now.

The simulated disk of the tests leaves out syncs of all folders above the data folder, no longer only of its parent, and may end before the first creation. The spec that states the order of syncs names one more, the first.

--- a/store/disk_test.go
+++ b/store/disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io/fs"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -85,7 +86,7 @@
 	}
 	d.syncsLeft--
 	name, err := filepath.Rel(d.path, f.Name())
-	if err != nil || name == ".." {
+	if err != nil || !filepath.IsLocal(name) {
 		return err
 	}
 	now := d.list()
@@ -110,6 +111,9 @@
 // list returns the IDs of all files and subfolders by their names.
 func (d *disk) list() map[string]uint64 {
 	all := map[string]uint64{}
+	if _, err := os.Stat(d.path); errors.Is(err, fs.ErrNotExist) {
+		return all // the first start has not created it yet
+	}
 	Expect(filepath.WalkDir(d.path, func(path string, e os.DirEntry, err error) error {
 		if err != nil || path == d.path {
 			return err
--- a/store/files.go
+++ b/store/files.go
@@ -73,9 +73,10 @@
 	return nil
 }
 
-// create creates the data folder if it does not exist, and syncs the parent of each
-// folder that it creates. It also syncs the parent of the folder that exists already,
-// unless this disk has an identity: a process that was killed may have created it.
+// create creates the data folder if it does not exist. A folder's name is synced
+// before anything is created in it, also where another process has created the folder:
+// instances on one machine may share its parents and start at the same time. Nothing is
+// synced if this disk has an identity.
 func (d folder) create() error {
 	if _, err := os.Stat(d.filePath(identityName)); err == nil {
 		return nil
@@ -88,18 +89,18 @@
 		}
 		missing = append(missing, existing)
 	}
+	// Without permission to read the parent this process cannot have created the folder.
+	if err := d.syncFolder(filepath.Dir(existing)); err != nil && !errors.Is(err, fs.ErrPermission) {
+		return err
+	}
 	for _, path := range slices.Backward(missing) {
-		if err := os.Mkdir(path, folderMode); err != nil {
+		if err := os.Mkdir(path, folderMode); err != nil && !errors.Is(err, fs.ErrExist) {
 			return fmt.Errorf("create data folder: %w", err)
 		}
 		if err := d.syncFolder(filepath.Dir(path)); err != nil {
 			return err
 		}
 	}
-	// Without permission to read the parent this process cannot have created the folder.
-	if err := d.syncFolder(filepath.Dir(existing)); err != nil && !errors.Is(err, fs.ErrPermission) {
-		return err
-	}
 	return nil
 }
 
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -360,7 +360,41 @@
 		}})
 		Expect(err).NotTo(HaveOccurred())
 		defer s.Close()
-		Expect(synced[:3]).To(Equal([]string{top, filepath.Join(top, "a"), filepath.Join(top, "a", "b")}))
+		Expect(synced[:4]).To(Equal([]string{filepath.Dir(top), top, filepath.Join(top, "a"), filepath.Join(top, "a", "b")}))
+	})
+
+	// Guards against an instance that ends at its first start since another one on the same machine, which shares a parent of
+	// its data folder, creates that parent at the same time.
+	It("accepts folders that another process creates meanwhile, and syncs their names", func() {
+		var synced []string
+		top := GinkgoT().TempDir()
+		s, _, err := store.Open(store.Config{Dir: filepath.Join(top, "a", "b", "c"), Sync: func(f *os.File) error {
+			synced = append(synced, f.Name())
+			return errors.Join(os.MkdirAll(filepath.Join(top, "a", "b"), 0o700), f.Sync())
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		Expect(synced).To(ContainElements(top, filepath.Join(top, "a"), filepath.Join(top, "a", "b")))
+	})
+
+	// Guards against a data folder that is gone after a power loss, since its name was synced in a folder whose own name was
+	// not: another process had created that folder and not synced its parent yet.
+	It("syncs the name of a folder before it creates anything in it", func() {
+		top := GinkgoT().TempDir()
+		Expect(os.Mkdir(filepath.Join(top, "a"), 0o700)).To(Succeed())
+		synced := make(map[string]bool)
+		s, _, err := store.Open(store.Config{Dir: filepath.Join(top, "a", "b", "c"), Sync: func(f *os.File) error {
+			for _, child := range []string{"a/b", "a/b/c"} {
+				if _, err := os.Stat(filepath.Join(top, child)); err == nil {
+					Expect(synced).To(HaveKey(filepath.Join(top, child, "..", "..")), "%s was created before the name of its parent was synced", child)
+				}
+			}
+			synced[f.Name()] = true
+			return f.Sync()
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		Expect(synced).To(HaveKey(filepath.Join(top, "a", "b")))
 	})
 
 	// Guards against a data folder that is gone after a power loss, since the process that created it was killed before it
